Serve a request end to end over separate processes

Purpose: a thin whole path before any part grows. A platform stand-in, engine stand-ins and several nodes run as processes of their own; a document applied through one node is in force on all, a controller forms replica groups of four members, and a streamed answer reaches the caller from any node.

The controller is level-triggered and every write is conditional, so several nodes may run it at once; it holds no lease yet. The gateway checks the identity in the head of each answer before a byte is relayed.

--- /dev/null
+++ b/pkg/serving/engine/engine.go
@@ -0,0 +1,73 @@
+// Package engine speaks to the members of replica groups: health answers,
+// orders and generation requests.
+//
+// The interface is narrow so that another kind of engine is one file.
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+
+	"github.com/zeebo/errs"
+
+	"almondbay.example/core/fleet"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("engine")
+
+// Request is one attempt at a generation request.
+type Request struct {
+	// Attempt is unique over all attempts of all requests.
+	Attempt string
+	// Path is the OpenAI-compatible path, such as /v1/chat/completions.
+	Path string
+	// Body is the request body in OpenAI form.
+	Body []byte
+	// Expected is the identity that the answer's head must carry.
+	Expected fleet.Identity
+	// Offset is the number of tokens to skip when a broken stream is resumed.
+	Offset int
+}
+
+// Answer is the head of an answer and the stream of its body. The caller
+// closes Body.
+type Answer struct {
+	Identity    fleet.Identity
+	Attempt     string
+	Status      int
+	ContentType string
+	Body        io.ReadCloser
+}
+
+// Engine is one member of the fleet, reached at an address.
+type Engine interface {
+	// Health asks the member at address for its report.
+	Health(ctx context.Context, address string) (fleet.Report, error)
+	// Order gives the member at address its whole desired state. It returns a
+	// StaleTermError when the member refuses the fencing number.
+	Order(ctx context.Context, address string, o fleet.Order) error
+	// Generate starts an attempt on the leader at address. It returns a
+	// NotStartedError when the attempt certainly did not run.
+	Generate(ctx context.Context, address string, r Request) (Answer, error)
+}
+
+// StaleTermError reports an order with an old fencing number.
+type StaleTermError struct {
+	// Term is the fencing number that the member has accepted before.
+	Term uint64
+}
+
+func (e *StaleTermError) Error() string {
+	return fmt.Sprintf("engine: order refused, member is at term %d", e.Term)
+}
+
+// NotStartedError reports an attempt that certainly did not run.
+type NotStartedError struct {
+	Reason string
+}
+
+func (e *NotStartedError) Error() string {
+	return "engine: attempt not started: " + e.Reason
+}
--- /dev/null
+++ b/pkg/serving/platform/platformhttp/client.go
@@ -0,0 +1,182 @@
+// Package platformhttp is the HTTP client of the platform's table service,
+// object store and list of VMs.
+package platformhttp
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/url"
+	"time"
+
+	"almondbay.example/core/fleet"
+	"almondbay.example/serving/platform"
+	"almondbay.example/serving/platform/platformwire"
+)
+
+// maxAnswerBytes bounds the size of one answer of the platform.
+const maxAnswerBytes = 64 << 20
+
+// Config configures a Client.
+type Config struct {
+	// Address is the base URL of the platform, without a trailing slash.
+	Address string
+	// Timeout bounds one call.
+	Timeout time.Duration
+	// Transport is http.DefaultTransport when nil.
+	Transport http.RoundTripper
+}
+
+// Client implements platform.Table, platform.Objects and platform.VMs over
+// HTTP.
+type Client struct {
+	address string
+	http    *http.Client
+}
+
+var (
+	_ platform.Table   = (*Client)(nil)
+	_ platform.Objects = (*Client)(nil)
+	_ platform.VMs     = (*Client)(nil)
+)
+
+// New returns a client.
+func New(c Config) *Client {
+	return &Client{
+		address: c.Address,
+		http:    &http.Client{Timeout: c.Timeout, Transport: c.Transport},
+	}
+}
+
+// Read implements platform.Table.
+func (c *Client) Read(ctx context.Context, key string) (platform.Row, error) {
+	var row platformwire.Row
+	if err := c.call(ctx, platformwire.PathRead, platformwire.KeyRequest{Key: key}, &row); err != nil {
+		return platform.Row{}, err
+	}
+	return platformwire.ToRow(row), nil
+}
+
+// Range implements platform.Table.
+func (c *Client) Range(ctx context.Context, prefix string) ([]platform.Row, error) {
+	var answer platformwire.Rows
+	if err := c.call(ctx, platformwire.PathRange, platformwire.KeyRequest{Key: prefix}, &answer); err != nil {
+		return nil, err
+	}
+	rows := make([]platform.Row, 0, len(answer.Rows))
+	for _, r := range answer.Rows {
+		rows = append(rows, platformwire.ToRow(r))
+	}
+	return rows, nil
+}
+
+// Commit implements platform.Table.
+func (c *Client) Commit(ctx context.Context, t platform.Transaction) error {
+	return c.call(ctx, platformwire.PathCommit, platformwire.FromTransaction(t), nil)
+}
+
+// Put implements platform.Objects.
+func (c *Client) Put(ctx context.Context, name string, body []byte) error {
+	_, err := c.roundTrip(ctx, http.MethodPut, platformwire.PathObjects+url.PathEscape(name), body)
+	return err
+}
+
+// Get implements platform.Objects.
+func (c *Client) Get(ctx context.Context, name string) ([]byte, error) {
+	body, err := c.roundTrip(ctx, http.MethodGet, platformwire.PathObjects+url.PathEscape(name), nil)
+	var notFound *platform.NotFoundError
+	if errors.As(err, &notFound) {
+		return nil, &platform.NotFoundError{Name: name}
+	}
+	return body, err
+}
+
+// List implements platform.VMs.
+func (c *Client) List(ctx context.Context) ([]fleet.VM, error) {
+	body, err := c.roundTrip(ctx, http.MethodGet, platformwire.PathVMs, nil)
+	if err != nil {
+		return nil, err
+	}
+	var answer platformwire.VMs
+	if err := json.Unmarshal(body, &answer); err != nil {
+		return nil, platform.Error.Wrap(err)
+	}
+	vms := make([]fleet.VM, 0, len(answer.VMs))
+	for _, v := range answer.VMs {
+		vms = append(vms, platformwire.ToVM(v))
+	}
+	return vms, nil
+}
+
+// call posts in as JSON and decodes the answer into out unless out is nil.
+func (c *Client) call(ctx context.Context, path string, in, out any) error {
+	body, err := json.Marshal(in)
+	if err != nil {
+		return platform.Error.Wrap(err)
+	}
+	answer, err := c.roundTrip(ctx, http.MethodPost, path, body)
+	if err != nil {
+		return err
+	}
+	if out == nil {
+		return nil
+	}
+	return platform.Error.Wrap(json.Unmarshal(answer, out))
+}
+
+// roundTrip sends one request and returns the body of its answer. A request
+// that certainly did not reach the platform is a RefusedError; any other
+// transport error is an UnknownError.
+func (c *Client) roundTrip(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+	request, err := http.NewRequestWithContext(ctx, method, c.address+path, bytes.NewReader(body))
+	if err != nil {
+		return nil, platform.Error.Wrap(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := c.http.Do(request)
+	if err != nil {
+		return nil, transportError(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+
+	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return nil, &platform.UnknownError{Reason: err.Error()}
+	}
+	return answer, statusError(response.StatusCode, answer)
+}
+
+// transportError tells a request that was never sent from one whose answer
+// was lost.
+func transportError(err error) error {
+	var opError *net.OpError
+	if errors.As(err, &opError) && opError.Op == "dial" {
+		return &platform.RefusedError{Reason: err.Error()}
+	}
+	return &platform.UnknownError{Reason: err.Error()}
+}
+
+// statusError maps the status of an answer to an error of package platform.
+func statusError(status int, body []byte) error {
+	switch {
+	case status < http.StatusMultipleChoices:
+		return nil
+	case status == http.StatusConflict:
+		var conflict platformwire.Conflict
+		if err := json.Unmarshal(body, &conflict); err != nil {
+			return platform.Error.Wrap(err)
+		}
+		return &platform.ConflictError{Key: conflict.Key, Version: conflict.Version}
+	case status == http.StatusNotFound:
+		return &platform.NotFoundError{}
+	case status == http.StatusServiceUnavailable, status == http.StatusTooManyRequests:
+		return &platform.RefusedError{Reason: fmt.Sprintf("status %d", status)}
+	default:
+		return &platform.UnknownError{Reason: fmt.Sprintf("status %d", status)}
+	}
+}
--- /dev/null
+++ b/pkg/serving/view/view.go
@@ -0,0 +1,196 @@
+// Package view holds what one node knows of the fleet: the list of VMs, the
+// rows of replica groups, the latest report of each member, and the
+// configuration in force. All of it is soft state, learned again after a
+// restart.
+package view
+
+import (
+	"slices"
+	"sync"
+	"time"
+
+	"almondbay.example/core/document"
+	"almondbay.example/core/fleet"
+)
+
+// Group is one replica group as its row in the table service has it.
+type Group struct {
+	ID    string
+	Epoch uint64
+	// Members lists the IDs of all members, the leader first.
+	Members []string
+	Model   string
+	Version string
+}
+
+// Target is a replica group that can be given work.
+type Target struct {
+	Group Group
+	// Leader is the leader's identity, which the answer's head must carry.
+	Leader  fleet.Identity
+	Address string
+	// FailureDomain is the failure domain of the leader.
+	FailureDomain string
+	Load          fleet.Load
+}
+
+// View is safe for concurrent use.
+type View struct {
+	// proofTTL is the age beyond which a report proves nothing.
+	proofTTL time.Duration
+
+	mu       sync.RWMutex
+	vms      map[string]fleet.VM
+	groups   map[string]Group
+	reports  map[string]fleet.Report
+	document document.Document
+	// revision never goes down.
+	revision uint64
+}
+
+// New returns an empty view in which a report older than proofTTL proves
+// nothing.
+func New(proofTTL time.Duration) *View {
+	return &View{
+		proofTTL: proofTTL,
+		vms:      make(map[string]fleet.VM),
+		groups:   make(map[string]Group),
+		reports:  make(map[string]fleet.Report),
+	}
+}
+
+// SetVMs replaces the list of VMs.
+func (v *View) SetVMs(vms []fleet.VM) {
+	byID := make(map[string]fleet.VM, len(vms))
+	for _, vm := range vms {
+		byID[vm.ID] = vm
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	v.vms = byID
+}
+
+// VMs returns the VMs with a role, in the order of their IDs.
+func (v *View) VMs(role fleet.Role) []fleet.VM {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+
+	var out []fleet.VM
+	for _, vm := range v.vms {
+		if vm.Role == role {
+			out = append(out, vm)
+		}
+	}
+	slices.SortFunc(out, func(a, b fleet.VM) int {
+		if a.ID < b.ID {
+			return -1
+		}
+		return 1
+	})
+	return out
+}
+
+// SetGroups replaces the rows of replica groups.
+func (v *View) SetGroups(groups []Group) {
+	byID := make(map[string]Group, len(groups))
+	for _, g := range groups {
+		byID[g.ID] = g
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	v.groups = byID
+}
+
+// SetReport keeps the latest report of a member.
+func (v *View) SetReport(r fleet.Report) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	v.reports[r.Identity.Member] = r
+}
+
+// Report returns the latest report of a member.
+func (v *View) Report(member string) (fleet.Report, bool) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+
+	r, ok := v.reports[member]
+	return r, ok
+}
+
+// SetDocument puts a revision in force. An older revision than the one in
+// force is ignored.
+func (v *View) SetDocument(revision uint64, d document.Document) {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	if revision <= v.revision {
+		return
+	}
+	v.revision = revision
+	v.document = d
+}
+
+// Document returns the configuration in force and its revision, which is zero
+// while there is none.
+func (v *View) Document() (document.Document, uint64) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+
+	return v.document, v.revision
+}
+
+// Targets returns the replica groups of model that have a proof at now: every
+// member has reported the group's identity within the last proofTTL.
+func (v *View) Targets(model string, now time.Time) []Target {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+
+	var out []Target
+	for _, g := range v.groups {
+		if g.Model != model || !v.proved(g, now) {
+			continue
+		}
+		leader := v.vms[g.Members[0]]
+		report := v.reports[leader.ID]
+		out = append(out, Target{
+			Group:         g,
+			Leader:        report.Identity,
+			Address:       leader.Address,
+			FailureDomain: leader.FailureDomain,
+			Load:          report.Load,
+		})
+	}
+	return out
+}
+
+// proved reports whether every member of g has lately reported that it serves
+// in g. The caller holds the lock.
+func (v *View) proved(g Group, now time.Time) bool {
+	if len(g.Members) == 0 {
+		return false
+	}
+	for _, id := range g.Members {
+		r, ok := v.reports[id]
+		if !ok || now.Sub(r.SeenAt) > v.proofTTL {
+			return false
+		}
+		if vm, listed := v.vms[id]; !listed || vm.State == fleet.VMLeaving || r.Leaving {
+			return false
+		}
+		want := fleet.Identity{
+			Member:  id,
+			Boot:    r.Identity.Boot,
+			Group:   g.ID,
+			Epoch:   g.Epoch,
+			Model:   g.Model,
+			Version: g.Version,
+		}
+		if r.Identity != want || r.Phase != fleet.PhaseReady {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/pkg/standin/platformstandin/server.go
@@ -0,0 +1,208 @@
+// Package platformstandin stands in for the platform: its table service, its
+// object store and its list of VMs, with faults that tests switch on.
+package platformstandin
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strings"
+	"sync"
+
+	"github.com/labstack/echo/v4"
+
+	"almondbay.example/serving/platform"
+	"almondbay.example/serving/platform/platformwire"
+)
+
+// maxObjectBytes bounds the size of one stored object.
+const maxObjectBytes = 64 << 20
+
+// Paths of the stand-in's own control, which the platform does not have.
+const (
+	PathControlVM    = "/control/vm"
+	PathControlFault = "/control/fault"
+)
+
+// Fault is a way in which the stand-in misbehaves.
+type Fault string
+
+// Faults of the stand-in.
+const (
+	// FaultNone serves every request.
+	FaultNone Fault = ""
+	// FaultDown refuses every request before running it.
+	FaultDown Fault = "down"
+	// FaultLostAnswer applies commits and then drops their answers.
+	FaultLostAnswer Fault = "lostAnswer"
+)
+
+// Server serves a platform.Memory over the platform's HTTP protocol.
+type Server struct {
+	memory *platform.Memory
+	echo   *echo.Echo
+
+	mu    sync.Mutex
+	fault Fault
+}
+
+// New returns a server over memory.
+func New(memory *platform.Memory) *Server {
+	s := &Server{memory: memory, echo: echo.New()}
+	s.echo.HideBanner = true
+	s.echo.Use(s.refuseWhenDown)
+	s.echo.POST(platformwire.PathRead, s.read)
+	s.echo.POST(platformwire.PathRange, s.readRange)
+	s.echo.POST(platformwire.PathCommit, s.commit)
+	s.echo.PUT(platformwire.PathObjects+":name", s.put)
+	s.echo.GET(platformwire.PathObjects+":name", s.get)
+	s.echo.GET(platformwire.PathVMs, s.list)
+	s.echo.PUT(PathControlVM, s.setVM)
+	s.echo.DELETE(PathControlVM+"/:id", s.removeVM)
+	s.echo.PUT(PathControlFault+"/:fault", s.setFault)
+	return s
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	s.echo.ServeHTTP(w, r)
+}
+
+// SetFault switches to a fault until the next call.
+func (s *Server) SetFault(f Fault) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.fault = f
+}
+
+func (s *Server) currentFault() Fault {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.fault
+}
+
+func (s *Server) refuseWhenDown(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		control := strings.HasPrefix(c.Path(), "/control/")
+		if !control && s.currentFault() == FaultDown {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return next(c)
+	}
+}
+
+func (s *Server) read(c echo.Context) error {
+	var request platformwire.KeyRequest
+	if err := c.Bind(&request); err != nil {
+		return err
+	}
+	row, err := s.memory.Read(c.Request().Context(), request.Key)
+	if err != nil {
+		return err
+	}
+	return c.JSON(http.StatusOK, platformwire.FromRow(row))
+}
+
+func (s *Server) readRange(c echo.Context) error {
+	var request platformwire.KeyRequest
+	if err := c.Bind(&request); err != nil {
+		return err
+	}
+	rows, err := s.memory.Range(c.Request().Context(), request.Key)
+	if err != nil {
+		return err
+	}
+	answer := platformwire.Rows{Rows: make([]platformwire.Row, 0, len(rows))}
+	for _, r := range rows {
+		answer.Rows = append(answer.Rows, platformwire.FromRow(r))
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (s *Server) commit(c echo.Context) error {
+	var request platformwire.Transaction
+	if err := c.Bind(&request); err != nil {
+		return err
+	}
+	err := s.memory.Commit(c.Request().Context(), platformwire.ToTransaction(request))
+	var conflict *platform.ConflictError
+	if errors.As(err, &conflict) {
+		return c.JSON(http.StatusConflict, platformwire.Conflict{Key: conflict.Key, Version: conflict.Version})
+	}
+	if err != nil {
+		return err
+	}
+	if s.currentFault() == FaultLostAnswer {
+		panic(http.ErrAbortHandler)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Server) put(c echo.Context) error {
+	name, err := url.PathUnescape(c.Param("name"))
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxObjectBytes))
+	if err != nil {
+		return err
+	}
+	if err := s.memory.Put(c.Request().Context(), name, body); err != nil {
+		return err
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Server) get(c echo.Context) error {
+	name, err := url.PathUnescape(c.Param("name"))
+	if err != nil {
+		return echo.NewHTTPError(http.StatusBadRequest, err.Error())
+	}
+	body, err := s.memory.Get(c.Request().Context(), name)
+	var notFound *platform.NotFoundError
+	if errors.As(err, &notFound) {
+		return c.NoContent(http.StatusNotFound)
+	}
+	if err != nil {
+		return err
+	}
+	return c.Blob(http.StatusOK, echo.MIMEOctetStream, body)
+}
+
+func (s *Server) list(c echo.Context) error {
+	vms, err := s.memory.List(c.Request().Context())
+	if err != nil {
+		return err
+	}
+	answer := platformwire.VMs{VMs: make([]platformwire.VM, 0, len(vms))}
+	for _, v := range vms {
+		answer.VMs = append(answer.VMs, platformwire.FromVM(v))
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (s *Server) setVM(c echo.Context) error {
+	var vm platformwire.VM
+	if err := c.Bind(&vm); err != nil {
+		return err
+	}
+	s.memory.SetVM(platformwire.ToVM(vm))
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Server) removeVM(c echo.Context) error {
+	s.memory.RemoveVM(c.Param("id"))
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (s *Server) setFault(c echo.Context) error {
+	fault := Fault(c.Param("fault"))
+	if fault == "none" {
+		fault = FaultNone
+	}
+	s.SetFault(fault)
+	return c.NoContent(http.StatusNoContent)
+}
