Hold every platform implementation to one contract

Purpose: the in-memory platform and the HTTP client must behave alike, since tests against the one stand for the other.

The contract test found that a row deleted and written anew started at version 1 again, so that a condition read before the deletion would have held: a late write could pass as current. Seen failing before the change ("a condition on the version before the deletion: <nil>" for both implementations). Versions now go on from where they were.

--- a/pkg/serving/platform/memory.go
+++ b/pkg/serving/platform/memory.go
@@ -15,6 +15,9 @@
 type Memory struct {
 	mu      sync.RWMutex
 	rows    map[string]Row
+	// deleted holds the last version of each deleted row, so that a row
+	// written anew never has a version that it had before.
+	deleted map[string]uint64
 	objects map[string][]byte
 	vms     []fleet.VM
 }
@@ -29,6 +32,7 @@
 func NewMemory() *Memory {
 	return &Memory{
 		rows:    make(map[string]Row),
+		deleted: make(map[string]uint64),
 		objects: make(map[string][]byte),
 	}
 }
@@ -78,13 +82,16 @@
 
 // apply sets or deletes one row. The caller holds the lock.
 func (m *Memory) apply(operation string, w Write) {
+	version := max(m.rows[w.Key].Version, m.deleted[w.Key])
 	if w.Delete {
 		delete(m.rows, w.Key)
+		m.deleted[w.Key] = version
 		return
 	}
+	delete(m.deleted, w.Key)
 	m.rows[w.Key] = Row{
 		Key:       w.Key,
-		Version:   m.rows[w.Key].Version + 1,
+		Version:   version + 1,
 		Operation: operation,
 		Value:     bytes.Clone(w.Value),
 	}
--- a/pkg/serving/platform/platform.go
+++ b/pkg/serving/platform/platform.go
@@ -20,7 +20,8 @@
 type Row struct {
 	Key string
 	// Version grows by one with each write of the row; zero means that the
-	// row is absent.
+	// row is absent. A row written anew after its deletion goes on from the
+	// version that it had, so that no two values ever share a version.
 	Version uint64
 	// Operation is the ID of the transaction that wrote this version.
 	Operation string
--- a/pkg/standin/platformstandin/server.go
+++ b/pkg/standin/platformstandin/server.go
@@ -7,35 +7,20 @@
 	"io"
 	"net/http"
 	"net/url"
-	"strings"
 	"sync"
 
 	"github.com/labstack/echo/v4"
 
+	"almondbay.example/core/fleet"
 	"almondbay.example/serving/platform"
 	"almondbay.example/serving/platform/platformwire"
 )
 
-// maxObjectBytes bounds the size of one stored object.
-const maxObjectBytes = 64 << 20
-
-// Paths of the stand-in's own control, which the platform does not have.
-const (
-	PathControlVM    = "/control/vm"
-	PathControlFault = "/control/fault"
-)
-
-// Fault is a way in which the stand-in misbehaves.
-type Fault string
-
-// Faults of the stand-in.
 const (
-	// FaultNone serves every request.
-	FaultNone Fault = ""
-	// FaultDown refuses every request before running it.
-	FaultDown Fault = "down"
-	// FaultLostAnswer applies commits and then drops their answers.
-	FaultLostAnswer Fault = "lostAnswer"
+	// maxObjectBytes bounds the size of one stored object.
+	maxObjectBytes = 64 << 20
+	// maxHeldCommits bounds the commits that FaultHeldCommit keeps back.
+	maxHeldCommits = 64
 )
 
 // Server serves a platform.Memory over the platform's HTTP protocol.
@@ -45,13 +30,21 @@
 
 	mu    sync.Mutex
 	fault Fault
+	// frozen is the list of VMs that is served under FaultFrozenList.
+	frozen []fleet.VM
+	// held receives each commit that FaultHeldCommit keeps back.
+	held chan platform.Transaction
 }
 
 // New returns a server over memory.
 func New(memory *platform.Memory) *Server {
-	s := &Server{memory: memory, echo: echo.New()}
+	s := &Server{
+		memory: memory,
+		echo:   echo.New(),
+		held:   make(chan platform.Transaction, maxHeldCommits),
+	}
 	s.echo.HideBanner = true
-	s.echo.Use(s.refuseWhenDown)
+	s.echo.Use(s.misbehave)
 	s.echo.POST(platformwire.PathRead, s.read)
 	s.echo.POST(platformwire.PathRange, s.readRange)
 	s.echo.POST(platformwire.PathCommit, s.commit)
@@ -69,31 +62,6 @@
 	s.echo.ServeHTTP(w, r)
 }
 
-// SetFault switches to a fault until the next call.
-func (s *Server) SetFault(f Fault) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	s.fault = f
-}
-
-func (s *Server) currentFault() Fault {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-
-	return s.fault
-}
-
-func (s *Server) refuseWhenDown(next echo.HandlerFunc) echo.HandlerFunc {
-	return func(c echo.Context) error {
-		control := strings.HasPrefix(c.Path(), "/control/")
-		if !control && s.currentFault() == FaultDown {
-			return c.NoContent(http.StatusServiceUnavailable)
-		}
-		return next(c)
-	}
-}
-
 func (s *Server) read(c echo.Context) error {
 	var request platformwire.KeyRequest
 	if err := c.Bind(&request); err != nil {
@@ -127,7 +95,12 @@
 	if err := c.Bind(&request); err != nil {
 		return err
 	}
-	err := s.memory.Commit(c.Request().Context(), platformwire.ToTransaction(request))
+	transaction := platformwire.ToTransaction(request)
+	if s.currentFault() == FaultHeldCommit {
+		s.held <- transaction
+		panic(http.ErrAbortHandler)
+	}
+	err := s.memory.Commit(c.Request().Context(), transaction)
 	var conflict *platform.ConflictError
 	if errors.As(err, &conflict) {
 		return c.JSON(http.StatusConflict, platformwire.Conflict{Key: conflict.Key, Version: conflict.Version})
@@ -173,7 +146,7 @@
 }
 
 func (s *Server) list(c echo.Context) error {
-	vms, err := s.memory.List(c.Request().Context())
+	vms, err := s.listed(c.Request().Context())
 	if err != nil {
 		return err
 	}
@@ -183,26 +156,3 @@
 	}
 	return c.JSON(http.StatusOK, answer)
 }
-
-func (s *Server) setVM(c echo.Context) error {
-	var vm platformwire.VM
-	if err := c.Bind(&vm); err != nil {
-		return err
-	}
-	s.memory.SetVM(platformwire.ToVM(vm))
-	return c.NoContent(http.StatusNoContent)
-}
-
-func (s *Server) removeVM(c echo.Context) error {
-	s.memory.RemoveVM(c.Param("id"))
-	return c.NoContent(http.StatusNoContent)
-}
-
-func (s *Server) setFault(c echo.Context) error {
-	fault := Fault(c.Param("fault"))
-	if fault == "none" {
-		fault = FaultNone
-	}
-	s.SetFault(fault)
-	return c.NoContent(http.StatusNoContent)
-}
