--- a/pkg/serving/platform/memory.go
+++ b/pkg/serving/platform/memory.go
@@ -13,8 +13,8 @@
 // Memory is an in-memory platform for tests and the dev command. It
 // implements Table, Objects and VMs.
 type Memory struct {
-	mu      sync.RWMutex
-	rows    map[string]Row
+	mu   sync.RWMutex
+	rows map[string]Row
 	// deleted holds the last version of each deleted row, so that a row
 	// written anew never has a version that it had before.
 	deleted map[string]uint64
