--- /dev/null
+++ b/pkg/core/group/place.go
@@ -0,0 +1,136 @@
+package group
+
+import (
+	"hash/fnv"
+	"math"
+	"time"
+
+	"almondbay.example/core/document"
+)
+
+// claim forms at most one group in a slot that is open. The conditional write
+// of the group's row decides between fabric domains that claim the same slot.
+func (p *planner) claim() {
+	for _, m := range p.Models {
+		open := p.openSlots(m)
+		if len(open) == 0 || m.Span > len(p.idle) {
+			continue
+		}
+		// Domains begin at different slots so that they seldom collide.
+		first := int(hash(p.FabricDomain) % uint32(len(open)))
+		for i := range open {
+			slot := open[(first+i)%len(open)]
+			if p.mayClaim(m, slot) {
+				p.form(m, slot)
+				return
+			}
+		}
+	}
+}
+
+// openSlots returns the slots of a model that no fabric domain holds, or that
+// another one has yielded.
+func (p *planner) openSlots(m document.Model) []int {
+	var open []int
+	for slot := range m.Groups {
+		g, ok := p.Groups[ID(m.Name, slot)]
+		if !ok || g.Value.State == StateReleased || p.takeable(g.Value) {
+			open = append(open, slot)
+		}
+	}
+	return open
+}
+
+func (p *planner) takeable(r Row) bool {
+	return r.Yielded && r.FabricDomain != p.FabricDomain
+}
+
+// mayClaim reports whether a slot may be formed now. It is left to others for
+// a while when forming it uses up spares, or when the domain that holds it may
+// yet return.
+func (p *planner) mayClaim(m document.Model, slot int) bool {
+	g := p.Groups[ID(m.Name, slot)]
+	since := p.Ages.since("open/"+ID(m.Name, slot), string(g.Value.State), p.Now)
+	rich := len(p.idle)-m.Span >= p.sparesWanted(m)
+	if rich && !p.takeable(g.Value) {
+		return true
+	}
+	return p.Now.Sub(since) >= p.policy.HoldBack
+}
+
+func (p *planner) form(m document.Model, slot int) {
+	id := ID(m.Name, slot)
+	g := p.Groups[id]
+	to := p.newTarget(m)
+	members, _ := p.take(m.Span)
+	next := Row{
+		ID:           id,
+		Model:        m.Name,
+		Slot:         slot,
+		FabricDomain: p.FabricDomain,
+		Epoch:        g.Value.Epoch + 1,
+		State:        StateForming,
+		Members:      members,
+		Version:      to.version,
+		Adapters:     to.adapters,
+	}
+	p.write(StepForm, g, next, p.bind(next))
+}
+
+// newTarget returns what a new group of the model should load: the document's
+// version, or while the roll-out is halted one that serves.
+func (p *planner) newTarget(m document.Model) target {
+	if !p.halted(m) {
+		return target{version: m.Version, adapters: adapters(m)}
+	}
+	for slot := range m.Groups {
+		r := p.Groups[ID(m.Name, slot)].Value
+		if r.State == StateServing && r.Version != m.Version {
+			return target{version: r.Version, adapters: r.Adapters}
+		}
+	}
+	return target{version: m.Version, adapters: adapters(m)}
+}
+
+// sparesWanted returns the number of idle VMs to keep in the domain with a
+// further group of model m.
+func (p *planner) sparesWanted(m document.Model) int {
+	present := map[string]bool{m.Name: true}
+	members := m.Span
+	for _, g := range p.own {
+		present[g.Value.Model] = true
+		members += len(g.Value.Members)
+	}
+	wanted := 0
+	for name := range present {
+		wanted += p.models[name].Spares
+	}
+	return max(wanted, SpareCount(members, p.policy))
+}
+
+// SpareCount returns the number of spares that a fabric domain with so many
+// members in groups needs, so that with a chance of at least one minus Risk no
+// more members are lost at the same time than there are spares. Losses are
+// taken to be independent.
+func SpareCount(members int, policy Policy) int {
+	if policy.Risk <= 0 {
+		return 0
+	}
+	const day = 24 * time.Hour
+	mean := float64(members) * policy.LossRate * policy.Replacement.Hours() / day.Hours()
+	term := math.Exp(-mean)
+	covered := term
+	spares := 0
+	for covered < 1-policy.Risk && spares < members {
+		spares++
+		term *= mean / float64(spares)
+		covered += term
+	}
+	return spares
+}
+
+func hash(s string) uint32 {
+	h := fnv.New32a()
+	_, _ = h.Write([]byte(s))
+	return h.Sum32()
+}
--- /dev/null
+++ b/pkg/core/group/proof.go
@@ -0,0 +1,103 @@
+package group
+
+import (
+	"fmt"
+	"time"
+
+	"almondbay.example/core/fleet"
+)
+
+// Reason tells why a group may not be dispatched to.
+type Reason string
+
+// Reasons of an UnprovenError.
+const (
+	ReasonState    Reason = "state"
+	ReasonUnseen   Reason = "unseen"
+	ReasonIdentity Reason = "identity"
+	ReasonBoot     Reason = "boot"
+	ReasonPhase    Reason = "phase"
+	ReasonLeaving  Reason = "leaving"
+)
+
+// UnprovenError reports a group without proof that all its members are there.
+type UnprovenError struct {
+	Group  string
+	Reason Reason
+	// Member is empty when Reason is ReasonState.
+	Member string
+}
+
+func (e *UnprovenError) Error() string {
+	return fmt.Sprintf("group: %s is not proven: %s %s", e.Group, e.Reason, e.Member)
+}
+
+// Prove returns nil when, within the last ttl, every member of the group
+// answered a probe with the group, epoch and version of the row and with the
+// boot ID that it had when the group began to serve. Only then may the group
+// be dispatched to. Otherwise it returns an UnprovenError.
+//
+// Report.SeenAt must not be later than the answer was received. The time
+// since the probe was sent is the stricter measure; a caller that wants it
+// sets SeenAt to the time of sending.
+func Prove(r Row, report func(member string) (fleet.Report, bool), now time.Time, ttl time.Duration) error {
+	if r.State != StateServing || len(r.Members) == 0 {
+		return &UnprovenError{Group: r.ID, Reason: ReasonState}
+	}
+	for _, m := range r.Members {
+		answer, ok := report(m)
+		if !ok || now.Sub(answer.SeenAt) > ttl {
+			return &UnprovenError{Group: r.ID, Reason: ReasonUnseen, Member: m}
+		}
+		if reason := r.mismatch(m, answer); reason != "" {
+			return &UnprovenError{Group: r.ID, Reason: reason, Member: m}
+		}
+	}
+	return nil
+}
+
+// mismatch returns why a member's answer does not fit a serving group, empty
+// when it does.
+func (r Row) mismatch(member string, answer fleet.Report) Reason {
+	switch {
+	case !r.accepted(member, answer):
+		return ReasonIdentity
+	case answer.Identity.Boot != r.Boots[member]:
+		return ReasonBoot
+	case answer.Phase != fleet.PhaseReady:
+		return ReasonPhase
+	case answer.Leaving:
+		return ReasonLeaving
+	}
+	return ""
+}
+
+// accepted reports whether a member's answer names the group's epoch.
+func (r Row) accepted(member string, answer fleet.Report) bool {
+	want := fleet.Identity{
+		Member:  member,
+		Boot:    answer.Identity.Boot,
+		Group:   r.ID,
+		Epoch:   r.Epoch,
+		Model:   r.Model,
+		Version: r.Version,
+	}
+	return answer.Identity == want
+}
+
+// CheckHead returns nil when the head of an answer names the leader of the
+// group as the row knows it. An answer with another head is dropped before a
+// byte of it goes to the caller.
+func CheckHead(r Row, head fleet.Identity) error {
+	if len(r.Members) == 0 {
+		return &UnprovenError{Group: r.ID, Reason: ReasonState}
+	}
+	leader := r.Members[0]
+	if !r.accepted(leader, fleet.Report{Identity: head}) {
+		return &UnprovenError{Group: r.ID, Reason: ReasonIdentity, Member: leader}
+	}
+	if head.Boot != r.Boots[leader] {
+		return &UnprovenError{Group: r.ID, Reason: ReasonBoot, Member: leader}
+	}
+	return nil
+}
