Add the scheduler: fair queues, admission and choice of group

Order has to be decided before the engines, whose own queues are first in first out, and without a common loop through which all requests pass.

Weighed: a pump that calls Next against handing out slots inside each event. The latter needs no goroutine between requests and wakes exactly the request that was chosen, under the lock of its model's shard only.

Budgets rather than free-slot estimates: each report gives a scheduler its own requests at that time plus an equal part of the free slots. The sum over all schedulers is the slots whatever the lag, which TestBudgetsSumToSlots holds for 1, 5 and 20 schedulers and lags of up to 5 steps.

Cost is charged as it is used. Charging the whole prediction at dispatch would lock a workspace out for seconds after one long request.

--- /dev/null
+++ b/pkg/core/schedule/predict.go
@@ -0,0 +1,147 @@
+package schedule
+
+import (
+	"math"
+	"math/bits"
+)
+
+const (
+	// bucketsPerOctave is the resolution of a distribution.
+	bucketsPerOctave = 4
+	distributionSize = 24 * bucketsPerOctave
+	// distributionLimit is the weight at which old samples are halved.
+	distributionLimit = 512
+	// minSamples is the number of samples below which a distribution has no
+	// say.
+	minSamples = 8
+	// maxPredictors bounds the distributions that one predictor keeps.
+	maxPredictors = 16384
+)
+
+// distribution is a running histogram on a logarithmic scale that forgets old
+// samples. The zero value is empty.
+type distribution struct {
+	counts [distributionSize]uint16
+	total  int
+}
+
+// add records a sample; samples below one count as one.
+func (d *distribution) add(x float64) {
+	i := bucketOf(x)
+	d.counts[i]++
+	d.total++
+	if d.total >= distributionLimit {
+		d.halve()
+	}
+}
+
+func (d *distribution) halve() {
+	d.total = 0
+	for i := range d.counts {
+		d.counts[i] /= 2
+		d.total += int(d.counts[i])
+	}
+}
+
+// quantile returns the upper edge of the bucket that holds quantile q, or zero
+// when there are too few samples.
+func (d *distribution) quantile(q float64) float64 {
+	if d.total < minSamples {
+		return 0
+	}
+	rest := int(math.Ceil(q * float64(d.total)))
+	for i, n := range d.counts {
+		rest -= int(n)
+		if rest <= 0 {
+			return math.Exp2(float64(i+1) / bucketsPerOctave)
+		}
+	}
+	return math.Exp2(distributionSize / bucketsPerOctave)
+}
+
+func bucketOf(x float64) int {
+	if x <= 1 {
+		return 0
+	}
+	return min(distributionSize-1, int(math.Log2(x)*bucketsPerOctave))
+}
+
+// predictorKey selects the requests that one distribution is learnt from.
+type predictorKey struct {
+	workspace string
+	kind      string
+	// promptSize and maxSize are binary orders of magnitude.
+	promptSize int
+	maxSize    int
+}
+
+// predictor learns how many tokens a request generates.
+type predictor struct {
+	byKey map[predictorKey]*distribution
+	// bySize pools all workspaces and kinds, for those not seen before.
+	bySize map[predictorKey]*distribution
+}
+
+func newPredictor() *predictor {
+	return &predictor{
+		byKey:  make(map[predictorKey]*distribution),
+		bySize: make(map[predictorKey]*distribution),
+	}
+}
+
+func keyOf(r *Request) predictorKey {
+	return predictorKey{
+		workspace:  r.Workspace,
+		kind:       r.Kind,
+		promptSize: bits.Len(uint(max(r.PromptTokens, 0))),
+		maxSize:    bits.Len(uint(max(r.MaxTokens, 0))),
+	}
+}
+
+// predict returns the expected number of generated tokens, never above the
+// caller's own bound.
+func (p *predictor) predict(r *Request, fallback float64) float64 {
+	key := keyOf(r)
+	expected := 0.0
+	if d := p.byKey[key]; d != nil {
+		expected = d.quantile(predictQuantile)
+	}
+	if expected == 0 {
+		expected = p.pooled(key)
+	}
+	if expected == 0 {
+		expected = fallback
+	}
+	if r.MaxTokens > 0 {
+		expected = min(expected, float64(r.MaxTokens))
+	}
+	return expected
+}
+
+func (p *predictor) pooled(key predictorKey) float64 {
+	key.workspace, key.kind = "", ""
+	if d := p.bySize[key]; d != nil {
+		return d.quantile(predictQuantile)
+	}
+	return 0
+}
+
+// learn records how many tokens a finished request generated.
+func (p *predictor) learn(r *Request, tokens int) {
+	key := keyOf(r)
+	add(p.byKey, key, tokens)
+	key.workspace, key.kind = "", ""
+	add(p.bySize, key, tokens)
+}
+
+func add(m map[predictorKey]*distribution, key predictorKey, tokens int) {
+	d := m[key]
+	if d == nil {
+		if len(m) >= maxPredictors {
+			return
+		}
+		d = &distribution{}
+		m[key] = d
+	}
+	d.add(float64(tokens))
+}
--- /dev/null
+++ b/pkg/core/schedule/schedule_test.go
@@ -0,0 +1,481 @@
+package schedule
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"pgregory.net/rapid"
+)
+
+const model = "m"
+
+// fixture drives a scheduler by hand and remembers its decisions.
+type fixture struct {
+	*Scheduler
+	now       time.Time
+	running   []*Ticket
+	groupOf   map[*Ticket]string
+	refused   map[*Ticket]*Refusal
+	decisions map[*Ticket]int
+}
+
+func newFixture(c Config, groups ...Group) *fixture {
+	c.FailureDomain = "a"
+	f := &fixture{
+		Scheduler: New(c),
+		now:       time.Unix(1000, 0),
+		groupOf:   make(map[*Ticket]string),
+		refused:   make(map[*Ticket]*Refusal),
+		decisions: make(map[*Ticket]int),
+	}
+	f.SetGroups(groups, f.now)
+	return f
+}
+
+func (f *fixture) note(d Decision) {
+	f.decisions[d.Ticket]++
+	if d.Refusal != nil {
+		f.refused[d.Ticket] = d.Refusal
+		return
+	}
+	f.groupOf[d.Ticket] = d.Group
+	f.running = append(f.running, d.Ticket)
+}
+
+func (f *fixture) submit(r Request) (*Ticket, error) {
+	r.Model = model
+	r.Notify = f.note
+	return f.Submit(r, f.now)
+}
+
+// finishOldest completes the request that was dispatched first.
+func (f *fixture) finishOldest(tokens int) *Ticket {
+	t := f.running[0]
+	f.running = f.running[1:]
+	f.Finish(t, tokens, f.now)
+	return t
+}
+
+// learn teaches that requests of the kind make that many tokens.
+func (f *fixture) learn(workspace, kind string, tokens, times int) {
+	for range times {
+		if _, err := f.submit(Request{Workspace: workspace, Kind: kind}); err != nil {
+			panic(err)
+		}
+		f.now = f.now.Add(time.Second)
+		f.finishOldest(tokens)
+	}
+}
+
+func groupIn(domain string, slots, shared int, ids ...string) []Group {
+	var groups []Group
+	for _, id := range ids {
+		groups = append(groups, Group{ID: id, Model: model, FailureDomain: domain, Slots: slots, Shared: shared})
+	}
+	return groups
+}
+
+// patient is an objective that no test here reaches.
+var patient = Config{FirstToken: time.Hour, AdmitSlack: 1e6}
+
+func TestSharesFollowWeights(t *testing.T) {
+	f := newFixture(patient, groupIn("a", 8, 1, "g")...)
+	f.SetWorkspaces([]Workspace{{"big", 3}, {"small", 1}})
+	for i := range 2000 {
+		w := []string{"big", "small"}[i%2]
+		if _, err := f.submit(Request{Workspace: w}); err != nil {
+			t.Fatal(err)
+		}
+	}
+	served := map[string]int{}
+	for i := range 800 {
+		f.now = f.now.Add(10 * time.Millisecond)
+		served[f.finishOldest(50+i%7*10).Workspace()]++
+	}
+	if ratio := float64(served["big"]) / float64(served["small"]); ratio < 2.7 || ratio > 3.3 {
+		t.Errorf("served %v, want a ratio near 3", served)
+	}
+}
+
+func TestShortGoesFirstAndLongAges(t *testing.T) {
+	f := newFixture(patient, groupIn("a", 1, 1, "g")...)
+	f.learn("w", "short", 20, 30)
+	f.learn("w", "long", 900, 10)
+	for range 2 { // Fill the slot and the extra one.
+		_, _ = f.submit(Request{Workspace: "w", Kind: "short"})
+	}
+	long, _ := f.submit(Request{Workspace: "w", Kind: "long"})
+	first, _ := f.submit(Request{Workspace: "w", Kind: "short"})
+	f.finishOldest(20)
+	if f.groupOf[first] == "" || f.groupOf[long] != "" {
+		t.Fatal("the short request did not go first")
+	}
+	for range 100 {
+		f.now = f.now.Add(200 * time.Millisecond)
+		_, _ = f.submit(Request{Workspace: "w", Kind: "short"})
+		f.finishOldest(20)
+	}
+	if f.groupOf[long] == "" {
+		t.Error("the long request starved")
+	}
+}
+
+func TestLongWorkIsCapped(t *testing.T) {
+	c := patient
+	c.LongShare, c.LongYieldShare = 0.5, 0.75
+	f := newFixture(c, groupIn("a", 15, 1, "g")...)
+	f.learn("w", "short", 20, 30)
+	f.learn("w", "long", 900, 9)
+	longs := func() (n int) {
+		for _, r := range f.running {
+			if r.class == classLong {
+				n++
+			}
+		}
+		return n
+	}
+	for range 40 {
+		_, _ = f.submit(Request{Workspace: "w", Kind: "long"})
+	}
+	if got := longs(); got != 12 {
+		t.Errorf("%d long requests run while no short work waits, want 12 of 16", got)
+	}
+	for range 400 {
+		_, _ = f.submit(Request{Workspace: "v", Kind: "short"})
+	}
+	for range 200 {
+		f.now = f.now.Add(time.Second)
+		f.finishOldest(20)
+	}
+	if got := longs(); got > 8 {
+		t.Errorf("%d long requests run while short work waits, want at most 8 of 16", got)
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	f := newFixture(Config{}, groupIn("a", 2, 1, "g")...)
+	f.learn("w", "", 100, 20)
+	var refusal *Refusal
+	admitted := 0
+	for range 200 {
+		_, err := f.submit(Request{Workspace: "w"})
+		if err == nil {
+			admitted++
+			continue
+		}
+		if !errors.As(err, &refusal) || refusal.Reason != ReasonLate || refusal.RetryAfter < minRetryAfter {
+			t.Fatalf("error %v", err)
+		}
+	}
+	// Three run; one second each, so about six more can start within 2 s.
+	if admitted < 6 || admitted > 14 {
+		t.Errorf("admitted %d", admitted)
+	}
+	if _, err := f.submit(Request{Workspace: "other"}); err != nil {
+		t.Errorf("a workspace within its share was refused: %v", err)
+	}
+	f.now = f.now.Add(3 * time.Second)
+	f.Tick(f.now)
+	if got := len(f.refused); got != admitted+1-len(f.running) {
+		t.Errorf("%d refused after their time ran out", got)
+	}
+	f.SetGroups(nil, f.now)
+	_, err := f.submit(Request{Workspace: "w"})
+	if !errors.As(err, &refusal) || refusal.Reason != ReasonNoGroup {
+		t.Errorf("error %v without a group", err)
+	}
+}
+
+// TestBudgetsSumToSlots lets many schedulers share one group by reports that
+// lag and checks that together they neither flood nor starve it.
+func TestBudgetsSumToSlots(t *testing.T) {
+	for _, nodes := range []int{1, 5, 20} {
+		for _, lag := range []int{0, 1, 5} {
+			t.Run(fmt.Sprintf("%d nodes lag %d", nodes, lag), func(t *testing.T) {
+				checkBudgets(t, nodes, lag)
+			})
+		}
+	}
+}
+
+func checkBudgets(t *testing.T, nodes, lag int) {
+	const slots = 40
+	var all []*fixture
+	for i := range nodes {
+		c := patient
+		c.Seed = uint64(i)
+		f := newFixture(c, groupIn("a", slots, nodes, "g")...)
+		for range 1000 {
+			_, _ = f.submit(Request{Workspace: "w"})
+		}
+		all = append(all, f)
+	}
+	var reports []Report
+	random := rand.New(rand.NewPCG(7, 7))
+	sum := 0
+	const rounds, warm = 400, 100
+	for round := range rounds {
+		total := 0
+		for _, f := range all {
+			total += len(f.running)
+		}
+		if round >= warm {
+			sum += total
+		}
+		reports = append(reports, Report{Model: model, Group: "g", Running: total, At: all[0].now})
+		for _, f := range all {
+			if len(f.running) > 0 && random.IntN(4) == 0 {
+				f.finishOldest(10)
+				_, _ = f.submit(Request{Workspace: "w"})
+			}
+			f.ObserveLoad(reports[max(0, round-lag)], f.now)
+			f.now = f.now.Add(historyStep)
+		}
+	}
+	if mean := float64(sum) / (rounds - warm); mean < 0.95*slots || mean > 1.1*slots {
+		t.Errorf("%.1f in flight on %d slots", mean, slots)
+	}
+}
+
+func TestGroupsElsewhereTakeWhatDoesNotFit(t *testing.T) {
+	groups := append(groupIn("a", 4, 1, "near"), groupIn("b", 20, 2, "far")...)
+	f := newFixture(patient, groups...)
+	report := func(running int) {
+		f.now = f.now.Add(time.Second)
+		f.ObserveLoad(Report{Model: model, Group: "far", Running: running, At: f.now}, f.now)
+	}
+	for range 20 {
+		_, _ = f.submit(Request{Workspace: "w"})
+	}
+	if len(f.running) != 5 {
+		t.Fatalf("%d run at home, want 5", len(f.running))
+	}
+	report(20)
+	if len(f.running) != 5 {
+		t.Error("a full group elsewhere was used")
+	}
+	report(4)
+	far := 0
+	for _, id := range f.groupOf {
+		if id == "far" {
+			far++
+		}
+	}
+	if far < 5 || far > 9 {
+		t.Errorf("%d went elsewhere", far)
+	}
+}
+
+func TestPrefixesStayWithTheirGroup(t *testing.T) {
+	homes := func(ids ...string) map[uint64]string {
+		got := make(map[uint64]string)
+		f := newFixture(patient, groupIn("a", 100, 1, ids...)...)
+		for p := uint64(1); p <= 200; p++ {
+			ticket, _ := f.submit(Request{Workspace: "w", Prefix: p})
+			got[p] = f.groupOf[ticket]
+		}
+		return got
+	}
+	before, after := homes("g1", "g2", "g3", "g4"), homes("g1", "g2", "g4")
+	for p, id := range before {
+		if id != "g3" && after[p] != id {
+			t.Errorf("prefix %d moved from %s to %s", p, id, after[p])
+		}
+	}
+	f := newFixture(patient, groupIn("a", 10, 1, "g1", "g2", "g3")...)
+	used := map[string]int{}
+	for range 30 {
+		ticket, _ := f.submit(Request{Workspace: "w", Prefix: 5})
+		used[f.groupOf[ticket]]++
+	}
+	if len(used) != 3 {
+		t.Errorf("one prefix went to %v, want spread once its homes are full", used)
+	}
+}
+
+func TestSlowGroupsAreRelieved(t *testing.T) {
+	ids := []string{"g1", "g2", "g3", "g4", "g5", "g6"}
+	f := newFixture(patient, groupIn("a", 16, 1, ids...)...)
+	factor := map[string]int{}
+	inFlight := func() map[string]int {
+		counts := map[string]int{}
+		for _, r := range f.running {
+			counts[f.groupOf[r]]++
+		}
+		return counts
+	}
+	run := func(rounds int) {
+		for range rounds {
+			for len(f.running) < 80 {
+				before := len(f.running)
+				_, _ = f.submit(Request{Workspace: "w"})
+				if len(f.running) == before {
+					break
+				}
+			}
+			f.now = f.now.Add(reviewInterval)
+			for _, r := range f.running {
+				pace := 30 * time.Millisecond * time.Duration(max(1, factor[f.groupOf[r]]))
+				f.FirstToken(r, r.dispatchedAt.Add(100*time.Millisecond))
+				f.Progress(r, r.tokens+int(reviewInterval/pace), f.now)
+			}
+			for range 20 {
+				f.finishOldest(f.running[0].tokens)
+			}
+			f.Tick(f.now)
+		}
+	}
+	run(20)
+	factor["g2"] = 5
+	run(60)
+	if got := inFlight()["g2"]; got > 2 {
+		t.Errorf("slow group has %d in flight", got)
+	}
+	factor["g2"] = 1
+	run(120)
+	if got := inFlight()["g2"]; got < 8 {
+		t.Errorf("recovered group has %d in flight", got)
+	}
+	for _, id := range ids {
+		factor[id] = 5
+	}
+	run(60)
+	for _, g := range f.shardOf(model).list {
+		if g.health.weight < 1 {
+			t.Errorf("group %s relieved though all are slow", g.ID)
+		}
+	}
+}
+
+func TestAvoidedGroups(t *testing.T) {
+	f := newFixture(patient, groupIn("a", 4, 1, "g1", "g2")...)
+	for range 5 {
+		ticket, _ := f.submit(Request{Workspace: "w", Avoid: []string{"g1"}})
+		if f.groupOf[ticket] != "g2" {
+			t.Fatalf("went to %q", f.groupOf[ticket])
+		}
+	}
+	waits, _ := f.submit(Request{Workspace: "w", Avoid: []string{"g1"}})
+	next, _ := f.submit(Request{Workspace: "w"})
+	if f.groupOf[waits] != "" || f.groupOf[next] != "g1" {
+		t.Errorf("avoiding request at %q, the next at %q", f.groupOf[waits], f.groupOf[next])
+	}
+}
+
+// TestEveryTicketEndsOnce runs random events and checks that counts agree, that
+// each ticket is decided at most once and that nothing is lost.
+func TestEveryTicketEndsOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		groups := append(groupIn("a", 3, 1, "g1", "g2"), groupIn("b", 3, 2, "g3")...)
+		f := newFixture(Config{Seed: rapid.Uint64().Draw(t, "seed")}, groups...)
+		accepted := 0
+		for range rapid.IntRange(1, 200).Draw(t, "events") {
+			f.now = f.now.Add(time.Duration(rapid.IntRange(0, 400).Draw(t, "ms")) * time.Millisecond)
+			accepted += f.randomEvent(t, groups)
+			checkCounts(t, f)
+		}
+		f.now = f.now.Add(time.Hour)
+		f.Tick(f.now)
+		for len(f.running) > 0 {
+			f.finishOldest(5)
+			checkCounts(t, f)
+		}
+		if len(f.decisions) != accepted {
+			t.Fatalf("%d accepted, %d decided", accepted, len(f.decisions))
+		}
+	})
+}
+
+// randomEvent returns the number of requests accepted.
+func (f *fixture) randomEvent(t *rapid.T, groups []Group) int {
+	switch rapid.IntRange(0, 9).Draw(t, "event") {
+	default:
+		_, err := f.submit(Request{
+			Workspace:    rapid.SampledFrom([]string{"u", "v", "w"}).Draw(t, "workspace"),
+			PromptTokens: rapid.IntRange(0, 20000).Draw(t, "prompt"),
+			Prefix:       uint64(rapid.IntRange(0, 3).Draw(t, "prefix")),
+			Avoid:        rapid.SampledFrom([][]string{nil, {"g1"}, {"g1", "g2"}}).Draw(t, "avoid"),
+		})
+		if err == nil {
+			return 1
+		}
+	case 5, 6:
+		if len(f.running) > 0 {
+			f.FirstToken(f.running[0], f.now)
+			f.Progress(f.running[0], 20, f.now)
+			f.finishOldest(rapid.IntRange(20, 5000).Draw(t, "tokens"))
+		}
+	case 7:
+		if len(f.running) > 0 {
+			f.Cancel(f.running[0], f.now)
+			f.running = f.running[1:]
+		}
+	case 8:
+		f.Tick(f.now)
+	case 9:
+		f.SetGroups(groups[:rapid.IntRange(1, len(groups)).Draw(t, "groups")], f.now)
+		f.ObserveLoad(Report{Model: model, Group: "g3", Running: 1, At: f.now}, f.now)
+	}
+	return 0
+}
+
+func checkCounts(t *rapid.T, f *fixture) {
+	s := f.shardOf(model)
+	if s.running != len(f.running) {
+		t.Fatalf("running %d, want %d", s.running, len(f.running))
+	}
+	slots := 0
+	for _, g := range s.list {
+		slots += max(g.budget, g.running)
+		if g.running < 0 || g.longRunning < 0 || g.longRunning > g.running {
+			t.Fatalf("group %s runs %d, %d of them long", g.ID, g.running, g.longRunning)
+		}
+		if g.open() != (g.openAt >= 0) {
+			t.Fatalf("group %s open %v at %d", g.ID, g.open(), g.openAt)
+		}
+	}
+	if s.slots != slots {
+		t.Fatalf("slots %d, want %d", s.slots, slots)
+	}
+	for ticket, n := range f.decisions {
+		if n != 1 {
+			t.Fatalf("ticket of %s decided %d times", ticket.Workspace(), n)
+		}
+	}
+}
+
+func TestConcurrentUse(t *testing.T) {
+	s := New(Config{})
+	now := time.Unix(1000, 0)
+	s.SetGroups(groupIn("", 50, 1, "g1", "g2"), now)
+	var workers errgroup.Group
+	for i := range 8 {
+		workers.Go(func() error {
+			for range 200 {
+				decided := make(chan Decision, 1)
+				r := Request{Workspace: fmt.Sprint(i), Model: model, Notify: func(d Decision) { decided <- d }}
+				ticket, err := s.Submit(r, now)
+				if err != nil {
+					return err
+				}
+				<-decided
+				s.FirstToken(ticket, now)
+				s.Progress(ticket, 5, now)
+				s.Finish(ticket, 10, now)
+				s.ObserveLoad(Report{Model: model, Group: "g1", Running: 3, At: now}, now)
+				s.Tick(now)
+			}
+			return nil
+		})
+	}
+	if err := workers.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if sh := s.shardOf(model); sh.running != 0 || sh.queue.waiting != [classes]int{} {
+		t.Errorf("left running %d, waiting %v", sh.running, sh.queue.waiting)
+	}
+}
