--- a/pkg/core/schedule/schedule.go
+++ b/pkg/core/schedule/schedule.go
@@ -43,7 +43,8 @@
 	// MaxWaiting bounds the waiting requests of one workspace and model.
 	MaxWaiting int
 	// ExtraSlots is the number of requests kept at a group above its slots, so
-	// that a slot is not idle while an answer and a new request travel.
+	// that a slot is not idle while an answer and a new request travel; negative
+	// for none.
 	ExtraSlots int
 	// RemoteReserve is the part of the slots of a group in another failure
 	// domain that is left to that domain.
@@ -70,6 +71,7 @@
 	setDefault(&c.AdmitSlack, 1.5)
 	setDefault(&c.MaxWaiting, 4096)
 	setDefault(&c.ExtraSlots, 1)
+	c.ExtraSlots = max(0, c.ExtraSlots)
 	setDefault(&c.RemoteReserve, 0.1)
 	setDefault(&c.MinShare, 0.5)
 	setDefault(&c.ReportTTL, 6*time.Second)
