Decide attempts, bookings and poison requests

Request derives notRun/ran/unknown from what was written and which refusals came back, and drops frames of attempts that have ended. Ledger claims a booking's row before the dispatch and closes it after; a claim with a lost answer is submitted again under the same operation until the row's operation tells whose it is. Rows are never deleted: a version seen twice would let a late write hit another call's row, so a call that did not run leaves its row released instead. Quarantine keeps strikes only and concludes from them, so that nodes agree in whatever order the evidence comes in; crashes in one fabric domain count as one, as a rack that goes dark would convict everything in flight on it. Flights keeps suspects apart.

Ruled out: reading the row after a lost claim without submitting it again (the write can still take effect after the read); counting strikes without regard to rivals (two suspects on one group would both be convicted).

--- /dev/null
+++ b/pkg/core/attempt/booking_test.go
@@ -0,0 +1,210 @@
+package attempt_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"pgregory.net/rapid"
+
+	"almondbay.example/core/attempt"
+)
+
+// bookingTable is one row of a table service whose answers can be lost and
+// whose writes can take effect late.
+type bookingTable struct {
+	row  attempt.BookingRow
+	late []attempt.BookingWrite
+}
+
+func (b *bookingTable) apply(w attempt.BookingWrite) bool {
+	if w.Version != b.row.Version {
+		return false
+	}
+	b.row = attempt.BookingRow{Version: w.Version + 1, Operation: w.Operation, Booking: w.Booking}
+	return true
+}
+
+// call is one caller of a key at some node.
+type call struct {
+	ledger     *attempt.Ledger
+	step       attempt.Step
+	dispatched int
+	ran        bool
+	gone       bool
+}
+
+// advance takes one step of the call under a random fault.
+func (c *call) advance(t *rapid.T, b *bookingTable) {
+	switch c.step {
+	case attempt.StepWrite:
+		w := c.ledger.Write()
+		switch rapid.SampledFrom([]string{"ok", "ok", "refused", "lost", "lostApplied", "late"}).Draw(t, "write") {
+		case "refused":
+			c.step = c.ledger.Refused()
+		case "lost":
+			c.step = c.ledger.Lost()
+		case "lostApplied":
+			b.apply(w)
+			c.step = c.ledger.Lost()
+		case "late":
+			b.late = append(b.late, w)
+			c.step = c.ledger.Lost()
+		default:
+			if b.apply(w) {
+				c.step = c.ledger.Applied()
+			} else {
+				c.step = c.ledger.Conflict()
+			}
+		}
+	case attempt.StepRead:
+		if rapid.IntRange(0, 4).Draw(t, "read") == 0 {
+			c.step = c.ledger.Unreadable()
+		} else {
+			c.step = c.ledger.Row(b.row)
+		}
+	case attempt.StepDispatch:
+		c.dispatched++
+		o := rapid.SampledFrom([]attempt.Outcome{attempt.Ran, attempt.Unknown, attempt.NotRun}).Draw(t, "dispatch")
+		c.ran = o != attempt.NotRun
+		c.step = c.ledger.Dispatched(o, o == attempt.Ran, attempt.Result{Status: 200, Body: []byte("seat 7")})
+	}
+}
+
+// TestBookingRunsAtMostOnce interleaves calls of one key, step by step, with
+// crashes and faults of the table service.
+func TestBookingRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		b := &bookingTable{}
+		var calls []*call
+		for i := range rapid.IntRange(1, 4).Draw(t, "calls") {
+			c := &call{}
+			c.ledger, c.step = attempt.NewLedger(attempt.LedgerConfig{
+				ClaimOperation: fmt.Sprintf("claim%d", i), CloseOperation: fmt.Sprintf("close%d", i), MaxTries: 3,
+			})
+			calls = append(calls, c)
+		}
+		for range 60 {
+			if len(b.late) > 0 && rapid.Bool().Draw(t, "apply late") {
+				b.apply(b.late[0])
+				b.late = b.late[1:]
+			}
+			c := rapid.SampledFrom(calls).Draw(t, "call")
+			if c.gone || rapid.IntRange(0, 19).Draw(t, "crash") == 0 {
+				c.gone = true
+				continue
+			}
+			c.advance(t, b)
+			if c.step == attempt.StepReply && c.ledger.Unsettled() && rapid.Bool().Draw(t, "withdraw") {
+				c.step = c.ledger.Withdraw()
+			}
+		}
+		checkBookings(t, calls)
+	})
+}
+
+func checkBookings(t *rapid.T, calls []*call) {
+	runs := 0
+	for _, c := range calls {
+		if c.ran {
+			runs++
+		}
+		if c.dispatched > 1 {
+			t.Fatalf("one call dispatched %d times", c.dispatched)
+		}
+	}
+	if runs > 1 {
+		t.Fatalf("the request ran %d times", runs)
+	}
+	for _, c := range calls {
+		if c.gone || c.step != attempt.StepReply {
+			continue
+		}
+		r := c.ledger.Reply()
+		if r.Outcome == attempt.NotRun && c.ran {
+			t.Fatalf("a call that ran was told %+v", r)
+		}
+		if r.Verdict == attempt.VerdictResult && (runs != 1 || string(r.Result.Body) != "seat 7") {
+			t.Fatalf("result %+v after %d runs", r, runs)
+		}
+	}
+}
+
+func TestBookingReplies(t *testing.T) {
+	digest := attempt.NewFingerprint([]byte("book"))
+	result := attempt.Result{Status: 200, Body: []byte("seat 7")}
+	row := func(b attempt.Booking) attempt.BookingRow {
+		return attempt.BookingRow{Version: 4, Operation: "other", Booking: b}
+	}
+	tests := []struct {
+		name string
+		row  attempt.BookingRow
+		want attempt.Reply
+	}{
+		{"recorded", row(attempt.Booking{Phase: attempt.BookingRecorded, Digest: digest, Result: result}), attempt.Reply{Verdict: attempt.VerdictResult, Outcome: attempt.Ran, Result: result, Repeated: true}},
+		{"omitted", row(attempt.Booking{Phase: attempt.BookingRecorded, Digest: digest, Result: attempt.Result{Omitted: true}}), attempt.Reply{Verdict: attempt.VerdictOmitted, Outcome: attempt.Ran, Repeated: true}},
+		{"pending", row(attempt.Booking{Digest: digest}), attempt.Reply{Verdict: attempt.VerdictPending, Outcome: attempt.Unknown}},
+		{"other body", row(attempt.Booking{Phase: attempt.BookingRecorded}), attempt.Reply{Verdict: attempt.VerdictOtherBody, Outcome: attempt.NotRun}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l, _ := attempt.NewLedger(attempt.LedgerConfig{Digest: digest, ClaimOperation: "claim", CloseOperation: "close", MaxTries: 3})
+			if s := l.Conflict(); s != attempt.StepRead {
+				t.Fatalf("step %v after a conflict", s)
+			}
+			if s := l.Row(tt.row); s != attempt.StepReply {
+				t.Fatalf("step %v after the row", s)
+			}
+			if diff := cmp.Diff(tt.want, l.Reply()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func TestBookingReleasedIsTakenOver(t *testing.T) {
+	l, _ := attempt.NewLedger(attempt.LedgerConfig{ClaimOperation: "claim", CloseOperation: "close", MaxTries: 3})
+	l.Conflict()
+	l.Row(attempt.BookingRow{Version: 2, Operation: "other", Booking: attempt.Booking{Phase: attempt.BookingReleased}})
+	if w := l.Write(); w.Version != 2 {
+		t.Fatalf("claim has condition %d, want 2", w.Version)
+	}
+	if s := l.Applied(); s != attempt.StepDispatch {
+		t.Fatalf("step %v after the claim", s)
+	}
+}
+
+func FuzzDecodeBooking(f *testing.F) {
+	for _, b := range []attempt.Booking{{}, {Phase: attempt.BookingRecorded, Result: attempt.Result{Status: 200, ContentType: "text/plain", Body: []byte("x")}}} {
+		value, err := attempt.EncodeBooking(b)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(value)
+	}
+	f.Fuzz(func(t *testing.T, value []byte) {
+		b, err := attempt.DecodeBooking(value)
+		if err != nil {
+			return
+		}
+		again, err := attempt.EncodeBooking(b)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got, err := attempt.DecodeBooking(again); err != nil || got.Phase != b.Phase || got.Digest != b.Digest {
+			t.Fatalf("%+v became %+v, %v", b, got, err)
+		}
+	})
+}
+
+// TestLostClaimIsResolved checks that a claim which took effect although its
+// answer was lost leads to the dispatch, and one of another call does not.
+func TestLostClaimIsResolved(t *testing.T) {
+	for operation, want := range map[string]attempt.Step{"claim": attempt.StepDispatch, "other": attempt.StepReply} {
+		l, _ := attempt.NewLedger(attempt.LedgerConfig{ClaimOperation: "claim", CloseOperation: "close", MaxTries: 3})
+		steps := []attempt.Step{l.Lost(), l.Conflict(), l.Row(attempt.BookingRow{Version: 1, Operation: operation})}
+		if diff := cmp.Diff([]attempt.Step{attempt.StepWrite, attempt.StepRead, want}, steps); diff != "" {
+			t.Errorf("operation %s: %s", operation, diff)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/core/attempt/codec.go
@@ -0,0 +1,136 @@
+package attempt
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+)
+
+// bookingWire is the row of a booking as JSON in the table service.
+type bookingWire struct {
+	Phase       string `json:"phase"`
+	Digest      string `json:"digest"`
+	Status      int    `json:"status,omitempty"`
+	ContentType string `json:"contentType,omitempty"`
+	Body        []byte `json:"body,omitempty"`
+	Omitted     bool   `json:"omitted,omitempty"`
+}
+
+var bookingPhaseNames = map[BookingPhase]string{
+	BookingPending:  "pending",
+	BookingRecorded: "recorded",
+	BookingReleased: "released",
+}
+
+// EncodeBooking returns the row's value.
+func EncodeBooking(b Booking) ([]byte, error) {
+	value, err := json.Marshal(bookingWire{
+		Phase:       bookingPhaseNames[b.Phase],
+		Digest:      hex.EncodeToString(b.Digest[:]),
+		Status:      b.Result.Status,
+		ContentType: b.Result.ContentType,
+		Body:        b.Result.Body,
+		Omitted:     b.Result.Omitted,
+	})
+	return value, Error.Wrap(err)
+}
+
+// DecodeBooking reads a row's value. A row that cannot be read must be treated
+// as pending: its request may have run.
+func DecodeBooking(value []byte) (Booking, error) {
+	var w bookingWire
+	if err := json.Unmarshal(value, &w); err != nil {
+		return Booking{}, Error.Wrap(err)
+	}
+	digest, err := decodeFingerprint(w.Digest)
+	if err != nil {
+		return Booking{}, err
+	}
+	b := Booking{
+		Digest: digest,
+		Result: Result{
+			Status:      w.Status,
+			ContentType: w.ContentType,
+			Body:        w.Body,
+			Omitted:     w.Omitted,
+		},
+	}
+	for phase, name := range bookingPhaseNames {
+		if name == w.Phase {
+			b.Phase = phase
+			return b, nil
+		}
+	}
+	return Booking{}, Error.New("booking has no phase %q", w.Phase)
+}
+
+// convictionWire is a conviction as JSON, between nodes and in the table
+// service.
+type convictionWire struct {
+	Fingerprint string      `json:"fingerprint"`
+	Crashes     []crashWire `json:"crashes"`
+}
+
+type crashWire struct {
+	Group  string `json:"group"`
+	Epoch  uint64 `json:"epoch"`
+	Fabric string `json:"fabric"`
+	AgeMS  int64  `json:"ageMs"`
+}
+
+// maxConvictionCrashes bounds the crashes read from one conviction.
+const maxConvictionCrashes = 64
+
+// EncodeConviction returns a conviction as JSON.
+func EncodeConviction(c Conviction) ([]byte, error) {
+	w := convictionWire{Fingerprint: hex.EncodeToString(c.Fingerprint[:])}
+	for _, s := range c.Strikes {
+		w.Crashes = append(w.Crashes, crashWire{
+			Group:  s.Crash.Group,
+			Epoch:  s.Crash.Epoch,
+			Fabric: s.Crash.Fabric,
+			AgeMS:  s.Age.Milliseconds(),
+		})
+	}
+	value, err := json.Marshal(w)
+	return value, Error.Wrap(err)
+}
+
+// DecodeConviction reads a conviction from JSON.
+func DecodeConviction(value []byte) (Conviction, error) {
+	var w convictionWire
+	if err := json.Unmarshal(value, &w); err != nil {
+		return Conviction{}, Error.Wrap(err)
+	}
+	f, err := decodeFingerprint(w.Fingerprint)
+	if err != nil {
+		return Conviction{}, err
+	}
+	if len(w.Crashes) > maxConvictionCrashes {
+		return Conviction{}, Error.New("conviction has %d crashes", len(w.Crashes))
+	}
+	c := Conviction{Fingerprint: f}
+	for _, s := range w.Crashes {
+		if s.Group == "" || s.AgeMS < 0 || s.AgeMS > maxStrikeAge.Milliseconds() {
+			return Conviction{}, Error.New("conviction has a crash without group or of age %d ms", s.AgeMS)
+		}
+		c.Strikes = append(c.Strikes, Strike{
+			Crash: Crash{Group: s.Group, Epoch: s.Epoch, Fabric: s.Fabric},
+			Age:   millis(s.AgeMS),
+		})
+	}
+	return c, nil
+}
+
+func decodeFingerprint(s string) (Fingerprint, error) {
+	var f Fingerprint
+	raw, err := hex.DecodeString(s)
+	if err != nil {
+		return f, Error.Wrap(err)
+	}
+	if len(raw) != len(f) {
+		return f, Error.Wrap(fmt.Errorf("fingerprint has %d bytes", len(raw)))
+	}
+	copy(f[:], raw)
+	return f, nil
+}
--- /dev/null
+++ b/pkg/core/attempt/fingerprint.go
@@ -0,0 +1,34 @@
+package attempt
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"encoding/hex"
+)
+
+// Fingerprint identifies a request by its content.
+type Fingerprint [sha256.Size]byte
+
+// NewFingerprint returns the fingerprint of the parts in their order. The
+// length of each part is part of it, so that no two lists of parts share one.
+func NewFingerprint(parts ...[]byte) Fingerprint {
+	var f Fingerprint
+	var size [8]byte
+	h := sha256.New()
+	for _, p := range parts {
+		binary.BigEndian.PutUint64(size[:], uint64(len(p)))
+		h.Write(size[:])
+		h.Write(p)
+	}
+	h.Sum(f[:0])
+	return f
+}
+
+// String returns the fingerprint in hex.
+func (f Fingerprint) String() string {
+	return hex.EncodeToString(f[:])
+}
+
+func hashFingerprint(f Fingerprint) uint64 {
+	return binary.BigEndian.Uint64(f[:8])
+}
