Decode documents in JSON with comments and report every fault

Purpose: an operator who edits a document should see all that is wrong with it in one run, with file, line and column, and never have a misspelt field passed over. encoding/json stops at the first fault and accepts unknown and repeated fields, so it was ruled out; decoding hujson's tree by hand for each type was ruled out as the same code would stand in settings and documents.

The document codec maps wire types by hand and checks names, spans, shares, objectives, key hashes and references.

--- /dev/null
+++ b/pkg/core/document/codec.go
@@ -0,0 +1,141 @@
+package document
+
+import (
+	"time"
+
+	"almondbay.example/core/jsonc"
+)
+
+// Defaults of fields that a document may leave out.
+const (
+	defaultMaxUnavailable = 1
+	defaultShare          = 1.0
+	defaultServiceTimeout = 30 * time.Second
+)
+
+type documentWire struct {
+	Models     []modelWire     `json:"models"`
+	Workspaces []workspaceWire `json:"workspaces"`
+	Services   []serviceWire   `json:"services"`
+	Engines    enginesWire     `json:"engines"`
+}
+
+type modelWire struct {
+	Name           string        `json:"name"`
+	Version        string        `json:"version"`
+	Groups         int           `json:"groups"`
+	Span           int           `json:"span"`
+	Spares         int           `json:"spares"`
+	MaxUnavailable int           `json:"maxUnavailable"`
+	Adapters       []adapterWire `json:"adapters"`
+}
+
+type adapterWire struct {
+	Name    string `json:"name"`
+	Version string `json:"version"`
+}
+
+type workspaceWire struct {
+	Name      string        `json:"name"`
+	KeyHashes []string      `json:"keyHashes"`
+	Share     float64       `json:"share"`
+	Models    []string      `json:"models"`
+	Objective objectiveWire `json:"objective"`
+}
+
+type objectiveWire struct {
+	FirstToken   jsonc.Duration `json:"firstToken"`
+	BetweenToken jsonc.Duration `json:"betweenToken"`
+	Target       float64        `json:"target"`
+}
+
+type serviceWire struct {
+	Name          string         `json:"name"`
+	Timeout       jsonc.Duration `json:"timeout"`
+	NonIdempotent []callWire     `json:"nonIdempotent"`
+}
+
+type callWire struct {
+	Method string `json:"method"`
+	Path   string `json:"path"`
+}
+
+type enginesWire struct {
+	Fencing []string `json:"fencing"`
+}
+
+// Parse decodes and checks a document. It returns every fault at once, ordered
+// by position; the document is sound only when there is none. The name stands
+// for the text in the faults.
+func Parse(name string, body []byte) (Document, jsonc.Faults) {
+	source := jsonc.Parse(name, body)
+	var wire documentWire
+	source.Decode(&wire)
+	d := Document{
+		Models:     mapModels(source, wire.Models),
+		Workspaces: mapWorkspaces(source, wire.Workspaces),
+		Services:   mapServices(source, wire.Services),
+		Engines:    Engines(wire.Engines),
+	}
+	check(source, d)
+	return d, source.Faults()
+}
+
+func mapModels(source *jsonc.Source, wire []modelWire) []Model {
+	models := make([]Model, 0, len(wire))
+	for i, w := range wire {
+		m := Model{
+			Name:           w.Name,
+			Version:        w.Version,
+			Groups:         w.Groups,
+			Span:           w.Span,
+			Spares:         w.Spares,
+			MaxUnavailable: w.MaxUnavailable,
+		}
+		if !source.Has(jsonc.Pointer("models", i, "maxUnavailable")) {
+			m.MaxUnavailable = defaultMaxUnavailable
+		}
+		for _, a := range w.Adapters {
+			m.Adapters = append(m.Adapters, Adapter(a))
+		}
+		models = append(models, m)
+	}
+	return models
+}
+
+func mapWorkspaces(source *jsonc.Source, wire []workspaceWire) []Workspace {
+	workspaces := make([]Workspace, 0, len(wire))
+	for i, w := range wire {
+		workspace := Workspace{
+			Name:      w.Name,
+			KeyHashes: w.KeyHashes,
+			Share:     w.Share,
+			Models:    w.Models,
+			Objective: Objective{
+				FirstToken:   time.Duration(w.Objective.FirstToken),
+				BetweenToken: time.Duration(w.Objective.BetweenToken),
+				Target:       w.Objective.Target,
+			},
+		}
+		if !source.Has(jsonc.Pointer("workspaces", i, "share")) {
+			workspace.Share = defaultShare
+		}
+		workspaces = append(workspaces, workspace)
+	}
+	return workspaces
+}
+
+func mapServices(source *jsonc.Source, wire []serviceWire) []Service {
+	services := make([]Service, 0, len(wire))
+	for i, w := range wire {
+		service := Service{Name: w.Name, Timeout: time.Duration(w.Timeout)}
+		if !source.Has(jsonc.Pointer("services", i, "timeout")) {
+			service.Timeout = defaultServiceTimeout
+		}
+		for _, c := range w.NonIdempotent {
+			service.NonIdempotent = append(service.NonIdempotent, Call(c))
+		}
+		services = append(services, service)
+	}
+	return services
+}
