Check settings and bearer keys

Purpose: a node learns its addresses, failure domain and keys from one file, and a bad file must be refused whole, with each fault at its line and column.

Change: settings decode through jsonc; environment variables override keys and nothing else. Admin and peer listeners need TLS unless they are on loopback, as their keys would cross the network in the clear; the address for callers may stay plain behind the platform's balancer. Package keys holds a Secret that prints as a placeholder everywhere, and the constant-time check. Several peer keys are accepted and the first is sent, so that a key can be changed node by node.

Ruled out: overriding any setting from the environment, since a node's behaviour would then not be readable from its file.

Conclusion: table tests cover each rule and each way a key could be printed.

--- /dev/null
+++ b/pkg/serving/keys/keys_test.go
@@ -0,0 +1,66 @@
+package keys_test
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+
+	"almondbay.example/serving/keys"
+)
+
+func TestRequire(t *testing.T) {
+	digests := []string{keys.Digest("old"), keys.Digest("new")}
+	tests := map[string]struct {
+		digests []string
+		header  string
+		want    int
+	}{
+		"right key":      {digests, "Bearer new", http.StatusOK},
+		"key on its way": {digests, "bearer old", http.StatusOK},
+		"wrong key":      {digests, "Bearer other", http.StatusUnauthorized},
+		"digest as key":  {digests, "Bearer " + digests[0], http.StatusUnauthorized},
+		"no key":         {digests, "", http.StatusUnauthorized},
+		"empty key":      {[]string{keys.Digest("")}, "Bearer ", http.StatusUnauthorized},
+		"other scheme":   {digests, "Basic new", http.StatusUnauthorized},
+		"none accepted":  {nil, "Bearer new", http.StatusUnauthorized},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			ok := http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusOK) })
+			request := httptest.NewRequest(http.MethodGet, "/", nil)
+			request.Header.Set("Authorization", test.header)
+			answer := httptest.NewRecorder()
+			keys.Require(test.digests, ok).ServeHTTP(answer, request)
+			if answer.Code != test.want {
+				t.Errorf("got status %d, want %d", answer.Code, test.want)
+			}
+		})
+	}
+}
+
+func TestSecretNeverPrintsItself(t *testing.T) {
+	secret := keys.Generate()
+	holder := struct{ Key keys.Secret }{secret}
+	encoded, err := json.Marshal(holder)
+	if err != nil {
+		t.Fatal(err)
+	}
+	core := zapcore.NewJSONEncoder(zap.NewProductionEncoderConfig())
+	logged, err := core.EncodeEntry(zapcore.Entry{}, []zapcore.Field{zap.Any("key", secret), zap.Any("holder", holder), zap.Stringer("text", secret)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	shown := fmt.Sprintf("%v %+v %#v %s %q %s %s", holder, holder, holder, secret, secret, encoded, logged.String())
+	if strings.Contains(shown, secret.Reveal()) {
+		t.Errorf("the key is shown: %s", shown)
+	}
+	if keys.Generate() == secret {
+		t.Error("two generated keys are the same")
+	}
+}
--- /dev/null
+++ b/pkg/serving/settings/check.go
@@ -0,0 +1,146 @@
+package settings
+
+import (
+	"net/netip"
+	"net/url"
+	"regexp"
+
+	"almondbay.example/core/jsonc"
+)
+
+var (
+	namePattern = regexp.MustCompile(`^[A-Za-z0-9][A-Za-z0-9._-]{0,62}$`)
+	hashPattern = regexp.MustCompile(`^[0-9a-f]{64}$`)
+)
+
+// minKeyLength is the least number of characters in a peer key.
+const minKeyLength = 16
+
+// checker adds the faults of decoded settings to their source.
+type checker struct {
+	source *jsonc.Source
+	// addresses holds the pointer of each listener by address.
+	addresses map[string]string
+}
+
+func check(source *jsonc.Source, s Settings) {
+	c := checker{source: source, addresses: make(map[string]string)}
+	c.name("/node", s.Node)
+	c.name("/failureDomain", s.FailureDomain)
+	c.name("/environment", s.Environment)
+	c.listener("/caller", s.Caller)
+	c.listener("/operator", s.Operator.Listener)
+	c.encrypted("/operator", s.Operator.Listener)
+	c.keyHashes("/operator/keyHashes", s.Operator.KeyHashes)
+	c.listener("/peer", s.Peer.Listener)
+	c.encrypted("/peer", s.Peer.Listener)
+	c.peerKeys(s.Peer)
+	c.platform(s.Platform)
+	c.limits(s.Limits)
+}
+
+func (c *checker) name(at, name string) {
+	if name == "" {
+		c.source.Faultf(at, "is missing")
+		return
+	}
+	if !namePattern.MatchString(name) {
+		c.source.Faultf(at, "must be 1 to 63 letters, digits, dots, dashes or underscores, is %q", name)
+	}
+}
+
+func (c *checker) listener(at string, l Listener) {
+	c.address(at+"/address", l.Address)
+	if (l.TLS.Certificate == "") != (l.TLS.Key == "") {
+		c.source.Faultf(at+"/tls", "needs both certificate and key")
+	}
+	if l.TLS.IsZero() && l.TLS.Authority != "" {
+		c.source.Faultf(at+"/tls/authority", "needs a certificate and key beside it")
+	}
+}
+
+func (c *checker) address(at, address string) {
+	parsed, err := netip.ParseAddrPort(address)
+	if err != nil {
+		c.source.Faultf(at, "must be an IP number and a port, such as \"10.0.0.7:8080\", is %q", address)
+		return
+	}
+	if parsed.Port() == 0 {
+		// Any free port is fine for a trial on one VM, where no other VM has
+		// to find it.
+		if !parsed.Addr().IsLoopback() {
+			c.source.Faultf(at, "port 0 stands for any free port and is for loopback only")
+		}
+		return
+	}
+	if first, taken := c.addresses[address]; taken {
+		c.source.Faultf(at, "%s is given already at %s", address, first)
+		return
+	}
+	c.addresses[address] = at
+}
+
+// encrypted refuses a listener whose keys would cross a network in the clear.
+// The address for callers may be plain, behind a balancer that encrypts.
+func (c *checker) encrypted(at string, l Listener) {
+	address, err := netip.ParseAddrPort(l.Address)
+	if err != nil || address.Addr().IsLoopback() || !l.TLS.IsZero() {
+		return
+	}
+	c.source.Faultf(at+"/tls", "is needed on an address that is not loopback")
+}
+
+func (c *checker) keyHashes(at string, hashes []string) {
+	if len(hashes) == 0 {
+		c.source.Faultf(at, "at least one key hash is needed")
+	}
+	for i, hash := range hashes {
+		if !hashPattern.MatchString(hash) {
+			c.source.Faultf(at+jsonc.Pointer(i), "must be a SHA-256 digest in 64 lower-case hex digits")
+		}
+	}
+}
+
+func (c *checker) peerKeys(p PeerListener) {
+	if len(p.Keys) == 0 {
+		c.source.Faultf("/peer/keys", "at least one key is needed, here or in %s", PeerKeysVariable)
+	}
+	for i, key := range p.Keys {
+		if len(key.Reveal()) < minKeyLength {
+			c.source.Faultf("/peer/keys"+jsonc.Pointer(i), "must have at least %d characters", minKeyLength)
+		}
+	}
+}
+
+func (c *checker) platform(p Platform) {
+	parsed, err := url.Parse(p.Address)
+	if err != nil || parsed.Host == "" || (parsed.Scheme != "http" && parsed.Scheme != "https") {
+		c.source.Faultf("/platform/address", "must be an http or https URL")
+		return
+	}
+	if parsed.User != nil {
+		c.source.Faultf("/platform/address", "must not hold a user name or password")
+	}
+}
+
+func (c *checker) limits(l Limits) {
+	limits := []struct {
+		name  string
+		value int64
+	}{
+		{"bodyBytes", l.BodyBytes},
+		{"headerBytes", l.HeaderBytes},
+		{"queueLength", int64(l.QueueLength)},
+		{"queueBytes", l.QueueBytes},
+		{"connections", int64(l.Connections)},
+		{"requestTimeout", int64(l.RequestTimeout)},
+	}
+	for _, limit := range limits {
+		if limit.value <= 0 {
+			c.source.Faultf(jsonc.Pointer("limits", limit.name), "must be above 0")
+		}
+	}
+	if l.BodyBytes > l.QueueBytes {
+		c.source.Faultf("/limits/queueBytes", "must hold at least one body of %d bytes", l.BodyBytes)
+	}
+}
--- /dev/null
+++ b/pkg/serving/settings/codec.go
@@ -0,0 +1,113 @@
+package settings
+
+import (
+	"time"
+
+	"almondbay.example/core/jsonc"
+	"almondbay.example/serving/keys"
+)
+
+type wireSettings struct {
+	Node          string       `json:"node"`
+	FailureDomain string       `json:"failureDomain"`
+	Environment   string       `json:"environment"`
+	Caller        wireListener `json:"caller"`
+	Operator      wireOperator `json:"operator"`
+	Peer          wirePeer     `json:"peer"`
+	Platform      wirePlatform `json:"platform"`
+	Limits        wireLimits   `json:"limits"`
+}
+
+type wireListener struct {
+	Address string  `json:"address"`
+	TLS     wireTLS `json:"tls"`
+}
+
+type wireTLS struct {
+	Certificate string `json:"certificate"`
+	Key         string `json:"key"`
+	Authority   string `json:"authority"`
+}
+
+type wireOperator struct {
+	Address   string   `json:"address"`
+	TLS       wireTLS  `json:"tls"`
+	KeyHashes []string `json:"keyHashes"`
+}
+
+type wirePeer struct {
+	Address string   `json:"address"`
+	TLS     wireTLS  `json:"tls"`
+	Keys    []string `json:"keys"`
+}
+
+type wirePlatform struct {
+	Address   string `json:"address"`
+	Key       string `json:"key"`
+	Authority string `json:"authority"`
+}
+
+type wireLimits struct {
+	BodyBytes      jsonc.Size     `json:"bodyBytes"`
+	HeaderBytes    jsonc.Size     `json:"headerBytes"`
+	QueueLength    int            `json:"queueLength"`
+	QueueBytes     jsonc.Size     `json:"queueBytes"`
+	Connections    int            `json:"connections"`
+	RequestTimeout jsonc.Duration `json:"requestTimeout"`
+}
+
+// defaultLimits stand where a file names no limit.
+var defaultLimits = wireLimits{
+	BodyBytes:      1 << 20,
+	HeaderBytes:    64 << 10,
+	QueueLength:    4096,
+	QueueBytes:     32 << 20,
+	Connections:    8192,
+	RequestTimeout: jsonc.Duration(10 * time.Minute),
+}
+
+// Parse decodes and checks settings. It returns every fault at once, ordered
+// by position; the settings are sound only when there is none. The name stands
+// for the text in the faults; lookup overrides keys.
+func Parse(name string, body []byte, lookup LookupEnv) (Settings, jsonc.Faults) {
+	source := jsonc.Parse(name, body)
+	wire := wireSettings{Limits: defaultLimits}
+	source.Decode(&wire)
+	s := toSettings(wire)
+	overrideKeys(&s, lookup)
+	check(source, s)
+	return s, source.Faults()
+}
+
+func toSettings(w wireSettings) Settings {
+	s := Settings{
+		Node:          w.Node,
+		FailureDomain: w.FailureDomain,
+		Environment:   w.Environment,
+		Caller:        Listener{Address: w.Caller.Address, TLS: TLS(w.Caller.TLS)},
+		Operator: OperatorListener{
+			Listener:  Listener{Address: w.Operator.Address, TLS: TLS(w.Operator.TLS)},
+			KeyHashes: w.Operator.KeyHashes,
+		},
+		Peer: PeerListener{
+			Listener: Listener{Address: w.Peer.Address, TLS: TLS(w.Peer.TLS)},
+		},
+		Platform: Platform{
+			Address:   w.Platform.Address,
+			Key:       keys.NewSecret(w.Platform.Key),
+			Authority: w.Platform.Authority,
+		},
+		Limits: Limits{
+			BodyBytes:      int64(w.Limits.BodyBytes),
+			HeaderBytes:    int64(w.Limits.HeaderBytes),
+			QueueLength:    w.Limits.QueueLength,
+			QueueBytes:     int64(w.Limits.QueueBytes),
+			Connections:    w.Limits.Connections,
+			RequestTimeout: time.Duration(w.Limits.RequestTimeout),
+		},
+	}
+	for _, key := range w.Peer.Keys {
+		s.Peer.Keys = append(s.Peer.Keys, keys.NewSecret(key))
+	}
+	return s
+}
--- /dev/null
+++ b/pkg/serving/settings/settings_test.go
@@ -0,0 +1,123 @@
+package settings_test
+
+import (
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"almondbay.example/serving/keys"
+	"almondbay.example/serving/settings"
+)
+
+var digest = keys.Digest("operator")
+
+func whole() string {
+	return `{
+	"node": "entry-1", "failureDomain": "lisbon-1", "environment": "trial",
+	"caller": {"address": "10.0.0.1:8080"},
+	"operator": {"address": "127.0.0.1:8081", "keyHashes": ["` + digest + `"]},
+	"peer": {"address": "10.0.0.1:8082", "keys": ["0123456789abcdef"],
+		"tls": {"certificate": "node.pem", "key": "node.key", "authority": "peers.pem"}},
+	"platform": {"address": "https://10.0.0.9:9000", "key": "file"}, // Shared.
+	"limits": {"bodyBytes": "2MiB", "requestTimeout": "90s"},
+}`
+}
+
+func environment(values map[string]string) settings.LookupEnv {
+	return func(name string) (string, bool) {
+		value, ok := values[name]
+		return value, ok
+	}
+}
+
+func TestParse(t *testing.T) {
+	got, faults := settings.Parse("s", []byte(whole()), environment(nil))
+	if err := faults.Err(); err != nil {
+		t.Fatal(err)
+	}
+	want := settings.Settings{
+		Node: "entry-1", FailureDomain: "lisbon-1", Environment: "trial",
+		Caller: settings.Listener{Address: "10.0.0.1:8080"},
+		Operator: settings.OperatorListener{
+			Listener:  settings.Listener{Address: "127.0.0.1:8081"},
+			KeyHashes: []string{digest},
+		},
+		Peer: settings.PeerListener{
+			Listener: settings.Listener{
+				Address: "10.0.0.1:8082",
+				TLS:     settings.TLS{Certificate: "node.pem", Key: "node.key", Authority: "peers.pem"},
+			},
+			Keys: []keys.Secret{keys.NewSecret("0123456789abcdef")},
+		},
+		Platform: settings.Platform{Address: "https://10.0.0.9:9000", Key: keys.NewSecret("file")},
+		Limits: settings.Limits{
+			BodyBytes: 2 << 20, HeaderBytes: 64 << 10, QueueLength: 4096, QueueBytes: 32 << 20,
+			Connections: 8192, RequestTimeout: 90 * time.Second,
+		},
+	}
+	if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b keys.Secret) bool { return a == b })); diff != "" {
+		t.Error(diff)
+	}
+	if shown := fmt.Sprintf("%+v", got); strings.Contains(shown, "0123456789abcdef") {
+		t.Errorf("the settings print a key: %s", shown)
+	}
+}
+
+func TestKeysFromEnvironment(t *testing.T) {
+	got, faults := settings.Parse("s", []byte(whole()), environment(map[string]string{
+		settings.PeerKeysVariable:    "fedcba9876543210, 0123456789abcdef",
+		settings.PlatformKeyVariable: "environment",
+		"ALMONDBAY_NODE":             "entry-2",
+	}))
+	if err := faults.Err(); err != nil {
+		t.Fatal(err)
+	}
+	if got.Peer.Keys[0].Reveal() != "fedcba9876543210" || len(got.Peer.Keys) != 2 {
+		t.Errorf("the peer keys were not taken from the environment")
+	}
+	if got.Platform.Key.Reveal() != "environment" {
+		t.Errorf("the platform key was not taken from the environment")
+	}
+	if got.Node != "entry-1" {
+		t.Errorf("got node %q, only keys may be overridden", got.Node)
+	}
+}
+
+func TestParseReportsEveryFault(t *testing.T) {
+	tests := map[string]struct{ old, new, want string }{
+		"names":         {`"entry-1", "failureDomain": "lisbon-1"`, `"a/b"`, "s:1:1: /failureDomain: is missing\n" + `s:2:10: /node: must be 1 to 63 letters, digits, dots, dashes or underscores, is "a/b"`},
+		"host name":     {`10.0.0.1:8080`, `localhost:8080`, `s:3:24: /caller/address: must be an IP number and a port, such as "10.0.0.7:8080", is "localhost:8080"`},
+		"free port":     {`10.0.0.1:8080`, `10.0.0.1:0`, `s:3:24: /caller/address: port 0 stands for any free port and is for loopback only`},
+		"address twice": {`10.0.0.1:8080`, `10.0.0.1:8082`, `s:5:22: /peer/address: 10.0.0.1:8082 is given already at /caller/address`},
+		"plain admin":   {`127.0.0.1:8081`, `10.0.0.1:8081`, `s:4:14: /operator/tls: is needed on an address that is not loopback`},
+		"half pair":     {`"key": "node.key", `, ``, `s:6:10: /peer/tls: needs both certificate and key`},
+		"no key hash":   {`"` + digest + `"`, ``, `s:4:57: /operator/keyHashes: at least one key hash is needed`},
+		"bare key":      {digest, `operator`, `s:4:58: /operator/keyHashes/0: must be a SHA-256 digest in 64 lower-case hex digits`},
+		"no peer key":   {`"0123456789abcdef"`, ``, `s:5:47: /peer/keys: at least one key is needed, here or in ALMONDBAY_PEER_KEYS`},
+		"short key":     {`"0123456789abcdef"`, `"short"`, `s:5:48: /peer/keys/0: must have at least 16 characters`},
+		"platform":      {`https://10.0.0.9:9000`, `10.0.0.9:9000`, `s:7:26: /platform/address: must be an http or https URL`},
+		"user in URL":   {`https://10.0.0.9`, `https://a:b@10.0.0.9`, `s:7:26: /platform/address: must not hold a user name or password`},
+		"limits":        {`"bodyBytes": "2MiB"`, `"bodyBytes": "64MiB", "connections": 0`, "s:8:12: /limits/queueBytes: must hold at least one body of 67108864 bytes\ns:8:50: /limits/connections: must be above 0"},
+		"unknown":       {`"limits"`, `"limit"`, `s:8:2: /limit: unknown field`},
+	}
+	for name, test := range tests {
+		t.Run(name, func(t *testing.T) {
+			body := strings.Replace(whole(), test.old, test.new, 1)
+			_, faults := settings.Parse("s", []byte(body), environment(nil))
+			if diff := cmp.Diff(test.want, faults.Error()); diff != "" {
+				t.Error(diff)
+			}
+		})
+	}
+}
+
+func FuzzParse(f *testing.F) {
+	f.Add(whole())
+	f.Fuzz(func(_ *testing.T, body string) {
+		_, faults := settings.Parse("s", []byte(body), environment(nil))
+		_ = faults.Error()
+	})
+}
