List the numbered events in a catalogue

Purpose: operators need log lines whose numbers keep their meaning, and a page that tells what to do for each.

Change: an event is a Definition with number, level, fixed message, field names, meaning and action. docs/EVENTS.md is written from the catalogue. Tests hold the page against it, and read the workspace's source so that no call logs past it or with a field that the page does not name.

Ruled out: a struct type per event, which checks field types at compile time but takes some 15 lines an event; the source test gives the names.

Conclusion: the catalogue covers node, certificates, platform, configuration, operators; other areas join it with the code that logs them.

--- /dev/null
+++ b/pkg/serving/event/catalogue.go
@@ -0,0 +1,141 @@
+package event
+
+import "go.uber.org/zap/zapcore"
+
+const noAction = "None."
+
+// Events of a node's life.
+var (
+	NodeStarted = Definition{
+		Number: 101, Level: zapcore.InfoLevel, Message: "node started",
+		Fields:  []string{"node", "failureDomain", "environment", "version"},
+		Meaning: "The process has read its settings and is about to listen.",
+		Action:  noAction,
+	}
+	NodeListening = Definition{
+		Number: 102, Level: zapcore.InfoLevel, Message: "listening",
+		Fields:  []string{"listener", "address", "tls"},
+		Meaning: "The node accepts connections on an address.",
+		Action:  noAction,
+	}
+	NodeDraining = Definition{
+		Number: 103, Level: zapcore.InfoLevel, Message: "draining",
+		Fields:  []string{"signal"},
+		Meaning: "The node was told to stop; it is unready and waits for all requests in flight.",
+		Action:  "None; a second signal cuts the requests that are left.",
+	}
+	NodeStopped = Definition{
+		Number: 104, Level: zapcore.InfoLevel, Message: "stopped",
+		Meaning: "All requests have ended and the process exits.",
+		Action:  noAction,
+	}
+	NodeCut = Definition{
+		Number: 105, Level: zapcore.WarnLevel, Message: "stopped by a second signal",
+		Fields:  []string{"requests"},
+		Meaning: "A second signal ended the node while requests were in flight.",
+		Action:  "Expect callers to see broken answers.",
+	}
+	NodeFailed = Definition{
+		Number: 106, Level: zapcore.ErrorLevel, Message: "node failed",
+		Fields:  []string{"error"},
+		Meaning: "A part of the node ended with an error, and the process exits.",
+		Action:  "Read the error; the platform replaces the VM.",
+	}
+)
+
+// Events of certificates.
+var (
+	CertificateLoaded = Definition{
+		Number: 201, Level: zapcore.InfoLevel, Message: "certificate loaded",
+		Fields:  []string{"file", "notAfter"},
+		Meaning: "New connections use the certificate that the file now holds.",
+		Action:  noAction,
+	}
+	CertificateRefused = Definition{
+		Number: 202, Level: zapcore.ErrorLevel, Message: "certificate refused",
+		Fields:  []string{"file", "error"},
+		Meaning: "The files changed but cannot be used; the node keeps the certificate it has.",
+		Action:  "Mend the files; they are read again within seconds.",
+	}
+)
+
+// Events of the platform.
+var (
+	PlatformUnreachable = Definition{
+		Number: 301, Level: zapcore.WarnLevel, Message: "platform unreachable",
+		Fields:  []string{"error"},
+		Meaning: "The table service does not answer; nothing is reassigned, and groups go on serving.",
+		Action:  "See the page on platform outages in OPERATIONS.md.",
+	}
+	PlatformReachable = Definition{
+		Number: 302, Level: zapcore.InfoLevel, Message: "platform reachable again",
+		Meaning: "The table service answers again.",
+		Action:  noAction,
+	}
+)
+
+// Events of configuration.
+var (
+	RevisionInForce = Definition{
+		Number: 401, Level: zapcore.InfoLevel, Message: "revision in force",
+		Fields:  []string{"revision", "hash", "origin"},
+		Meaning: "The node has moved up to a revision of the document.",
+		Action:  noAction,
+	}
+	RevisionSplit = Definition{
+		Number: 402, Level: zapcore.ErrorLevel, Message: "two documents under one revision",
+		Fields:  []string{"error"},
+		Meaning: "The platform or a peer shows another document under the revision held; the node keeps its own.",
+		Action:  "Apply the wanted document again, which makes a new revision.",
+	}
+	DocumentUnreadable = Definition{
+		Number: 403, Level: zapcore.ErrorLevel, Message: "document unreadable",
+		Fields:  []string{"revision", "error"},
+		Meaning: "The document of a revision cannot be fetched or decoded; the node keeps the one it has.",
+		Action:  "Check the object store, then apply the document again.",
+	}
+	DocumentAccepted = Definition{
+		Number: 404, Level: zapcore.InfoLevel, Message: "document accepted",
+		Fields:  []string{"environment", "revision", "kind", "author", "operation"},
+		Meaning: "An operator's command became a new revision through this node.",
+		Action:  noAction,
+	}
+	DocumentRefused = Definition{
+		Number: 405, Level: zapcore.WarnLevel, Message: "document refused",
+		Fields:  []string{"environment", "author", "operation", "error"},
+		Meaning: "An operator's command was refused; nothing changed.",
+		Action:  noAction,
+	}
+	DocumentOutcomeUnknown = Definition{
+		Number: 406, Level: zapcore.WarnLevel, Message: "outcome of a command not known",
+		Fields:  []string{"environment", "author", "operation", "error"},
+		Meaning: "The answer of the accepting write was lost and it could not be read back.",
+		Action:  "Repeat the command with the same operation, or look at the history.",
+	}
+)
+
+// Events of operators and peers.
+var (
+	KeyRefused = Definition{
+		Number: 701, Level: zapcore.WarnLevel, Message: "request without a valid key",
+		Fields:  []string{"listener", "remote", "path"},
+		Meaning: "The admin or peer listener refused a request that carried none of its keys.",
+		Action:  "Find out who sent it, if it goes on.",
+	}
+	DrainRequested = Definition{
+		Number: 702, Level: zapcore.InfoLevel, Message: "drain requested",
+		Fields:  []string{"vm", "author"},
+		Meaning: "An operator asked that a VM receive no new work.",
+		Action:  noAction,
+	}
+)
+
+var areas = []area{
+	{"Node", []Definition{NodeStarted, NodeListening, NodeDraining, NodeStopped, NodeCut, NodeFailed}},
+	{"Certificates", []Definition{CertificateLoaded, CertificateRefused}},
+	{"Platform", []Definition{PlatformUnreachable, PlatformReachable}},
+	{"Configuration", []Definition{
+		RevisionInForce, RevisionSplit, DocumentUnreadable, DocumentAccepted, DocumentRefused, DocumentOutcomeUnknown,
+	}},
+	{"Operators and peers", []Definition{KeyRefused, DrainRequested}},
+}
--- /dev/null
+++ b/pkg/serving/event/event_test.go
@@ -0,0 +1,188 @@
+package event_test
+
+import (
+	"flag"
+	"go/ast"
+	"go/parser"
+	"go/token"
+	"io/fs"
+	"os"
+	"path/filepath"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+
+	"github.com/google/go-cmp/cmp"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"almondbay.example/serving/event"
+)
+
+var update = flag.Bool("update", false, "write docs/EVENTS.md from the catalogue")
+
+const (
+	root = "../../.."
+	page = root + "/docs/EVENTS.md"
+)
+
+func TestCatalogue(t *testing.T) {
+	seen := make(map[int]bool)
+	for _, d := range event.All() {
+		if seen[d.Number] {
+			t.Errorf("number %d is used twice", d.Number)
+		}
+		seen[d.Number] = true
+		if d.Message == "" || d.Meaning == "" || d.Action == "" {
+			t.Errorf("event %d lacks a text", d.Number)
+		}
+	}
+}
+
+func TestPage(t *testing.T) {
+	if *update {
+		if err := os.WriteFile(page, []byte(event.Markdown()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	written, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(event.Markdown(), string(written)); diff != "" {
+		t.Errorf("docs/EVENTS.md differs from the catalogue; run this test with -update:\n%s", diff)
+	}
+}
+
+func TestLog(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	event.NodeListening.Log(zap.New(core), zap.String("listener", "caller"))
+	entry := lines.All()[0]
+	want := map[string]any{"event": int64(102), "listener": "caller"}
+	if diff := cmp.Diff(want, entry.ContextMap()); diff != "" || entry.Message != "listening" {
+		t.Errorf("message %q, fields %s", entry.Message, diff)
+	}
+}
+
+// definitions maps the Go names of the catalogue to its entries.
+func definitions(t *testing.T) map[string]event.Definition {
+	t.Helper()
+	byNumber := make(map[int]event.Definition)
+	for _, d := range event.All() {
+		byNumber[d.Number] = d
+	}
+	file, err := parser.ParseFile(token.NewFileSet(), "catalogue.go", nil, 0)
+	if err != nil {
+		t.Fatal(err)
+	}
+	named := make(map[string]event.Definition)
+	ast.Inspect(file, func(n ast.Node) bool {
+		spec, ok := n.(*ast.ValueSpec)
+		if !ok || len(spec.Values) != 1 {
+			return true
+		}
+		literal, ok := spec.Values[0].(*ast.CompositeLit)
+		if !ok {
+			return true
+		}
+		for _, element := range literal.Elts {
+			pair, ok := element.(*ast.KeyValueExpr)
+			if !ok || pair.Key.(*ast.Ident).Name != "Number" {
+				continue
+			}
+			number, err := strconv.Atoi(pair.Value.(*ast.BasicLit).Value)
+			if err != nil {
+				t.Fatal(err)
+			}
+			named[spec.Names[0].Name] = byNumber[number]
+		}
+		return true
+	})
+	return named
+}
+
+// TestSourceLogsThroughTheCatalogue holds every call in the workspace against
+// the catalogue: only declared fields, and no line past it.
+func TestSourceLogsThroughTheCatalogue(t *testing.T) {
+	named := definitions(t)
+	for _, path := range sources(t) {
+		files := token.NewFileSet()
+		file, err := parser.ParseFile(files, path, nil, 0)
+		if err != nil {
+			t.Fatal(err)
+		}
+		ast.Inspect(file, func(n ast.Node) bool {
+			call, ok := n.(*ast.CallExpr)
+			if !ok {
+				return true
+			}
+			selector, ok := call.Fun.(*ast.SelectorExpr)
+			if !ok {
+				return true
+			}
+			if importsZap(file) && slices.Contains([]string{"Debug", "Info", "Warn", "Error", "Fatal", "Panic"}, selector.Sel.Name) && len(call.Args) > 0 {
+				t.Errorf("%s: logs past the catalogue", files.Position(call.Pos()))
+			}
+			name, ok := eventName(selector)
+			if !ok {
+				return true
+			}
+			checkFields(t, files, named[name], call)
+			return true
+		})
+	}
+}
+
+func sources(t *testing.T) []string {
+	t.Helper()
+	var paths []string
+	for _, module := range []string{"cmd", "pkg"} {
+		err := filepath.WalkDir(filepath.Join(root, module), func(path string, _ fs.DirEntry, err error) error {
+			if strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") && !strings.Contains(path, "serving/event/") {
+				paths = append(paths, path)
+			}
+			return err
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+	}
+	return paths
+}
+
+func importsZap(file *ast.File) bool {
+	return slices.ContainsFunc(file.Imports, func(i *ast.ImportSpec) bool { return i.Path.Value == `"go.uber.org/zap"` })
+}
+
+// eventName returns X of a call event.X.Log.
+func eventName(selector *ast.SelectorExpr) (string, bool) {
+	inner, ok := selector.X.(*ast.SelectorExpr)
+	if !ok || selector.Sel.Name != "Log" {
+		return "", false
+	}
+	pkg, ok := inner.X.(*ast.Ident)
+	return inner.Sel.Name, ok && pkg.Name == "event"
+}
+
+func checkFields(t *testing.T, files *token.FileSet, d event.Definition, call *ast.CallExpr) {
+	t.Helper()
+	for _, argument := range call.Args[1:] {
+		field, ok := argument.(*ast.CallExpr)
+		if !ok {
+			continue
+		}
+		name := "error"
+		if len(field.Args) > 1 {
+			literal, ok := field.Args[0].(*ast.BasicLit)
+			if !ok {
+				t.Errorf("%s: field name is not a literal", files.Position(field.Pos()))
+				continue
+			}
+			name, _ = strconv.Unquote(literal.Value)
+		}
+		if !slices.Contains(d.Fields, name) {
+			t.Errorf("%s: event %d has no field %q", files.Position(field.Pos()), d.Number, name)
+		}
+	}
+}
