--- a/pkg/core/document/codec.go
+++ b/pkg/core/document/codec.go
@@ -13,54 +13,54 @@
 	defaultServiceTimeout = 30 * time.Second
 )
 
-type documentWire struct {
-	Models     []modelWire     `json:"models"`
-	Workspaces []workspaceWire `json:"workspaces"`
-	Services   []serviceWire   `json:"services"`
-	Engines    enginesWire     `json:"engines"`
+type wireDocument struct {
+	Models     []wireModel     `json:"models"`
+	Workspaces []wireWorkspace `json:"workspaces"`
+	Services   []wireService   `json:"services"`
+	Engines    wireEngines     `json:"engines"`
 }
 
-type modelWire struct {
+type wireModel struct {
 	Name           string        `json:"name"`
 	Version        string        `json:"version"`
 	Groups         int           `json:"groups"`
 	Span           int           `json:"span"`
 	Spares         int           `json:"spares"`
 	MaxUnavailable int           `json:"maxUnavailable"`
-	Adapters       []adapterWire `json:"adapters"`
+	Adapters       []wireAdapter `json:"adapters"`
 }
 
-type adapterWire struct {
+type wireAdapter struct {
 	Name    string `json:"name"`
 	Version string `json:"version"`
 }
 
-type workspaceWire struct {
+type wireWorkspace struct {
 	Name      string        `json:"name"`
 	KeyHashes []string      `json:"keyHashes"`
 	Share     float64       `json:"share"`
 	Models    []string      `json:"models"`
-	Objective objectiveWire `json:"objective"`
+	Objective wireObjective `json:"objective"`
 }
 
-type objectiveWire struct {
+type wireObjective struct {
 	FirstToken   jsonc.Duration `json:"firstToken"`
 	BetweenToken jsonc.Duration `json:"betweenToken"`
 	Target       float64        `json:"target"`
 }
 
-type serviceWire struct {
+type wireService struct {
 	Name          string         `json:"name"`
 	Timeout       jsonc.Duration `json:"timeout"`
-	NonIdempotent []callWire     `json:"nonIdempotent"`
+	NonIdempotent []wireCall     `json:"nonIdempotent"`
 }
 
-type callWire struct {
+type wireCall struct {
 	Method string `json:"method"`
 	Path   string `json:"path"`
 }
 
-type enginesWire struct {
+type wireEngines struct {
 	Fencing []string `json:"fencing"`
 }
 
@@ -69,7 +69,7 @@
 // for the text in the faults.
 func Parse(name string, body []byte) (Document, jsonc.Faults) {
 	source := jsonc.Parse(name, body)
-	var wire documentWire
+	var wire wireDocument
 	source.Decode(&wire)
 	d := Document{
 		Models:     mapModels(source, wire.Models),
@@ -81,7 +81,7 @@
 	return d, source.Faults()
 }
 
-func mapModels(source *jsonc.Source, wire []modelWire) []Model {
+func mapModels(source *jsonc.Source, wire []wireModel) []Model {
 	models := make([]Model, 0, len(wire))
 	for i, w := range wire {
 		m := Model{
@@ -103,7 +103,7 @@
 	return models
 }
 
-func mapWorkspaces(source *jsonc.Source, wire []workspaceWire) []Workspace {
+func mapWorkspaces(source *jsonc.Source, wire []wireWorkspace) []Workspace {
 	workspaces := make([]Workspace, 0, len(wire))
 	for i, w := range wire {
 		workspace := Workspace{
@@ -125,7 +125,7 @@
 	return workspaces
 }
 
-func mapServices(source *jsonc.Source, wire []serviceWire) []Service {
+func mapServices(source *jsonc.Source, wire []wireService) []Service {
 	services := make([]Service, 0, len(wire))
 	for i, w := range wire {
 		service := Service{Name: w.Name, Timeout: time.Duration(w.Timeout)}
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -41,6 +41,12 @@
 		Meaning: "A part of the node ended with an error, and the process exits.",
 		Action:  "Read the error; the platform replaces the VM.",
 	}
+	StepFailed = Definition{
+		Number: 107, Level: zapcore.WarnLevel, Message: "step failed",
+		Fields:  []string{"error"},
+		Meaning: "A loop of the node could not take its step; it tries again at its next interval.",
+		Action:  "None, unless it goes on; then read the error.",
+	}
 )
 
 // Events of certificates.
@@ -131,7 +137,7 @@
 )
 
 var areas = []area{
-	{"Node", []Definition{NodeStarted, NodeListening, NodeDraining, NodeStopped, NodeCut, NodeFailed}},
+	{"Node", []Definition{NodeStarted, NodeListening, NodeDraining, NodeStopped, NodeCut, NodeFailed, StepFailed}},
 	{"Certificates", []Definition{CertificateLoaded, CertificateRefused}},
 	{"Platform", []Definition{PlatformUnreachable, PlatformReachable}},
 	{"Configuration", []Definition{
