--- a/cmd/almondbay/dev.go
+++ b/cmd/almondbay/dev.go
@@ -83,10 +83,10 @@
 func devNode(memory *platform.Memory, callers, operators net.Listener, adminKey string) node.Config {
 	return node.Config{
 		Settings: settings.Settings{
-			Node:              "dev",
-			FailureDomain:     devFailureDomain,
-			Environment:       devEnvironment,
-			OperatorKeyHashes: []string{hash(adminKey)},
+			Node:          "dev",
+			FailureDomain: devFailureDomain,
+			Environment:   devEnvironment,
+			Operator:      settings.OperatorListener{KeyHashes: []string{hash(adminKey)}},
 		},
 		Clock:     clockwork.NewRealClock(),
 		Logger:    zap.NewNop(),
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -17,6 +17,7 @@
 	"almondbay.example/serving/caller"
 	"almondbay.example/serving/control"
 	"almondbay.example/serving/engine"
+	"almondbay.example/serving/event"
 	"almondbay.example/serving/operator"
 	"almondbay.example/serving/platform"
 	"almondbay.example/serving/settings"
@@ -85,7 +86,7 @@
 func operatorConfig(c Config) operator.Config {
 	return operator.Config{
 		Environment: c.Settings.Environment,
-		KeyHashes:   c.Settings.OperatorKeyHashes,
+		KeyHashes:   c.Settings.Operator.KeyHashes,
 		Table:       c.Table,
 		Objects:     c.Objects,
 	}
@@ -140,7 +141,7 @@
 		defer ticker.Stop()
 		for {
 			if err := step(ctx); err != nil && ctx.Err() == nil {
-				n.config.Logger.Warn("step failed", zap.Error(err))
+				event.StepFailed.Log(n.config.Logger, zap.Error(err))
 			}
 			select {
 			case <-ctx.Done():
--- a/pkg/serving/operator/operator.go
+++ b/pkg/serving/operator/operator.go
@@ -17,6 +17,7 @@
 	"github.com/zeebo/errs"
 
 	"almondbay.example/core/document"
+	"almondbay.example/core/jsonc"
 	"almondbay.example/serving/platform"
 )
 
@@ -89,7 +90,8 @@
 	if errors.As(err, &conflict) {
 		return c.String(http.StatusConflict, err.Error())
 	}
-	if document.Error.Has(err) {
+	var faults jsonc.Faults
+	if errors.As(err, &faults) {
 		return c.String(http.StatusUnprocessableEntity, err.Error())
 	}
 	if err != nil {
@@ -100,8 +102,8 @@
 
 // Accept accepts a document as the next revision of an environment.
 func Accept(ctx context.Context, c Config, body []byte) error {
-	if _, err := document.Parse(body); err != nil {
-		return err
+	if _, faults := document.Parse("document", body); faults != nil {
+		return faults
 	}
 	sum := sha256.Sum256(body)
 	name := hex.EncodeToString(sum[:])
--- a/pkg/serving/operator/wire.go
+++ b/pkg/serving/operator/wire.go
@@ -35,6 +35,6 @@
 	if err != nil {
 		return 0, document.Document{}, Error.Wrap(err)
 	}
-	d, err := document.Parse(body)
-	return w.Revision, d, err
+	d, faults := document.Parse(w.Document, body)
+	return w.Revision, d, faults.Err()
 }
