--- a/pkg/core/attempt/poison.go
+++ b/pkg/core/attempt/poison.go
@@ -89,11 +89,13 @@
 // with the same evidence agree, whatever order it came in. A request with
 // crashes in two fabric domains is quarantined unless another request with as
 // many crashes shares one of them; then a further crash decides. A crash that
-// a quarantined request explains counts against nobody else.
+// a quarantined request explains counts against nobody else, and one that was
+// part of an outage of its fabric domain counts against nobody.
 type Quarantine struct {
 	config   QuarantineConfig
 	requests *table[Fingerprint, []strike]
 	crashes  *table[Crash, crashRecord]
+	outages  *outages
 }
 
 // NewQuarantine returns an empty quarantine.
@@ -102,6 +104,7 @@
 		config:   c,
 		requests: newTable[Fingerprint, []strike](hashFingerprint),
 		crashes:  newTable[Crash, crashRecord](hashCrash),
+		outages:  newOutages(),
 	}
 }
 
@@ -112,6 +115,11 @@
 	return q.Standing(f, now)
 }
 
+// Crashed notes a crash, whether or not a request of this node was in flight.
+func (q *Quarantine) Crashed(c Crash, now time.Time) {
+	q.outages.note(c, now)
+}
+
 // Clear forgets all strikes of a request that has run to its end.
 func (q *Quarantine) Clear(f Fingerprint) {
 	var strikes []strike
@@ -195,6 +203,7 @@
 			}
 		}
 	})
+	q.outages.expire(now, q.config.QuarantineTTL)
 	q.crashes.each(func(rows map[Crash]crashRecord) {
 		for c, r := range rows {
 			if now.Sub(r.at) > q.config.QuarantineTTL {
@@ -205,6 +214,7 @@
 }
 
 func (q *Quarantine) note(f Fingerprint, c Crash, at time.Time) {
+	q.outages.note(c, at)
 	evicted := strikeOwner{}
 	q.requests.with(f, func(rows map[Fingerprint][]strike) {
 		known := rows[f]
@@ -299,9 +309,10 @@
 func (q *Quarantine) strikes(f Fingerprint, now time.Time) []strike {
 	var strikes []strike
 	q.requests.with(f, func(rows map[Fingerprint][]strike) {
-		strikes = q.live(rows[f], now)
+		strikes = rows[f]
 	})
-	return strikes
+	blamed := slices.DeleteFunc(slices.Clone(strikes), func(s strike) bool { return q.outages.includes(s.crash) })
+	return q.live(blamed, now)
 }
 
 // live returns the strikes that still count. Those of a request with enough
