Judge crashes by site and tell indexed frames apart

Cause: a model with one group could never get a request quarantined, and its suspects could not run at all, since only crashes of distinct groups counted and a suspect kept off the group that crashed. A stream without stated offsets was also taken to be resumable.

Change: a crash names its site, which the gateway picks by how many fabric domains and groups the model has; independence is by site alone. Frames say whether their offset was stated. A refusal of an invalid request is its own kind: not started and not retried.

--- a/pkg/core/attempt/codec.go
+++ b/pkg/core/attempt/codec.go
@@ -72,10 +72,10 @@
 }
 
 type crashWire struct {
-	Group  string `json:"group"`
-	Epoch  uint64 `json:"epoch"`
-	Fabric string `json:"fabric"`
-	AgeMS  int64  `json:"ageMs"`
+	Group string `json:"group"`
+	Epoch uint64 `json:"epoch"`
+	Site  string `json:"site"`
+	AgeMS int64  `json:"ageMs"`
 }
 
 // maxConvictionCrashes bounds the crashes read from one conviction.
@@ -86,10 +86,10 @@
 	w := convictionWire{Fingerprint: hex.EncodeToString(c.Fingerprint[:])}
 	for _, s := range c.Strikes {
 		w.Crashes = append(w.Crashes, crashWire{
-			Group:  s.Crash.Group,
-			Epoch:  s.Crash.Epoch,
-			Fabric: s.Crash.Fabric,
-			AgeMS:  s.Age.Milliseconds(),
+			Group: s.Crash.Group,
+			Epoch: s.Crash.Epoch,
+			Site:  s.Crash.Site,
+			AgeMS: s.Age.Milliseconds(),
 		})
 	}
 	value, err := json.Marshal(w)
@@ -115,7 +115,7 @@
 			return Conviction{}, Error.New("conviction has a crash without group or of age %d ms", s.AgeMS)
 		}
 		c.Strikes = append(c.Strikes, Strike{
-			Crash: Crash{Group: s.Group, Epoch: s.Epoch, Fabric: s.Fabric},
+			Crash: Crash{Group: s.Group, Epoch: s.Epoch, Site: s.Site},
 			Age:   millis(s.AgeMS),
 		})
 	}
--- a/pkg/core/attempt/flight.go
+++ b/pkg/core/attempt/flight.go
@@ -29,9 +29,6 @@
 	if standing == StandingQuarantined {
 		return false
 	}
-	if standing == StandingSuspect && f.crashed(group, p, now) {
-		return false
-	}
 	entered := false
 	f.groups.with(group, func(rows map[string][]Fingerprint) {
 		if standing == StandingSuspect && f.suspected(rows[group], now) {
@@ -61,12 +58,6 @@
 	})
 }
 
-// crashed reports whether the group crashed under the request before.
-func (f *Flights) crashed(group string, p Fingerprint, now time.Time) bool {
-	groups, _ := f.quarantine.Groups(p, now)
-	return slices.Contains(groups, group)
-}
-
 func (f *Flights) suspected(flights []Fingerprint, now time.Time) bool {
 	return slices.ContainsFunc(flights, func(o Fingerprint) bool {
 		return f.quarantine.Standing(o, now) == StandingSuspect
--- a/pkg/core/attempt/outage.go
+++ b/pkg/core/attempt/outage.go
@@ -6,12 +6,12 @@
 )
 
 const (
-	// outageWindow is the time within which crashes in one fabric domain are
-	// taken to share a cause.
+	// outageWindow is the time within which crashes at one site are taken to
+	// share a cause.
 	outageWindow = 5 * time.Second
 	// outageGroups is the number of groups that have to crash for that.
 	outageGroups = 3
-	// maxOutageCrashes bounds the crashes remembered of each fabric domain.
+	// maxOutageCrashes bounds the crashes remembered of each site.
 	maxOutageCrashes = 64
 )
 
@@ -20,34 +20,34 @@
 	at    time.Time
 }
 
-// outages recognises fabric domains that have gone dark. No request is to be
+// outages recognises sites, such as fabric domains, that have gone dark. No request is to be
 // blamed for a crash that was part of that.
 type outages struct {
-	fabrics *table[string, []crashTime]
+	sites *table[string, []crashTime]
 }
 
 func newOutages() *outages {
-	return &outages{fabrics: newTable[string, []crashTime](hashString)}
+	return &outages{sites: newTable[string, []crashTime](hashString)}
 }
 
 func (o *outages) note(c Crash, at time.Time) {
-	o.fabrics.with(c.Fabric, func(rows map[string][]crashTime) {
-		known := rows[c.Fabric]
+	o.sites.with(c.Site, func(rows map[string][]crashTime) {
+		known := rows[c.Site]
 		if slices.ContainsFunc(known, func(k crashTime) bool { return k.crash == c }) {
 			return
 		}
 		if len(known) >= maxOutageCrashes {
 			known = known[1:]
 		}
-		rows[c.Fabric] = append(known, crashTime{crash: c, at: at})
+		rows[c.Site] = append(known, crashTime{crash: c, at: at})
 	})
 }
 
 // includes reports whether the crash was part of an outage.
 func (o *outages) includes(c Crash) bool {
 	included := false
-	o.fabrics.with(c.Fabric, func(rows map[string][]crashTime) {
-		known := rows[c.Fabric]
+	o.sites.with(c.Site, func(rows map[string][]crashTime) {
+		known := rows[c.Site]
 		i := slices.IndexFunc(known, func(k crashTime) bool { return k.crash == c })
 		if i < 0 {
 			return
@@ -64,7 +64,7 @@
 }
 
 func (o *outages) expire(now time.Time, limit time.Duration) {
-	o.fabrics.each(func(rows map[string][]crashTime) {
+	o.sites.each(func(rows map[string][]crashTime) {
 		for f, known := range rows {
 			rows[f] = slices.DeleteFunc(known, func(k crashTime) bool { return now.Sub(k.at) > limit })
 			if len(rows[f]) == 0 {
--- a/pkg/core/attempt/outcome.go
+++ b/pkg/core/attempt/outcome.go
@@ -48,6 +48,9 @@
 	// FailureNotStarted means that the backend server refused the request and
 	// stated that it had not started it.
 	FailureNotStarted
+	// FailureInvalid means that the backend server refused the request for
+	// what it is and stated that it had not started it.
+	FailureInvalid
 	// FailureRejected means that the backend server found fault with the
 	// request itself. Another attempt would be rejected as well.
 	FailureRejected
@@ -71,6 +74,7 @@
 var failureNames = [...]string{
 	FailureUnreachable: "unreachable",
 	FailureNotStarted:  "notStarted",
+	FailureInvalid:     "invalid",
 	FailureRejected:    "rejected",
 	FailureIdentity:    "identityMismatch",
 	FailureBroken:      "broken",
@@ -91,13 +95,13 @@
 // neverStarted reports whether the failure proves that the attempt was not
 // started, no matter how much of it was written.
 func (k FailureKind) neverStarted() bool {
-	return k == FailureNotStarted
+	return k == FailureNotStarted || k == FailureInvalid
 }
 
 // retryable reports whether another attempt could succeed.
 func (k FailureKind) retryable() bool {
 	switch k {
-	case FailureRejected, FailureDeadline, FailureCanceled:
+	case FailureInvalid, FailureRejected, FailureDeadline, FailureCanceled:
 		return false
 	default:
 		return true
--- a/pkg/core/attempt/poison.go
+++ b/pkg/core/attempt/poison.go
@@ -13,10 +13,11 @@
 	Group string
 	// Epoch is the epoch of the group when it crashed.
 	Epoch uint64
-	// Fabric is the fabric domain of the group. Crashes in one fabric domain
-	// may share a cause and count as one. Where the model has groups in one
-	// fabric domain only, the name of the group stands here instead.
-	Fabric string
+	// Site names what crashes may have as their common cause; crashes at one
+	// site count as one. It is the fabric domain of the group. Where a model
+	// has groups in one fabric domain only, it is the group, and where it has
+	// one group only, the group and its epoch.
+	Site string
 }
 
 // Strike is a crash during which a request was in flight.
@@ -43,7 +44,8 @@
 	StandingClear Standing = iota
 	// StandingSuspect means that the request was in flight during a crash
 	// which nothing else explains. It may run only on a group that runs no
-	// other suspect, and not again on the group that crashed.
+	// other suspect, and not on one that crashed under it while there is
+	// another.
 	StandingSuspect
 	// StandingQuarantined means that the request is refused.
 	StandingQuarantined
@@ -87,10 +89,10 @@
 //
 // The standing of a request is a function of the strikes alone, so that nodes
 // with the same evidence agree, whatever order it came in. A request with
-// crashes in two fabric domains is quarantined unless another request with as
+// crashes at two sites is quarantined unless another request with as
 // many crashes shares one of them; then a further crash decides. A crash that
 // a quarantined request explains counts against nobody else, and one that was
-// part of an outage of its fabric domain counts against nobody.
+// part of an outage of its site counts against nobody.
 type Quarantine struct {
 	config   QuarantineConfig
 	requests *table[Fingerprint, []strike]
@@ -150,13 +152,13 @@
 }
 
 // Groups returns the groups on which the request was in flight when they
-// crashed, and their fabric domains.
-func (q *Quarantine) Groups(f Fingerprint, now time.Time) (groups, fabrics []string) {
+// crashed, and their sites.
+func (q *Quarantine) Groups(f Fingerprint, now time.Time) (groups, sites []string) {
 	for _, s := range q.strikes(f, now) {
 		groups = append(groups, s.crash.Group)
-		fabrics = append(fabrics, s.crash.Fabric)
+		sites = append(sites, s.crash.Site)
 	}
-	return groups, fabrics
+	return groups, sites
 }
 
 // Learn takes in the evidence of another node.
@@ -331,12 +333,11 @@
 	return nil
 }
 
-// independent reports whether two of the strikes are of different groups in
-// different fabric domains.
+// independent reports whether two of the strikes are at different sites.
 func independent(strikes []strike) bool {
 	for i, s := range strikes {
 		for _, o := range strikes[i+1:] {
-			if s.crash.Group != o.crash.Group && s.crash.Fabric != o.crash.Fabric {
+			if s.crash.Site != o.crash.Site {
 				return true
 			}
 		}
--- a/pkg/core/attempt/request.go
+++ b/pkg/core/attempt/request.go
@@ -34,6 +34,9 @@
 	// frame.
 	Offset int
 	Tokens int
+	// Indexed is set when the backend server stated Offset. A stream with
+	// other frames cannot be resumed.
+	Indexed bool
 	// End is set on the end marker, which proves that the answer is complete.
 	End bool
 }
@@ -139,6 +142,7 @@
 	if f.Tokens > 0 {
 		r.forwarded += f.Tokens
 		r.version = t.target.Version
+		r.spec.Resumable = r.spec.Resumable && f.Indexed
 	}
 	return Forward
 }
