--- a/pkg/serving/caller/gateway.go
+++ b/pkg/serving/caller/gateway.go
@@ -1,58 +1,96 @@
-// Package caller speaks to callers: it takes requests in OpenAI form and
-// relays whole answers from replica groups.
+// Package caller speaks to callers: it takes requests in OpenAI form and for
+// plain services, and relays whole answers from backend servers.
 package caller
 
 import (
-	"encoding/json"
-	"errors"
-	"io"
+	"context"
 	"net/http"
+	"slices"
 	"strings"
+	"sync/atomic"
 
-	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
 
+	"almondbay.example/core/attempt"
 	"almondbay.example/core/document"
 	"almondbay.example/serving/engine"
 	"almondbay.example/serving/engine/enginewire"
+	"almondbay.example/serving/platform"
+	"almondbay.example/serving/service"
 	"almondbay.example/serving/view"
 )
 
-const (
-	// maxBodyBytes bounds the size of a request body.
-	maxBodyBytes = 8 << 20
-	// maxAttempts bounds the attempts at one request.
-	maxAttempts = 3
-)
+// PathReady answers 200 while the node takes requests.
+const PathReady = "/readyz"
 
 // Config configures a Gateway.
 type Config struct {
-	View   *view.View
-	Picker Picker
-	Engine engine.Engine
+	View *view.View
+	// Clock is a real clock where connections are served, as it sets their
+	// deadlines.
+	Clock   clockwork.Clock
+	Picker  Picker
+	Engine  engine.Engine
+	Service service.Service
+	// Table keeps bookings and quarantined requests.
+	Table  platform.Table
+	Limits Limits
+	// FailureDomain is that of the node; plain services in it come first.
+	FailureDomain string
+	// Peers is the other nodes; nil when there are none.
+	Peers Peers
+	// NoQuarantine lets requests that crash backend servers run, for
+	// comparison.
+	NoQuarantine bool
 }
 
 // Gateway serves callers.
 type Gateway struct {
-	view   *view.View
-	picker Picker
-	engine engine.Engine
-	echo   *echo.Echo
+	view     *view.View
+	clock    clockwork.Clock
+	picker   Picker
+	engine   engine.Engine
+	service  service.Service
+	bookings *bookkeeper
+	limits   *limits
+	budgets  *attempt.Budgets
+	suspects *suspects
+	inFlight *inFlight
+	domain   string
+	// calls counts the calls in flight on each VM of a plain service.
+	calls     *counts
+	echo      *echo.Echo
+	stopping  atomic.Bool
+	connected atomic.Int64
 }
 
 // New returns a gateway.
 func New(c Config) *Gateway {
 	g := &Gateway{
-		view:   c.View,
-		picker: c.Picker,
-		engine: c.Engine,
-		echo:   echo.New(),
+		view:     c.View,
+		clock:    c.Clock,
+		picker:   c.Picker,
+		engine:   c.Engine,
+		service:  c.Service,
+		bookings: newBookkeeper(c.Table),
+		limits:   newLimits(c.Limits),
+		budgets:  attempt.NewBudgets(attempt.DefaultBudgetConfig()),
+		suspects: newSuspects(c),
+		inFlight: newInFlight(),
+		domain:   c.FailureDomain,
+		calls:    newCounts(),
+		echo:     echo.New(),
 	}
 	g.echo.HideBanner = true
-	g.echo.GET("/readyz", g.ready)
+	g.echo.HTTPErrorHandler = handleError
+	g.echo.Use(g.guard)
+	g.echo.GET(PathReady, g.ready)
 	g.echo.GET("/v1/models", g.models)
 	g.echo.POST(enginewire.PathChatCompletions, g.generate)
 	g.echo.POST(enginewire.PathCompletions, g.generate)
+	g.echo.Any("/services/:service", g.callService)
+	g.echo.Any("/services/:service/*", g.callService)
 	return g
 }
 
@@ -61,8 +99,37 @@
 	g.echo.ServeHTTP(w, r)
 }
 
+// Review cancels attempts on groups that have lost a member, so that they are
+// resumed or retried elsewhere. It is to be called a few times a second.
+func (g *Gateway) Review(context.Context) error {
+	now := g.clock.Now()
+	g.inFlight.cancelLost(func(t attempt.Target) bool {
+		return g.view.Intact(t.Group, t.Epoch, now)
+	})
+	g.suspects.quarantine.Expire(now)
+	return nil
+}
+
+// guard refuses requests over the limits and closes connections while the node
+// stops.
+func (g *Gateway) guard(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if g.stopping.Load() {
+			c.Response().Header().Set(echo.HeaderConnection, "close")
+		}
+		if overLimit(c.Request().Context()) {
+			c.Response().Header().Set(echo.HeaderConnection, "close")
+			return overloaded("too many connections are open").write(c)
+		}
+		if countHeaders(c.Request().Header) > maxHeaders {
+			return notRun(http.StatusRequestHeaderFieldsTooLarge, CodeHeadTooLarge, "too many headers").write(c)
+		}
+		return next(c)
+	}
+}
+
 func (g *Gateway) ready(c echo.Context) error {
-	if _, revision := g.view.Document(); revision == 0 {
+	if _, revision := g.view.Document(); revision == 0 || g.stopping.Load() {
 		return c.NoContent(http.StatusServiceUnavailable)
 	}
 	return c.NoContent(http.StatusOK)
@@ -75,131 +142,45 @@
 	}
 	d, _ := g.view.Document()
 	answer := wireModels{Object: "list", Data: []wireModel{}}
+	add := func(name string) {
+		if allowed(workspace, name) {
+			answer.Data = append(answer.Data, wireModel{ID: name, Object: "model", OwnedBy: "almondbay"})
+		}
+	}
 	for _, m := range d.Models {
-		if allowed(workspace, m.Name) {
-			answer.Data = append(answer.Data, wireModel{ID: m.Name, Object: "model", OwnedBy: "almondbay"})
+		add(m.Name)
+		for _, a := range m.Adapters {
+			add(a.Name)
 		}
 	}
 	return c.JSON(http.StatusOK, answer)
 }
 
-// generate runs one generation request over as many attempts as it needs.
-func (g *Gateway) generate(c echo.Context) error {
-	workspace, refusal := g.authenticate(c)
-	if refusal != nil {
-		return refusal.write(c)
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxBodyBytes))
-	if err != nil {
-		return notRun(http.StatusRequestEntityTooLarge, "bodyTooLarge", "the body can't be read whole").write(c)
-	}
-	var request wireRequest
-	if err := json.Unmarshal(body, &request); err != nil {
-		return notRun(http.StatusBadRequest, "malformedBody", "the body is not JSON").write(c)
-	}
-	if !g.known(request.Model) || !allowed(workspace, request.Model) {
-		return notRun(http.StatusNotFound, "unknownModel", "the model is not served").write(c)
-	}
-	return g.attempts(c, Query{Workspace: workspace.Name, Model: request.Model}, body)
-}
-
-// attempts tries replica groups in turn until one has answered.
-func (g *Gateway) attempts(c echo.Context, q Query, body []byte) error {
-	mayHaveRun := false
-	for range maxAttempts {
-		choice, err := g.picker.Pick(c.Request().Context(), q)
-		if err != nil {
-			break
-		}
-		q.Avoid = append(q.Avoid, choice.Group)
-		answer, err := g.attempt(c, choice, body)
-		if err == nil {
-			return g.relay(c, choice, answer)
-		}
-		choice.Release()
-		var notStarted *engine.NotStartedError
-		if !errors.As(err, &notStarted) {
-			mayHaveRun = true
+// modelOf returns the model that serves a name, which is that of a model or of
+// one of its adapters.
+func modelOf(d document.Document, name string) (string, bool) {
+	for _, m := range d.Models {
+		if m.Name == name {
+			return m.Name, true
 		}
-	}
-	if mayHaveRun {
-		return unknown("no replica group gave a whole answer").write(c)
-	}
-	return notRun(http.StatusServiceUnavailable, "unavailable", "no replica group can take the request").write(c)
-}
-
-// attempt starts one attempt and checks the identity in the answer's head.
-func (g *Gateway) attempt(c echo.Context, choice Choice, body []byte) (engine.Answer, error) {
-	id := uuid.NewString()
-	answer, err := g.engine.Generate(c.Request().Context(), choice.Address, engine.Request{
-		Attempt:  id,
-		Path:     c.Path(),
-		Body:     body,
-		Expected: choice.Expected,
-	})
-	if err != nil {
-		return engine.Answer{}, err
-	}
-	if answer.Identity != choice.Expected || answer.Attempt != id {
-		_ = answer.Body.Close()
-		return engine.Answer{}, Error.New("answer of another attempt or group")
-	}
-	return answer, nil
-}
-
-// relay copies an answer to the caller as it arrives.
-func (g *Gateway) relay(c echo.Context, choice Choice, answer engine.Answer) error {
-	defer choice.Release()
-	defer func() { _ = answer.Body.Close() }()
-
-	response := c.Response()
-	response.Header().Set("Content-Type", answer.ContentType)
-	response.WriteHeader(answer.Status)
-	buffer := make([]byte, 32<<10)
-	for {
-		n, err := answer.Body.Read(buffer)
-		if n > 0 {
-			if _, err := response.Write(buffer[:n]); err != nil {
-				return Error.Wrap(err)
+		for _, a := range m.Adapters {
+			if a.Name == name {
+				return m.Name, true
 			}
-			response.Flush()
-		}
-		if errors.Is(err, io.EOF) {
-			return nil
-		}
-		if err != nil {
-			panic(http.ErrAbortHandler)
 		}
 	}
-}
-
-func (g *Gateway) known(model string) bool {
-	d, _ := g.view.Document()
-	for _, m := range d.Models {
-		if m.Name == model {
-			return true
-		}
-	}
-	return false
+	return "", false
 }
 
 func allowed(w document.Workspace, model string) bool {
-	if len(w.Models) == 0 {
-		return true
-	}
-	for _, m := range w.Models {
-		if m == model {
-			return true
-		}
-	}
-	return false
+	return len(w.Models) == 0 || slices.Contains(w.Models, model)
 }
 
 // authenticate finds the workspace whose key the request carries.
 func (g *Gateway) authenticate(c echo.Context) (document.Workspace, *problem) {
-	key, ok := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
+	key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
 	if !ok {
-		return document.Workspace{}, notRun(http.StatusUnauthorized, "noKey", "a bearer key is needed")
+		return document.Workspace{}, notRun(http.StatusUnauthorized, CodeNoKey, "a bearer key is needed")
 	}
 	d, _ := g.view.Document()
 	for _, w := range d.Workspaces {
@@ -207,5 +188,5 @@
 			return w, nil
 		}
 	}
-	return document.Workspace{}, notRun(http.StatusUnauthorized, "unknownKey", "the key is not known")
+	return document.Workspace{}, notRun(http.StatusUnauthorized, CodeUnknownKey, "the key is not known")
 }
--- a/pkg/serving/caller/key.go
+++ b/pkg/serving/caller/key.go
@@ -4,6 +4,8 @@
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/hex"
+
+	"almondbay.example/core/attempt"
 )
 
 // matchesAny reports whether the SHA-256 digest of key is among the hex
@@ -17,3 +19,17 @@
 	}
 	return found == 1
 }
+
+// validKey reports whether an idempotency key is of printable ASCII and not too
+// long.
+func validKey(key string) bool {
+	if key == "" || len(key) > attempt.MaxKeyLength {
+		return false
+	}
+	for _, b := range []byte(key) {
+		if b < ' ' || b > '~' {
+			return false
+		}
+	}
+	return true
+}
--- a/pkg/serving/caller/picker.go
+++ b/pkg/serving/caller/picker.go
@@ -2,9 +2,8 @@
 
 import (
 	"context"
-	"math"
 	"slices"
-	"sync"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 
@@ -16,79 +15,131 @@
 type Query struct {
 	Workspace string
 	Model     string
+	// Kind is the path that the request came in by.
+	Kind string
+	// PromptTokens is an estimate of the length of the prompt.
+	PromptTokens int
+	// MaxTokens is the caller's bound on the answer; zero when it has none.
+	MaxTokens int
+	Priority  Priority
+	// Deadline is when the answer is due.
+	Deadline time.Time
 	// Avoid lists replica groups that must not be picked.
 	Avoid []string
+	// AvoidSites lists fabric domains that are picked only if no other has a
+	// group.
+	AvoidSites []string
+	// Version is the only version that may be picked; empty allows any.
+	Version string
 }
 
-// Choice is the replica group that an attempt is sent to. Release must be
-// called once, when the attempt has ended.
+// Choice is the replica group that an attempt is sent to.
 type Choice struct {
 	Group   string
 	Address string
 	// Expected is the identity that the answer's head must carry.
 	Expected fleet.Identity
-	Release  func()
+	// Site is what crashes of the group may have in common with others: its
+	// fabric domain, unless the model has groups in one only.
+	Site string
+	// Members lists the VMs of all members, the leader first.
+	Members []fleet.VM
+	// Slot must be released once, when the attempt has ended.
+	Slot Slot
+}
+
+// Slot is the place that an attempt takes up.
+type Slot interface {
+	// Progress notes the tokens of the answer received so far.
+	Progress(tokens int)
+	// Finish notes that the answer is complete. Release follows it.
+	Finish(tokens int)
+	// Release gives the place back.
+	Release()
 }
 
 // Picker chooses the replica group for each attempt.
 type Picker interface {
-	// Pick returns a UnavailableError when no replica group can take the
-	// request.
+	// Pick waits until a replica group can take the request. It returns an
+	// UnavailableError when none will in time.
 	Pick(ctx context.Context, q Query) (Choice, error)
 }
 
 // LeastInFlight picks the replica group with the fewest attempts in flight.
 type LeastInFlight struct {
-	view  *view.View
-	clock clockwork.Clock
-
-	mu       sync.Mutex
-	inFlight map[string]int
+	view     *view.View
+	clock    clockwork.Clock
+	inFlight *counts
 }
 
 var _ Picker = (*LeastInFlight)(nil)
 
 // NewLeastInFlight returns a picker over the replica groups in v.
 func NewLeastInFlight(v *view.View, clock clockwork.Clock) *LeastInFlight {
-	return &LeastInFlight{view: v, clock: clock, inFlight: make(map[string]int)}
+	return &LeastInFlight{view: v, clock: clock, inFlight: newCounts()}
 }
 
 // Pick implements Picker.
 func (p *LeastInFlight) Pick(_ context.Context, q Query) (Choice, error) {
-	targets := p.view.Targets(q.Model, p.clock.Now())
+	all := p.view.Targets(q.Model, p.clock.Now())
+	targets := Allowed(all, q)
+
+	if len(targets) == 0 {
+		return Choice{}, &UnavailableError{Model: q.Model}
+	}
+	ids := make([]string, 0, len(targets))
+	for _, t := range targets {
+		ids = append(ids, t.Group.ID)
+	}
+	best, slot := p.inFlight.takeFewest(ids)
+	target := targets[best]
+	return ChoiceOf(target, Site(all, target), slot), nil
+}
 
-	p.mu.Lock()
-	defer p.mu.Unlock()
+// ChoiceOf returns the choice of a target.
+func ChoiceOf(t view.Target, site string, s Slot) Choice {
+	return Choice{
+		Group:    t.Group.ID,
+		Address:  t.Address,
+		Expected: t.Leader,
+		Site:     site,
+		Members:  t.Members,
+		Slot:     s,
+	}
+}
 
-	best := -1
-	fewest := math.MaxInt
-	for i, t := range targets {
+// Allowed returns the targets that a query allows. Those at sites to avoid are
+// left out if others remain.
+func Allowed(targets []view.Target, q Query) []view.Target {
+	var allowed, preferred []view.Target
+	for _, t := range targets {
 		if slices.Contains(q.Avoid, t.Group.ID) {
 			continue
 		}
-		if n := p.inFlight[t.Group.ID]; n < fewest {
-			best, fewest = i, n
+		if q.Version != "" && q.Version != t.Group.Version {
+			continue
+		}
+		allowed = append(allowed, t)
+		if !slices.Contains(q.AvoidSites, Site(targets, t)) {
+			preferred = append(preferred, t)
 		}
 	}
-	if best < 0 {
-		return Choice{}, &UnavailableError{Model: q.Model}
+	if len(preferred) > 0 {
+		return preferred
 	}
-	target := targets[best]
-	p.inFlight[target.Group.ID]++
-	return Choice{
-		Group:    target.Group.ID,
-		Address:  target.Address,
-		Expected: target.Leader,
-		Release:  func() { p.release(target.Group.ID) },
-	}, nil
+	return allowed
 }
 
-func (p *LeastInFlight) release(group string) {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	p.inFlight[group]--
-	if p.inFlight[group] == 0 {
-		delete(p.inFlight, group)
+// Site returns what crashes of a target may have in common with crashes of the
+// other targets of its model.
+func Site(targets []view.Target, t view.Target) string {
+	for _, o := range targets {
+		if o.FabricDomain != t.FabricDomain {
+			return t.FabricDomain
+		}
+	}
+	if len(targets) > 1 {
+		return t.Group.ID
 	}
+	return t.Group.ID + "@" + t.Leader.Boot
 }
--- /dev/null
+++ b/pkg/serving/caller/sink.go
@@ -0,0 +1,111 @@
+package caller
+
+import (
+	"encoding/json"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"almondbay.example/core/attempt"
+)
+
+// maxRecordedBytes bounds the body of an answer that a booking's row keeps.
+const maxRecordedBytes = 256 << 10
+
+// callerSink passes an answer to the caller.
+type callerSink struct {
+	gateway    *Gateway
+	response   http.ResponseWriter
+	controller *http.ResponseController
+	// stallBy is when the connection gives up on a caller that takes nothing.
+	stallBy time.Time
+	stream  bool
+	started bool
+}
+
+func (g *Gateway) callerSink(c echo.Context) *callerSink {
+	w := c.Response()
+	return &callerSink{
+		gateway:    g,
+		response:   w,
+		controller: http.NewResponseController(w.Writer),
+	}
+}
+
+func (s *callerSink) head(a answer) error {
+	h := s.response.Header()
+	for name, values := range a.header {
+		h[name] = values
+	}
+	s.started = true
+	s.stream = a.stream
+	s.response.WriteHeader(a.status)
+	return nil
+}
+
+func (s *callerSink) write(b []byte) error {
+	s.extend()
+	if _, err := s.response.Write(b); err != nil {
+		return errCallerGone
+	}
+	if !s.stream {
+		return nil
+	}
+	if err := s.controller.Flush(); err != nil {
+		return errCallerGone
+	}
+	return nil
+}
+
+// extend moves the write deadline of the connection, not more often than
+// needed.
+func (s *callerSink) extend() {
+	limit := s.gateway.limits.config.StallTimeout
+	now := s.gateway.clock.Now()
+	if s.stallBy.Sub(now) > limit/2 {
+		return
+	}
+	s.stallBy = now.Add(limit)
+	_ = s.controller.SetWriteDeadline(s.stallBy)
+}
+
+// close ends the answer. A problem becomes the answer itself while nothing has
+// been sent; in a stream it is an event of its own, and the end marker is
+// missing.
+func (s *callerSink) close(c echo.Context, p *problem) error {
+	defer func() { _ = s.controller.SetWriteDeadline(time.Time{}) }()
+	switch {
+	case p == nil:
+		return nil
+	case !s.started:
+		s.extend()
+		return p.write(c)
+	case !s.stream:
+		panic(http.ErrAbortHandler)
+	}
+	body, err := json.Marshal(wireProblemOf(p))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return s.write([]byte("event: error\ndata: " + string(body) + "\n\n"))
+}
+
+// recorder keeps an answer for a booking.
+type recorder struct {
+	result attempt.Result
+}
+
+func (r *recorder) head(a answer) error {
+	r.result = attempt.Result{Status: a.status, ContentType: a.header.Get(echo.HeaderContentType)}
+	return nil
+}
+
+func (r *recorder) write(b []byte) error {
+	if len(r.result.Body)+len(b) > maxWholeBytes {
+		return errAnswerTooBig
+	}
+	r.result.Body = append(r.result.Body, b...)
+	r.result.Omitted = len(r.result.Body) > maxRecordedBytes
+	return nil
+}
--- /dev/null
+++ b/pkg/serving/caller/suspect.go
@@ -0,0 +1,218 @@
+package caller
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"almondbay.example/core/attempt"
+	"almondbay.example/serving/platform"
+)
+
+// Peers is the other nodes, as far as requests that crash backend servers are
+// concerned.
+type Peers interface {
+	// Announce tells evidence to the other nodes. It returns once those that
+	// can be reached have it, or when ctx is done.
+	Announce(ctx context.Context, c attempt.Conviction)
+	// Grant asks the owner of a group to grant it to a suspect. It reports
+	// true also when the owner cannot be reached.
+	Grant(ctx context.Context, group string, f attempt.Fingerprint) bool
+	// Release ends a grant.
+	Release(ctx context.Context, group string, f attempt.Fingerprint)
+}
+
+const (
+	// announceTimeout bounds the time that news of a crash hold up an answer.
+	announceTimeout = time.Second
+	// maxAnnouncements bounds the announcements that nobody waits for.
+	maxAnnouncements = 64
+	// grantTime is how long a group is granted to a suspect at most.
+	grantTime = 10 * time.Minute
+	// quarantinePrefix starts the keys of the rows of quarantined requests.
+	quarantinePrefix = "quarantine/"
+)
+
+// suspects keeps apart, judges and announces requests that were in flight when
+// backend servers crashed.
+type suspects struct {
+	disabled   bool
+	quarantine *attempt.Quarantine
+	flights    *attempt.Flights
+	// trials holds the grants that this node owns.
+	trials   *attempt.Trials
+	peers    Peers
+	table    platform.Table
+	announce errgroup.Group
+
+	mu sync.Mutex
+	// loaded holds the version at which each row was read last. The age of
+	// evidence counts from then.
+	loaded map[string]uint64
+}
+
+func newSuspects(c Config) *suspects {
+	q := attempt.NewQuarantine(attempt.DefaultQuarantineConfig())
+	s := &suspects{
+		disabled:   c.NoQuarantine,
+		quarantine: q,
+		flights:    attempt.NewFlights(q),
+		trials:     attempt.NewTrials(),
+		peers:      c.Peers,
+		table:      c.Table,
+		loaded:     make(map[string]uint64),
+	}
+	s.announce.SetLimit(maxAnnouncements)
+	return s
+}
+
+func (s *suspects) standing(f attempt.Fingerprint, now time.Time) attempt.Standing {
+	if s.disabled {
+		return attempt.StandingClear
+	}
+	return s.quarantine.Standing(f, now)
+}
+
+// enter takes the group for a request and returns how to give it back. It
+// returns nil when a suspect must not run there now.
+func (s *suspects) enter(ctx context.Context, group string, f attempt.Fingerprint, now time.Time) func() {
+	if s.disabled {
+		return func() {}
+	}
+	if s.quarantine.Standing(f, now) != attempt.StandingSuspect {
+		if !s.flights.Enter(group, f, now) {
+			return nil
+		}
+		return func() { s.flights.Leave(group, f) }
+	}
+	if !s.grant(ctx, group, f, now) {
+		return nil
+	}
+	if !s.flights.Enter(group, f, now) {
+		s.release(ctx, group, f)
+		return nil
+	}
+	return func() {
+		s.flights.Leave(group, f)
+		s.release(ctx, group, f)
+	}
+}
+
+func (s *suspects) grant(ctx context.Context, group string, f attempt.Fingerprint, now time.Time) bool {
+	if s.peers != nil {
+		return s.peers.Grant(ctx, group, f)
+	}
+	return s.trials.Grant(group, f, now, grantTime)
+}
+
+func (s *suspects) release(ctx context.Context, group string, f attempt.Fingerprint) {
+	if s.peers != nil {
+		s.peers.Release(context.WithoutCancel(ctx), group, f)
+		return
+	}
+	s.trials.Release(group, f)
+}
+
+// strike notes that a request was in flight during a crash. The other nodes
+// know of a quarantine before strike returns, so that the caller, who is told
+// after that, cannot have the request run at another node.
+func (s *suspects) strike(ctx context.Context, f attempt.Fingerprint, c attempt.Crash, now time.Time) {
+	if s.disabled {
+		return
+	}
+	standing := s.quarantine.Strike(f, c, now)
+	evidence := s.quarantine.Conviction(f, now)
+	ctx = context.WithoutCancel(ctx)
+	if standing == attempt.StandingQuarantined {
+		s.tell(ctx, evidence, true)
+		return
+	}
+	s.announce.TryGo(func() error {
+		s.tell(ctx, evidence, false)
+		return nil
+	})
+}
+
+func (s *suspects) tell(ctx context.Context, c attempt.Conviction, quarantined bool) {
+	ctx, cancel := context.WithTimeout(ctx, announceTimeout)
+	defer cancel()
+
+	var g errgroup.Group
+	if s.peers != nil {
+		g.Go(func() error {
+			s.peers.Announce(ctx, c)
+			return nil
+		})
+	}
+	if quarantined && s.table != nil {
+		g.Go(func() error { return s.save(ctx, c) })
+	}
+	_ = g.Wait() // The table is the second way; peers repeat the news.
+}
+
+// save writes the row of a quarantined request, over an older one.
+func (s *suspects) save(ctx context.Context, c attempt.Conviction) error {
+	value, err := attempt.EncodeConviction(c)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	key := quarantinePrefix + c.Fingerprint.String()
+	row, err := s.table.Read(ctx, key)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(s.table.Commit(ctx, platform.Transaction{
+		Operation:  newOperation(),
+		Conditions: []platform.Condition{{Key: key, Version: row.Version}},
+		Writes:     []platform.Write{{Key: key, Value: value}},
+	}))
+}
+
+// Learn takes in evidence from another node.
+func (g *Gateway) Learn(c attempt.Conviction) {
+	g.suspects.quarantine.Learn(c, g.clock.Now())
+}
+
+// Grant grants a group that this node owns to a suspect.
+func (g *Gateway) Grant(group string, f attempt.Fingerprint) bool {
+	return g.suspects.trials.Grant(group, f, g.clock.Now(), grantTime)
+}
+
+// Release ends a grant of this node.
+func (g *Gateway) Release(group string, f attempt.Fingerprint) {
+	g.suspects.trials.Release(group, f)
+}
+
+// LoadQuarantine reads the rows of quarantined requests. It is to be called
+// when the node starts and every few seconds.
+func (g *Gateway) LoadQuarantine(ctx context.Context) error {
+	rows, err := g.suspects.table.Range(ctx, quarantinePrefix)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	now := g.clock.Now()
+	for _, r := range rows {
+		if !g.suspects.isNew(r) {
+			continue
+		}
+		c, err := attempt.DecodeConviction(r.Value)
+		if err != nil {
+			continue
+		}
+		g.suspects.quarantine.Learn(c, now)
+	}
+	return nil
+}
+
+func (s *suspects) isNew(r platform.Row) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if s.loaded[r.Key] == r.Version {
+		return false
+	}
+	s.loaded[r.Key] = r.Version
+	return true
+}
--- a/pkg/serving/caller/wire.go
+++ b/pkg/serving/caller/wire.go
@@ -1,15 +1,22 @@
 package caller
 
+import (
+	"encoding/json"
+
+	"github.com/zeebo/errs"
+)
+
 // wireProblem is the body of an error answer in OpenAI form.
 type wireProblem struct {
 	Error wireError `json:"error"`
 }
 
 type wireError struct {
-	Message string `json:"message"`
-	Type    string `json:"type"`
-	Code    string `json:"code"`
-	Outcome string `json:"outcome"`
+	Message string  `json:"message"`
+	Type    string  `json:"type"`
+	Param   *string `json:"param"`
+	Code    string  `json:"code"`
+	Outcome string  `json:"outcome"`
 }
 
 func wireProblemOf(p *problem) wireProblem {
@@ -17,14 +24,48 @@
 		Message: p.message,
 		Type:    "almondbay",
 		Code:    p.code,
-		Outcome: string(p.outcome),
+		Outcome: p.outcome.String(),
 	}}
 }
 
 // wireRequest is the part of a generation request that the gateway reads.
 type wireRequest struct {
-	Model  string `json:"model"`
-	Stream bool   `json:"stream"`
+	Model               string          `json:"model"`
+	Stream              bool            `json:"stream"`
+	MaxTokens           int             `json:"max_tokens"`
+	MaxCompletionTokens int             `json:"max_completion_tokens"`
+	Messages            json.RawMessage `json:"messages"`
+	Prompt              json.RawMessage `json:"prompt"`
+}
+
+// generation is what the gateway needs to know of a generation request.
+type generation struct {
+	model  string
+	stream bool
+	// maxTokens is zero when the caller sets no bound.
+	maxTokens int
+	// promptBytes is the length of the prompt as JSON.
+	promptBytes int
+}
+
+// errModelMissing reports a generation request that names no model.
+var errModelMissing = errs.New("the body names no model")
+
+// parseGeneration reads a generation request.
+func parseGeneration(body []byte) (generation, error) {
+	var w wireRequest
+	if err := json.Unmarshal(body, &w); err != nil {
+		return generation{}, Error.Wrap(err)
+	}
+	if w.Model == "" {
+		return generation{}, Error.Wrap(errModelMissing)
+	}
+	return generation{
+		model:       w.Model,
+		stream:      w.Stream,
+		maxTokens:   max(0, w.MaxTokens, w.MaxCompletionTokens),
+		promptBytes: len(w.Messages) + len(w.Prompt),
+	}, nil
 }
 
 type wireModels struct {
@@ -35,5 +76,6 @@
 type wireModel struct {
 	ID      string `json:"id"`
 	Object  string `json:"object"`
+	Created int64  `json:"created"`
 	OwnedBy string `json:"owned_by"`
 }
--- a/pkg/serving/engine/enginehttp/client.go
+++ b/pkg/serving/engine/enginehttp/client.go
@@ -7,7 +7,9 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
+	"net/http/httptrace"
 	"strconv"
 	"time"
 
@@ -16,31 +18,62 @@
 	"almondbay.example/serving/engine/enginewire"
 )
 
-// maxAnswerBytes bounds the size of a health answer and of the answer to an
-// order.
-const maxAnswerBytes = 1 << 20
+const (
+	// maxAnswerBytes bounds the size of a health answer and of the answer to
+	// an order.
+	maxAnswerBytes = 1 << 20
+	// dialTimeout bounds the time to make a connection.
+	dialTimeout = 2 * time.Second
+	// keepAlive is the interval of TCP keep-alive probes.
+	keepAlive = 5 * time.Second
+	// maxIdleConnections bounds the idle connections to one backend server.
+	maxIdleConnections = 256
+	// idleTimeout is how long an idle connection is kept.
+	idleTimeout = 30 * time.Second
+)
 
 // Config configures a Client.
 type Config struct {
 	// ControlTimeout bounds a health question and an order.
 	ControlTimeout time.Duration
-	// Transport is http.DefaultTransport when nil.
-	Transport http.RoundTripper
+	// Transport is NewTransport when nil.
+	Transport *http.Transport
 }
 
 // Client implements engine.Engine over HTTP.
 type Client struct {
 	timeout time.Duration
 	http    *http.Client
+	// once uses each connection for one request. A library that may send a
+	// request again does so only on a connection used before.
+	once *http.Client
 }
 
 var _ engine.Engine = (*Client)(nil)
 
 // New returns a client.
 func New(c Config) *Client {
+	transport := c.Transport
+	if transport == nil {
+		transport = NewTransport()
+	}
+	once := transport.Clone()
+	once.DisableKeepAlives = true
 	return &Client{
 		timeout: c.ControlTimeout,
-		http:    &http.Client{Transport: c.Transport},
+		http:    &http.Client{Transport: transport},
+		once:    &http.Client{Transport: once},
+	}
+}
+
+// NewTransport returns a transport for connections to backend servers.
+func NewTransport() *http.Transport {
+	dialer := &net.Dialer{Timeout: dialTimeout, KeepAlive: keepAlive}
+	return &http.Transport{
+		DialContext:         dialer.DialContext,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
 	}
 }
 
@@ -69,24 +102,33 @@
 
 // Generate implements engine.Engine.
 func (c *Client) Generate(ctx context.Context, address string, r engine.Request) (engine.Answer, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+r.Path, bytes.NewReader(r.Body))
+	written := false
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) {
+			written = true
+			if r.Written != nil {
+				r.Written()
+			}
+		},
+	})
+	request, err := generation(ctx, address, r)
 	if err != nil {
-		return engine.Answer{}, engine.Error.Wrap(err)
+		return engine.Answer{}, &engine.UnreachableError{Reason: err.Error()}
 	}
-	request.Header.Set("Content-Type", "application/json")
-	request.Header.Set(enginewire.HeaderAttempt, r.Attempt)
-	request.Header.Set(enginewire.HeaderGroup, r.Expected.Group)
-	request.Header.Set(enginewire.HeaderEpoch, strconv.FormatUint(r.Expected.Epoch, 10))
-	if r.Offset > 0 {
-		request.Header.Set(enginewire.HeaderOffset, strconv.Itoa(r.Offset))
+	client := c.http
+	if r.Once {
+		client = c.once
+	}
+	response, err := client.Do(request)
+	if err != nil && !written {
+		return engine.Answer{}, &engine.UnreachableError{Reason: err.Error()}
 	}
-	response, err := c.http.Do(request)
 	if err != nil {
 		return engine.Answer{}, engine.Error.Wrap(err)
 	}
 	if response.Header.Get(enginewire.HeaderNotStarted) != "" {
 		_ = response.Body.Close()
-		return engine.Answer{}, &engine.NotStartedError{Reason: response.Status}
+		return engine.Answer{}, &engine.NotStartedError{Status: response.StatusCode}
 	}
 	return engine.Answer{
 		Identity:    enginewire.Identity(response.Header),
@@ -97,6 +139,30 @@
 	}, nil
 }
 
+// generation returns the HTTP request of an attempt.
+func generation(ctx context.Context, address string, r engine.Request) (*http.Request, error) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+address+r.Path, bytes.NewReader(r.Body))
+	if err != nil {
+		return nil, err
+	}
+	h := request.Header
+	h.Set("Content-Type", "application/json")
+	h.Set(enginewire.HeaderAttempt, r.Attempt)
+	h.Set(enginewire.HeaderRequest, r.ID)
+	h.Set(enginewire.HeaderGroup, r.Expected.Group)
+	h.Set(enginewire.HeaderEpoch, strconv.FormatUint(r.Expected.Epoch, 10))
+	if r.Offset > 0 {
+		h.Set(enginewire.HeaderOffset, strconv.Itoa(r.Offset))
+	}
+	if r.Priority != "" {
+		h.Set(enginewire.HeaderPriority, r.Priority)
+	}
+	if r.Timeout > 0 {
+		h.Set(enginewire.HeaderTimeout, r.Timeout.Round(time.Millisecond).String())
+	}
+	return request, nil
+}
+
 // control sends a health question or an order and returns the answer's body.
 func (c *Client) control(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
--- a/pkg/serving/engine/enginewire/wire.go
+++ b/pkg/serving/engine/enginewire/wire.go
@@ -27,6 +27,9 @@
 	HeaderModel      = "Almondbay-Model"
 	HeaderVersion    = "Almondbay-Version"
 	HeaderOffset     = "Almondbay-Offset"
+	HeaderPriority   = "Almondbay-Priority"
+	HeaderTimeout    = "Almondbay-Timeout"
+	HeaderRequest    = "X-Request-Id"
 	HeaderNotStarted = "Almondbay-Not-Started"
 )
 
--- a/pkg/serving/view/view.go
+++ b/pkg/serving/view/view.go
@@ -31,7 +31,11 @@
 	Address string
 	// FailureDomain is the failure domain of the leader.
 	FailureDomain string
-	Load          fleet.Load
+	// FabricDomain is the fabric domain of the leader.
+	FabricDomain string
+	// Members lists the VMs of all members, the leader first.
+	Members []fleet.VM
+	Load    fleet.Load
 }
 
 // View is safe for concurrent use.
@@ -39,8 +43,10 @@
 	// proofTTL is the age beyond which a report proves nothing.
 	proofTTL time.Duration
 
-	mu       sync.RWMutex
-	vms      map[string]fleet.VM
+	mu  sync.RWMutex
+	vms map[string]fleet.VM
+	// services holds the live VMs of each plain service; replaced whole.
+	services map[string][]fleet.VM
 	groups   map[string]Group
 	reports  map[string]fleet.Report
 	document document.Document
@@ -62,13 +68,18 @@
 // SetVMs replaces the list of VMs.
 func (v *View) SetVMs(vms []fleet.VM) {
 	byID := make(map[string]fleet.VM, len(vms))
+	services := make(map[string][]fleet.VM)
 	for _, vm := range vms {
 		byID[vm.ID] = vm
+		if vm.Role == fleet.RoleService && vm.State == fleet.VMLive {
+			services[vm.Service] = append(services[vm.Service], vm)
+		}
 	}
 	v.mu.Lock()
 	defer v.mu.Unlock()
 
 	v.vms = byID
+	v.services = services
 }
 
 // VMs returns the VMs with a role, in the order of their IDs.
@@ -160,6 +171,8 @@
 			Leader:        report.Identity,
 			Address:       leader.Address,
 			FailureDomain: leader.FailureDomain,
+			FabricDomain:  leader.FabricDomain,
+			Members:       v.members(g),
 			Load:          report.Load,
 		})
 	}
@@ -194,3 +207,43 @@
 	}
 	return true
 }
+
+// members returns the VMs of a group. The caller holds the lock.
+func (v *View) members(g Group) []fleet.VM {
+	vms := make([]fleet.VM, 0, len(g.Members))
+	for _, id := range g.Members {
+		vms = append(vms, v.vms[id])
+	}
+	return vms
+}
+
+// Intact reports whether every member of a group at an epoch has been seen in
+// it within the last proofTTL. Unlike Targets it includes groups that are
+// leaving: work in flight there goes on.
+func (v *View) Intact(group string, epoch uint64, now time.Time) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+
+	g, ok := v.groups[group]
+	if !ok || g.Epoch != epoch {
+		return false
+	}
+	for _, id := range g.Members {
+		r, ok := v.reports[id]
+		if !ok || now.Sub(r.SeenAt) > v.proofTTL {
+			return false
+		}
+		if r.Identity.Group != group || r.Identity.Epoch != epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// Services returns the live VMs of a plain service.
+func (v *View) Services(name string) []fleet.VM {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+
+	return v.services[name]
+}
