Test the replica-group planner against a fake fleet

Purpose: pkg/core/group decides from document, rows and reports alone; each of its decisions needs a case that fails when it is left out.

Cases: forming, repair with a spare, a member that reboots, leaves, vanishes or takes a late order, a short and a long dark domain, two broken groups that make one, the last group of a model, scale-down, roll-out under its bound, halted, and reversed at every step.

Ruled out: to free a VM by the state of its group. Only its own answer, newer than the release, or the platform's list frees it.

--- /dev/null
+++ b/pkg/core/group/plan_test.go
@@ -0,0 +1,275 @@
+package group_test
+
+import (
+	"testing"
+
+	"almondbay.example/core/document"
+	"almondbay.example/core/fleet"
+	"almondbay.example/core/group"
+)
+
+func model(groups int) document.Model {
+	return document.Model{Name: "m", Version: "1", Groups: groups, Span: 4, MaxUnavailable: 1}
+}
+
+func TestFormsAllGroups(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 9, "b": 9, "c": 9}, model(6))
+	f.until("serving", 90, f.serving("1", 6))
+	if n := f.steps[group.StepForm]; n != 6 {
+		t.Fatalf("%d groups formed, want 6", n)
+	}
+}
+
+func TestRepairUsesASpareAndKeepsWeights(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 9}, model(2))
+	f.until("serving", 90, f.serving("1", 2))
+	lost := f.groups["m-0"].Value.Members[1]
+	f.members[lost].down = true
+	f.until("out of service", 10, f.serving("1", 1))
+	n := f.until("repaired", 100, f.serving("1", 2))
+	if limit := 10 + 60 + 6; n > limit {
+		t.Fatalf("repaired after %d s, want at most %d", n, limit)
+	}
+	if f.vms[lost].Value.Group != "m-0" {
+		t.Fatal("a VM that can't be reached was freed")
+	}
+	f.members[lost].down = false
+	f.until("freed", 10, func() bool { return f.vms[lost].Value.Group == "" })
+}
+
+func TestMemberChanges(t *testing.T) {
+	tests := []struct {
+		name   string
+		change func(f *fakeFleet, id string)
+		limit  int
+	}{
+		{"reboots", func(f *fakeFleet, id string) { f.reboot(id) }, 70},
+		{"is told to leave", func(f *fakeFleet, id string) { f.members[id].vm.State = fleet.VMLeaving }, 80},
+		{"says that it leaves", func(f *fakeFleet, id string) { f.members[id].leaving = true }, 80},
+		{"is gone from the list", func(f *fakeFleet, id string) { delete(f.members, id) }, 70},
+		{"takes a late order", func(f *fakeFleet, id string) { f.members[id].order.Epoch = 99 }, 10},
+	}
+	for _, tt := range tests {
+		for i, role := range []string{"leader", "follower"} {
+			t.Run(role+" "+tt.name, func(t *testing.T) {
+				f := newFleet(t, map[string]int{"a": 5}, model(1))
+				f.until("serving", 90, f.serving("1", 1))
+				before := f.groups["m-0"].Value
+				tt.change(f, before.Members[i])
+				f.until("out of service", 5, f.serving("1", 0))
+				f.until("serving", tt.limit, f.serving("1", 1))
+				if after := f.groups["m-0"].Value; after.Epoch == before.Epoch {
+					t.Fatal("the group serves again under the same epoch")
+				}
+			})
+		}
+	}
+}
+
+func TestPausedMemberReturnsInTime(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 5}, model(1))
+	f.until("serving", 90, f.serving("1", 1))
+	m := f.members[f.groups["m-0"].Value.Members[2]]
+	m.down = true
+	f.until("out of service", 6, f.serving("1", 0))
+	m.down = false
+	f.until("serving", 2, f.serving("1", 1))
+	if e := f.groups["m-0"].Value.Epoch; e != 1 {
+		t.Fatalf("epoch %d after a short pause, want 1", e)
+	}
+}
+
+func TestDarkDomainIsReplacedAndReturns(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 8, "b": 8}, model(2))
+	f.until("serving", 90, f.serving("1", 2))
+	dark := f.groups["m-0"].Value.FabricDomain
+	set := func(down bool) {
+		for _, m := range f.members {
+			if m.vm.FabricDomain == dark {
+				m.down = down
+			}
+		}
+	}
+	set(true)
+	f.until("dark", 10, f.serving("1", 1))
+	f.until("formed elsewhere", 130, f.serving("1", 2))
+	set(false)
+	f.until("freed", 20, func() bool {
+		for id, row := range f.vms {
+			if f.members[id].vm.FabricDomain == dark && row.Value.Group != "" {
+				return false
+			}
+		}
+		return true
+	})
+	if p := f.proven()["1"]; p != 2 {
+		t.Fatalf("%d groups serve, want 2", p)
+	}
+}
+
+func TestShortDarknessKeepsGroups(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 8}, model(2))
+	f.until("serving", 90, f.serving("1", 2))
+	for _, m := range f.members {
+		m.down = true
+	}
+	f.until("yielded", 20, func() bool { return f.groups["m-0"].Value.Yielded && f.groups["m-1"].Value.Yielded })
+	for _, m := range f.members {
+		m.down = false
+	}
+	f.until("serving", 3, f.serving("1", 2))
+	if e := f.groups["m-0"].Value.Epoch; e != 1 {
+		t.Fatalf("epoch %d, want the old group back", e)
+	}
+}
+
+func TestBrokenGroupCompletesAnother(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 8}, model(2))
+	f.until("serving", 90, f.serving("1", 2))
+	for _, id := range []string{"m-0", "m-1"} {
+		f.members[f.groups[id].Value.Members[3]].down = true
+	}
+	f.until("one group serving", 100, func() bool { return f.proven()["1"] == 1 })
+	if n := f.steps[group.StepDissolve]; n != 1 {
+		t.Fatalf("%d groups dissolved, want 1", n)
+	}
+}
+
+func TestLastGroupOfAModelIsWorthOneOfMany(t *testing.T) {
+	other := model(1)
+	other.Name = "other"
+	f := newFleet(t, map[string]int{"a": 16}, model(3), other)
+	f.until("serving", 90, f.serving("1", 4))
+	f.members[f.groups["other-0"].Value.Members[0]].down = true
+	f.until("out of service", 10, func() bool { return f.proven()["1"] == 3 })
+	f.until("serving again", 120, func() bool { return f.proves(f.groups["other-0"].Value) })
+	if p := f.proven()["1"]; p != 3 {
+		t.Fatalf("%d groups serve, want 3", p)
+	}
+}
+
+func TestScaleDownAndRemoval(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 9, "b": 9}, model(4))
+	f.until("serving", 90, f.serving("1", 4))
+	f.models[0].Groups = 1
+	f.revision++
+	f.until("scaled down", 30, f.serving("1", 1))
+	f.models = nil
+	f.revision++
+	f.until("removed", 30, func() bool {
+		free := true
+		for _, row := range f.vms {
+			free = free && row.Value.Group == ""
+		}
+		return free && len(f.proven()) == 0
+	})
+}
+
+func TestRolloutKeepsTheBound(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 9, "b": 9, "c": 9}, model(6))
+	f.until("serving", 90, f.serving("1", 6))
+	f.models[0].Version = "2"
+	f.revision++
+	for range 800 {
+		f.step()
+		p := f.proven()
+		if p["1"]+p["2"] < 5 {
+			t.Fatalf("only %v serve", p)
+		}
+		if p["2"] == 6 {
+			return
+		}
+	}
+	t.Fatalf("not rolled out: %v", f.states())
+}
+
+func TestRolloutHaltsAndIsReversed(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 9, "b": 9}, model(4))
+	f.models[0].MaxUnavailable = 2
+	f.until("serving", 90, f.serving("1", 4))
+	f.models[0].Version = "2"
+	f.bad = "2"
+	f.revision++
+	for range 1000 {
+		f.step()
+	}
+	if p := f.proven()["1"]; p < 2 {
+		t.Fatalf("the roll-out of a bad version left %d groups", p)
+	}
+	f.models[0].Version = "1"
+	f.revision++
+	f.until("reversed", 70, f.serving("1", 4))
+}
+
+func TestRolloutReversedAtEveryStep(t *testing.T) {
+	for at := 0; at < 300; at += 7 {
+		f := newFleet(t, map[string]int{"a": 9}, model(2))
+		f.until("serving", 90, f.serving("1", 2))
+		f.models[0].Version = "2"
+		f.revision++
+		for range at {
+			f.step()
+		}
+		f.models[0].Version = "1"
+		f.revision++
+		f.until("reversed", 300, f.serving("1", 2))
+	}
+}
+
+func TestOldDocumentPlansNothing(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 5}, model(1))
+	f.revision = 2
+	f.until("serving", 90, f.serving("1", 1))
+	f.revision = 1
+	f.models = nil
+	if c := group.Plan(f.view("a"), f.policy); len(c.Transactions)+len(c.Orders) > 0 {
+		t.Fatalf("planned %+v from an old document", c)
+	}
+}
+
+func TestAdaptersChangeWithoutDowntime(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 4}, model(1))
+	f.until("serving", 90, f.serving("1", 1))
+	f.models[0].Adapters = []document.Adapter{{Name: "x", Version: "3"}}
+	f.revision++
+	for range 5 {
+		f.step()
+		if f.proven()["1"] != 1 {
+			t.Fatal("the group stopped serving")
+		}
+	}
+	leader := f.groups["m-0"].Value.Members[0]
+	if a := f.reports[leader].Adapters; len(a) != 1 || a[0] != "x@3" {
+		t.Fatalf("adapters %v, want x@3", a)
+	}
+}
+
+func TestLeaderIsReleasedFirst(t *testing.T) {
+	f := newFleet(t, map[string]int{"a": 4}, model(1))
+	f.until("serving", 90, f.serving("1", 1))
+	leader := f.groups["m-0"].Value.Members[0]
+	f.models = nil
+	f.revision++
+	for range 20 {
+		f.step()
+		left := 0
+		for _, m := range f.members {
+			if m.order.Group == "" {
+				left++
+			}
+		}
+		if left > 0 && f.members[leader].order.Group != "" {
+			t.Fatal("another member was released before the leader")
+		}
+	}
+}
+
+func TestSpareCount(t *testing.T) {
+	p := group.Policy{LossRate: 0.08, Replacement: 10 * 60e9, Risk: 0.001}
+	tests := []struct{ members, want int }{{0, 0}, {4, 1}, {20, 1}, {100, 2}, {7800, 12}}
+	for _, tt := range tests {
+		if got := group.SpareCount(tt.members, p); got != tt.want {
+			t.Errorf("%d members: %d spares, want %d", tt.members, got, tt.want)
+		}
+	}
+}
