Control fabric domains under leases

Purpose: the first controller ran on every node without a lease, knew neither repair nor release, and left a group behind for ever once a member was lost.

Change: pkg/serving/control keeps one lease per fabric domain at nodes chosen by rendezvous hashing, those of the same failure domain first, and carries out what group.Plan asks for. A take-over also writes a term row; every write is conditional on it. Renewals leave that row alone, so a write and a renewal never collide, and a write of a lapsed holder fails. A write with a lost answer is sent again under its operation before anything else is planned. The lease is checked right before each write and each order. At shutdown the leases are handed on. The node's view holds group rows and asks group.Prove.

Group and roll-out rows are keyed by environment, since promotion needs two environments in one table.

Ruled out: the lease row itself as condition of every write. Each renewal in flight would make the writes beside it fail.

--- a/pkg/core/lease/machine.go
+++ b/pkg/core/lease/machine.go
@@ -225,7 +225,7 @@
 		return
 	}
 	m.see(row, now)
-	if free := m.freeAt(); m.term == 0 && free.After(now) && free.Before(m.next) {
+	if free := m.freeAt(); m.term == 0 && free.Before(m.next) {
 		m.next = free
 	}
 }
--- /dev/null
+++ b/pkg/serving/control/renew.go
@@ -0,0 +1,151 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"time"
+
+	"almondbay.example/core/lease"
+	"almondbay.example/serving/platform"
+)
+
+// term returns the term in which the lease is held at now.
+func (d *domain) term(now time.Time) (uint64, bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.machine.Term(), d.machine.Holds(now)
+}
+
+func (d *domain) setRank(r int) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.machine.SetRank(r)
+}
+
+// renew takes the next step of the lease. It must not run twice at a time.
+func (d *domain) renew(ctx context.Context) error {
+	return d.do(ctx, d.next())
+}
+
+func (d *domain) next() lease.Command {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.machine.Next(d.config.Clock.Now())
+}
+
+func (d *domain) do(ctx context.Context, c lease.Command) error {
+	switch c.Action {
+	case lease.ActionRead:
+		return d.readLease(ctx)
+	case lease.ActionWrite:
+		return d.writeLease(ctx, c)
+	default:
+		return nil
+	}
+}
+
+func (d *domain) readLease(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, d.config.Timing.Timeout)
+	defer cancel()
+
+	row, err := d.config.Table.Read(ctx, leasePrefix+d.name)
+	var decoded lease.Row
+	if err == nil {
+		decoded, err = decodeLease(row.Value)
+	}
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	now := d.config.Clock.Now()
+	if err != nil {
+		d.machine.ReadFailed(now)
+		return Error.Wrap(err)
+	}
+	d.machine.Saw(lease.Versioned{Row: decoded, Version: row.Version, Operation: row.Operation}, now)
+	return nil
+}
+
+// writeLease renews the lease or takes it over. A take-over also writes the
+// term row, which makes every write of an earlier term fail.
+func (d *domain) writeLease(ctx context.Context, c lease.Command) error {
+	ctx, cancel := context.WithTimeout(ctx, d.config.Timing.Timeout)
+	defer cancel()
+
+	key := leasePrefix + d.name
+	t := platform.Transaction{
+		Operation:  c.Operation,
+		Conditions: []platform.Condition{{Key: key, Version: c.Version}},
+		Writes:     []platform.Write{{Key: key, Value: encodeLease(c.Row)}},
+	}
+	if c.TakeOver {
+		t.Writes = append(t.Writes, platform.Write{Key: termPrefix + d.name, Value: encodeTerm(c.Row)})
+	}
+	err := d.config.Table.Commit(ctx, t)
+	o := outcome(err)
+
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.machine.Wrote(o, d.config.Clock.Now())
+	if o == lease.OutcomeApplied || o == lease.OutcomeConflict {
+		return nil
+	}
+	return Error.Wrap(err)
+}
+
+// outcome tells what is known of a write. An error that does not say so leaves
+// the outcome unknown.
+func outcome(err error) lease.Outcome {
+	var conflict *platform.ConflictError
+	var refused *platform.RefusedError
+	switch {
+	case err == nil:
+		return lease.OutcomeApplied
+	case errors.As(err, &conflict):
+		return lease.OutcomeConflict
+	case errors.As(err, &refused):
+		return lease.OutcomeRefused
+	default:
+		return lease.OutcomeUnknown
+	}
+}
+
+// handOn gives the lease up and waits until the row says so, or until the
+// lease has lapsed. Calls that fail are repeated until ctx is done.
+func (d *domain) handOn(ctx context.Context) error {
+	d.release()
+	for !d.released() {
+		c := d.next()
+		if c.Action != lease.ActionWait {
+			_ = d.do(ctx, c)
+		} else if err := d.wait(ctx, c.At); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (d *domain) release() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	d.machine.Release()
+}
+
+func (d *domain) released() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	return d.machine.Released()
+}
+
+func (d *domain) wait(ctx context.Context, until time.Time) error {
+	select {
+	case <-d.config.Clock.After(until.Sub(d.config.Clock.Now())):
+		return nil
+	case <-ctx.Done():
+		return Error.Wrap(ctx.Err())
+	}
+}
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -5,10 +5,12 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
 
+	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
 	"github.com/oklog/run"
 	"github.com/zeebo/errs"
@@ -33,6 +35,11 @@
 	probeInterval = 500 * time.Millisecond
 	// controlInterval is the time between two steps of the controller.
 	controlInterval = 500 * time.Millisecond
+	// leaseInterval is the time between two looks at the leases; most of them
+	// find nothing to do.
+	leaseInterval = 250 * time.Millisecond
+	// handOnTimeout bounds the wait for the leases to be handed on at shutdown.
+	handOnTimeout = 5 * time.Second
 	// configurationInterval is the time between two reads of the environment.
 	configurationInterval = 500 * time.Millisecond
 	// listInterval is the time between two reads of the list of VMs.
@@ -78,7 +85,7 @@
 			Engine: c.Engine,
 		}),
 		operators:  operator.New(operatorConfig(c)),
-		controller: control.New(control.Config{View: v, Table: c.Table, Engine: c.Engine}),
+		controller: control.New(controlConfig(c, v)),
 	}
 }
 
@@ -91,6 +98,21 @@
 	}
 }
 
+func controlConfig(c Config, v *view.View) control.Config {
+	return control.Config{
+		Node:        c.Settings.Node,
+		Holder:      c.Settings.Node + "/" + uuid.NewString(),
+		Environment: c.Settings.Environment,
+		View:        v,
+		Table:       c.Table,
+		Engine:      c.Engine,
+		Clock:       c.Clock,
+		Timing:      control.DefaultTiming(),
+		Policy:      control.DefaultPolicy(proofTTL),
+		Jitter:      rand.N[time.Duration],
+	}
+}
+
 // Run serves until ctx is done, then waits for the requests in flight.
 func (n *Node) Run(ctx context.Context) error {
 	var g run.Group
@@ -100,6 +122,7 @@
 	n.addLoop(&g, configurationInterval, n.refreshDocument)
 	n.addLoop(&g, probeInterval, n.probe)
 	n.addLoop(&g, controlInterval, n.controller.Step)
+	n.addLeases(&g)
 	addContext(ctx, &g)
 	return g.Run()
 }
@@ -136,17 +159,37 @@
 func (n *Node) addLoop(g *run.Group, interval time.Duration, step func(context.Context) error) {
 	ctx, cancel := context.WithCancel(context.Background())
 	g.Add(func() error {
-		ticker := n.config.Clock.NewTicker(interval)
-		defer ticker.Stop()
-		for {
-			if err := step(ctx); err != nil && ctx.Err() == nil {
-				n.config.Logger.Warn("step failed", zap.Error(err))
-			}
-			select {
-			case <-ctx.Done():
-				return nil
-			case <-ticker.Chan():
-			}
+		n.loop(ctx, interval, step)
+		return nil
+	}, func(error) { cancel() })
+}
+
+// addLeases keeps the leases until the group ends, and then hands them on.
+func (n *Node) addLeases(g *run.Group) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error {
+		n.loop(ctx, leaseInterval, n.controller.RenewLeases)
+		ending, stop := context.WithTimeout(context.Background(), handOnTimeout)
+		defer stop()
+		if err := n.controller.HandOn(ending); err != nil {
+			n.config.Logger.Warn("leases not handed on", zap.Error(err))
 		}
+		return nil
 	}, func(error) { cancel() })
 }
+
+// loop runs step at once and then at each interval, until ctx is done.
+func (n *Node) loop(ctx context.Context, interval time.Duration, step func(context.Context) error) {
+	ticker := n.config.Clock.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		if err := step(ctx); err != nil && ctx.Err() == nil {
+			n.config.Logger.Warn("step failed", zap.Error(err))
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.Chan():
+		}
+	}
+}
--- a/pkg/serving/view/view.go
+++ b/pkg/serving/view/view.go
@@ -11,21 +11,12 @@
 
 	"almondbay.example/core/document"
 	"almondbay.example/core/fleet"
+	"almondbay.example/core/group"
 )
 
-// Group is one replica group as its row in the table service has it.
-type Group struct {
-	ID    string
-	Epoch uint64
-	// Members lists the IDs of all members, the leader first.
-	Members []string
-	Model   string
-	Version string
-}
-
 // Target is a replica group that can be given work.
 type Target struct {
-	Group Group
+	Group group.Row
 	// Leader is the leader's identity, which the answer's head must carry.
 	Leader  fleet.Identity
 	Address string
@@ -41,7 +32,7 @@
 
 	mu       sync.RWMutex
 	vms      map[string]fleet.VM
-	groups   map[string]Group
+	groups   map[string]group.Row
 	reports  map[string]fleet.Report
 	document document.Document
 	// revision never goes down.
@@ -54,7 +45,7 @@
 	return &View{
 		proofTTL: proofTTL,
 		vms:      make(map[string]fleet.VM),
-		groups:   make(map[string]Group),
+		groups:   make(map[string]group.Row),
 		reports:  make(map[string]fleet.Report),
 	}
 }
@@ -92,8 +83,8 @@
 }
 
 // SetGroups replaces the rows of replica groups.
-func (v *View) SetGroups(groups []Group) {
-	byID := make(map[string]Group, len(groups))
+func (v *View) SetGroups(groups []group.Row) {
+	byID := make(map[string]group.Row, len(groups))
 	for _, g := range groups {
 		byID[g.ID] = g
 	}
@@ -166,31 +157,17 @@
 	return out
 }
 
-// proved reports whether every member of g has lately reported that it serves
-// in g. The caller holds the lock.
-func (v *View) proved(g Group, now time.Time) bool {
-	if len(g.Members) == 0 {
-		return false
-	}
+// proved reports whether g is proven and the platform lists no member as
+// leaving. The caller holds the lock.
+func (v *View) proved(g group.Row, now time.Time) bool {
 	for _, id := range g.Members {
-		r, ok := v.reports[id]
-		if !ok || now.Sub(r.SeenAt) > v.proofTTL {
-			return false
-		}
-		if vm, listed := v.vms[id]; !listed || vm.State == fleet.VMLeaving || r.Leaving {
-			return false
-		}
-		want := fleet.Identity{
-			Member:  id,
-			Boot:    r.Identity.Boot,
-			Group:   g.ID,
-			Epoch:   g.Epoch,
-			Model:   g.Model,
-			Version: g.Version,
-		}
-		if r.Identity != want || r.Phase != fleet.PhaseReady {
+		if vm, listed := v.vms[id]; !listed || vm.State == fleet.VMLeaving {
 			return false
 		}
 	}
-	return true
+	report := func(member string) (fleet.Report, bool) {
+		r, ok := v.reports[member]
+		return r, ok
+	}
+	return group.Prove(g, report, now, v.proofTTL) == nil
 }
