--- a/cmd/almondbay/dev.go
+++ b/cmd/almondbay/dev.go
@@ -96,6 +96,7 @@
 		Engine:    enginehttp.New(enginehttp.Config{ControlTimeout: controlTimeout}),
 		Callers:   callers,
 		Operators: operators,
+		Linger:    -1,
 	}
 }
 
--- a/cmd/almondbay/serve.go
+++ b/cmd/almondbay/serve.go
@@ -61,5 +61,7 @@
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	// The first signal drains the node; a second one ends it at once.
+	context.AfterFunc(ctx, stop)
 	return n.Run(ctx)
 }
--- a/pkg/serving/caller/relay.go
+++ b/pkg/serving/caller/relay.go
@@ -39,6 +39,9 @@
 	events := engine.NewEvents(a.body, x.request.Forwarded())
 	for {
 		b, err := events.Next()
+		if errors.Is(err, io.EOF) && !x.request.Complete() {
+			return fail(attempt.FailureBroken, errGap)
+		}
 		if errors.Is(err, io.EOF) {
 			p.slot.Finish(x.request.Forwarded())
 			_, _ = a.body.Read(make([]byte, 1)) // The end of the body frees the connection.
--- a/pkg/serving/engine/events.go
+++ b/pkg/serving/engine/events.go
@@ -67,7 +67,7 @@
 }
 
 // Next returns the next batch: all whole events that have arrived, as far as
-// they are contiguous. After the end marker it returns io.EOF; a stream that
+// they are contiguous. An event that repeats tokens is a batch of its own. After the end marker it returns io.EOF; a stream that
 // ends or breaks before gives an error that is not io.EOF.
 func (e *Events) Next() (Batch, error) {
 	for {
@@ -132,6 +132,12 @@
 			batch.Offset, batch.Indexed = v.Offset, v.Indexed
 		}
 		e.start += length + len(endOfEvent)
+		if v.Offset < e.next {
+			// An event that repeats tokens stands alone, so that it can be
+			// dropped without those behind it.
+			v.Data = e.buffer[first:e.start]
+			return v, nil
+		}
 		e.next = v.Offset + v.Tokens
 		e.ended = v.End
 		batch.Tokens += v.Tokens
--- a/pkg/serving/engine/events_test.go
+++ b/pkg/serving/engine/events_test.go
@@ -32,6 +32,7 @@
 		{"plain", event("", "a") + event("", "b") + done, 0, []engine.Batch{{Tokens: 2}, {Offset: 2, Indexed: true, End: true}}, io.EOF},
 		{"resumed", event("7+1", "a") + done, 7, []engine.Batch{{Offset: 7, Tokens: 1, Indexed: true, End: true}}, io.EOF},
 		{"gap", event("0+1", "a") + event("5+1", "b") + done, 0, []engine.Batch{{Tokens: 1, Indexed: true}, {Offset: 5, Tokens: 1, Indexed: true, End: true}}, io.EOF},
+		{"repeated", event("0+2", "a") + event("0+1", "b") + event("2+1", "c") + done, 0, []engine.Batch{{Tokens: 2, Indexed: true}, {Tokens: 1, Indexed: true}, {Offset: 2, Tokens: 1, Indexed: true, End: true}}, io.EOF},
 		{"truncated", event("0+1", "a"), 0, []engine.Batch{{Tokens: 1, Indexed: true}}, engine.ErrTruncated},
 		{"truncated within an event", event("0+1", "a") + "data: [DONE]", 0, []engine.Batch{{Tokens: 1, Indexed: true}}, engine.ErrTruncated},
 		{"error object", event("0+1", "a") + event("", `{"error":{}}`), 0, []engine.Batch{{Tokens: 1, Indexed: true}}, engine.ErrReported},
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -22,6 +22,7 @@
 	"almondbay.example/serving/event"
 	"almondbay.example/serving/operator"
 	"almondbay.example/serving/platform"
+	"almondbay.example/serving/service"
 	"almondbay.example/serving/settings"
 	"almondbay.example/serving/view"
 )
@@ -45,8 +46,11 @@
 	configurationInterval = 500 * time.Millisecond
 	// listInterval is the time between two reads of the list of VMs.
 	listInterval = 2 * time.Second
-	// drainTimeout bounds the wait for requests in flight at shutdown.
-	drainTimeout = 10 * time.Minute
+	// reviewInterval is the time between two looks for lost groups.
+	reviewInterval = 200 * time.Millisecond
+	// quarantineInterval is the time between two reads of the quarantined
+	// requests.
+	quarantineInterval = 5 * time.Second
 	// readHeaderTimeout bounds the time that a caller takes to send its head.
 	readHeaderTimeout = 10 * time.Second
 )
@@ -63,6 +67,9 @@
 	// Callers and Operators are the listeners of the two APIs.
 	Callers   net.Listener
 	Operators net.Listener
+	// Linger is how long the node takes connections after it was told to stop;
+	// zero for the default, negative for not at all.
+	Linger time.Duration
 }
 
 // Node is one node of the system.
@@ -81,9 +88,14 @@
 		config: c,
 		view:   v,
 		gateway: caller.New(caller.Config{
-			View:   v,
-			Picker: caller.NewLeastInFlight(v, c.Clock),
-			Engine: c.Engine,
+			View:          v,
+			Clock:         c.Clock,
+			Picker:        caller.NewLeastInFlight(v, c.Clock),
+			Engine:        c.Engine,
+			Service:       service.NewClient(),
+			Table:         c.Table,
+			FailureDomain: c.Settings.FailureDomain,
+			Limits:        caller.Limits{Linger: c.Linger},
 		}),
 		operators:  operator.New(operatorConfig(c)),
 		controller: control.New(controlConfig(c, v)),
@@ -117,12 +129,18 @@
 // Run serves until ctx is done, then waits for the requests in flight.
 func (n *Node) Run(ctx context.Context) error {
 	var g run.Group
-	n.addServer(&g, n.config.Callers, n.gateway)
-	n.addServer(&g, n.config.Operators, n.operators)
+	callers := n.gateway.Server()
+	n.addServer(&g, n.config.Callers, callers, func(ctx context.Context) error {
+		return n.gateway.Stop(ctx, callers)
+	})
+	operators := &http.Server{Handler: n.operators, ReadHeaderTimeout: readHeaderTimeout}
+	n.addServer(&g, n.config.Operators, operators, operators.Shutdown)
 	n.addLoop(&g, listInterval, n.refreshVMs)
 	n.addLoop(&g, configurationInterval, n.refreshDocument)
 	n.addLoop(&g, probeInterval, n.probe)
 	n.addLoop(&g, controlInterval, n.controller.Step)
+	n.addLoop(&g, reviewInterval, n.gateway.Review)
+	n.addLoop(&g, quarantineInterval, n.gateway.LoadQuarantine)
 	n.addLeases(&g)
 	addContext(ctx, &g)
 	return g.Run()
@@ -137,9 +155,8 @@
 	}, func(error) { cancel() })
 }
 
-// addServer serves handler until the group ends, then drains it.
-func (n *Node) addServer(g *run.Group, l net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+// addServer runs server until the group ends, then stops it by drain.
+func (n *Node) addServer(g *run.Group, l net.Listener, server *http.Server, drain func(context.Context) error) {
 	drained := make(chan struct{})
 	g.Add(func() error {
 		err := server.Serve(l)
@@ -150,9 +167,8 @@
 		return nil
 	}, func(error) {
 		defer close(drained)
-		ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-		defer cancel()
-		_ = server.Shutdown(ctx)
+		// Only a second signal cuts requests in flight.
+		_ = drain(context.Background())
 	})
 }
 
--- a/pkg/serving/view/view.go
+++ b/pkg/serving/view/view.go
@@ -210,7 +210,7 @@
 		if !ok || now.Sub(r.SeenAt) > v.proofTTL {
 			return false
 		}
-		if r.Identity.Group != group || r.Identity.Epoch != epoch {
+		if r.Identity.Group != group || r.Identity.Epoch != epoch || r.Identity.Boot != g.Boots[id] {
 			return false
 		}
 	}
--- /dev/null
+++ b/pkg/standin/callertest/outcome_test.go
@@ -0,0 +1,277 @@
+package callertest
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+
+	"github.com/openai/openai-go/v3"
+	"github.com/openai/openai-go/v3/option"
+
+	"almondbay.example/core/fleet"
+	"almondbay.example/serving/caller"
+	"almondbay.example/serving/engine/enginewire"
+	"almondbay.example/standin/enginestandin"
+)
+
+var errCut = errors.New("cut")
+
+func TestUnmodifiedClientLibrary(t *testing.T) {
+	r := newRig(t, rigConfig{nodes: 1, groups: 1})
+	client := openai.NewClient(option.WithBaseURL(r.nodes[0].URL+"/v1"), option.WithAPIKey(key), option.WithMaxRetries(0))
+	_, want := chat("hello", true, 20)
+	p := openai.ChatCompletionNewParams{
+		Model: "demo", MaxTokens: openai.Int(20), Messages: []openai.ChatCompletionMessageParamUnion{openai.UserMessage("hello")},
+	}
+	whole, err := client.Chat.Completions.New(t.Context(), p)
+	if err != nil || whole.Choices[0].Message.Content != want {
+		t.Fatalf("whole answer %v, %v", whole, err)
+	}
+	stream := client.Chat.Completions.NewStreaming(t.Context(), p)
+	var sum openai.ChatCompletionAccumulator
+	for stream.Next() {
+		if !sum.AddChunk(stream.Current()) {
+			t.Fatal("the chunks do not belong to one answer")
+		}
+	}
+	if stream.Err() != nil || sum.Choices[0].Message.Content != want {
+		t.Fatalf("streamed %q, %v", sum.Choices[0].Message.Content, stream.Err())
+	}
+	models, err := client.Models.List(t.Context())
+	if err != nil || models.Data[0].ID != "demo" {
+		t.Fatalf("models %v, %v", models, err)
+	}
+	p.Model = "other"
+	var refused *openai.Error
+	if _, err := client.Chat.Completions.New(t.Context(), p); !errors.As(err, &refused) || refused.Code != caller.CodeUnknownModel {
+		t.Fatalf("unknown model: %v", err)
+	}
+}
+
+// TestBrokenStreams cuts or falsifies streams on the way and checks that the
+// caller gets the whole answer to its request, or an explicit error.
+func TestBrokenStreams(t *testing.T) {
+	const tokens = 12
+	cutOnce := func(at int) func(int, *enginestandin.Config) {
+		var cuts atomic.Int32
+		return func(_ int, c *enginestandin.Config) {
+			c.BeforeToken = func(_ *http.Request, i int) error {
+				if i == at && cuts.Add(1) == 1 {
+					return errCut
+				}
+				return nil
+			}
+		}
+	}
+	head := func(name, value string) func(int, *enginestandin.Config) {
+		return func(group int, c *enginestandin.Config) {
+			if group == 0 {
+				c.BeforeHead = func(h http.Header) { h.Set(name, value) }
+			}
+		}
+	}
+	unindexed := func(inner func(int, *enginestandin.Config)) func(int, *enginestandin.Config) {
+		return func(i int, c *enginestandin.Config) {
+			inner(i, c)
+			c.Unindexed = true
+		}
+	}
+	once := headers{caller.HeaderIdempotent: "false"}
+	tests := []struct {
+		name    string
+		engine  func(int, *enginestandin.Config)
+		headers headers
+		whole   bool
+		outcome string
+	}{
+		{"cut before the first token", cutOnce(0), nil, true, ""},
+		{"cut in the middle", cutOnce(5), nil, true, ""},
+		{"cut, not resumable", unindexed(cutOnce(5)), nil, false, "ran"},
+		{"cut before the first token, not resumable", unindexed(cutOnce(0)), nil, true, ""},
+		{"cut, non-idempotent", cutOnce(5), once, false, "ran"},
+		{"head of another epoch", head(enginewire.HeaderEpoch, "9"), nil, true, ""},
+		{"head of another boot", head(enginewire.HeaderBoot, "x"), nil, true, ""},
+		{"head of another version", head(enginewire.HeaderVersion, "2"), nil, true, ""},
+		{"head of another group", head(enginewire.HeaderGroup, "g1"), nil, true, ""},
+		{"late answer to another attempt", head(enginewire.HeaderAttempt, "other-1"), nil, true, ""},
+		{"late answer, non-idempotent", head(enginewire.HeaderAttempt, "other-1"), once, false, "unknown"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t, rigConfig{nodes: 1, groups: 2, engine: tt.engine})
+			// Each group is tried first once: picking is by ID on a tie.
+			for i := range 2 {
+				body, want := chat("p", true, tokens)
+				got := r.send(0, chatPath, body, tt.headers)
+				if tt.whole && (got.text != want || !got.done || got.code != "") {
+					t.Fatalf("call %d: %+v", i, got)
+				}
+				if !tt.whole && got.code != "" && (got.done || got.outcome != tt.outcome || !strings.HasPrefix(want, got.text)) {
+					t.Fatalf("call %d: %+v", i, got)
+				}
+				if !tt.whole && got.code == "" && got.text != want {
+					t.Fatalf("call %d is cut off without an error: %+v", i, got)
+				}
+			}
+		})
+	}
+}
+
+// TestFramesOutOfOrder has an engine repeat and skip tokens.
+func TestFramesOutOfOrder(t *testing.T) {
+	event := func(i int) string {
+		return fmt.Sprintf("id: %d+1\ndata: {\"choices\":[{\"delta\":{\"content\":\"t%d \"}}]}\n\n", i, i)
+	}
+	const done = "data: [DONE]\n\n"
+	tests := map[string][]string{
+		"repeated": {event(0) + event(1) + event(0) + event(1) + event(2) + done},
+		"skipped":  {event(0) + event(2) + done, event(1) + event(2) + done},
+		"swapped":  {event(1) + event(0) + event(2) + done, event(0) + event(1) + event(2) + done},
+		"no end":   {event(0) + event(1), event(2) + done},
+	}
+	for name, answers := range tests {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, rigConfig{nodes: 1, groups: 2})
+			var sent atomic.Int32
+			for _, g := range r.groups {
+				g.members[0].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+					enginewire.SetIdentity(w.Header(), fleet.Identity{Member: g.id + "-0", Boot: "1", Group: g.id, Epoch: 1, Model: "demo", Version: "1"})
+					w.Header().Set(enginewire.HeaderAttempt, q.Header.Get(enginewire.HeaderAttempt))
+					w.Header().Set("Content-Type", "text/event-stream")
+					if q.Method == http.MethodPost {
+						_, _ = io.WriteString(w, answers[sent.Add(1)-1])
+					}
+				})
+			}
+			body, _ := chat("p", true, 3)
+			if got := r.send(0, chatPath, body, nil); got.text != "t0 t1 t2 " || !got.done {
+				t.Fatalf("%+v", got)
+			}
+		})
+	}
+}
+
+func TestBadInput(t *testing.T) {
+	r := newRig(t, rigConfig{nodes: 1, groups: 1})
+	good, _ := chat("p", false, 3)
+	many := headers{}
+	for i := range 200 {
+		many[fmt.Sprintf("X-%d", i)] = "v"
+	}
+	tests := []struct {
+		name, path, body string
+		headers          headers
+		status           int
+		code             string
+	}{
+		{"no JSON", chatPath, "{", nil, 400, caller.CodeMalformedBody},
+		{"no body", chatPath, "", nil, 400, caller.CodeMalformedBody},
+		{"no model", chatPath, "{}", nil, 400, caller.CodeMalformedBody},
+		{"wrong type", chatPath, `{"model":7}`, nil, 400, caller.CodeMalformedBody},
+		{"unknown model", chatPath, `{"model":"x"}`, nil, 404, caller.CodeUnknownModel},
+		{"too large", chatPath, strings.Repeat("x", 9<<20), nil, 413, caller.CodeBodyTooLarge},
+		{"wrong key", chatPath, good, headers{"Authorization": "Bearer no"}, 401, caller.CodeUnknownKey},
+		{"no key", chatPath, good, headers{"Authorization": "Basic x"}, 401, caller.CodeNoKey},
+		{"timeout", chatPath, good, headers{caller.HeaderTimeout: "soon"}, 400, caller.CodeMalformedHead},
+		{"negative timeout", chatPath, good, headers{caller.HeaderTimeout: "-1s"}, 400, caller.CodeMalformedHead},
+		{"priority", chatPath, good, headers{caller.HeaderPriority: "most"}, 400, caller.CodeMalformedHead},
+		{"idempotent", chatPath, good, headers{caller.HeaderIdempotent: "perhaps"}, 400, caller.CodeMalformedHead},
+		{"long key", chatPath, good, headers{caller.HeaderIdempotencyKey: strings.Repeat("k", 300)}, 400, caller.CodeMalformedHead},
+		{"many headers", chatPath, good, many, 431, caller.CodeHeadTooLarge},
+		{"unknown path", "/v1/nothing", good, nil, 404, caller.CodeUnknownPath},
+		{"unknown service", "/services/x/y", "", nil, 404, caller.CodeUnknownService},
+		{"passed deadline", chatPath, good, headers{caller.HeaderTimeout: "1ns"}, 504, caller.CodeDeadline},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			got := r.send(0, tt.path, tt.body, tt.headers)
+			if got.status != tt.status || got.code != tt.code || got.outcome != "notRun" {
+				t.Errorf("status %d, code %q, outcome %q, %v", got.status, got.code, got.outcome, got.err)
+			}
+		})
+	}
+}
+
+// TestLimits holds the gateway to one connection and one request.
+func TestLimits(t *testing.T) {
+	release := make(chan struct{})
+	entered := make(chan struct{}, 1)
+	r := newRig(t, rigConfig{
+		nodes: 1, groups: 1,
+		engine: func(_ int, c *enginestandin.Config) {
+			c.BeforeToken = func(*http.Request, int) error {
+				entered <- struct{}{}
+				<-release
+				return nil
+			}
+		},
+		gateway: func(c *caller.Config) {
+			c.Limits = caller.Limits{Connections: 2, Requests: 1, BodyTimeout: 1, Linger: -1}
+		},
+	})
+	body, want := chat("p", true, 1)
+	first := make(chan reply)
+	var wg sync.WaitGroup
+	wg.Go(func() { first <- r.send(0, chatPath, body, nil) })
+	<-entered
+	for range 2 {
+		if got := r.send(0, chatPath, body, nil); got.status != 503 || got.code != caller.CodeOverloaded || got.outcome != "notRun" {
+			t.Errorf("second request: %+v", got)
+		}
+	}
+	idle, err := net.Dial("tcp", r.nodes[0].Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = idle.Close() }()
+	close(release)
+	if got := <-first; got.text != want {
+		t.Errorf("first request: %+v", got)
+	}
+	wg.Wait()
+	_, _ = io.WriteString(idle, "POST "+chatPath+" HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+key+"\r\nContent-Length: 100\r\n\r\n{")
+	response, err := http.ReadResponse(bufio.NewReader(idle), nil)
+	if err != nil || response.StatusCode != http.StatusRequestTimeout && response.StatusCode != http.StatusServiceUnavailable {
+		t.Errorf("slow sender: %v, %v", response, err)
+	}
+	_ = response.Body.Close()
+}
+
+// TestCallerLeaves checks that the stream of a caller who leaves is cancelled
+// at the engine.
+func TestCallerLeaves(t *testing.T) {
+	cancelled := make(chan struct{})
+	entered := make(chan struct{})
+	r := newRig(t, rigConfig{nodes: 1, groups: 1, engine: func(_ int, c *enginestandin.Config) {
+		c.BeforeToken = func(q *http.Request, i int) error {
+			if i == 1 {
+				close(entered)
+				<-q.Context().Done()
+				close(cancelled)
+			}
+			return nil
+		}
+	}})
+	ctx, cancel := context.WithCancel(t.Context())
+	body, _ := chat("p", true, 5)
+	request := httptest.NewRequestWithContext(ctx, http.MethodPost, r.nodes[0].URL+chatPath, strings.NewReader(body))
+	request.RequestURI = ""
+	request.Header.Set("Authorization", "Bearer "+key)
+	response, err := http.DefaultTransport.RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	<-entered
+	cancel()
+	<-cancelled
+}
--- a/pkg/standin/enginestandin/answer.go
+++ b/pkg/standin/enginestandin/answer.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"strconv"
 
@@ -41,6 +42,9 @@
 	header := c.Response().Header()
 	enginewire.SetIdentity(header, s.member.Identity())
 	header.Set(enginewire.HeaderAttempt, c.Request().Header.Get(enginewire.HeaderAttempt))
+	if s.member.config.BeforeHead != nil {
+		s.member.config.BeforeHead(header)
+	}
 	return a
 }
 
@@ -86,12 +90,15 @@
 		if i > a.offset && !a.server.pause(a.context, config.TokenInterval) {
 			return nil
 		}
-		if err := a.event(a.completion(Token(a.prompt, a.request.Seed, i), nil)); err != nil {
+		if config.BeforeToken != nil && config.BeforeToken(a.context.Request(), i) != nil {
+			panic(http.ErrAbortHandler)
+		}
+		if err := a.event(i, a.completion(Token(a.prompt, a.request.Seed, i), nil)); err != nil {
 			return err
 		}
 	}
 	reason := "stop"
-	if err := a.event(a.completion("", &reason)); err != nil {
+	if err := a.event(-1, a.completion("", &reason)); err != nil {
 		return err
 	}
 	_, err := response.Write([]byte("data: [DONE]\n\n"))
@@ -99,14 +106,22 @@
 	return err
 }
 
-// event writes one server-sent event.
-func (a *answer) event(body completion) error {
+// event writes one server-sent event. Its ID states the index of its token,
+// unless that is negative: the event then has none.
+func (a *answer) event(index int, body completion) error {
 	data, err := json.Marshal(body)
 	if err != nil {
 		return err
 	}
 	response := a.context.Response()
-	if _, err := response.Write([]byte("data: " + string(data) + "\n\n")); err != nil {
+	place := fmt.Sprintf("id: %d+1\n", index)
+	switch {
+	case a.server.member.config.Unindexed:
+		place = ""
+	case index < 0:
+		place = fmt.Sprintf("id: %d+0\n", a.length)
+	}
+	if _, err := response.Write([]byte(place + "data: " + string(data) + "\n\n")); err != nil {
 		return err
 	}
 	response.Flush()
@@ -116,7 +131,7 @@
 // completion returns a chunk that carries text.
 func (a *answer) completion(text string, reason *string) completion {
 	body := completion{
-		ID:      "cmpl-" + a.context.Request().Header.Get(enginewire.HeaderAttempt),
+		ID:      "cmpl-" + a.context.Request().Header.Get(enginewire.HeaderRequest),
 		Object:  "text_completion",
 		Created: a.server.member.config.Clock.Now().Unix(),
 		Model:   a.request.Model,
--- a/pkg/standin/enginestandin/member.go
+++ b/pkg/standin/enginestandin/member.go
@@ -4,6 +4,7 @@
 package enginestandin
 
 import (
+	"net/http"
 	"slices"
 	"sync"
 	"time"
@@ -35,6 +36,13 @@
 	CrashMarker string
 	// Crash is called instead of generating when a prompt holds CrashMarker.
 	Crash func()
+	// Unindexed leaves out the IDs that state the index of each token.
+	Unindexed bool
+	// BeforeToken is called before each token of a stream, unless it is nil;
+	// an error cuts the connection.
+	BeforeToken func(r *http.Request, index int) error
+	// BeforeHead may change the head of an answer, unless it is nil.
+	BeforeHead func(h http.Header)
 }
 
 // Member is one member of the fleet.
--- a/pkg/standin/servicestandin/server.go
+++ b/pkg/standin/servicestandin/server.go
@@ -2,6 +2,7 @@
 package servicestandin
 
 import (
+	"fmt"
 	"io"
 	"net/http"
 	"sync"
@@ -12,13 +13,16 @@
 // maxBodyBytes bounds the size of a request body.
 const maxBodyBytes = 1 << 20
 
-// Server counts the calls that it ran and echoes their bodies.
+// Server counts the calls that it ran. It answers with the body of the call and
+// the number of times that it has run.
 type Server struct {
 	name string
 	echo *echo.Echo
 
 	mu   sync.Mutex
 	runs map[string]int
+	// before is called after each call was run and before it is answered.
+	before func()
 }
 
 // New returns a server for the VM called name.
@@ -43,6 +47,14 @@
 	return s.runs[body]
 }
 
+// BeforeAnswer calls f after each call was run and before it is answered.
+func (s *Server) BeforeAnswer(f func()) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.before = f
+}
+
 func (s *Server) run(c echo.Context) error {
 	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxBodyBytes))
 	if err != nil {
@@ -50,8 +62,12 @@
 	}
 	s.mu.Lock()
 	s.runs[string(body)]++
+	run, before := s.runs[string(body)], s.before
 	s.mu.Unlock()
 
+	if before != nil {
+		before()
+	}
 	c.Response().Header().Set("Service-Vm", s.name)
-	return c.Blob(http.StatusOK, echo.MIMETextPlain, body)
+	return c.String(http.StatusOK, fmt.Sprintf("%s, run %d", body, run))
 }
