Bring the gateway's failures about over real connections

Purpose: show each promise of the gateway by the failure that it is about, with in-process stand-ins, real HTTP and channels in place of sleeps.

A spelling such as //book got past the document's list of calls that must not be repeated; paths are cleaned before they are matched and sent.

--- /dev/null
+++ b/pkg/serving/caller/parse_test.go
@@ -0,0 +1,81 @@
+package caller
+
+import (
+	"net/http"
+	"net/url"
+	"testing"
+
+	"almondbay.example/core/attempt"
+	"almondbay.example/core/document"
+)
+
+func FuzzParseGeneration(f *testing.F) {
+	f.Add([]byte(`{"model":"demo","stream":true,"max_tokens":5,"messages":[{"role":"user","content":"x"}]}`))
+	f.Add([]byte(`{"model":"demo","max_completion_tokens":-1,"prompt":["a"]}`))
+	f.Fuzz(func(t *testing.T, body []byte) {
+		g, err := parseGeneration(body)
+		if err == nil && (g.model == "" || g.maxTokens < 0 || g.promptBytes > len(body)) {
+			t.Fatalf("%+v", g)
+		}
+	})
+}
+
+func FuzzParseOptions(f *testing.F) {
+	f.Add("k", "true", "30s", "high", "close, X-A")
+	f.Add("\x00", "2", "-1ns", "", "")
+	f.Fuzz(func(t *testing.T, key, idempotent, timeout, priority, connection string) {
+		h := http.Header{
+			HeaderIdempotencyKey: {key}, HeaderIdempotent: {idempotent}, HeaderTimeout: {timeout},
+			HeaderPriority: {priority}, "Connection": {connection}, "Authorization": {"Bearer x"},
+		}
+		out := forwarded(h)
+		if out.Get("Authorization") != "" || out.Get("Connection") != "" {
+			t.Fatalf("passed on %v", out)
+		}
+		o, err := parseOptions(h)
+		if err != nil {
+			return
+		}
+		if o.key == "" || len(o.key) > attempt.MaxKeyLength || o.timeout <= 0 || o.timeout > maxTimeout || o.priority == "" {
+			t.Fatalf("%+v", o)
+		}
+	})
+}
+
+func TestRepeatable(t *testing.T) {
+	s := document.Service{NonIdempotent: []document.Call{{Method: "*", Path: "/book"}, {Method: "PUT", Path: "/seat"}}}
+	tests := []struct {
+		method, path string
+		said         idempotence
+		want         bool
+	}{
+		{"GET", "/book/7", idempotenceUnsaid, false},
+		{"GET", "/book/7", idempotenceYes, false},
+		{"PUT", "/seat/1", idempotenceYes, false},
+		{"GET", "/seat/1", idempotenceUnsaid, true},
+		{"GET", "/seat/1", idempotenceNo, false},
+		{"POST", "/quote", idempotenceUnsaid, false},
+		{"POST", "/quote", idempotenceYes, true},
+		{"DELETE", "/quote", idempotenceUnsaid, true},
+	}
+	for _, tt := range tests {
+		if got := repeatable(s, tt.method, tt.path, tt.said); got != tt.want {
+			t.Errorf("%s %s, said %d: %v", tt.method, tt.path, tt.said, got)
+		}
+	}
+}
+
+// TestServicePath checks that no spelling of a path gets past the document.
+func TestServicePath(t *testing.T) {
+	for raw, want := range map[string]string{
+		"": "/", "/": "/", "/book": "/book", "//book": "/book", "/./book/": "/book/", "/x/../book": "/book", "/%62ook": "/book", "/x%2f..%2fbook": "/book",
+	} {
+		u, err := url.Parse("http://node/services/booking" + raw)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if got := servicePath(u); got != want {
+			t.Errorf("%q is %q, want %q", raw, got, want)
+		}
+	}
+}
--- a/pkg/serving/caller/services.go
+++ b/pkg/serving/caller/services.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/url"
+	"path"
 	"slices"
 	"strings"
 
@@ -33,32 +34,38 @@
 	if s.Timeout > 0 {
 		call.deadline = minTime(call.deadline, g.clock.Now().Add(s.Timeout))
 	}
+	u := url.URL{Path: servicePath(c.Request().URL), RawQuery: c.Request().URL.RawQuery}
 	b := &serviceBackend{
 		gateway: g,
 		call:    call,
 		service: s.Name,
 		method:  c.Request().Method,
-		path:    servicePath(c),
+		path:    u.RequestURI(),
 		header:  forwarded(c.Request().Header),
 	}
-	call.idempotent = repeatable(s, b.method, b.path, call.options.idempotence)
+	call.idempotent = repeatable(s, b.method, u.Path, call.options.idempotence)
 	call.print = attempt.NewFingerprint(
 		[]byte(call.workspace.Name), []byte(s.Name), []byte(b.method), []byte(b.path), call.body)
 	return g.serve(c, call, b)
 }
 
-// servicePath returns the path and query of a call as the service sees them.
-func servicePath(c echo.Context) string {
-	u := url.URL{Path: "/" + c.Param("*"), RawQuery: c.Request().URL.RawQuery}
-	return u.RequestURI()
+// servicePath returns the path of a call as the service sees it: decoded and
+// without empty, "." and ".." segments, as the document is matched against it.
+func servicePath(u *url.URL) string {
+	_, rest, _ := strings.Cut(strings.TrimPrefix(u.Path, "/services/"), "/")
+	clean := path.Clean("/" + rest)
+	if strings.HasSuffix(rest, "/") && clean != "/" {
+		clean += "/"
+	}
+	return clean
 }
 
 // repeatable reports whether a call may run more than once. A call that the
 // document lists may not, whatever its headers say. Else the header decides,
 // and without one the method does.
-func repeatable(s document.Service, method, path string, said idempotence) bool {
+func repeatable(s document.Service, method, called string, said idempotence) bool {
 	for _, c := range s.NonIdempotent {
-		if (c.Method == "*" || c.Method == method) && strings.HasPrefix(path, c.Path) {
+		if (c.Method == "*" || c.Method == method) && strings.HasPrefix(called, c.Path) {
 			return false
 		}
 	}
--- a/pkg/standin/callertest/outcome_test.go
+++ b/pkg/standin/callertest/outcome_test.go
@@ -72,10 +72,16 @@
 			}
 		}
 	}
+	var other atomic.Bool // Set when the second group has answered.
 	head := func(name, value string) func(int, *enginestandin.Config) {
 		return func(group int, c *enginestandin.Config) {
 			if group == 0 {
 				c.BeforeHead = func(h http.Header) { h.Set(name, value) }
+				return
+			}
+			c.BeforeToken = func(*http.Request, int) error {
+				other.Store(true)
+				return nil
 			}
 		}
 	}
@@ -102,25 +108,23 @@
 		{"head of another boot", head(enginewire.HeaderBoot, "x"), nil, true, ""},
 		{"head of another version", head(enginewire.HeaderVersion, "2"), nil, true, ""},
 		{"head of another group", head(enginewire.HeaderGroup, "g1"), nil, true, ""},
-		{"late answer to another attempt", head(enginewire.HeaderAttempt, "other-1"), nil, true, ""},
+		{"head of another attempt", head(enginewire.HeaderAttempt, "other-1"), nil, true, ""},
 		{"late answer, non-idempotent", head(enginewire.HeaderAttempt, "other-1"), once, false, "unknown"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			r := newRig(t, rigConfig{nodes: 1, groups: 2, engine: tt.engine})
-			// Each group is tried first once: picking is by ID on a tie.
-			for i := range 2 {
-				body, want := chat("p", true, tokens)
-				got := r.send(0, chatPath, body, tt.headers)
-				if tt.whole && (got.text != want || !got.done || got.code != "") {
-					t.Fatalf("call %d: %+v", i, got)
-				}
-				if !tt.whole && got.code != "" && (got.done || got.outcome != tt.outcome || !strings.HasPrefix(want, got.text)) {
-					t.Fatalf("call %d: %+v", i, got)
-				}
-				if !tt.whole && got.code == "" && got.text != want {
-					t.Fatalf("call %d is cut off without an error: %+v", i, got)
-				}
+			body, want := chat("p", true, tokens)
+			other.Store(false)
+			got := r.send(0, chatPath, body, tt.headers)
+			if tt.whole && strings.Contains(tt.name, "head of") && !other.Load() {
+				t.Error("the answer of the wrong group reached the caller")
+			}
+			if tt.whole && (got.text != want || !got.done || got.code != "") {
+				t.Errorf("%+v", got)
+			}
+			if !tt.whole && (got.done || got.outcome != tt.outcome || !strings.HasPrefix(want, got.text)) {
+				t.Errorf("%+v", got)
 			}
 		})
 	}
--- a/pkg/standin/callertest/rig_test.go
+++ b/pkg/standin/callertest/rig_test.go
@@ -12,6 +12,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -121,7 +122,7 @@
 
 func (r *rig) addNode(change func(c *caller.Config)) {
 	c := caller.Config{
-		View: r.view, Clock: r.clock, Picker: caller.NewLeastInFlight(r.view, r.clock), Service: service.NewClient(),
+		View: r.view, Clock: r.clock, Picker: &firstPicker{r}, Service: service.NewClient(),
 		Engine: enginehttp.New(enginehttp.Config{ControlTimeout: time.Second}), Table: r.table, Peers: &peers{rig: r, self: len(r.nodes)},
 		Limits: caller.Limits{Linger: -1},
 	}
@@ -210,6 +211,25 @@
 	r.view.SetGroups(groups)
 }
 
+// firstPicker picks the group with the lowest ID.
+type firstPicker struct{ rig *rig }
+
+func (p *firstPicker) Pick(_ context.Context, q caller.Query) (caller.Choice, error) {
+	all := p.rig.view.Targets(q.Model, p.rig.clock.Now())
+	allowed := caller.Allowed(all, q)
+	if len(allowed) == 0 {
+		return caller.Choice{}, &caller.UnavailableError{Model: q.Model}
+	}
+	first := slices.MinFunc(allowed, func(a, b view.Target) int { return strings.Compare(a.Group.ID, b.Group.ID) })
+	return caller.ChoiceOf(first, caller.Site(all, first), slot{}), nil
+}
+
+type slot struct{}
+
+func (slot) Progress(int) {}
+func (slot) Finish(int)   {}
+func (slot) Release()     {}
+
 // peers connects the gateways of a rig. Node 0 owns all groups.
 type peers struct {
 	rig  *rig
@@ -241,7 +261,9 @@
 	body    string
 	header  http.Header
 	done    bool
-	err     error
+	// closes is set when the answer says that its connection will close.
+	closes bool
+	err    error
 }
 
 type headers map[string]string
@@ -261,7 +283,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	whole, err := io.ReadAll(response.Body)
-	out := reply{status: response.StatusCode, header: response.Header, body: string(whole), err: err}
+	out := reply{status: response.StatusCode, header: response.Header, closes: response.Close, body: string(whole), err: err}
 	for line := range bytes.Lines(whole) {
 		data, found := bytes.CutPrefix(bytes.TrimSpace(line), []byte("data: "))
 		if found || !bytes.HasPrefix(whole, []byte("id:")) {
