--- a/pkg/core/schedule/choose.go
+++ b/pkg/core/schedule/choose.go
@@ -10,6 +10,10 @@
 	prefixSlots = 4096
 	// longProbes is the number of open groups looked at for a long request.
 	longProbes = 8
+	// maxPrompting is the number of prompt tokens that long work may have at a
+	// group before first tokens, unless a single request has more. Long prompts
+	// that are worked on together are all late.
+	maxPrompting = 4096
 )
 
 // openSet is a set of groups with room, from which members are drawn at random
@@ -170,7 +174,13 @@
 	if !g.open() || slices.Contains(t.request.Avoid, g.ID) {
 		return false
 	}
-	return t.class == classShort || g.longRunning < g.longLimit(c.limits, shortWaits)
+	if t.class == classShort {
+		return true
+	}
+	if g.prompting > 0 && g.prompting+t.request.PromptTokens > maxPrompting {
+		return false
+	}
+	return g.longRunning < g.longLimit(c.limits, shortWaits)
 }
 
 // drawTwo returns the less loaded of two groups that fit, drawn at random.
--- a/pkg/core/schedule/group.go
+++ b/pkg/core/schedule/group.go
@@ -49,7 +49,10 @@
 
 	running     int
 	longRunning int
-	budget      int
+	// prompting is the number of prompt tokens of own requests that have not
+	// sent their first token yet.
+	prompting int
+	budget    int
 	// others is the number of requests of other schedulers at the last report.
 	others   float64
 	reported time.Time
--- a/pkg/core/schedule/health.go
+++ b/pkg/core/schedule/health.go
@@ -18,8 +18,10 @@
 	lateFactor = 4.0
 	lateFloor  = 400 * time.Millisecond
 	// minWeight is the part of its slots that a slow group keeps, so that its
-	// recovery is seen.
-	minWeight = 1.0 / 64
+	// recovery is seen. A group that is only late with first tokens has more work
+	// than was known of; it keeps lateWeight.
+	minWeight  = 1.0 / 64
+	lateWeight = 0.5
 	// maxSlowPart is the part of the groups that may be relieved at a time.
 	maxSlowPart = 0.34
 )
@@ -30,20 +32,22 @@
 	pace time.Duration
 	// firstToken is the mean time from dispatch to first token of short work.
 	firstToken time.Duration
-	// fresh tells whether a sample has come in since the last review.
-	fresh bool
+	// freshPace and freshFirst tell whether a sample has come in since the last
+	// review.
+	freshPace  bool
+	freshFirst bool
 	// weight is the part of the slots to use, in (0, 1].
 	weight float64
 }
 
 func (h *health) observePace(sample time.Duration) {
 	h.pace = h.smooth(h.pace, sample)
-	h.fresh = true
+	h.freshPace = true
 }
 
 func (h *health) observeFirstToken(sample time.Duration) {
 	h.firstToken = h.smooth(h.firstToken, sample)
-	h.fresh = true
+	h.freshFirst = true
 }
 
 func (h *health) smooth(mean, sample time.Duration) time.Duration {
@@ -73,10 +77,9 @@
 	room := int(maxSlowPart * float64(len(groups)))
 	changed := false
 	for _, g := range groups {
-		if !g.health.fresh {
+		if !g.health.freshPace && !g.health.freshFirst {
 			continue
 		}
-		g.health.fresh = false
 		before := g.health.weight
 		relieved := before < 1
 		g.health.review(pace, firstToken, relieved || slow < room)
@@ -89,13 +92,16 @@
 }
 
 func (h *health) review(pace, firstToken time.Duration, mayRelieve bool) {
-	late := max(lateFloor, scale(firstToken, lateFactor))
+	slow := h.freshPace && h.pace > scale(pace, slowFactor)
+	late := h.freshFirst && h.firstToken > max(lateFloor, scale(firstToken, lateFactor))
+	steady := h.pace < scale(pace, recoveredFactor)
+	h.freshPace, h.freshFirst = false, false
 	switch {
-	case h.pace > scale(pace, slowFactor) || h.firstToken > late:
-		if mayRelieve {
-			h.weight = max(minWeight, h.weight/2)
-		}
-	case h.pace < scale(pace, recoveredFactor):
+	case slow && mayRelieve:
+		h.weight = max(minWeight, h.weight/2)
+	case late && mayRelieve:
+		h.weight = min(h.weight, lateWeight)
+	case steady && !slow && !late:
 		h.weight = min(1, h.weight*2)
 	}
 }
--- a/pkg/core/schedule/queue.go
+++ b/pkg/core/schedule/queue.go
@@ -80,6 +80,8 @@
 	byTime [classes]heap[*workspaceQueue]
 	// virtualTime is the virtual time of the workspace served last.
 	virtualTime float64
+	// credit is the virtual time that an idle workspace may fall behind.
+	credit float64
 	// waiting is the number of tickets of each class.
 	waiting [classes]int
 	// activeShares is the sum of shares of the workspaces with work waiting.
@@ -92,12 +94,12 @@
 	return f
 }
 
-// push adds a ticket. A workspace that was idle starts at the present virtual
-// time, so that it cannot save up service.
+// push adds a ticket. A workspace that was idle starts at most credit behind the
+// present virtual time, so that it can have a burst but not save up service.
 func (f *fairQueue) push(t *Ticket) {
 	q := t.queue
 	if q.len() == 0 {
-		q.virtualTime = max(q.virtualTime, f.virtualTime)
+		q.virtualTime = max(q.virtualTime, f.virtualTime-f.credit)
 		f.activeShares += q.share
 	}
 	q.waiting[t.class].push(t)
--- a/pkg/core/schedule/shard.go
+++ b/pkg/core/schedule/shard.go
@@ -1,6 +1,7 @@
 package schedule
 
 import (
+	"math/bits"
 	"math/rand/v2"
 	"sync"
 	"time"
@@ -14,6 +15,13 @@
 	firstTokenQuantile = 0.95
 	// reviewInterval is the time between reviews of the groups' health.
 	reviewInterval = 500 * time.Millisecond
+	// maxReserve bounds the time that is kept back, as a part of the objective.
+	maxReserve = 0.9
+	// promptSizes is the number of binary orders of magnitude of prompts.
+	promptSizes = 24
+	// creditQuanta is the service, in quanta for each unit of share, that an idle
+	// workspace may save up.
+	creditQuanta = 2
 	// maxSetAside bounds the tickets that are passed over in one round because
 	// the groups with room are ones they must avoid.
 	maxSetAside = 4
@@ -31,8 +39,9 @@
 	rate      slotRate
 	// costs is the distribution of the cost of finished requests.
 	costs distribution
-	// firstTokens holds milliseconds from dispatch to first token by class.
-	firstTokens [classes]distribution
+	// firstTokens holds milliseconds from dispatch to first token, by binary
+	// order of magnitude of the prompt.
+	firstTokens [promptSizes]distribution
 	// slots is the sum over groups of the larger of budget and requests in
 	// flight.
 	slots       int
@@ -138,6 +147,7 @@
 	if patience < 0 || wait > scale(patience, s.config.AdmitSlack) {
 		return nil, &Refusal{Reason: ReasonLate, RetryAfter: s.retryAfter(wait - patience)}
 	}
+	s.queue.credit = creditQuanta * s.quantum()
 	s.queue.push(t)
 	s.dispatch(now)
 	return t, nil
@@ -160,16 +170,20 @@
 	if due.IsZero() {
 		due = now.Add(s.config.FirstToken)
 	}
-	t.dispatchBy = due.Add(-s.firstTokenTime(t.class))
+	t.dispatchBy = due.Add(-s.firstTokenTime(&r))
 	t.queue = s.queueOf(r.Workspace)
 	return t
 }
 
-// firstTokenTime is the time to keep back for the engine, at most half the
-// objective.
-func (s *shard) firstTokenTime(c class) time.Duration {
-	ms := s.firstTokens[c].quantile(firstTokenQuantile)
-	return min(time.Duration(ms)*time.Millisecond, s.config.FirstToken/2)
+// firstTokenTime is the time to keep back for the engine. What even an idle
+// engine cannot do in time keeps a small part of its objective to wait.
+func (s *shard) firstTokenTime(r *Request) time.Duration {
+	ms := s.firstTokens[promptSize(r)].quantile(firstTokenQuantile)
+	return min(time.Duration(ms)*time.Millisecond, scale(s.config.FirstToken, maxReserve))
+}
+
+func promptSize(r *Request) int {
+	return min(bits.Len(uint(max(r.PromptTokens, 0))), promptSizes-1)
 }
 
 func (s *shard) queueOf(workspace string) *workspaceQueue {
@@ -253,7 +267,10 @@
 	if t.class == classLong {
 		s.longRunning++
 	}
-	s.update(g, func() { g.started(t.class, now) })
+	s.update(g, func() {
+		g.started(t.class, now)
+		g.prompting += t.request.PromptTokens
+	})
 	t.request.Notify(Decision{Ticket: t, Group: g.ID, Long: t.class == classLong})
 }
 
@@ -271,7 +288,8 @@
 		return
 	}
 	spent := now.Sub(t.dispatchedAt)
-	s.firstTokens[t.class].add(float64(spent.Milliseconds()))
+	s.firstTokens[promptSize(&t.request)].add(float64(spent.Milliseconds()))
+	s.update(t.group, func() { t.group.prompting -= t.request.PromptTokens })
 	if t.class == classShort {
 		t.group.health.observeFirstToken(spent)
 	}
@@ -279,6 +297,7 @@
 	s.rate.add(cost, spent, now)
 	t.tokens = 1
 	t.progressAt = now
+	s.dispatch(now)
 }
 
 // progress records the number of tokens sent so far.
@@ -288,6 +307,9 @@
 	if t.state != ticketRunning {
 		return
 	}
+	if t.tokens == 0 {
+		return // The first token has to be recorded before.
+	}
 	s.advance(t, tokens, now)
 	s.reclassify(t)
 }
@@ -332,7 +354,10 @@
 	if t.state != ticketRunning {
 		return
 	}
-	s.advance(t, tokens, now)
+	if t.tokens == 0 {
+		t.group.prompting -= t.request.PromptTokens
+	}
+	s.advance(t, max(tokens, 1), now)
 	s.predictor.learn(&t.request, tokens)
 	s.costs.add(s.used(t))
 	s.release(t, now)
@@ -360,7 +385,12 @@
 	if t.class == classLong {
 		s.longRunning--
 	}
-	s.update(t.group, func() { t.group.finished(t.class, now) })
+	s.update(t.group, func() {
+		t.group.finished(t.class, now)
+		if t.tokens == 0 {
+			t.group.prompting -= t.request.PromptTokens
+		}
+	})
 	s.dispatch(now)
 }
 
--- a/pkg/core/schedule/trial/cells.go
+++ b/pkg/core/schedule/trial/cells.go
@@ -175,6 +175,7 @@
 	p.ticket = d.decision.Ticket
 	p.engine = c.byID[d.decision.Group]
 	cell.inUse[p.engine.index]++
+	d.job.yields = d.decision.Long
 	c.after(c.askTime(d.job, cell), func() { c.send(d.job, p.engine) })
 }
 
--- a/pkg/core/schedule/trial/engine.go
+++ b/pkg/core/schedule/trial/engine.go
@@ -20,6 +20,8 @@
 	cachedPrefixes = 32
 	// maxGap is the objective for the time between tokens.
 	maxGap = 45 * time.Millisecond
+	// unusedAfter is how long a slot is free before a refusal counts as wrong.
+	unusedAfter = 50 * time.Millisecond
 	// progressTokens is how many tokens apart progress is noted.
 	progressTokens = 16
 )
@@ -31,8 +33,9 @@
 	// attempt grows with every dispatch; events of older attempts are dropped.
 	attempt int
 	avoid   []string
+	// yields is set when the engine is asked to put the job behind others.
+	yields bool
 
-	queued  bool
 	started time.Duration
 	// prompting is the number of prompt tokens still to work on.
 	prompting int
@@ -78,7 +81,9 @@
 	waiting []*job
 	cache   *simplelru.LRU[uint64, struct{}]
 	busy    bool
-	dark    bool
+	// fullAt is when no slot was free last.
+	fullAt time.Duration
+	dark   bool
 	// slowness multiplies the time of each step; one when healthy.
 	slowness float64
 	// lie replaces the reported number of requests unless negative.
@@ -107,9 +112,14 @@
 	return engineSlots - len(e.running) - len(e.waiting)
 }
 
+// unused tells whether a slot has been free for longer than a slot usually is
+// between two requests.
+func (e *engine) unused() bool {
+	return !e.dark && e.idle() > 0 && e.loop.now-e.fullAt > unusedAfter
+}
+
 // enqueue takes a job in.
 func (e *engine) enqueue(j *job) {
-	j.queued = true
 	e.waiting = append(e.waiting, j)
 	if !e.busy {
 		e.step()
@@ -135,12 +145,10 @@
 		return
 	}
 	e.busy = true
-	budget := promptChunk
+	budget := e.prompt(promptChunk, false)
+	budget = e.prompt(budget, true)
 	worked := make([]*job, 0, len(e.running))
 	for _, j := range e.running {
-		part := min(budget, j.prompting)
-		j.prompting -= part
-		budget -= part
 		if j.prompting == 0 {
 			worked = append(worked, j)
 		}
@@ -150,6 +158,20 @@
 	e.loop.after(time.Duration(float64(took)*e.slowness), func() { e.complete(worked) })
 }
 
+// prompt works on the prompts of the jobs that yield or of those that do not,
+// and returns what is left of the budget of tokens.
+func (e *engine) prompt(budget int, yielding bool) int {
+	for _, j := range e.running {
+		if j.yields != yielding {
+			continue
+		}
+		part := min(budget, j.prompting)
+		j.prompting -= part
+		budget -= part
+	}
+	return budget
+}
+
 func (e *engine) admit(j *job) {
 	j.started = e.loop.now
 	j.prompting = j.prompt
@@ -168,6 +190,9 @@
 	for _, j := range worked {
 		e.token(j)
 	}
+	if e.idle() <= 0 {
+		e.fullAt = e.loop.now
+	}
 	e.running = slices.DeleteFunc(e.running, func(j *job) bool { return j.made >= j.tokens })
 	e.step()
 }
