--- /dev/null
+++ b/pkg/serving/caller/gateway.go
@@ -0,0 +1,192 @@
+// Package caller speaks to callers: it takes requests in OpenAI form and for
+// plain services, and relays whole answers from backend servers.
+package caller
+
+import (
+	"context"
+	"net/http"
+	"slices"
+	"strings"
+	"sync/atomic"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/labstack/echo/v4"
+
+	"almondbay.example/core/attempt"
+	"almondbay.example/core/document"
+	"almondbay.example/serving/engine"
+	"almondbay.example/serving/engine/enginewire"
+	"almondbay.example/serving/platform"
+	"almondbay.example/serving/service"
+	"almondbay.example/serving/view"
+)
+
+// PathReady answers 200 while the node takes requests.
+const PathReady = "/readyz"
+
+// Config configures a Gateway.
+type Config struct {
+	View *view.View
+	// Clock is a real clock where connections are served, as it sets their
+	// deadlines.
+	Clock   clockwork.Clock
+	Picker  Picker
+	Engine  engine.Engine
+	Service service.Service
+	// Table keeps bookings and quarantined requests.
+	Table  platform.Table
+	Limits Limits
+	// FailureDomain is that of the node; plain services in it come first.
+	FailureDomain string
+	// Peers is the other nodes; nil when there are none.
+	Peers Peers
+	// NoQuarantine lets requests that crash backend servers run, for
+	// comparison.
+	NoQuarantine bool
+}
+
+// Gateway serves callers.
+type Gateway struct {
+	view     *view.View
+	clock    clockwork.Clock
+	picker   Picker
+	engine   engine.Engine
+	service  service.Service
+	bookings *bookkeeper
+	limits   *limits
+	budgets  *attempt.Budgets
+	suspects *suspects
+	inFlight *inFlight
+	domain   string
+	// calls counts the calls in flight on each VM of a plain service.
+	calls     *counts
+	echo      *echo.Echo
+	stopping  atomic.Bool
+	connected atomic.Int64
+}
+
+// New returns a gateway.
+func New(c Config) *Gateway {
+	g := &Gateway{
+		view:     c.View,
+		clock:    c.Clock,
+		picker:   c.Picker,
+		engine:   c.Engine,
+		service:  c.Service,
+		bookings: newBookkeeper(c.Table),
+		limits:   newLimits(c.Limits),
+		budgets:  attempt.NewBudgets(attempt.DefaultBudgetConfig()),
+		suspects: newSuspects(c),
+		inFlight: newInFlight(),
+		domain:   c.FailureDomain,
+		calls:    newCounts(),
+		echo:     echo.New(),
+	}
+	g.echo.HideBanner = true
+	g.echo.HTTPErrorHandler = handleError
+	g.echo.Use(g.guard)
+	g.echo.GET(PathReady, g.ready)
+	g.echo.GET("/v1/models", g.models)
+	g.echo.POST(enginewire.PathChatCompletions, g.generate)
+	g.echo.POST(enginewire.PathCompletions, g.generate)
+	g.echo.Any("/services/:service", g.callService)
+	g.echo.Any("/services/:service/*", g.callService)
+	return g
+}
+
+// ServeHTTP implements http.Handler.
+func (g *Gateway) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	g.echo.ServeHTTP(w, r)
+}
+
+// Review cancels attempts on groups that have lost a member, so that they are
+// resumed or retried elsewhere. It is to be called a few times a second.
+func (g *Gateway) Review(context.Context) error {
+	now := g.clock.Now()
+	g.inFlight.cancelLost(func(t attempt.Target) bool {
+		return g.view.Intact(t.Group, t.Epoch, now)
+	})
+	g.suspects.quarantine.Expire(now)
+	return nil
+}
+
+// guard refuses requests over the limits and closes connections while the node
+// stops.
+func (g *Gateway) guard(next echo.HandlerFunc) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		if g.stopping.Load() {
+			c.Response().Header().Set(echo.HeaderConnection, "close")
+		}
+		if overLimit(c.Request().Context()) {
+			c.Response().Header().Set(echo.HeaderConnection, "close")
+			return overloaded("too many connections are open").write(c)
+		}
+		if countHeaders(c.Request().Header) > maxHeaders {
+			return notRun(http.StatusRequestHeaderFieldsTooLarge, CodeHeadTooLarge, "too many headers").write(c)
+		}
+		return next(c)
+	}
+}
+
+func (g *Gateway) ready(c echo.Context) error {
+	if _, revision := g.view.Document(); revision == 0 || g.stopping.Load() {
+		return c.NoContent(http.StatusServiceUnavailable)
+	}
+	return c.NoContent(http.StatusOK)
+}
+
+func (g *Gateway) models(c echo.Context) error {
+	workspace, refusal := g.authenticate(c)
+	if refusal != nil {
+		return refusal.write(c)
+	}
+	d, _ := g.view.Document()
+	answer := wireModels{Object: "list", Data: []wireModel{}}
+	add := func(name string) {
+		if allowed(workspace, name) {
+			answer.Data = append(answer.Data, wireModel{ID: name, Object: "model", OwnedBy: "almondbay"})
+		}
+	}
+	for _, m := range d.Models {
+		add(m.Name)
+		for _, a := range m.Adapters {
+			add(a.Name)
+		}
+	}
+	return c.JSON(http.StatusOK, answer)
+}
+
+// modelOf returns the model that serves a name, which is that of a model or of
+// one of its adapters.
+func modelOf(d document.Document, name string) (string, bool) {
+	for _, m := range d.Models {
+		if m.Name == name {
+			return m.Name, true
+		}
+		for _, a := range m.Adapters {
+			if a.Name == name {
+				return m.Name, true
+			}
+		}
+	}
+	return "", false
+}
+
+func allowed(w document.Workspace, model string) bool {
+	return len(w.Models) == 0 || slices.Contains(w.Models, model)
+}
+
+// authenticate finds the workspace whose key the request carries.
+func (g *Gateway) authenticate(c echo.Context) (document.Workspace, *problem) {
+	key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
+	if !ok {
+		return document.Workspace{}, notRun(http.StatusUnauthorized, CodeNoKey, "a bearer key is needed")
+	}
+	d, _ := g.view.Document()
+	for _, w := range d.Workspaces {
+		if matchesAny(key, w.KeyHashes) {
+			return w, nil
+		}
+	}
+	return document.Workspace{}, notRun(http.StatusUnauthorized, CodeUnknownKey, "the key is not known")
+}
