Put the scheduler behind the gateway

Requests went at once to the group with the fewest attempts of this node in flight, so order was left to the engines and nothing was refused early.

Scheduled implements the same Picker: a request waits in the fair queue of its workspace until a group is chosen, is refused with 429 and a Retry-After when its first token cannot come in time, and leaves the queue when its caller does. A group whose proof lapses between the choice and the dispatch is passed over. Work predicted to run long asks the engine for a low priority unless its caller has asked otherwise.

Whole answers count as finished with an estimate of their tokens; without it nothing would be learnt from callers that do not stream.

LeastInFlight stays as the baseline for comparison. The nodes of a failure domain still schedule independently; asking an owner needs the protocol between nodes.

--- a/pkg/core/schedule/schedule.go
+++ b/pkg/core/schedule/schedule.go
@@ -18,6 +18,9 @@
 	"time"
 )
 
+// DefaultFirstToken is the default objective for the time to first token.
+const DefaultFirstToken = 2 * time.Second
+
 // Config configures a Scheduler. Zero values take the defaults.
 type Config struct {
 	// FailureDomain is where the scheduler runs; groups there come first.
@@ -62,7 +65,7 @@
 }
 
 func (c Config) withDefaults() Config {
-	setDefault(&c.FirstToken, 2*time.Second)
+	setDefault(&c.FirstToken, DefaultFirstToken)
 	setDefault(&c.PromptCost, 0.03)
 	setDefault(&c.LongFactor, 6)
 	setDefault(&c.LongShare, 0.5)
--- a/pkg/serving/caller/generate.go
+++ b/pkg/serving/caller/generate.go
@@ -102,7 +102,7 @@
 		Body:     b.call.body,
 		Expected: p.expected.Expected,
 		Offset:   s.offset,
-		Priority: string(b.call.options.priority),
+		Priority: string(b.priority(p)),
 		Timeout:  s.timeout,
 		Once:     !b.call.idempotent,
 		Written:  s.written,
@@ -127,6 +127,15 @@
 	return head, nil
 }
 
+// priority lets long work yield to other work at the engine unless its caller
+// has asked for more.
+func (b *engineBackend) priority(p place) Priority {
+	if p.expected.Long && b.call.options.priority == PriorityNormal {
+		return PriorityLow
+	}
+	return b.call.options.priority
+}
+
 // engineFailure turns an error of the engine client into the end of an
 // attempt.
 func engineFailure(err error) *failureError {
--- a/pkg/serving/caller/picker.go
+++ b/pkg/serving/caller/picker.go
@@ -44,6 +44,9 @@
 	Site string
 	// Members lists the VMs of all members, the leader first.
 	Members []fleet.VM
+	// Long is set when the request is predicted to run long; the engine may put
+	// it behind others.
+	Long bool
 	// Slot must be released once, when the attempt has ended.
 	Slot Slot
 }
--- a/pkg/serving/caller/relay.go
+++ b/pkg/serving/caller/relay.go
@@ -30,7 +30,7 @@
 	if a.stream {
 		return x.relayStream(a, p, id)
 	}
-	return x.relayWhole(a, id)
+	return x.relayWhole(a, p, id)
 }
 
 // relayStream passes on server-sent events, whole events only, until the end
@@ -85,7 +85,7 @@
 }
 
 // relayWhole reads an answer to its end before it passes it on.
-func (x *exchange) relayWhole(a answer, id attempt.ID) *failureError {
+func (x *exchange) relayWhole(a answer, p place, id attempt.ID) *failureError {
 	body, err := io.ReadAll(io.LimitReader(a.body, maxWholeBytes+1))
 	if err != nil {
 		return fail(attempt.FailureBroken, err)
@@ -100,6 +100,7 @@
 	if err := x.send(a, body); err != nil {
 		return fail(attempt.FailureCanceled, err)
 	}
+	p.slot.Finish(len(body) / bytesPerToken)
 	return nil
 }
 
--- /dev/null
+++ b/pkg/serving/caller/scheduled_test.go
@@ -0,0 +1,142 @@
+package caller
+
+import (
+	"context"
+	"errors"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
+
+	"almondbay.example/core/document"
+	"almondbay.example/core/fleet"
+	"almondbay.example/serving/view"
+)
+
+// scheduledFixture has one group of one member with two slots.
+type scheduledFixture struct {
+	*Scheduled
+	view  *view.View
+	clock *clockwork.FakeClock
+}
+
+func newScheduledFixture(t *testing.T) *scheduledFixture {
+	t.Helper()
+	clock := clockwork.NewFakeClock()
+	v := view.New(time.Minute)
+	v.SetDocument(1, document.Document{
+		Models:     []document.Model{{Name: "m"}},
+		Workspaces: []document.Workspace{{Name: "w", Share: 1}},
+	})
+	v.SetVMs([]fleet.VM{{ID: "b1", Address: "a1", FailureDomain: "d", Role: fleet.RoleBackend, State: fleet.VMLive}})
+	v.SetGroups([]view.Group{{ID: "g1", Epoch: 1, Members: []string{"b1"}, Model: "m", Version: "1"}})
+	f := &scheduledFixture{view: v, clock: clock}
+	f.Scheduled = NewScheduled(ScheduledConfig{View: v, Clock: clock, FailureDomain: "d"})
+	f.report()
+	return f
+}
+
+func (f *scheduledFixture) report() {
+	f.view.SetReport(fleet.Report{
+		Identity: fleet.Identity{Member: "b1", Boot: "x", Group: "g1", Epoch: 1, Model: "m", Version: "1"},
+		Phase:    fleet.PhaseReady,
+		Load:     fleet.Load{Slots: 2},
+		SeenAt:   f.clock.Now(),
+	})
+}
+
+func (f *scheduledFixture) pick(t *testing.T) Choice {
+	t.Helper()
+	c, err := f.Pick(t.Context(), Query{Workspace: "w", Model: "m"})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+// inGroup runs f in a goroutine and returns how to wait for its end.
+func inGroup(f func()) func() {
+	var g errgroup.Group
+	g.Go(func() error {
+		f()
+		return nil
+	})
+	return func() { _ = g.Wait() }
+}
+
+func TestScheduledPickWaitsForASlot(t *testing.T) {
+	f := newScheduledFixture(t)
+	var held []Choice
+	for range 3 { // Two slots and the extra one; no Refresh has run before.
+		held = append(held, f.pick(t))
+	}
+	if held[0].Group != "g1" || held[0].Address != "a1" {
+		t.Fatalf("picked %+v", held[0])
+	}
+	got := make(chan Choice, 1)
+	errs := make(chan error, 1)
+	waiting := func(ctx context.Context) {
+		c, err := f.Pick(ctx, Query{Workspace: "w", Model: "m"})
+		got <- c
+		errs <- err
+	}
+	done := inGroup(func() { waiting(t.Context()) })
+	held[1].Slot.Progress(1)
+	held[1].Slot.Finish(5)
+	held[1].Slot.Release()
+	if c, err := <-got, <-errs; err != nil || c.Group != "g1" {
+		t.Errorf("picked %+v, %v", c, err)
+	}
+	done()
+
+	ctx, cancel := context.WithCancel(t.Context())
+	done = inGroup(func() { waiting(ctx) })
+	cancel()
+	if _, err := <-got, <-errs; !errors.Is(err, context.Canceled) {
+		t.Errorf("error %v after the caller has left", err)
+	}
+	done()
+}
+
+func TestScheduledPickRefuses(t *testing.T) {
+	f := newScheduledFixture(t)
+	for range 3 {
+		f.pick(t)
+	}
+	var unavailable *UnavailableError
+	errs := make(chan error, 1)
+	submitted := make(chan struct{})
+	done := inGroup(func() {
+		close(submitted)
+		_, err := f.Pick(t.Context(), Query{Workspace: "w", Model: "m"})
+		errs <- err
+	})
+	<-submitted
+	err := error(nil)
+	for err == nil {
+		f.clock.Advance(3 * time.Second)
+		f.report()
+		if e := f.Refresh(t.Context()); e != nil {
+			t.Fatal(e)
+		}
+		select {
+		case err = <-errs:
+		default:
+		}
+	}
+	done()
+	if !errors.As(err, &unavailable) || !unavailable.Overloaded || unavailable.RetryAfter < time.Second {
+		t.Errorf("error %v, want a refusal with a time to retry", err)
+	}
+	f.clock.Advance(2 * time.Minute) // The proof lapses.
+	_, err = f.Pick(t.Context(), Query{Workspace: "w", Model: "m"})
+	if !errors.As(err, &unavailable) || unavailable.Overloaded {
+		t.Errorf("error %v without a proof", err)
+	}
+	f.report()
+	_, err = f.Pick(t.Context(), Query{Workspace: "w", Model: "m", Avoid: []string{"g1"}})
+	if !errors.As(err, &unavailable) {
+		t.Errorf("error %v when the only group is to be avoided", err)
+	}
+}
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"time"
@@ -36,6 +37,8 @@
 	controlInterval = 500 * time.Millisecond
 	// configurationInterval is the time between two reads of the environment.
 	configurationInterval = 500 * time.Millisecond
+	// scheduleInterval is the time between two reviews of waiting requests.
+	scheduleInterval = 50 * time.Millisecond
 	// listInterval is the time between two reads of the list of VMs.
 	listInterval = 2 * time.Second
 	// drainTimeout bounds the wait for requests in flight at shutdown.
@@ -62,6 +65,7 @@
 type Node struct {
 	config     Config
 	view       *view.View
+	picker     *caller.Scheduled
 	gateway    *caller.Gateway
 	operators  *operator.API
 	controller *control.Controller
@@ -70,12 +74,19 @@
 // New assembles a node.
 func New(c Config) *Node {
 	v := view.New(proofTTL)
+	picker := caller.NewScheduled(caller.ScheduledConfig{
+		View:          v,
+		Clock:         c.Clock,
+		FailureDomain: c.Settings.FailureDomain,
+		Seed:          rand.Uint64(),
+	})
 	return &Node{
 		config: c,
 		view:   v,
+		picker: picker,
 		gateway: caller.New(caller.Config{
 			View:   v,
-			Picker: caller.NewLeastInFlight(v, c.Clock),
+			Picker: picker,
 			Engine: c.Engine,
 		}),
 		operators:  operator.New(operatorConfig(c)),
@@ -97,6 +108,7 @@
 	var g run.Group
 	n.addServer(&g, n.config.Callers, n.gateway)
 	n.addServer(&g, n.config.Operators, n.operators)
+	n.addLoop(&g, scheduleInterval, n.picker.Refresh)
 	n.addLoop(&g, listInterval, n.refreshVMs)
 	n.addLoop(&g, configurationInterval, n.refreshDocument)
 	n.addLoop(&g, probeInterval, n.probe)
