--- a/pkg/serving/caller/scheduled_test.go
+++ b/pkg/serving/caller/scheduled_test.go
@@ -11,6 +11,7 @@
 
 	"almondbay.example/core/document"
 	"almondbay.example/core/fleet"
+	"almondbay.example/core/group"
 	"almondbay.example/serving/view"
 )
 
@@ -30,7 +31,15 @@
 		Workspaces: []document.Workspace{{Name: "w", Share: 1}},
 	})
 	v.SetVMs([]fleet.VM{{ID: "b1", Address: "a1", FailureDomain: "d", Role: fleet.RoleBackend, State: fleet.VMLive}})
-	v.SetGroups([]view.Group{{ID: "g1", Epoch: 1, Members: []string{"b1"}, Model: "m", Version: "1"}})
+	v.SetGroups([]group.Row{{
+		ID:      "g1",
+		Epoch:   1,
+		State:   group.StateServing,
+		Members: []string{"b1"},
+		Model:   "m",
+		Version: "1",
+		Boots:   map[string]string{"b1": "x"},
+	}})
 	f := &scheduledFixture{view: v, clock: clock}
 	f.Scheduled = NewScheduled(ScheduledConfig{View: v, Clock: clock, FailureDomain: "d"})
 	f.report()
