--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -44,6 +44,8 @@
 	handOnTimeout = 5 * time.Second
 	// configurationInterval is the time between two reads of the environment.
 	configurationInterval = 500 * time.Millisecond
+	// scheduleInterval is the time between two reviews of waiting requests.
+	scheduleInterval = 50 * time.Millisecond
 	// listInterval is the time between two reads of the list of VMs.
 	listInterval = 2 * time.Second
 	// reviewInterval is the time between two looks for lost groups.
@@ -76,6 +78,7 @@
 type Node struct {
 	config     Config
 	view       *view.View
+	picker     *caller.Scheduled
 	gateway    *caller.Gateway
 	operators  *operator.API
 	controller *control.Controller
@@ -84,13 +87,20 @@
 // New assembles a node.
 func New(c Config) *Node {
 	v := view.New(proofTTL)
+	picker := caller.NewScheduled(caller.ScheduledConfig{
+		View:          v,
+		Clock:         c.Clock,
+		FailureDomain: c.Settings.FailureDomain,
+		Seed:          rand.Uint64(),
+	})
 	return &Node{
 		config: c,
 		view:   v,
+		picker: picker,
 		gateway: caller.New(caller.Config{
 			View:          v,
 			Clock:         c.Clock,
-			Picker:        caller.NewLeastInFlight(v, c.Clock),
+			Picker:        picker,
 			Engine:        c.Engine,
 			Service:       service.NewClient(),
 			Table:         c.Table,
@@ -135,6 +145,7 @@
 	})
 	operators := &http.Server{Handler: n.operators, ReadHeaderTimeout: readHeaderTimeout}
 	n.addServer(&g, n.config.Operators, operators, operators.Shutdown)
+	n.addLoop(&g, scheduleInterval, n.picker.Refresh)
 	n.addLoop(&g, listInterval, n.refreshVMs)
 	n.addLoop(&g, configurationInterval, n.refreshDocument)
 	n.addLoop(&g, probeInterval, n.probe)
