Tell lost groups from changed ones and a paused node from both

Cause: a review of what strikes a request. An attempt whose group was given another epoch, as by a roll-out, was taken for a crash, so that requests in flight became suspects; and after a pause of the node itself all reports are old, so that it would have cancelled every attempt and made every request a suspect.

Change: the view tells a lost member from a changed group; only the first is a crash. Review waits for new reports after a gap in its own runs. The probe behind a broken answer compares boot IDs of all members. Rows of quarantined requests are deleted once the quarantine has ended.

Tests besides: quarantine through the table service between nodes that do not reach each other, connections over the limit, a caller who reads nothing, and options passed on. The stand-in's Text was quadratic and is not now. go test -race ./callertest in pkg/standin.

--- a/pkg/serving/caller/exchange.go
+++ b/pkg/serving/caller/exchange.go
@@ -252,6 +252,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errGroupLost):
 		f.kind = attempt.FailureCrashed
+	case errors.Is(context.Cause(ctx), errGroupChanged):
+		f.kind = attempt.FailureBroken
 	case ctx.Err() != nil:
 		f.kind = contextFailure(ctx)
 	case f.kind == attempt.FailureBroken && x.backend.crashed(ctx, p):
--- a/pkg/serving/caller/gateway.go
+++ b/pkg/serving/caller/gateway.go
@@ -3,11 +3,11 @@
 package caller
 
 import (
-	"context"
 	"net/http"
 	"slices"
 	"strings"
 	"sync/atomic"
+	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
@@ -59,10 +59,14 @@
 	inFlight *inFlight
 	domain   string
 	// calls counts the calls in flight on each VM of a plain service.
-	calls     *counts
-	echo      *echo.Echo
-	stopping  atomic.Bool
-	connected atomic.Int64
+	calls *counts
+	echo  *echo.Echo
+	// reviewedAt is when Review last ran; reviewFrom is when its view of the
+	// fleet can be relied on. Only Review uses them.
+	reviewedAt time.Time
+	reviewFrom time.Time
+	stopping   atomic.Bool
+	connected  atomic.Int64
 }
 
 // New returns a gateway.
@@ -99,17 +103,6 @@
 	g.echo.ServeHTTP(w, r)
 }
 
-// Review cancels attempts on groups that have lost a member, so that they are
-// resumed or retried elsewhere. It is to be called a few times a second.
-func (g *Gateway) Review(context.Context) error {
-	now := g.clock.Now()
-	g.inFlight.cancelLost(func(t attempt.Target) bool {
-		return g.view.Intact(t.Group, t.Epoch, now)
-	})
-	g.suspects.quarantine.Expire(now)
-	return nil
-}
-
 // guard refuses requests over the limits and closes connections while the node
 // stops.
 func (g *Gateway) guard(next echo.HandlerFunc) echo.HandlerFunc {
--- a/pkg/serving/caller/inflight.go
+++ b/pkg/serving/caller/inflight.go
@@ -3,19 +3,35 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
 	"github.com/zeebo/errs"
 
 	"almondbay.example/core/attempt"
+	"almondbay.example/serving/view"
 )
 
-// errGroupLost is the cause of the end of an attempt whose group has lost a
-// member.
-var errGroupLost = errs.New("the group has lost a member")
+// Causes of the end of an attempt.
+var (
+	errGroupLost    = errs.New("the group has lost a member")
+	errGroupChanged = errs.New("the group has another epoch or was released")
+)
 
-// inFlightShards is the number of shards; a power of two.
-const inFlightShards = 64
+var causes = map[view.Condition]error{
+	view.ConditionLost:    errGroupLost,
+	view.ConditionChanged: errGroupChanged,
+}
+
+const (
+	// inFlightShards is the number of shards; a power of two.
+	inFlightShards = 64
+	// maxReviewGap is the time between two reviews above which the node itself
+	// has been paused.
+	maxReviewGap = time.Second
+	// reportTime is how long new reports take to arrive after that.
+	reportTime = 3 * time.Second
+)
 
 // inFlight knows the attempts in flight on each replica group.
 type inFlight struct {
@@ -63,24 +79,47 @@
 	}
 }
 
-// cancelLost cancels the attempts on groups that are not intact. Attempts on
-// plain services, which have no epoch, are left alone.
-func (f *inFlight) cancelLost(intact func(attempt.Target) bool) {
+// review cancels the attempts on groups that have changed. Attempts on plain
+// services, which have no epoch, are left alone.
+func (f *inFlight) review(condition func(attempt.Target) view.Condition) {
 	for i := range f.shards {
-		f.shards[i].cancelLost(intact)
+		f.shards[i].review(condition)
 	}
 }
 
-func (s *inFlightShard) cancelLost(intact func(attempt.Target) bool) {
+func (s *inFlightShard) review(condition func(attempt.Target) view.Condition) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	for t, flights := range s.flights {
-		if t.Epoch == 0 || intact(t) {
+		if t.Epoch == 0 {
+			continue
+		}
+		cause := causes[condition(t)]
+		if cause == nil {
 			continue
 		}
 		for entry := range flights {
-			entry.cancel(errGroupLost)
+			entry.cancel(cause)
 		}
 	}
 }
+
+// Review cancels attempts on groups that have lost a member or changed, so
+// that they are resumed or retried elsewhere. It is to be called a few times a
+// second. After a pause of the node itself all reports are old, which says
+// nothing about the groups; it waits for new ones then.
+func (g *Gateway) Review(context.Context) error {
+	now := g.clock.Now()
+	if !g.reviewedAt.IsZero() && now.Sub(g.reviewedAt) > maxReviewGap {
+		g.reviewFrom = now.Add(reportTime)
+	}
+	g.reviewedAt = now
+	if !now.Before(g.reviewFrom) {
+		g.inFlight.review(func(t attempt.Target) view.Condition {
+			return g.view.Condition(t.Group, t.Epoch, now)
+		})
+	}
+	g.suspects.quarantine.Expire(now)
+	return nil
+}
--- a/pkg/serving/caller/picker.go
+++ b/pkg/serving/caller/picker.go
@@ -44,6 +44,8 @@
 	Site string
 	// Members lists the VMs of all members, the leader first.
 	Members []fleet.VM
+	// Boots holds the boot ID of each member, by its ID.
+	Boots map[string]string
 	// Long is set when the request is predicted to run long; the engine may put
 	// it behind others.
 	Long bool
@@ -107,6 +109,7 @@
 		Expected: t.Leader,
 		Site:     site,
 		Members:  t.Members,
+		Boots:    t.Group.Boots,
 		Slot:     s,
 	}
 }
--- a/pkg/serving/caller/relay.go
+++ b/pkg/serving/caller/relay.go
@@ -107,17 +107,15 @@
 	return nil
 }
 
-// crashProbe asks each member whether it is still there.
+// crashProbe asks each member whether it is still there. A member that has
+// been given another group in the meantime has not crashed.
 func crashProbe(ctx context.Context, e engine.Engine, c Choice) bool {
 	for _, vm := range c.Members {
 		r, err := e.Health(ctx, vm.Address)
-		if err != nil && ctx.Err() == nil {
-			return true
-		}
-		if err == nil && (r.Identity.Group != c.Group || r.Identity.Epoch != c.Expected.Epoch) {
-			return true
+		if ctx.Err() != nil {
+			return false
 		}
-		if vm.ID == c.Expected.Member && err == nil && r.Identity.Boot != c.Expected.Boot {
+		if err != nil || r.Identity.Boot != c.Boots[vm.ID] {
 			return true
 		}
 	}
--- a/pkg/serving/caller/suspect.go
+++ b/pkg/serving/caller/suspect.go
@@ -48,9 +48,14 @@
 	announce errgroup.Group
 
 	mu sync.Mutex
-	// loaded holds the version at which each row was read last. The age of
-	// evidence counts from then.
-	loaded map[string]uint64
+	// loaded holds what was read of each row. The age of evidence counts from
+	// when its version was first read.
+	loaded map[string]loadedRow
+}
+
+type loadedRow struct {
+	version uint64
+	at      time.Time
 }
 
 func newSuspects(c Config) *suspects {
@@ -62,7 +67,7 @@
 		trials:     attempt.NewTrials(),
 		peers:      c.Peers,
 		table:      c.Table,
-		loaded:     make(map[string]uint64),
+		loaded:     make(map[string]loadedRow),
 	}
 	s.announce.SetLimit(maxAnnouncements)
 	return s
@@ -194,7 +199,8 @@
 	}
 	now := g.clock.Now()
 	for _, r := range rows {
-		if !g.suspects.isNew(r) {
+		if !g.suspects.isNew(r, now) {
+			g.suspects.dropOld(ctx, r, now)
 			continue
 		}
 		c, err := attempt.DecodeConviction(r.Value)
@@ -206,13 +212,35 @@
 	return nil
 }
 
-func (s *suspects) isNew(r platform.Row) bool {
+func (s *suspects) isNew(r platform.Row, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	if s.loaded[r.Key] == r.Version {
+	if s.loaded[r.Key].version == r.Version {
 		return false
 	}
-	s.loaded[r.Key] = r.Version
+	s.loaded[r.Key] = loadedRow{version: r.Version, at: now}
 	return true
 }
+
+// dropOld deletes a row whose quarantine has ended. Any node may do so; a row
+// written anew in the meantime stays.
+func (s *suspects) dropOld(ctx context.Context, r platform.Row, now time.Time) {
+	s.mu.Lock()
+	at := s.loaded[r.Key].at
+	s.mu.Unlock()
+	if now.Sub(at) <= attempt.DefaultQuarantineConfig().QuarantineTTL {
+		return
+	}
+	err := s.table.Commit(ctx, platform.Transaction{
+		Operation:  newOperation(),
+		Conditions: []platform.Condition{{Key: r.Key, Version: r.Version}},
+		Writes:     []platform.Write{{Key: r.Key, Delete: true}},
+	})
+	if err != nil {
+		return // The next read tries again.
+	}
+	s.mu.Lock()
+	delete(s.loaded, r.Key)
+	s.mu.Unlock()
+}
--- a/pkg/serving/view/view.go
+++ b/pkg/serving/view/view.go
@@ -194,27 +194,42 @@
 	return vms
 }
 
-// Intact reports whether every member of a group at an epoch has been seen in
-// it within the last proofTTL. Unlike Targets it includes groups that are
-// leaving: work in flight there goes on.
-func (v *View) Intact(group string, epoch uint64, now time.Time) bool {
+// Condition is what has become of a replica group at an epoch.
+type Condition uint8
+
+// Conditions of a replica group.
+const (
+	// ConditionIntact means that every member has lately been seen in the
+	// group. The group may be leaving: work in flight there goes on.
+	ConditionIntact Condition = iota
+	// ConditionLost means that a member has not been seen lately or has
+	// started anew.
+	ConditionLost
+	// ConditionChanged means that the group was given another epoch or was
+	// released.
+	ConditionChanged
+)
+
+// Condition returns what has become of a group since it was at an epoch.
+func (v *View) Condition(id string, epoch uint64, now time.Time) Condition {
 	v.mu.RLock()
 	defer v.mu.RUnlock()
 
-	g, ok := v.groups[group]
-	if !ok || g.Epoch != epoch {
-		return false
+	g, ok := v.groups[id]
+	if !ok || g.Epoch != epoch || len(g.Members) == 0 {
+		return ConditionChanged
 	}
-	for _, id := range g.Members {
-		r, ok := v.reports[id]
-		if !ok || now.Sub(r.SeenAt) > v.proofTTL {
-			return false
+	condition := ConditionIntact
+	for _, member := range g.Members {
+		r, ok := v.reports[member]
+		if !ok || now.Sub(r.SeenAt) > v.proofTTL || r.Identity.Boot != g.Boots[member] {
+			return ConditionLost
 		}
-		if r.Identity.Group != group || r.Identity.Epoch != epoch || r.Identity.Boot != g.Boots[id] {
-			return false
+		if r.Identity.Group != id || r.Identity.Epoch != epoch {
+			condition = ConditionChanged
 		}
 	}
-	return true
+	return condition
 }
 
 // Services returns the live VMs of a plain service.
--- a/pkg/standin/callertest/fleet_test.go
+++ b/pkg/standin/callertest/fleet_test.go
@@ -8,9 +8,12 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
+	"github.com/jonboulle/clockwork"
 	"go.uber.org/goleak"
 
+	"almondbay.example/core/attempt"
 	"almondbay.example/core/fleet"
 	"almondbay.example/core/group"
 	"almondbay.example/serving/caller"
@@ -129,35 +132,106 @@
 	}
 }
 
-// TestMemberMissing checks that a stream on a group that has lost a member is
-// cancelled and resumed on another group.
-func TestMemberMissing(t *testing.T) {
-	entered := make(chan struct{})
-	r := newRig(t, rigConfig{nodes: 1, groups: 2, engine: func(g int, c *enginestandin.Config) {
-		c.BeforeToken = func(q *http.Request, i int) error {
-			if g == 0 && i == 3 {
-				close(entered)
-				<-q.Context().Done()
-				return errCut
-			}
-			return nil
+// TestReview checks that a stream on a group that has lost a member or changed
+// is cancelled and resumed on another group, that only the first makes the
+// request a suspect, and that nothing is cancelled when the node itself was
+// paused and all it knows is old.
+func TestReview(t *testing.T) {
+	report := func(change func(r *fleet.Report)) func(*rig) {
+		return func(r *rig) {
+			v, _ := r.view.Report("g0-1")
+			change(&v)
+			r.view.SetReport(v)
 		}
-	}})
-	body, want := chat("p", true, 8)
-	done := make(chan reply, 1)
-	var wg sync.WaitGroup
-	wg.Go(func() { done <- r.send(0, chatPath, body, nil) })
-	<-entered
-	report, _ := r.view.Report("g0-1")
-	report.Identity.Boot = "2"
-	r.view.SetReport(report)
-	if err := r.gateways[0].Review(t.Context()); err != nil {
+	}
+	tests := []struct {
+		name               string
+		change             func(*rig)
+		cancelled, suspect bool
+	}{
+		{"another boot", report(func(v *fleet.Report) { v.Identity.Boot = "2" }), true, true},
+		{"not seen lately", report(func(v *fleet.Report) { v.SeenAt = v.SeenAt.Add(-2 * time.Hour) }), true, true},
+		{"another group", report(func(v *fleet.Report) { v.Identity.Group = "g9" }), true, false},
+		{"row of another epoch", func(r *rig) {
+			row := rigGroups[r]["g0"]
+			row.Epoch++
+			r.setGroup(row)
+		}, true, false},
+		{"node paused", func(r *rig) { r.clock.(*clockwork.FakeClock).Advance(2 * time.Hour) }, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			entered, proceed := make(chan struct{}), make(chan struct{})
+			told := &toldPeers{}
+			r := newRig(t, rigConfig{
+				nodes: 1, groups: 2, clock: clockwork.NewFakeClockAt(time.Now()),
+				engine: func(g int, c *enginestandin.Config) {
+					c.BeforeToken = func(q *http.Request, i int) error {
+						if g != 0 || i != 3 {
+							return nil
+						}
+						close(entered)
+						select {
+						case <-proceed:
+							return nil
+						case <-q.Context().Done():
+							return errCut
+						}
+					}
+				},
+				gateway: func(c *caller.Config) { c.Peers = told },
+			})
+			body, want := chat("p", true, 8)
+			done := make(chan reply, 1)
+			var wg sync.WaitGroup
+			wg.Go(func() { done <- r.send(0, chatPath, body, nil) })
+			<-entered
+			for _, change := range []func(*rig){func(*rig) {}, tt.change} {
+				change(r)
+				if err := r.gateways[0].Review(t.Context()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !tt.cancelled {
+				close(proceed)
+			}
+			if got := <-done; got.text != want || !got.done {
+				t.Errorf("%+v", got)
+			}
+			wg.Wait()
+			if err := r.gateways[0].Stop(t.Context(), r.nodes[0].Config); err != nil {
+				t.Error(err)
+			}
+			if suspect := told.announced.Load() > 0; suspect != tt.suspect {
+				t.Errorf("suspect: %v", suspect)
+			}
+		})
+	}
+}
+
+// toldPeers counts what it is told and grants everything.
+type toldPeers struct{ announced atomic.Int32 }
+
+func (p *toldPeers) Announce(context.Context, attempt.Conviction) { p.announced.Add(1) }
+
+func (p *toldPeers) Grant(context.Context, string, attempt.Fingerprint) bool { return true }
+
+func (p *toldPeers) Release(context.Context, string, attempt.Fingerprint) {}
+
+// TestQuarantineThroughTable checks that nodes which cannot reach each other
+// learn of a quarantine from the table service.
+func TestQuarantineThroughTable(t *testing.T) {
+	r := newRig(t, rigConfig{nodes: 2, groups: 3, gateway: func(c *caller.Config) { c.Peers = nil }})
+	poison, _ := chat(crashMarker, false, 6)
+	if got := r.send(0, chatPath, poison, nil); got.code != caller.CodeQuarantined || got.outcome != "unknown" {
+		t.Fatalf("%+v", got)
+	}
+	if err := r.gateways[1].LoadQuarantine(t.Context()); err != nil {
 		t.Fatal(err)
 	}
-	if got := <-done; got.text != want || !got.done {
-		t.Errorf("%+v", got)
+	if got := r.send(1, chatPath, poison, nil); got.code != caller.CodeQuarantined || got.outcome != "notRun" || r.crashes.Load() != 2 {
+		t.Fatalf("%d crashes, %+v", r.crashes.Load(), got)
 	}
-	wg.Wait()
 }
 
 // TestStopUnderLoad stops a node with streams, bookings and kept-alive
--- a/pkg/standin/callertest/outcome_test.go
+++ b/pkg/standin/callertest/outcome_test.go
@@ -13,6 +13,7 @@
 	"sync"
 	"sync/atomic"
 	"testing"
+	"time"
 
 	"github.com/openai/openai-go/v3"
 	"github.com/openai/openai-go/v3/option"
@@ -205,7 +206,8 @@
 	}
 }
 
-// TestLimits holds the gateway to one connection and one request.
+// TestLimits holds the gateway to one request, and a caller to little time for
+// its body.
 func TestLimits(t *testing.T) {
 	release := make(chan struct{})
 	entered := make(chan struct{}, 1)
@@ -219,7 +221,7 @@
 			}
 		},
 		gateway: func(c *caller.Config) {
-			c.Limits = caller.Limits{Connections: 2, Requests: 1, BodyTimeout: 1, Linger: -1}
+			c.Limits = caller.Limits{Requests: 1, BodyTimeout: 1, Linger: -1}
 		},
 	})
 	body, want := chat("p", true, 1)
@@ -244,12 +246,87 @@
 	wg.Wait()
 	_, _ = io.WriteString(idle, "POST "+chatPath+" HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer "+key+"\r\nContent-Length: 100\r\n\r\n{")
 	response, err := http.ReadResponse(bufio.NewReader(idle), nil)
-	if err != nil || response.StatusCode != http.StatusRequestTimeout && response.StatusCode != http.StatusServiceUnavailable {
+	if err != nil || response.StatusCode != http.StatusRequestTimeout {
 		t.Errorf("slow sender: %v, %v", response, err)
 	}
 	_ = response.Body.Close()
 }
 
+func TestConnectionsOverTheLimit(t *testing.T) {
+	r := newRig(t, rigConfig{nodes: 1, gateway: func(c *caller.Config) { c.Limits = caller.Limits{Connections: 1, Linger: -1} }})
+	first, err := net.Dial("tcp", r.nodes[0].Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = first.Close() }()
+	ask := func() int {
+		_, _ = io.WriteString(first, "GET /readyz HTTP/1.1\r\nHost: x\r\n\r\n")
+		response, err := http.ReadResponse(bufio.NewReader(first), nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+		return response.StatusCode
+	}
+	before := ask()
+	if got := r.send(0, chatPath, "{}", nil); got.code != caller.CodeOverloaded || got.outcome != "notRun" || !got.closes {
+		t.Errorf("%+v", got)
+	}
+	if after := ask(); before != http.StatusOK || after != http.StatusOK {
+		t.Errorf("the first connection got %d, then %d", before, after)
+	}
+}
+
+// TestSlowReader checks that a caller who takes nothing is cut off, and that
+// its engine has been held back until then.
+func TestSlowReader(t *testing.T) {
+	const tokens = 1 << 20
+	cancelled := make(chan int64, 1)
+	var sent atomic.Int64
+	r := newRig(t, rigConfig{
+		nodes: 1, groups: 1,
+		engine: func(_ int, c *enginestandin.Config) {
+			c.BeforeToken = func(q *http.Request, i int) error {
+				sent.Store(int64(i))
+				if i == 0 {
+					context.AfterFunc(q.Context(), func() { cancelled <- sent.Load() })
+				}
+				return nil
+			}
+		},
+		gateway: func(c *caller.Config) { c.Limits = caller.Limits{StallTimeout: 200 * time.Millisecond, Linger: -1} },
+	})
+	body, _ := chat("p", true, tokens)
+	slow, err := net.Dial("tcp", r.nodes[0].Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = slow.Close() }()
+	_, _ = fmt.Fprintf(slow, "POST %s HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer %s\r\nContent-Length: %d\r\n\r\n%s", chatPath, key, len(body), body)
+	if sent := <-cancelled; sent > tokens/10 {
+		t.Errorf("the engine sent %d tokens to a caller who takes none", sent)
+	}
+}
+
+func TestOptionsArePassedOn(t *testing.T) {
+	passed := make(chan http.Header, 1)
+	r := newRig(t, rigConfig{nodes: 1, groups: 1, engine: func(_ int, c *enginestandin.Config) {
+		c.BeforeToken = func(q *http.Request, _ int) error {
+			passed <- q.Header
+			return nil
+		}
+	}})
+	body, want := chat("p", true, 1)
+	if got := r.send(0, chatPath, body, headers{caller.HeaderPriority: "high", caller.HeaderTimeout: "10m"}); got.text != want {
+		t.Fatalf("%+v", got)
+	}
+	h := <-passed
+	left, err := time.ParseDuration(h.Get(enginewire.HeaderTimeout))
+	if h.Get(enginewire.HeaderPriority) != "high" || err != nil || left > 10*time.Minute || h.Get("Authorization") != "" {
+		t.Errorf("%v", h)
+	}
+}
+
 // TestCallerLeaves checks that the stream of a caller who leaves is cancelled
 // at the engine.
 func TestCallerLeaves(t *testing.T) {
--- a/pkg/standin/callertest/rig_test.go
+++ b/pkg/standin/callertest/rig_test.go
@@ -90,8 +90,10 @@
 
 type rigConfig struct {
 	nodes, groups int
-	engine        func(group int, c *enginestandin.Config)
-	gateway       func(c *caller.Config)
+	// clock is a real clock when nil.
+	clock   clockwork.Clock
+	engine  func(group int, c *enginestandin.Config)
+	gateway func(c *caller.Config)
 }
 
 func newRig(t testing.TB, c rigConfig) *rig {
@@ -99,6 +101,9 @@
 		t: t, clock: clockwork.NewRealClock(), view: view.New(time.Hour),
 		table: &table{Memory: platform.NewMemory()}, service: servicestandin.New("svc"),
 	}
+	if c.clock != nil {
+		r.clock = c.clock
+	}
 	svc := httptest.NewServer(r.service)
 	t.Cleanup(svc.Close)
 	for _, id := range []string{"svc", "svc2"} { // One server under two IDs counts the runs of both.
--- a/pkg/standin/enginestandin/text.go
+++ b/pkg/standin/enginestandin/text.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"strconv"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 )
@@ -44,11 +45,11 @@
 
 // Text returns the whole answer to prompt with seed.
 func Text(prompt string, seed int64, limit int) string {
-	var text string
+	var text strings.Builder
 	for i := range Length(prompt, seed, limit) {
-		text += Token(prompt, seed, i)
+		text.WriteString(Token(prompt, seed, i))
 	}
-	return text
+	return text.String()
 }
 
 func promptHash(prompt string, seed int64) uint64 {
