--- a/cmd/almondbay/dev.go
+++ b/cmd/almondbay/dev.go
@@ -2,14 +2,10 @@
 
 import (
 	"context"
-	"crypto/rand"
-	"crypto/sha256"
-	"encoding/hex"
+	"encoding/json"
 	"fmt"
 	"net"
 	"net/http"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/google/uuid"
@@ -19,8 +15,9 @@
 
 	"almondbay.example/core/fleet"
 	"almondbay.example/serving/engine/enginehttp"
+	"almondbay.example/serving/environment"
+	"almondbay.example/serving/keys"
 	"almondbay.example/serving/node"
-	"almondbay.example/serving/operator"
 	"almondbay.example/serving/platform"
 	"almondbay.example/serving/settings"
 	"almondbay.example/standin/enginestandin"
@@ -44,6 +41,8 @@
 )
 
 type devCommand struct {
+	session *session
+
 	Listen      string `long:"listen" default:"127.0.0.1:8080" description:"Address for callers"`
 	AdminListen string `long:"admin-listen" default:"127.0.0.1:0" description:"Address of the admin API"`
 	JSON        bool   `long:"json" description:"Print one line of JSON in place of text"`
@@ -59,9 +58,7 @@
 	if err != nil {
 		return err
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-
+	ctx := c.session.ctx
 	memory := platform.NewMemory()
 	var g run.Group
 	for i := range devMembers {
@@ -69,24 +66,30 @@
 			return err
 		}
 	}
-	key, adminKey := rand.Text(), rand.Text()
-	if err := acceptDevDocument(ctx, memory, key); err != nil {
+	key, adminKey := keys.Generate(), keys.Generate()
+	config := devNode(memory, callers, operators, adminKey)
+	if err := acceptDevDocument(ctx, config, key); err != nil {
 		return err
 	}
-	n := node.New(devNode(memory, callers, operators, adminKey))
+	n := node.New(config)
 	nodeContext, cancel := context.WithCancel(ctx)
 	g.Add(func() error { return n.Run(nodeContext) }, func(error) { cancel() })
-	c.print(callers.Addr().String(), operators.Addr().String(), key, adminKey)
+	if err := c.print(callers.Addr().String(), operators.Addr().String(), key, adminKey); err != nil {
+		cancel()
+		return err
+	}
 	return g.Run()
 }
 
-func devNode(memory *platform.Memory, callers, operators net.Listener, adminKey string) node.Config {
+func devNode(memory *platform.Memory, callers, operators net.Listener, adminKey keys.Secret) node.Config {
 	return node.Config{
 		Settings: settings.Settings{
 			Node:          "dev",
 			FailureDomain: devFailureDomain,
 			Environment:   devEnvironment,
-			Operator:      settings.OperatorListener{KeyHashes: []string{hash(adminKey)}},
+			Operator: settings.OperatorListener{
+				Operators: []keys.Holder{{Name: "dev", Digest: adminKey.Digest()}},
+			},
 		},
 		Clock:     clockwork.NewRealClock(),
 		Logger:    zap.NewNop(),
@@ -130,31 +133,38 @@
 }
 
 // acceptDevDocument accepts the built-in document.
-func acceptDevDocument(ctx context.Context, memory *platform.Memory, key string) error {
-	body := fmt.Sprintf(`{
+func acceptDevDocument(ctx context.Context, c node.Config, key keys.Secret) error {
+	body := fmt.Appendf(nil, `{
 	"models": [{"name": %q, "version": "1", "groups": %d, "span": %d}],
 	"workspaces": [{"name": "default", "keyHashes": [%q], "share": 1,
 		"objective": {"firstToken": "2s", "betweenToken": "45ms", "target": 0.95}}],
-}`, devModel, devGroups, devSpan, hash(key))
-	return operator.Accept(ctx, operator.Config{
-		Environment: devEnvironment,
-		Table:       memory,
-		Objects:     memory,
-	}, []byte(body))
+}`, devModel, devGroups, devSpan, key.Digest())
+	_, err := node.NewStore(c).Accept(ctx, devEnvironment, environment.Proposal{
+		Operation: uuid.NewString(), Author: "dev", Body: body,
+	})
+	return err
 }
 
-func (c *devCommand) print(address, adminAddress, key, adminKey string) {
+// print tells how to reach the node.
+func (c *devCommand) print(address, adminAddress string, key, adminKey keys.Secret) error {
 	if c.JSON {
-		fmt.Println(devLine(address, adminAddress, key, adminKey))
-		return
+		line, err := json.Marshal(devLine{
+			Address:      address,
+			Key:          key.Reveal(),
+			Model:        devModel,
+			AdminAddress: adminAddress,
+			AdminKey:     adminKey.Reveal(),
+		})
+		if err != nil {
+			return err
+		}
+		printLine(c.session.out, string(line))
+		return nil
 	}
-	fmt.Printf("Callers: http://%s  key %s\nAdmin API: http://%s  key %s\n\nTry:\n", address, key, adminAddress, adminKey)
-	fmt.Printf("curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' "+
+	printLine(c.session.out, fmt.Sprintf("Callers: http://%s  key %s\nAdmin API: http://%s  key %s\n\nTry:\n"+
+		"curl -sN http://%s/v1/chat/completions -H 'Authorization: Bearer %s' "+
 		"-H 'Content-Type: application/json' -d '{\"model\":%q,\"stream\":true,"+
-		"\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'\n", address, key, devModel)
-}
-
-func hash(key string) string {
-	sum := sha256.Sum256([]byte(key))
-	return hex.EncodeToString(sum[:])
+		"\"messages\":[{\"role\":\"user\",\"content\":\"hello\"}]}'",
+		address, key.Reveal(), adminAddress, adminKey.Reveal(), address, key.Reveal(), devModel))
+	return nil
 }
--- a/cmd/almondbay/main.go
+++ b/cmd/almondbay/main.go
@@ -2,37 +2,68 @@
 package main
 
 import (
+	"context"
 	"errors"
+	"io"
 	"os"
+	"os/signal"
+	"syscall"
 
 	"github.com/jessevdk/go-flags"
 )
 
+// Exit codes.
+const (
+	exitDone    = 0
+	exitRefused = 1
+	exitUsage   = 2
+	exitUnknown = 3
+)
+
+// session is what a command works with.
+type session struct {
+	// ctx ends when the process is told to stop.
+	ctx context.Context
+	out io.Writer
+}
+
 func main() {
-	parser := flags.NewParser(nil, flags.Default)
-	add(parser, "serve", "Run a node", &serveCommand{})
-	add(parser, "dev", "Run a node with an embedded platform and engines", &devCommand{})
-	add(parser, "apply", "Accept a document", &applyCommand{})
-	if _, err := parser.Parse(); err != nil {
-		os.Exit(exitCode(err))
-	}
+	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	code := execute(os.Args[1:], session{ctx: ctx, out: os.Stdout}, os.Stderr)
+	stop()
+	os.Exit(code)
 }
 
-// add registers a subcommand.
-func add(p *flags.Parser, name, help string, command flags.Commander) {
-	if _, err := p.AddCommand(name, help, help+".", command); err != nil {
-		panic(err)
+// execute runs one command and returns the exit code of the process.
+func execute(args []string, s session, problems io.Writer) int {
+	_, err := newParser(&s).ParseArgs(args)
+	if err == nil {
+		return exitDone
 	}
+	var flagsError *flags.Error
+	if errors.As(err, &flagsError) && flagsError.Type == flags.ErrHelp {
+		printLine(s.out, err.Error())
+		return exitDone
+	}
+	printLine(problems, err.Error())
+	return exitCode(err)
 }
 
-// exitCode maps an error to the status that the process ends with.
+// exitCode maps an error to the exit code of the process.
 func exitCode(err error) int {
 	var flagsError *flags.Error
-	if errors.As(err, &flagsError) {
-		if flagsError.Type == flags.ErrHelp {
-			return 0
-		}
-		return 2
+	var unknown *unknownOutcomeError
+	switch {
+	case errors.As(err, &flagsError):
+		return exitUsage
+	case errors.As(err, &unknown):
+		return exitUnknown
+	default:
+		return exitRefused
 	}
-	return 1
+}
+
+// printLine prints for a person. That nobody reads is not an error.
+func printLine(w io.Writer, text string) {
+	_, _ = io.WriteString(w, text+"\n")
 }
--- a/cmd/almondbay/serve.go
+++ b/cmd/almondbay/serve.go
@@ -1,10 +1,7 @@
 package main
 
 import (
-	"context"
 	"net"
-	"os/signal"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -24,6 +21,8 @@
 )
 
 type serveCommand struct {
+	session *session
+
 	Args struct {
 		Settings string `positional-arg-name:"SETTINGS" required:"true"`
 	} `positional-args:"true"`
@@ -59,7 +58,5 @@
 		Callers:   callers,
 		Operators: operators,
 	})
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	return n.Run(ctx)
+	return n.Run(c.session.ctx)
 }
--- a/pkg/core/document/difference.go
+++ b/pkg/core/document/difference.go
@@ -80,7 +80,7 @@
 }
 
 func flattenWorkspace(values map[string]string, path string, w Workspace) {
-	values[path+"/keyHashes"] = list(w.KeyHashes)
+	values[path+"/keyHashes"] = list(shorten(w.KeyHashes))
 	values[path+"/share"] = fmt.Sprint(w.Share)
 	values[path+"/models"] = list(w.Models)
 	if w.Objective == (Objective{}) {
@@ -99,6 +99,17 @@
 	return list(lines)
 }
 
+// shownHashDigits is the number of digits that tell one key hash from another.
+const shownHashDigits = 12
+
+func shorten(hashes []string) []string {
+	short := make([]string, 0, len(hashes))
+	for _, hash := range hashes {
+		short = append(short, hash[:min(len(hash), shownHashDigits)])
+	}
+	return short
+}
+
 // list renders a set of values, whose order in the text makes no difference.
 func list(values []string) string {
 	return "[" + strings.Join(slices.Sorted(slices.Values(values)), ", ") + "]"
--- /dev/null
+++ b/pkg/serving/drain/drain.go
@@ -0,0 +1,145 @@
+// Package drain keeps the operators' wish that a VM receive no new work, in one
+// row for each VM in the platform's table service.
+package drain
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"strings"
+	"time"
+
+	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/errs"
+
+	"almondbay.example/serving/platform"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("drain")
+
+// rowPrefix starts the key of each VM's row.
+const rowPrefix = "drain/"
+
+// attempts bounds the tries of one command.
+const attempts = 3
+
+// Drain is one VM that is to receive no new work.
+type Drain struct {
+	VM          string
+	Author      string
+	RequestedAt time.Time
+}
+
+// Config configures a Store.
+type Config struct {
+	Table platform.Table
+	Clock clockwork.Clock
+}
+
+// Store keeps drains on the platform.
+type Store struct {
+	config Config
+}
+
+// New returns a store.
+func New(c Config) *Store {
+	return &Store{config: c}
+}
+
+// UnknownOutcomeError reports a command whose outcome is not known. It can be
+// repeated.
+type UnknownOutcomeError struct {
+	VM    string
+	Cause error
+}
+
+func (e *UnknownOutcomeError) Error() string {
+	return fmt.Sprintf("drain: outcome for VM %q not known: %v", e.VM, e.Cause)
+}
+
+func (e *UnknownOutcomeError) Unwrap() error { return e.Cause }
+
+// Set asks that a VM receive no new work. A VM that is drained already stays
+// so.
+func (s *Store) Set(ctx context.Context, vm, author string) error {
+	value := encode(Drain{VM: vm, Author: author, RequestedAt: s.config.Clock.Now()})
+	return s.reach(ctx, vm, true, value)
+}
+
+// Clear lets a VM receive work again. The row stays, so that a late write of an
+// earlier Set finds its condition broken.
+func (s *Store) Clear(ctx context.Context, vm string) error {
+	return s.reach(ctx, vm, false, nil)
+}
+
+// List returns all drains in the order of their VMs.
+func (s *Store) List(ctx context.Context) ([]Drain, error) {
+	rows, err := s.config.Table.Range(ctx, rowPrefix)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	drains := make([]Drain, 0, len(rows))
+	for _, row := range rows {
+		if len(row.Value) == 0 {
+			continue
+		}
+		d, err := decode(strings.TrimPrefix(row.Key, rowPrefix), row.Value)
+		if err != nil {
+			return nil, err
+		}
+		drains = append(drains, d)
+	}
+	return drains, nil
+}
+
+// reach writes value until the VM is drained, or is not. An empty value stands
+// for a VM that is not drained.
+func (s *Store) reach(ctx context.Context, vm string, drained bool, value []byte) error {
+	key := rowPrefix + vm
+	var unknown bool
+	var last error
+	for range attempts {
+		row, err := s.config.Table.Read(ctx, key)
+		if err != nil {
+			last = err
+			continue
+		}
+		if (len(row.Value) > 0) == drained {
+			return nil
+		}
+		last = s.config.Table.Commit(ctx, platform.Transaction{
+			Operation:  uuid.NewString(),
+			Conditions: []platform.Condition{{Key: key, Version: row.Version}},
+			Writes:     []platform.Write{{Key: key, Value: value}},
+		})
+		if last == nil {
+			return nil
+		}
+		var lost *platform.UnknownError
+		unknown = unknown || errors.As(last, &lost)
+	}
+	if unknown {
+		return &UnknownOutcomeError{VM: vm, Cause: last}
+	}
+	return Error.Wrap(last)
+}
+
+func encode(d Drain) []byte {
+	value, err := json.Marshal(wireDrain{Author: d.Author, RequestedAt: d.RequestedAt.UTC()})
+	if err != nil {
+		// A wireDrain holds nothing that cannot be encoded.
+		panic(err)
+	}
+	return value
+}
+
+func decode(vm string, value []byte) (Drain, error) {
+	var wire wireDrain
+	if err := json.Unmarshal(value, &wire); err != nil {
+		return Drain{}, Error.Wrap(err)
+	}
+	return Drain{VM: vm, Author: wire.Author, RequestedAt: wire.RequestedAt}, nil
+}
--- a/pkg/serving/environment/environment.go
+++ b/pkg/serving/environment/environment.go
@@ -161,7 +161,7 @@
 		source:    source,
 		target:    target,
 		decide: func(source, target revision.Row, now time.Time) (revision.Row, error) {
-			return revision.Promote(source, target, p, now)
+			return unchanged(target)(revision.Promote(source, target, p, now))
 		},
 	})
 }
@@ -174,11 +174,21 @@
 		parent:    u.Parent,
 		target:    name,
 		decide: func(_, target revision.Row, now time.Time) (revision.Row, error) {
-			return revision.Undo(target, u, now)
+			return unchanged(target)(revision.Undo(target, u, now))
 		},
 	})
 }
 
+// unchanged keeps a row whose document would be followed by the same bytes.
+func unchanged(target revision.Row) func(revision.Row, error) (revision.Row, error) {
+	return func(next revision.Row, err error) (revision.Row, error) {
+		if err == nil && next.Hash == target.Hash {
+			return target, nil
+		}
+		return next, err
+	}
+}
+
 // versioned is a row with the version that a write of it is conditioned on.
 type versioned struct {
 	row     revision.Row
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -120,6 +120,16 @@
 	}
 )
 
+// Events of leases.
+var (
+	LeasesNotHandedOn = Definition{
+		Number: 501, Level: zapcore.WarnLevel, Message: "leases not handed on",
+		Fields:  []string{"error"},
+		Meaning: "The node stops and could not give up its leases; others take them over once they lapse.",
+		Action:  noAction,
+	}
+)
+
 // Events of operators and peers.
 var (
 	KeyRefused = Definition{
@@ -143,5 +153,6 @@
 	{"Configuration", []Definition{
 		RevisionInForce, RevisionSplit, DocumentUnreadable, DocumentAccepted, DocumentRefused, DocumentOutcomeUnknown,
 	}},
+	{"Leases", []Definition{LeasesNotHandedOn}},
 	{"Operators and peers", []Definition{KeyRefused, DrainRequested}},
 }
--- a/pkg/serving/keys/keys.go
+++ b/pkg/serving/keys/keys.go
@@ -3,12 +3,14 @@
 package keys
 
 import (
+	"context"
 	"crypto/rand"
 	"crypto/sha256"
 	"crypto/subtle"
 	"encoding/base64"
 	"encoding/hex"
 	"net/http"
+	"strconv"
 	"strings"
 )
 
@@ -78,29 +80,62 @@
 	return value[len(scheme):]
 }
 
-// Match tells whether one of the digests is the digest of the key. The time it
-// takes does not depend on how much of a digest matches.
-func Match(digests []string, key string) bool {
+// Holder is someone who has a key.
+type Holder struct {
+	Name string
+	// Digest is the digest of the holder's key.
+	Digest string
+}
+
+// Find returns the holder of a key. The time it takes does not depend on which
+// holder it is, or on how much of a digest matches.
+func Find(holders []Holder, key string) (Holder, bool) {
 	if key == "" {
-		return false
+		return Holder{}, false
 	}
 	sum := []byte(Digest(key))
-	found := 0
-	for _, digest := range digests {
-		found |= subtle.ConstantTimeCompare([]byte(digest), sum)
+	found := -1
+	for i, h := range holders {
+		if subtle.ConstantTimeCompare([]byte(h.Digest), sum) == 1 {
+			found = i
+		}
+	}
+	if found < 0 {
+		return Holder{}, false
+	}
+	return holders[found], true
+}
+
+// Holders names keys by their place in the list.
+func Holders(secrets []Secret) []Holder {
+	holders := make([]Holder, 0, len(secrets))
+	for i, s := range secrets {
+		holders = append(holders, Holder{Name: strconv.Itoa(i), Digest: s.Digest()})
 	}
-	return found == 1
+	return holders
+}
+
+// holderKey is the key of the holder in a request's context.
+type holderKey struct{}
+
+// FromContext returns the holder that Require let through.
+func FromContext(ctx context.Context) Holder {
+	holder, _ := ctx.Value(holderKey{}).(Holder)
+	return holder
 }
 
-// Require answers requests that carry none of the keys with 401 and passes on
-// the others. Without digests it refuses all.
-func Require(digests []string, next http.Handler) http.Handler {
+// Require answers requests that carry no holder's key with 401, after a call
+// of refused, and passes on the others. Without holders it refuses all.
+func Require(holders []Holder, refused func(*http.Request), next http.Handler) http.Handler {
 	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		if !Match(digests, FromHeader(r.Header)) {
+		holder, ok := Find(holders, FromHeader(r.Header))
+		if !ok {
+			refused(r)
 			w.Header().Set("WWW-Authenticate", strings.TrimSpace(scheme))
 			w.WriteHeader(http.StatusUnauthorized)
 			return
 		}
-		next.ServeHTTP(w, r)
+		ctx := context.WithValue(r.Context(), holderKey{}, holder)
+		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -16,9 +16,12 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"almondbay.example/core/revision"
 	"almondbay.example/serving/caller"
 	"almondbay.example/serving/control"
+	"almondbay.example/serving/drain"
 	"almondbay.example/serving/engine"
+	"almondbay.example/serving/environment"
 	"almondbay.example/serving/event"
 	"almondbay.example/serving/operator"
 	"almondbay.example/serving/platform"
@@ -45,6 +48,10 @@
 	configurationInterval = 500 * time.Millisecond
 	// listInterval is the time between two reads of the list of VMs.
 	listInterval = 2 * time.Second
+	// commandAttempts bounds the tries of an operator's command.
+	commandAttempts = 4
+	// commandPause is the time between two tries of an operator's command.
+	commandPause = 250 * time.Millisecond
 	// drainTimeout bounds the wait for requests in flight at shutdown.
 	drainTimeout = 10 * time.Minute
 	// readHeaderTimeout bounds the time that a caller takes to send its head.
@@ -72,12 +79,16 @@
 	gateway    *caller.Gateway
 	operators  *operator.API
 	controller *control.Controller
+	store      *environment.Store
+	drains     *drain.Store
+	follower   *revision.Follower
+	platform   *platformWatch
 }
 
 // New assembles a node.
 func New(c Config) *Node {
 	v := view.New(proofTTL)
-	return &Node{
+	n := &Node{
 		config: c,
 		view:   v,
 		gateway: caller.New(caller.Config{
@@ -85,18 +96,34 @@
 			Picker: caller.NewLeastInFlight(v, c.Clock),
 			Engine: c.Engine,
 		}),
-		operators:  operator.New(operatorConfig(c)),
 		controller: control.New(controlConfig(c, v)),
+		store:      NewStore(c),
+		drains:     drain.New(drain.Config{Table: c.Table, Clock: c.Clock}),
+		follower:   revision.NewFollower(c.Settings.Environment),
+		platform:   &platformWatch{clock: c.Clock, logger: c.Logger},
 	}
+	n.operators = operator.New(operator.Config{
+		Operators: c.Settings.Operator.Operators,
+		Store:     n.store,
+		Drains:    n.drains,
+		Clock:     c.Clock,
+		Logger:    c.Logger,
+		Status:    n.Status,
+		Burn:      n.burn,
+		Metrics:   http.NotFoundHandler(),
+	})
+	return n
 }
 
-func operatorConfig(c Config) operator.Config {
-	return operator.Config{
-		Environment: c.Settings.Environment,
-		KeyHashes:   c.Settings.Operator.KeyHashes,
-		Table:       c.Table,
-		Objects:     c.Objects,
-	}
+// NewStore returns the store of the environments that a node reads.
+func NewStore(c Config) *environment.Store {
+	return environment.New(environment.Config{
+		Table:    c.Table,
+		Objects:  c.Objects,
+		Clock:    c.Clock,
+		Attempts: commandAttempts,
+		Pause:    commandPause,
+	})
 }
 
 func controlConfig(c Config, v *view.View) control.Config {
@@ -173,7 +200,7 @@
 		ending, stop := context.WithTimeout(context.Background(), handOnTimeout)
 		defer stop()
 		if err := n.controller.HandOn(ending); err != nil {
-			n.config.Logger.Warn("leases not handed on", zap.Error(err))
+			event.LeasesNotHandedOn.Log(n.config.Logger, zap.Error(err))
 		}
 		return nil
 	}, func(error) { cancel() })
--- a/pkg/serving/operator/operator.go
+++ b/pkg/serving/operator/operator.go
@@ -1,127 +1,144 @@
-// Package operator speaks to operators: it serves the admin API.
+// Package operator speaks to operators: it serves the admin API, in HTTP with
+// JSON, on its own address and with its own keys.
 package operator
 
 import (
 	"context"
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
-	"encoding/json"
-	"errors"
-	"io"
 	"net/http"
-	"strings"
 
-	"github.com/google/uuid"
+	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
-	"github.com/zeebo/errs"
+	"go.uber.org/zap"
 
-	"almondbay.example/core/document"
-	"almondbay.example/core/jsonc"
-	"almondbay.example/serving/platform"
-)
-
-// Error is the class of all errors of this package.
-var Error = errs.Class("operator")
-
-const (
-	// PathDocument is where a document is accepted.
-	PathDocument = "/v1/document"
-	// environmentPrefix starts the key of each environment's row.
-	environmentPrefix = "environment/"
-	// maxDocumentBytes bounds the size of a document.
-	maxDocumentBytes = 4 << 20
+	"almondbay.example/core/burn"
+	"almondbay.example/serving/drain"
+	"almondbay.example/serving/environment"
+	"almondbay.example/serving/event"
+	"almondbay.example/serving/keys"
+	"almondbay.example/serving/operator/operatorwire"
+	"almondbay.example/serving/status"
 )
 
 // Config configures an API.
 type Config struct {
-	Environment string
-	// KeyHashes are the hex SHA-256 digests of the operators' keys.
-	KeyHashes []string
-	Table     platform.Table
-	Objects   platform.Objects
+	// Operators may use the API; without any it refuses all requests.
+	Operators []keys.Holder
+	Store     *environment.Store
+	Drains    *drain.Store
+	Clock     clockwork.Clock
+	Logger    *zap.Logger
+	// Status returns the state of the node.
+	Status func() status.Status
+	// Burn reports on service-level burn, and names the nodes whose counts are
+	// missing in the report.
+	Burn func(ctx context.Context) (report burn.Report, missing []string, err error)
+	// Metrics serves the node's metrics.
+	Metrics http.Handler
 }
 
 // API is the admin API.
 type API struct {
-	config Config
-	echo   *echo.Echo
+	config  Config
+	handler http.Handler
 }
 
 // New returns the admin API.
 func New(c Config) *API {
-	a := &API{config: c, echo: echo.New()}
-	a.echo.HideBanner = true
-	a.echo.Use(a.authenticate)
-	a.echo.PUT(PathDocument, a.apply)
+	a := &API{config: c}
+	e := echo.New()
+	e.HTTPErrorHandler = a.refuse
+	e.Use(checkNames)
+	e.GET(operatorwire.PathPage, a.page)
+	e.GET(operatorwire.PathStatus, a.status)
+	e.GET(operatorwire.PathBurn, a.burn)
+	e.GET(operatorwire.PathMetrics, echo.WrapHandler(c.Metrics))
+	e.GET(operatorwire.PathDocument, a.document)
+	e.PUT(operatorwire.PathDocument, a.accept)
+	e.POST(operatorwire.PathPromotion, a.promote)
+	e.POST(operatorwire.PathUndoing, a.undo)
+	e.GET(operatorwire.PathHistory, a.history)
+	e.GET(operatorwire.PathDrains, a.drains)
+	e.PUT(operatorwire.PathDrain, a.drain)
+	e.DELETE(operatorwire.PathDrain, a.clearDrain)
+	a.handler = acceptPassword(keys.Require(c.Operators, a.keyRefused, e))
 	return a
 }
 
 // ServeHTTP implements http.Handler.
 func (a *API) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	a.echo.ServeHTTP(w, r)
+	a.handler.ServeHTTP(w, r)
 }
 
-func (a *API) authenticate(next echo.HandlerFunc) echo.HandlerFunc {
-	return func(c echo.Context) error {
-		key, _ := strings.CutPrefix(c.Request().Header.Get("Authorization"), "Bearer ")
-		sum := sha256.Sum256([]byte(key))
-		digest := []byte(hex.EncodeToString(sum[:]))
-		found := 0
-		for _, d := range a.config.KeyHashes {
-			found |= subtle.ConstantTimeCompare(digest, []byte(d))
+func (a *API) keyRefused(r *http.Request) {
+	event.KeyRefused.Log(a.config.Logger,
+		zap.String("listener", "operator"), zap.String("remote", r.RemoteAddr), zap.String("path", r.URL.Path))
+}
+
+// acceptPassword lets a browser read pages with the key as the password of
+// basic authentication. It holds for reading alone, since a browser adds the
+// password to requests that another site's page makes.
+func acceptPassword(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Method != http.MethodGet {
+			next.ServeHTTP(w, r)
+			return
 		}
-		if found != 1 {
-			return c.NoContent(http.StatusUnauthorized)
+		if _, password, ok := r.BasicAuth(); ok {
+			keys.NewSecret(password).Authorize(r.Header)
 		}
-		return next(c)
-	}
+		next.ServeHTTP(&challenger{ResponseWriter: w}, r)
+	})
 }
 
-// apply accepts a document as the next revision of the environment.
-func (a *API) apply(c echo.Context) error {
-	ctx := c.Request().Context()
-	body, err := io.ReadAll(http.MaxBytesReader(c.Response(), c.Request().Body, maxDocumentBytes))
-	if err != nil {
-		return c.NoContent(http.StatusRequestEntityTooLarge)
-	}
-	err = Accept(ctx, a.config, body)
-	var conflict *platform.ConflictError
-	if errors.As(err, &conflict) {
-		return c.String(http.StatusConflict, err.Error())
-	}
-	var faults jsonc.Faults
-	if errors.As(err, &faults) {
-		return c.String(http.StatusUnprocessableEntity, err.Error())
+// challenger asks a browser for a password when a page is refused.
+type challenger struct {
+	http.ResponseWriter
+}
+
+func (c *challenger) WriteHeader(code int) {
+	if code == http.StatusUnauthorized {
+		c.Header().Add("WWW-Authenticate", `Basic realm="almondbay", charset="UTF-8"`)
 	}
+	c.ResponseWriter.WriteHeader(code)
+}
+
+func (a *API) status(c echo.Context) error {
+	return c.JSON(http.StatusOK, operatorwire.FromStatus(a.config.Status()))
+}
+
+func (a *API) burn(c echo.Context) error {
+	report, missing, err := a.config.Burn(c.Request().Context())
 	if err != nil {
-		return c.String(http.StatusServiceUnavailable, err.Error())
+		return err
 	}
-	return c.NoContent(http.StatusOK)
+	return c.JSON(http.StatusOK, operatorwire.FromBurn(report, missing))
 }
 
-// Accept accepts a document as the next revision of an environment.
-func Accept(ctx context.Context, c Config, body []byte) error {
-	if _, faults := document.Parse("document", body); faults != nil {
-		return faults
+func (a *API) drains(c echo.Context) error {
+	drains, err := a.config.Drains.List(c.Request().Context())
+	if err != nil {
+		return err
 	}
-	sum := sha256.Sum256(body)
-	name := hex.EncodeToString(sum[:])
-	if err := c.Objects.Put(ctx, name, body); err != nil {
-		return Error.Wrap(err)
+	answer := operatorwire.Drains{Drains: []operatorwire.Drain{}}
+	for _, d := range drains {
+		answer.Drains = append(answer.Drains, operatorwire.Drain(d))
 	}
-	key := environmentPrefix + c.Environment
-	row, err := c.Table.Read(ctx, key)
-	if err != nil {
-		return Error.Wrap(err)
+	return c.JSON(http.StatusOK, answer)
+}
+
+func (a *API) drain(c echo.Context) error {
+	author := keys.FromContext(c.Request().Context()).Name
+	vm := c.Param("vm")
+	if err := a.config.Drains.Set(c.Request().Context(), vm, author); err != nil {
+		return err
 	}
-	value, err := json.Marshal(wireRevision{Revision: row.Version + 1, Document: name})
-	if err != nil {
-		return Error.Wrap(err)
+	event.DrainRequested.Log(a.config.Logger, zap.String("vm", vm), zap.String("author", author))
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (a *API) clearDrain(c echo.Context) error {
+	if err := a.config.Drains.Clear(c.Request().Context(), c.Param("vm")); err != nil {
+		return err
 	}
-	return Error.Wrap(c.Table.Commit(ctx, platform.Transaction{
-		Operation:  uuid.NewString(),
-		Conditions: []platform.Condition{{Key: key, Version: row.Version}},
-		Writes:     []platform.Write{{Key: key, Value: value}},
-	}))
+	return c.NoContent(http.StatusNoContent)
 }
--- /dev/null
+++ b/pkg/serving/operator/operator_test.go
@@ -0,0 +1,315 @@
+package operator_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+
+	"almondbay.example/core/burn"
+	"almondbay.example/core/document"
+	"almondbay.example/core/revision"
+	"almondbay.example/serving/drain"
+	"almondbay.example/serving/environment"
+	"almondbay.example/serving/keys"
+	"almondbay.example/serving/operator"
+	"almondbay.example/serving/operator/operatorclient"
+	"almondbay.example/serving/platform"
+	"almondbay.example/serving/status"
+)
+
+const (
+	anaKey = "ana's key for the admin API"
+	ruiKey = "rui's key for the admin API"
+)
+
+var noon = time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)
+
+func body(version string) []byte {
+	return fmt.Appendf(nil, `{"models": [{"name": "draft", "version": %q, "groups": 1, "span": 1}]}`, version)
+}
+
+// lossyTable loses the answers of commits while it is told to.
+type lossyTable struct {
+	*platform.Memory
+	lost bool
+}
+
+func (l *lossyTable) Commit(ctx context.Context, t platform.Transaction) error {
+	if err := l.Memory.Commit(ctx, t); err != nil || !l.lost {
+		return err
+	}
+	return &platform.UnknownError{Reason: "answer lost"}
+}
+
+func (l *lossyTable) Read(ctx context.Context, key string) (platform.Row, error) {
+	if l.lost {
+		if row, _ := l.Memory.Read(ctx, key); row.Version > 0 {
+			return platform.Row{}, &platform.UnknownError{Reason: "cut off"}
+		}
+	}
+	return l.Memory.Read(ctx, key)
+}
+
+type fixture struct {
+	server *httptest.Server
+	table  *lossyTable
+	logs   *observer.ObservedLogs
+	status status.Status
+	report burn.Report
+}
+
+func start(t *testing.T) *fixture {
+	t.Helper()
+	memory := platform.NewMemory()
+	core, logs := observer.New(zap.DebugLevel)
+	f := &fixture{table: &lossyTable{Memory: memory}, logs: logs}
+	clock := clockwork.NewFakeClockAt(noon)
+	api := operator.New(operator.Config{
+		Operators: []keys.Holder{{Name: "ana", Digest: keys.Digest(anaKey)}, {Name: "rui", Digest: keys.Digest(ruiKey)}},
+		Store:     environment.New(environment.Config{Table: f.table, Objects: memory, Clock: clock, Attempts: 2}),
+		Drains:    drain.New(drain.Config{Table: f.table, Clock: clock}),
+		Clock:     clock,
+		Logger:    zap.New(core),
+		Status:    func() status.Status { return f.status },
+		Burn:      func(context.Context) (burn.Report, []string, error) { return f.report, []string{"entry-2"}, nil },
+		Metrics:   http.NotFoundHandler(),
+	})
+	f.server = httptest.NewServer(api)
+	t.Cleanup(f.server.Close)
+	return f
+}
+
+func (f *fixture) client(key string, servers ...string) *operatorclient.Client {
+	return operatorclient.New(operatorclient.Config{
+		Servers: append(servers, f.server.URL), Key: keys.NewSecret(key), HTTP: f.server.Client(),
+	})
+}
+
+func TestTwoOperatorsRace(t *testing.T) {
+	f := start(t)
+	ana, rui := f.client(anaKey), f.client(ruiKey)
+	if _, err := ana.Accept(t.Context(), "trial", "one", 0, body("v1")); err != nil {
+		t.Fatal(err)
+	}
+	// Both saw revision 1; Rui is first.
+	if _, err := rui.Accept(t.Context(), "trial", "two", 1, body("v2")); err != nil {
+		t.Fatal(err)
+	}
+	_, err := ana.Accept(t.Context(), "trial", "three", 1, body("v3"))
+	var refused *operatorclient.RefusedError
+	if !errors.As(err, &refused) || refused.Status != http.StatusConflict {
+		t.Fatalf("the loser got %v", err)
+	}
+	want := []document.Change{{Path: "models/draft/version", Before: "v1", After: "v2"}}
+	if diff := cmp.Diff(want, refused.Changes); diff != "" {
+		t.Error(diff)
+	}
+	if refused.Current.Author != "rui" || refused.Current.Revision != 2 {
+		t.Errorf("the loser is shown %+v", refused.Current)
+	}
+	again, err := rui.Accept(t.Context(), "trial", "two", 1, body("v2"))
+	if err != nil || again.Revision != 2 {
+		t.Errorf("the repeat of the winner got %+v, %v", again, err)
+	}
+	entries, err := ana.History(t.Context(), "trial")
+	if err != nil || len(entries) != 2 {
+		t.Errorf("got history %+v, %v", entries, err)
+	}
+}
+
+func TestLostAnswers(t *testing.T) {
+	f := start(t)
+	client := f.client(anaKey)
+	f.table.lost = true
+	_, err := client.Accept(t.Context(), "trial", "one", 0, body("v1"))
+	var unknown *operatorclient.UnknownOutcomeError
+	if !errors.As(err, &unknown) {
+		t.Fatalf("with its answer lost, the command got %v", err)
+	}
+	f.table.lost = false
+	entry, err := client.Accept(t.Context(), "trial", "one", 0, body("v1"))
+	if err != nil || entry.Revision != 1 {
+		t.Errorf("the repeat got %+v, %v", entry, err)
+	}
+	// The first server carries the command out and breaks the connection.
+	broken := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		forwarded, _ := http.NewRequestWithContext(r.Context(), r.Method, f.server.URL+r.URL.String(), r.Body)
+		forwarded.Header = r.Header
+		if answer, err := f.server.Client().Do(forwarded); err == nil {
+			_ = answer.Body.Close()
+		}
+		panic(http.ErrAbortHandler)
+	}))
+	defer broken.Close()
+	entry, err = f.client(anaKey, broken.URL).Accept(t.Context(), "trial", "two", 1, body("v2"))
+	if err != nil || entry.Revision != 2 {
+		t.Errorf("over a second server the command got %+v, %v", entry, err)
+	}
+	only := operatorclient.New(operatorclient.Config{Servers: []string{broken.URL}, Key: keys.NewSecret(anaKey), HTTP: broken.Client()})
+	if _, err := only.Accept(t.Context(), "trial", "three", 2, body("v3")); !errors.As(err, &unknown) {
+		t.Errorf("over the broken server alone the command got %v", err)
+	}
+}
+
+func TestPromoteUndoDrain(t *testing.T) {
+	f := start(t)
+	client := f.client(anaKey)
+	for i, version := range []string{"v1", "v2"} {
+		if _, err := client.Accept(t.Context(), "trial", version, uint64(i), body(version)); err != nil {
+			t.Fatal(err)
+		}
+	}
+	promoted, err := client.Promote(t.Context(), "trial", "production", revision.Promotion{Operation: "p", SourceRevision: 2})
+	if err != nil || promoted.Source != (revision.Source{Environment: "trial", Revision: 2}) {
+		t.Errorf("got %+v, %v", promoted, err)
+	}
+	_, bytes, err := client.Document(t.Context(), "production", 0)
+	if err != nil || string(bytes) != string(body("v2")) {
+		t.Errorf("production holds %q, %v", bytes, err)
+	}
+	undone, err := client.Undo(t.Context(), "trial", revision.Undoing{Operation: "u", Parent: 2, To: 1})
+	if err != nil || undone.Revision != 3 || undone.Kind != revision.KindUndo {
+		t.Errorf("got %+v, %v", undone, err)
+	}
+	none, _, err := client.Document(t.Context(), "elsewhere", 0)
+	if err != nil || none.Revision != 0 {
+		t.Errorf("an environment without document got %+v, %v", none, err)
+	}
+	if err := client.Drain(t.Context(), "vm-1"); err != nil {
+		t.Error(err)
+	}
+	drains, err := drain.New(drain.Config{Table: f.table}).List(t.Context())
+	if err != nil || len(drains) != 1 || drains[0].VM != "vm-1" || drains[0].Author != "ana" {
+		t.Errorf("got drains %+v, %v", drains, err)
+	}
+	if err := client.ClearDrain(t.Context(), "vm-1"); err != nil {
+		t.Error(err)
+	}
+}
+
+func TestStatusAndBurnSurviveTheWire(t *testing.T) {
+	f := start(t)
+	f.status = status.Status{
+		Node: "entry-1", FailureDomain: "lisbon-1", Environment: "trial", At: noon, Ready: true, Reasons: []string{},
+		Revision: revision.Held{Entry: revision.Entry{Revision: 7, Hash: "ab", Kind: revision.KindApply, AcceptedAt: noon}, Confirmed: true},
+		Models:   []status.Model{{Name: "draft", Version: "v1", Wanted: 3, Serving: 2}},
+		Groups:   []status.Group{{ID: "draft-0", Model: "draft", Version: "v1", Epoch: 4, State: "serving", Members: []string{"vm-1"}, Serving: true}},
+		VMs:      []status.VM{{ID: "vm-1", Role: "backend", FailureDomain: "lisbon-1", State: "live", SeenAt: noon}},
+		Nodes:    []status.Node{{ID: "entry-2", FailureDomain: "lisbon-2", Revision: 6, SeenAt: noon}, {ID: "<script>"}},
+	}
+	got, err := f.client(anaKey).Status(t.Context())
+	if diff := cmp.Diff(f.status, got); diff != "" || err != nil {
+		t.Errorf("%v %s", err, diff)
+	}
+	if got.Distance() != 1 || len(got.Lagging()) != 2 {
+		t.Errorf("got distance %d, lagging %v", got.Distance(), got.Lagging())
+	}
+	recorder := burn.NewRecorder()
+	recorder.Record(burn.Series{Workspace: "lisbon", Model: "draft"}, false, noon)
+	objective := document.Objective{FirstToken: 2 * time.Second, BetweenToken: 45 * time.Millisecond, Target: 0.95}
+	plan := document.Document{Workspaces: []document.Workspace{{Name: "lisbon", Objective: objective}}}
+	f.report = burn.NewReport(burn.DefaultPolicy(), plan, recorder.Histories(noon), noon)
+	report, missing, err := f.client(anaKey).Burn(t.Context())
+	if diff := cmp.Diff(f.report, report); diff != "" || err != nil || len(missing) != 1 {
+		t.Errorf("%v %v %s", err, missing, diff)
+	}
+	page := f.get(t, http.MethodGet, "/", "", anaKey)
+	if page.code != http.StatusOK || !strings.Contains(page.body, "lisbon-2") || strings.Contains(page.body, "<script>") {
+		t.Errorf("got page %d %s", page.code, page.body)
+	}
+}
+
+type answer struct {
+	code int
+	body string
+}
+
+// get sends a request with a bearer key, or with a password.
+func (f *fixture) get(t *testing.T, method, path, key, password string) answer {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), method, f.server.URL+path, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if key != "" {
+		request.Header.Set("Authorization", "Bearer "+key)
+	}
+	if password != "" {
+		request.SetBasicAuth("operator", password)
+	}
+	response, err := f.server.Client().Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return answer{response.StatusCode, string(body)}
+}
+
+func TestOnlyOperatorsGetIn(t *testing.T) {
+	f := start(t)
+	caller := "a caller's key"
+	paths := map[string]string{
+		"/": http.MethodGet, "/metrics": http.MethodGet, "/v1/status": http.MethodGet, "/v1/burn": http.MethodGet,
+		"/v1/environments/trial/document": http.MethodPut, "/v1/environments/trial/history": http.MethodGet,
+		"/v1/environments/trial/promotion": http.MethodPost, "/v1/environments/trial/undoing": http.MethodPost,
+		"/v1/drains": http.MethodGet, "/v1/drains/vm-1": http.MethodDelete, "/nowhere": http.MethodGet,
+	}
+	for path, method := range paths {
+		for _, key := range []string{"", caller, keys.Digest(anaKey)} {
+			if got := f.get(t, method, path, key, ""); got.code != http.StatusUnauthorized || got.body != "" {
+				t.Errorf("%s %s with key %q got %+v", method, path, key, got)
+			}
+		}
+	}
+	if got := f.get(t, http.MethodDelete, "/v1/drains/vm-1", "", anaKey); got.code != http.StatusUnauthorized {
+		t.Errorf("a password opened a command: %+v", got)
+	}
+	for _, line := range f.logs.All() {
+		if text := fmt.Sprint(line.Message, line.ContextMap()); strings.Contains(text, caller) || strings.Contains(text, anaKey) {
+			t.Errorf("a key is logged: %s", text)
+		}
+	}
+	if f.logs.Len() == 0 {
+		t.Error("refusals are not logged")
+	}
+}
+
+func TestRefusals(t *testing.T) {
+	f := start(t)
+	tests := []struct {
+		method, path string
+		want         int
+	}{
+		{http.MethodGet, "/v1/environments/trial/document", http.StatusNotFound},
+		{http.MethodGet, "/v1/environments/trial/history", http.StatusNotFound},
+		{http.MethodGet, "/nowhere", http.StatusNotFound},
+		{http.MethodGet, "/v1/environments/a%2Fb/history", http.StatusBadRequest},
+		{http.MethodPut, "/v1/drains/a%2Fb", http.StatusBadRequest},
+		{http.MethodPut, "/v1/environments/trial/document?parent=0&operation=", http.StatusBadRequest},
+		{http.MethodPut, "/v1/environments/trial/document?parent=x&operation=a", http.StatusBadRequest},
+		{http.MethodPut, "/v1/environments/trial/document?parent=0&operation=a", http.StatusUnprocessableEntity},
+		{http.MethodPost, "/v1/environments/trial/promotion", http.StatusBadRequest},
+		{http.MethodPost, "/v1/environments/trial/undoing", http.StatusBadRequest},
+	}
+	for _, test := range tests {
+		got := f.get(t, test.method, test.path, anaKey, "")
+		if got.code != test.want || !strings.Contains(got.body, `"outcome":"notRun"`) {
+			t.Errorf("%s %s got %+v, want status %d", test.method, test.path, got, test.want)
+		}
+	}
+}
--- /dev/null
+++ b/pkg/serving/report/plot.go
@@ -0,0 +1,133 @@
+package report
+
+import (
+	"bytes"
+	"image/color"
+	"io"
+	"time"
+
+	"gonum.org/v1/plot"
+	"gonum.org/v1/plot/plotter"
+	"gonum.org/v1/plot/vg"
+	"gonum.org/v1/plot/vg/draw"
+	"gonum.org/v1/plot/vg/vgsvg"
+
+	"almondbay.example/core/burn"
+)
+
+const (
+	plotWidth  = 24 * vg.Centimeter
+	plotHeight = 6 * vg.Centimeter
+	// lineWidth and dotRadius are in points, of which an inch has 72.
+	lineWidth vg.Length = 1.5
+	dotRadius vg.Length = 1.5
+	// headroom keeps the highest value off the upper edge.
+	headroom = 1.1
+)
+
+var (
+	rateColor   = color.RGBA{R: 0x0b, G: 0x57, B: 0xd0, A: 0xff}
+	budgetColor = color.RGBA{R: 0x6e, G: 0x77, B: 0x81, A: 0xff}
+	alertColors = []color.RGBA{
+		{R: 0xb3, G: 0x26, B: 0x1e, A: 0xff},
+		{R: 0xb0, G: 0x6d, B: 0x00, A: 0xff},
+	}
+)
+
+// plotRow writes the burn rate of a row over the period as an SVG element, with
+// a line for each alert.
+func plotRow(w io.Writer, r burn.Report, row burn.Row) error {
+	p := plot.New()
+	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04", Time: plot.UTCUnixTime}
+	p.Y.Label.Text = "burn rate"
+	p.X.Min = unix(r.At.Add(-r.Policy.Period))
+	p.X.Max = unix(r.At)
+	p.Legend.Top, p.Legend.Left = true, true
+	p.Add(plotter.NewGrid())
+	if err := addRates(p, row.Points); err != nil {
+		return err
+	}
+	if err := addLevel(p, "budget", 1, budgetColor); err != nil {
+		return err
+	}
+	highest := highestRate(row)
+	for i, a := range row.Alerts {
+		if err := addLevel(p, a.Rule, a.Factor, alertColors[i%len(alertColors)]); err != nil {
+			return err
+		}
+	}
+	p.Y.Min, p.Y.Max = 0, highest*headroom
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var document bytes.Buffer
+	if _, err := canvas.WriteTo(&document); err != nil {
+		return Error.Wrap(err)
+	}
+	_, err := w.Write(element(document.Bytes()))
+	return Error.Wrap(err)
+}
+
+// element drops what stands before the SVG element in an SVG document.
+func element(document []byte) []byte {
+	return document[max(0, bytes.Index(document, []byte("<svg"))):]
+}
+
+func highestRate(row burn.Row) float64 {
+	highest := 1.0
+	for _, a := range row.Alerts {
+		highest = max(highest, a.Factor)
+	}
+	for _, point := range row.Points {
+		highest = max(highest, point.Rate)
+	}
+	return highest
+}
+
+// addRates draws the points, joined where no bucket between them is empty.
+func addRates(p *plot.Plot, points []burn.Point) error {
+	for _, run := range runs(points) {
+		xys := make(plotter.XYs, len(run))
+		for i, point := range run {
+			xys[i] = plotter.XY{X: unix(point.At), Y: point.Rate}
+		}
+		line, dots, err := plotter.NewLinePoints(xys)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		line.Color, line.Width = rateColor, lineWidth
+		dots.Color, dots.Radius, dots.Shape = rateColor, dotRadius, draw.CircleGlyph{}
+		p.Add(line, dots)
+	}
+	return nil
+}
+
+// runs cuts points where a bucket between them is empty.
+func runs(points []burn.Point) [][]burn.Point {
+	var cut [][]burn.Point
+	start := 0
+	for i := range points {
+		last := i == len(points)-1
+		if last || points[i+1].At.Sub(points[i].At) > burn.CoarseWidth {
+			cut = append(cut, points[start:i+1])
+			start = i + 1
+		}
+	}
+	return cut
+}
+
+// addLevel draws a level over the whole width, with an entry in the legend.
+func addLevel(p *plot.Plot, name string, level float64, c color.Color) error {
+	line, err := plotter.NewLine(plotter.XYs{{X: p.X.Min, Y: level}, {X: p.X.Max, Y: level}})
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	line.Color = c
+	line.Dashes = []vg.Length{4, 3}
+	p.Add(line)
+	p.Legend.Add(name, line)
+	return nil
+}
+
+func unix(t time.Time) float64 {
+	return float64(t.Unix())
+}
--- a/pkg/serving/settings/check.go
+++ b/pkg/serving/settings/check.go
@@ -6,6 +6,7 @@
 	"regexp"
 
 	"almondbay.example/core/jsonc"
+	"almondbay.example/serving/keys"
 )
 
 var (
@@ -31,7 +32,7 @@
 	c.listener("/caller", s.Caller)
 	c.listener("/operator", s.Operator.Listener)
 	c.encrypted("/operator", s.Operator.Listener)
-	c.keyHashes("/operator/keyHashes", s.Operator.KeyHashes)
+	c.operators(s.Operator.Operators)
 	c.listener("/peer", s.Peer.Listener)
 	c.encrypted("/peer", s.Peer.Listener)
 	c.peerKeys(s.Peer)
@@ -90,13 +91,20 @@
 	c.source.Faultf(at+"/tls", "is needed on an address that is not loopback")
 }
 
-func (c *checker) keyHashes(at string, hashes []string) {
-	if len(hashes) == 0 {
-		c.source.Faultf(at, "at least one key hash is needed")
-	}
-	for i, hash := range hashes {
-		if !hashPattern.MatchString(hash) {
-			c.source.Faultf(at+jsonc.Pointer(i), "must be a SHA-256 digest in 64 lower-case hex digits")
+func (c *checker) operators(operators []keys.Holder) {
+	if len(operators) == 0 {
+		c.source.Faultf("/operator/operators", "at least one operator is needed")
+	}
+	names := make(map[string]bool)
+	for i, o := range operators {
+		at := jsonc.Pointer("operator", "operators", i)
+		c.name(at+"/name", o.Name)
+		if names[o.Name] {
+			c.source.Faultf(at+"/name", "%q is given already", o.Name)
+		}
+		names[o.Name] = true
+		if !hashPattern.MatchString(o.Digest) {
+			c.source.Faultf(at+"/keyHash", "must be a SHA-256 digest in 64 lower-case hex digits")
 		}
 	}
 }
--- a/pkg/serving/settings/codec.go
+++ b/pkg/serving/settings/codec.go
@@ -30,9 +30,14 @@
 }
 
 type wireOperator struct {
-	Address   string   `json:"address"`
-	TLS       wireTLS  `json:"tls"`
-	KeyHashes []string `json:"keyHashes"`
+	Address   string       `json:"address"`
+	TLS       wireTLS      `json:"tls"`
+	Operators []wireHolder `json:"operators"`
+}
+
+type wireHolder struct {
+	Name    string `json:"name"`
+	KeyHash string `json:"keyHash"`
 }
 
 type wirePeer struct {
@@ -86,8 +91,7 @@
 		Environment:   w.Environment,
 		Caller:        Listener{Address: w.Caller.Address, TLS: TLS(w.Caller.TLS)},
 		Operator: OperatorListener{
-			Listener:  Listener{Address: w.Operator.Address, TLS: TLS(w.Operator.TLS)},
-			KeyHashes: w.Operator.KeyHashes,
+			Listener: Listener{Address: w.Operator.Address, TLS: TLS(w.Operator.TLS)},
 		},
 		Peer: PeerListener{
 			Listener: Listener{Address: w.Peer.Address, TLS: TLS(w.Peer.TLS)},
@@ -106,6 +110,9 @@
 			RequestTimeout: time.Duration(w.Limits.RequestTimeout),
 		},
 	}
+	for _, o := range w.Operator.Operators {
+		s.Operator.Operators = append(s.Operator.Operators, keys.Holder{Name: o.Name, Digest: o.KeyHash})
+	}
 	for _, key := range w.Peer.Keys {
 		s.Peer.Keys = append(s.Peer.Keys, keys.NewSecret(key))
 	}
--- a/pkg/serving/settings/settings.go
+++ b/pkg/serving/settings/settings.go
@@ -65,9 +65,8 @@
 // OperatorListener is the address of the admin API.
 type OperatorListener struct {
 	Listener
-	// KeyHashes are the hex SHA-256 digests of the operators' keys; at least
-	// one.
-	KeyHashes []string
+	// Operators may use the admin API; at least one.
+	Operators []keys.Holder
 }
 
 // PeerListener is the address for the other nodes.
--- a/pkg/serving/view/view.go
+++ b/pkg/serving/view/view.go
@@ -6,6 +6,7 @@
 
 import (
 	"slices"
+	"strings"
 	"sync"
 	"time"
 
@@ -36,6 +37,8 @@
 
 	mu  sync.RWMutex
 	vms map[string]fleet.VM
+	// drained holds the VMs that operators asked to take out of service.
+	drained map[string]bool
 	// services holds the live VMs of each plain service; replaced whole.
 	services map[string][]fleet.VM
 	groups   map[string]group.Row
@@ -56,11 +59,35 @@
 	}
 }
 
-// SetVMs replaces the list of VMs.
+// SetDrained replaces the VMs that operators asked to take out of service. It
+// takes effect with the next SetVMs.
+func (v *View) SetDrained(ids []string) {
+	drained := make(map[string]bool, len(ids))
+	for _, id := range ids {
+		drained[id] = true
+	}
+	v.mu.Lock()
+	defer v.mu.Unlock()
+
+	v.drained = drained
+}
+
+// Drained tells whether an operator asked to take a VM out of service.
+func (v *View) Drained(id string) bool {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+
+	return v.drained[id]
+}
+
+// SetVMs replaces the list of VMs. A drained VM counts as leaving.
 func (v *View) SetVMs(vms []fleet.VM) {
 	byID := make(map[string]fleet.VM, len(vms))
 	services := make(map[string][]fleet.VM)
 	for _, vm := range vms {
+		if v.Drained(vm.ID) {
+			vm.State = fleet.VMLeaving
+		}
 		byID[vm.ID] = vm
 		if vm.Role == fleet.RoleService && vm.State == fleet.VMLive {
 			services[vm.Service] = append(services[vm.Service], vm)
@@ -170,6 +197,26 @@
 	return out
 }
 
+// GroupState is a replica group and whether it serves.
+type GroupState struct {
+	Row group.Row
+	// Serving tells whether the group has a proof.
+	Serving bool
+}
+
+// Groups returns all replica groups at now, in the order of their IDs.
+func (v *View) Groups(now time.Time) []GroupState {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+
+	states := make([]GroupState, 0, len(v.groups))
+	for _, g := range v.groups {
+		states = append(states, GroupState{Row: g, Serving: v.proved(g, now)})
+	}
+	slices.SortFunc(states, func(a, b GroupState) int { return strings.Compare(a.Row.ID, b.Row.ID) })
+	return states
+}
+
 // proved reports whether g is proven and the platform lists no member as
 // leaving. The caller holds the lock.
 func (v *View) proved(g group.Row, now time.Time) bool {
