--- /dev/null
+++ b/pkg/serving/metric/metric.go
@@ -0,0 +1,202 @@
+// Package metric holds the metrics of a node for Prometheus. docs/METRICS.md
+// lists them; a test holds the page against the catalogue.
+package metric
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"almondbay.example/core/burn"
+	"almondbay.example/serving/status"
+)
+
+// Request is a generation request that has ended.
+type Request struct {
+	burn.Series
+	burn.Sample
+	// Counts tells whether the workspace has an objective that the request
+	// counts for, and Good whether the request meets it.
+	Counts bool
+	Good   bool
+}
+
+// Config configures Metrics.
+type Config struct {
+	Clock clockwork.Clock
+	// Status returns the state of the node at a scrape.
+	Status func() status.Status
+	// Burn reports on what this node alone has counted.
+	Burn func() burn.Report
+}
+
+// Metrics are the metrics of one node. They are safe for concurrent use.
+type Metrics struct {
+	registry     *prometheus.Registry
+	requests     *prometheus.CounterVec
+	objective    *prometheus.CounterVec
+	firstToken   *prometheus.HistogramVec
+	betweenToken *prometheus.HistogramVec
+}
+
+// New returns the metrics of a node, with those of its process.
+func New(c Config) *Metrics {
+	m := &Metrics{
+		registry:     prometheus.NewRegistry(),
+		requests:     prometheus.NewCounterVec(counterOptions(requestsTotal), requestsTotal.Labels),
+		objective:    prometheus.NewCounterVec(counterOptions(objectiveTotal), objectiveTotal.Labels),
+		firstToken:   prometheus.NewHistogramVec(histogramOptions(firstToken), firstToken.Labels),
+		betweenToken: prometheus.NewHistogramVec(histogramOptions(betweenToken), betweenToken.Labels),
+	}
+	m.registry.MustRegister(
+		m.requests, m.objective, m.firstToken, m.betweenToken,
+		newSnapshot(c),
+		collectors.NewGoCollector(),
+		collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}),
+	)
+	return m
+}
+
+// Handler serves the metrics.
+func (m *Metrics) Handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{})
+}
+
+// Observe counts a request. Its workspace and model must be named in the
+// document, so that the number of series is bounded.
+func (m *Metrics) Observe(r Request) {
+	m.requests.WithLabelValues(r.Workspace, r.Model, string(r.Outcome)).Inc()
+	if r.Counts {
+		m.objective.WithLabelValues(r.Workspace, r.Model, result(r.Good)).Inc()
+	}
+	if r.Outcome != burn.Served {
+		return
+	}
+	m.firstToken.WithLabelValues(r.Workspace, r.Model).Observe(r.FirstToken.Seconds())
+	if r.BetweenToken > 0 {
+		m.betweenToken.WithLabelValues(r.Workspace, r.Model).Observe(r.BetweenToken.Seconds())
+	}
+}
+
+func result(good bool) string {
+	if good {
+		return "good"
+	}
+	return "bad"
+}
+
+func counterOptions(d Definition) prometheus.CounterOpts {
+	return prometheus.CounterOpts{Name: d.Name, Help: d.Help}
+}
+
+func histogramOptions(d Definition) prometheus.HistogramOpts {
+	return prometheus.HistogramOpts{Name: d.Name, Help: d.Help, Buckets: d.buckets}
+}
+
+// snapshot turns the state of the node into metrics at each scrape.
+type snapshot struct {
+	config Config
+	descs  map[string]*prometheus.Desc
+}
+
+func newSnapshot(c Config) *snapshot {
+	s := &snapshot{config: c, descs: make(map[string]*prometheus.Desc)}
+	for _, d := range snapshotDefinitions {
+		s.descs[d.Name] = prometheus.NewDesc(d.Name, d.Help, d.Labels, nil)
+	}
+	return s
+}
+
+// Describe implements prometheus.Collector.
+func (s *snapshot) Describe(descs chan<- *prometheus.Desc) {
+	for _, desc := range s.descs {
+		descs <- desc
+	}
+}
+
+// Collect implements prometheus.Collector.
+func (s *snapshot) Collect(metrics chan<- prometheus.Metric) {
+	send := func(d Definition, value float64, labels ...string) {
+		metrics <- prometheus.MustNewConstMetric(s.descs[d.Name], prometheus.GaugeValue, value, labels...)
+	}
+	state := s.config.Status()
+	send(build, 1, state.Version)
+	send(ready, flag(state.Ready))
+	send(revisionInForce, float64(state.Revision.Revision))
+	send(revisionConfirmed, flag(state.Revision.Confirmed))
+	send(documentDistance, float64(state.Distance()))
+	send(nodesLagging, float64(len(state.Lagging())))
+	if !state.PlatformSeenAt.IsZero() {
+		send(platformAge, s.config.Clock.Since(state.PlatformSeenAt).Seconds())
+	}
+	for _, m := range state.Models {
+		send(groupsWanted, float64(m.Wanted), m.Name)
+		send(groupsServing, float64(m.Serving), m.Name)
+	}
+	sendCounts(send, state)
+	s.sendBurn(send)
+}
+
+func sendCounts(send func(Definition, float64, ...string), state status.Status) {
+	type place struct{ first, second string }
+	groups, members := make(map[place]int), make(map[place]int)
+	for _, g := range state.Groups {
+		groups[place{g.Model, g.State}]++
+	}
+	for _, vm := range state.VMs {
+		members[place{vm.Role, vm.State}]++
+	}
+	for p, count := range groups {
+		send(groupStates, float64(count), p.first, p.second)
+	}
+	for p, count := range members {
+		send(vms, float64(count), p.first, p.second)
+	}
+}
+
+func (s *snapshot) sendBurn(send func(Definition, float64, ...string)) {
+	for _, row := range s.config.Burn().Rows {
+		send(budgetLeft, row.BudgetLeft, row.Workspace, row.Model)
+		for _, w := range row.Windows {
+			send(burnRate, w.Rate, row.Workspace, row.Model, windowLabel(w.Length))
+		}
+	}
+}
+
+// windowLabel writes a window in whole minutes, whatever its length.
+func windowLabel(d time.Duration) string {
+	return fmt.Sprintf("%dm", int(d.Minutes()))
+}
+
+func flag(set bool) float64 {
+	if set {
+		return 1
+	}
+	return 0
+}
+
+const pageHead = `# Metrics
+
+A node serves these on its admin address under ` + "`/metrics`" + `, to operators' keys
+alone, beside the usual metrics of its process. The page is written from the
+catalogue in pkg/serving/metric; a test fails when they differ.
+
+| Metric | Type | Labels | Meaning |
+|---|---|---|---|
+`
+
+// Markdown returns the text of docs/METRICS.md.
+func Markdown() string {
+	var page strings.Builder
+	page.WriteString(pageHead)
+	for _, d := range All() {
+		fmt.Fprintf(&page, "| `%s` | %s | %s | %s |\n", d.Name, d.Kind, strings.Join(d.Labels, ", "), d.Help)
+	}
+	return page.String()
+}
--- /dev/null
+++ b/pkg/serving/metric/metric_test.go
@@ -0,0 +1,96 @@
+package metric_test
+
+import (
+	"flag"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+
+	"almondbay.example/core/burn"
+	"almondbay.example/core/document"
+	"almondbay.example/core/revision"
+	"almondbay.example/serving/metric"
+	"almondbay.example/serving/status"
+)
+
+var update = flag.Bool("update", false, "write docs/METRICS.md from the catalogue")
+
+const page = "../../../docs/METRICS.md"
+
+var (
+	noon   = time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)
+	series = burn.Series{Workspace: "lisbon", Model: "draft"}
+)
+
+func TestPage(t *testing.T) {
+	if *update {
+		if err := os.WriteFile(page, []byte(metric.Markdown()), 0o644); err != nil {
+			t.Fatal(err)
+		}
+	}
+	written, err := os.ReadFile(page)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if diff := cmp.Diff(metric.Markdown(), string(written)); diff != "" {
+		t.Errorf("docs/METRICS.md differs from the catalogue; run this test with -update:\n%s", diff)
+	}
+}
+
+func report() burn.Report {
+	recorder := burn.NewRecorder()
+	recorder.Record(series, true, noon)
+	objective := document.Objective{FirstToken: time.Second, BetweenToken: time.Second, Target: 0.9}
+	plan := document.Document{Workspaces: []document.Workspace{{Name: "lisbon", Objective: objective}}}
+	return burn.NewReport(burn.DefaultPolicy(), plan, recorder.Histories(noon), noon)
+}
+
+func TestMetrics(t *testing.T) {
+	metrics := metric.New(metric.Config{
+		Clock: clockwork.NewFakeClockAt(noon),
+		Status: func() status.Status {
+			return status.Status{
+				Version: "1", Ready: true, PlatformSeenAt: noon.Add(-3 * time.Second),
+				Revision: revision.Held{Entry: revision.Entry{Revision: 7}, Confirmed: true},
+				Models:   []status.Model{{Name: "draft", Wanted: 3, Serving: 1}},
+				Groups:   []status.Group{{Model: "draft", State: "serving"}, {Model: "draft", State: "serving"}},
+				VMs:      []status.VM{{Role: "backend", State: "live"}},
+				Nodes:    []status.Node{{ID: "b", Revision: 6}, {ID: "c", Revision: 7}},
+			}
+		},
+		Burn: report,
+	})
+	served := burn.Sample{Outcome: burn.Served, FirstToken: 100 * time.Millisecond, BetweenToken: 30 * time.Millisecond}
+	metrics.Observe(metric.Request{Series: series, Sample: served, Counts: true, Good: true})
+	metrics.Observe(metric.Request{Series: series, Sample: burn.Sample{Outcome: burn.Refused}, Counts: true})
+	metrics.Observe(metric.Request{Series: series, Sample: burn.Sample{Outcome: burn.Excused}})
+
+	answer := httptest.NewRecorder()
+	metrics.Handler().ServeHTTP(answer, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	text := answer.Body.String()
+	for _, want := range []string{
+		`almondbay_requests_total{model="draft",outcome="served",workspace="lisbon"} 1`,
+		`almondbay_requests_total{model="draft",outcome="excused",workspace="lisbon"} 1`,
+		`almondbay_objective_requests_total{model="draft",result="bad",workspace="lisbon"} 1`,
+		`almondbay_first_token_seconds_count{model="draft",workspace="lisbon"} 1`,
+		`almondbay_document_distance 2`, `almondbay_nodes_lagging 1`, `almondbay_platform_age_seconds 3`,
+		`almondbay_groups{model="draft",state="serving"} 2`, `almondbay_revision_in_force 7`,
+		`almondbay_burn_rate{model="draft",window="360m",workspace="lisbon"} 0`,
+		`almondbay_budget_left{model="draft",workspace="lisbon"} 1`,
+	} {
+		if !strings.Contains(text, want+"\n") {
+			t.Errorf("no line %s", want)
+		}
+	}
+	for _, d := range metric.All() {
+		if !strings.Contains(text, "# TYPE "+d.Name+" "+string(d.Kind)+"\n") {
+			t.Errorf("%s is not served as a %s", d.Name, d.Kind)
+		}
+	}
+}
