--- a/pkg/serving/caller/call.go
+++ b/pkg/serving/caller/call.go
@@ -27,7 +27,12 @@
 	// id is the same for all attempts.
 	id        string
 	workspace document.Workspace
-	options   options
+	// model is the model or adapter that a generation request names; empty for
+	// a call of a plain service.
+	model   string
+	options options
+	// receivedAt is when the call had been read.
+	receivedAt time.Time
 	// deadline is when the answer is due.
 	deadline time.Time
 	body     []byte
@@ -74,13 +79,15 @@
 		release()
 		return nil, p
 	}
+	now := g.clock.Now()
 	return &call{
-		id:        uuid.NewString(),
-		workspace: workspace,
-		options:   o,
-		deadline:  g.clock.Now().Add(o.timeout),
-		body:      body,
-		release:   release,
+		id:         uuid.NewString(),
+		workspace:  workspace,
+		options:    o,
+		receivedAt: now,
+		deadline:   now.Add(o.timeout),
+		body:       body,
+		release:    release,
 	}, nil
 }
 
--- a/pkg/serving/caller/gateway.go
+++ b/pkg/serving/caller/gateway.go
@@ -38,6 +38,8 @@
 	Limits Limits
 	// FailureDomain is that of the node; plain services in it come first.
 	FailureDomain string
+	// Observer is told of generation requests that have ended; nil for none.
+	Observer Observer
 	// Peers is the other nodes; nil when there are none.
 	Peers Peers
 	// NoQuarantine lets requests that crash backend servers run, for
@@ -58,6 +60,7 @@
 	suspects *suspects
 	inFlight *inFlight
 	domain   string
+	observer Observer
 	// calls counts the calls in flight on each VM of a plain service.
 	calls     *counts
 	echo      *echo.Echo
@@ -79,6 +82,7 @@
 		suspects: newSuspects(c),
 		inFlight: newInFlight(),
 		domain:   c.FailureDomain,
+		observer: c.Observer,
 		calls:    newCounts(),
 		echo:     echo.New(),
 	}
--- a/pkg/serving/caller/generate.go
+++ b/pkg/serving/caller/generate.go
@@ -35,6 +35,7 @@
 	if !known || !allowed(call.workspace, request.model) {
 		return notRun(http.StatusNotFound, CodeUnknownModel, "the model is not served").write(c)
 	}
+	call.model = request.model
 	call.idempotent = call.options.idempotence != idempotenceNo
 	call.print = attempt.NewFingerprint([]byte(call.workspace.Name), []byte(request.model), call.body)
 	b := &engineBackend{gateway: g, call: call, generation: request, model: model, path: c.Path()}
@@ -50,7 +51,11 @@
 		return g.book(ctx, c, call, b)
 	}
 	s := g.callerSink(c)
-	return s.close(c, g.exchange(b, call, s, true).run(ctx))
+	timed := &timedSink{sink: s, clock: g.clock}
+	x := g.exchange(b, call, timed, true)
+	p := x.run(ctx)
+	g.observe(call, timed, x.request.Forwarded(), p)
+	return s.close(c, p)
 }
 
 // engineBackend sends a generation request to replica groups.
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"almondbay.example/core/burn"
 	"almondbay.example/core/revision"
 	"almondbay.example/serving/caller"
 	"almondbay.example/serving/control"
@@ -96,6 +97,7 @@
 			Picker: caller.NewLeastInFlight(v, c.Clock),
 			Engine: c.Engine,
 		}),
+		recorder:   burn.NewRecorder(),
 		controller: control.New(controlConfig(c, v)),
 		store:      NewStore(c),
 		drains:     drain.New(drain.Config{Table: c.Table, Clock: c.Clock}),
--- a/pkg/serving/node/status.go
+++ b/pkg/serving/node/status.go
@@ -1,14 +1,12 @@
 package node
 
 import (
-	"context"
 	"sync"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
-	"almondbay.example/core/burn"
 	"almondbay.example/core/fleet"
 	"almondbay.example/serving/event"
 	"almondbay.example/serving/status"
@@ -89,13 +87,6 @@
 	return vms
 }
 
-// burn reports on what this node has counted.
-func (n *Node) burn(context.Context) (burn.Report, []string, error) {
-	now := n.config.Clock.Now()
-	d, _ := n.view.Document()
-	return burn.NewReport(burn.DefaultPolicy(), d, nil, now), nil, nil
-}
-
 // platformWatch remembers when the table service last answered, and logs when
 // that changes.
 type platformWatch struct {
