--- a/cmd/almondbay/main.go
+++ b/cmd/almondbay/main.go
@@ -29,6 +29,8 @@
 
 func main() {
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	// The first signal drains a node; a second one ends it at once.
+	context.AfterFunc(ctx, stop)
 	code := execute(os.Args[1:], session{ctx: ctx, out: os.Stdout}, os.Stderr)
 	stop()
 	os.Exit(code)
--- a/pkg/serving/certificate/certificate.go
+++ b/pkg/serving/certificate/certificate.go
@@ -185,3 +185,22 @@
 	connection, err := dialer.DialContext(ctx, network, address)
 	return connection, Error.Wrap(err)
 }
+
+// Client returns the settings of a client that checks servers against the
+// certificates in an authority file, or against those of the operating system
+// when there is no file.
+func Client(authority string) (*tls.Config, error) {
+	c := &tls.Config{MinVersion: tls.VersionTLS12}
+	if authority == "" {
+		return c, nil
+	}
+	body, err := os.ReadFile(authority)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	c.RootCAs = x509.NewCertPool()
+	if !c.RootCAs.AppendCertsFromPEM(body) {
+		return nil, &AuthorityError{File: authority}
+	}
+	return c, nil
+}
--- a/pkg/serving/keys/keys.go
+++ b/pkg/serving/keys/keys.go
@@ -139,3 +139,20 @@
 		next.ServeHTTP(w, r.WithContext(ctx))
 	})
 }
+
+// Transport puts a key into the head of each request.
+type Transport struct {
+	Key Secret
+	// Base sends the requests.
+	Base http.RoundTripper
+}
+
+// RoundTrip implements http.RoundTripper.
+func (t Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	if t.Key.IsZero() {
+		return t.Base.RoundTrip(r)
+	}
+	clone := r.Clone(r.Context())
+	t.Key.Authorize(clone.Header)
+	return t.Base.RoundTrip(clone)
+}
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -19,13 +19,16 @@
 	"almondbay.example/core/burn"
 	"almondbay.example/core/revision"
 	"almondbay.example/serving/caller"
+	"almondbay.example/serving/certificate"
 	"almondbay.example/serving/control"
 	"almondbay.example/serving/drain"
 	"almondbay.example/serving/engine"
 	"almondbay.example/serving/environment"
 	"almondbay.example/serving/event"
+	"almondbay.example/serving/metric"
 	"almondbay.example/serving/operator"
 	"almondbay.example/serving/platform"
+	"almondbay.example/serving/service"
 	"almondbay.example/serving/settings"
 	"almondbay.example/serving/view"
 )
@@ -49,12 +52,18 @@
 	configurationInterval = 500 * time.Millisecond
 	// listInterval is the time between two reads of the list of VMs.
 	listInterval = 2 * time.Second
+	// certificateInterval is the time between two reads of a certificate's
+	// files.
+	certificateInterval = 5 * time.Second
 	// commandAttempts bounds the tries of an operator's command.
 	commandAttempts = 4
 	// commandPause is the time between two tries of an operator's command.
 	commandPause = 250 * time.Millisecond
-	// drainTimeout bounds the wait for requests in flight at shutdown.
-	drainTimeout = 10 * time.Minute
+	// reviewInterval is the time between two looks for lost groups.
+	reviewInterval = 200 * time.Millisecond
+	// quarantineInterval is the time between two reads of the quarantined
+	// requests.
+	quarantineInterval = 5 * time.Second
 	// readHeaderTimeout bounds the time that a caller takes to send its head.
 	readHeaderTimeout = 10 * time.Second
 )
@@ -71,6 +80,11 @@
 	// Callers and Operators are the listeners of the two APIs.
 	Callers   net.Listener
 	Operators net.Listener
+	// Certificates are the certificates of the listeners, to be kept fresh.
+	Certificates []*certificate.Store
+	// Linger is how long the node takes connections after it was told to stop;
+	// zero for the default, negative for not at all.
+	Linger time.Duration
 }
 
 // Node is one node of the system.
@@ -84,26 +98,25 @@
 	drains     *drain.Store
 	follower   *revision.Follower
 	platform   *platformWatch
+	observer   *observer
 }
 
 // New assembles a node.
 func New(c Config) *Node {
 	v := view.New(proofTTL)
 	n := &Node{
-		config: c,
-		view:   v,
-		gateway: caller.New(caller.Config{
-			View:   v,
-			Picker: caller.NewLeastInFlight(v, c.Clock),
-			Engine: c.Engine,
-		}),
-		recorder:   burn.NewRecorder(),
+		config:     c,
+		view:       v,
 		controller: control.New(controlConfig(c, v)),
 		store:      NewStore(c),
 		drains:     drain.New(drain.Config{Table: c.Table, Clock: c.Clock}),
 		follower:   revision.NewFollower(c.Settings.Environment),
 		platform:   &platformWatch{clock: c.Clock, logger: c.Logger},
+		observer:   &observer{clock: c.Clock, view: v, recorder: burn.NewRecorder()},
 	}
+	metrics := metric.New(metric.Config{Clock: c.Clock, Status: n.Status, Burn: n.observer.report})
+	n.observer.metrics = metrics
+	n.gateway = caller.New(n.gatewayConfig())
 	n.operators = operator.New(operator.Config{
 		Operators: c.Settings.Operator.Operators,
 		Store:     n.store,
@@ -112,11 +125,32 @@
 		Logger:    c.Logger,
 		Status:    n.Status,
 		Burn:      n.burn,
-		Metrics:   http.NotFoundHandler(),
+		Metrics:   metrics.Handler(),
 	})
 	return n
 }
 
+func (n *Node) gatewayConfig() caller.Config {
+	c := n.config
+	return caller.Config{
+		View:          n.view,
+		Clock:         c.Clock,
+		Picker:        caller.NewLeastInFlight(n.view, c.Clock),
+		Engine:        c.Engine,
+		Service:       service.NewClient(),
+		Table:         c.Table,
+		FailureDomain: c.Settings.FailureDomain,
+		Observer:      n.observer,
+		Limits: caller.Limits{
+			Connections:  c.Settings.Limits.Connections,
+			Requests:     c.Settings.Limits.Requests,
+			BodyTimeout:  c.Settings.Limits.BodyTimeout,
+			StallTimeout: c.Settings.Limits.StallTimeout,
+			Linger:       c.Linger,
+		},
+	}
+}
+
 // NewStore returns the store of the environments that a node reads.
 func NewStore(c Config) *environment.Store {
 	return environment.New(environment.Config{
@@ -146,13 +180,22 @@
 // Run serves until ctx is done, then waits for the requests in flight.
 func (n *Node) Run(ctx context.Context) error {
 	var g run.Group
-	n.addServer(&g, n.config.Callers, n.gateway)
-	n.addServer(&g, n.config.Operators, n.operators)
+	callers := n.gateway.Server()
+	n.addServer(&g, n.config.Callers, callers, func(ctx context.Context) error {
+		return n.gateway.Stop(ctx, callers)
+	})
+	operators := &http.Server{Handler: n.operators, ReadHeaderTimeout: readHeaderTimeout}
+	n.addServer(&g, n.config.Operators, operators, operators.Shutdown)
 	n.addLoop(&g, listInterval, n.refreshVMs)
 	n.addLoop(&g, configurationInterval, n.refreshDocument)
 	n.addLoop(&g, probeInterval, n.probe)
 	n.addLoop(&g, controlInterval, n.controller.Step)
+	n.addLoop(&g, reviewInterval, n.gateway.Review)
+	n.addLoop(&g, quarantineInterval, n.gateway.LoadQuarantine)
 	n.addLeases(&g)
+	for _, store := range n.config.Certificates {
+		n.addLoop(&g, certificateInterval, store.Reload)
+	}
 	addContext(ctx, &g)
 	return g.Run()
 }
@@ -166,9 +209,8 @@
 	}, func(error) { cancel() })
 }
 
-// addServer serves handler until the group ends, then drains it.
-func (n *Node) addServer(g *run.Group, l net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+// addServer runs server until the group ends, then stops it by drain.
+func (n *Node) addServer(g *run.Group, l net.Listener, server *http.Server, drain func(context.Context) error) {
 	drained := make(chan struct{})
 	g.Add(func() error {
 		err := server.Serve(l)
@@ -179,9 +221,8 @@
 		return nil
 	}, func(error) {
 		defer close(drained)
-		ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-		defer cancel()
-		_ = server.Shutdown(ctx)
+		// Only a second signal cuts requests in flight.
+		_ = drain(context.Background())
 	})
 }
 
--- a/pkg/serving/settings/check.go
+++ b/pkg/serving/settings/check.go
@@ -136,19 +136,14 @@
 		name  string
 		value int64
 	}{
-		{"bodyBytes", l.BodyBytes},
-		{"headerBytes", l.HeaderBytes},
-		{"queueLength", int64(l.QueueLength)},
-		{"queueBytes", l.QueueBytes},
 		{"connections", int64(l.Connections)},
-		{"requestTimeout", int64(l.RequestTimeout)},
+		{"requests", int64(l.Requests)},
+		{"bodyTimeout", int64(l.BodyTimeout)},
+		{"stallTimeout", int64(l.StallTimeout)},
 	}
 	for _, limit := range limits {
 		if limit.value <= 0 {
 			c.source.Faultf(jsonc.Pointer("limits", limit.name), "must be above 0")
 		}
 	}
-	if l.BodyBytes > l.QueueBytes {
-		c.source.Faultf("/limits/queueBytes", "must hold at least one body of %d bytes", l.BodyBytes)
-	}
 }
--- a/pkg/serving/settings/codec.go
+++ b/pkg/serving/settings/codec.go
@@ -53,22 +53,18 @@
 }
 
 type wireLimits struct {
-	BodyBytes      jsonc.Size     `json:"bodyBytes"`
-	HeaderBytes    jsonc.Size     `json:"headerBytes"`
-	QueueLength    int            `json:"queueLength"`
-	QueueBytes     jsonc.Size     `json:"queueBytes"`
-	Connections    int            `json:"connections"`
-	RequestTimeout jsonc.Duration `json:"requestTimeout"`
+	Connections  int            `json:"connections"`
+	Requests     int            `json:"requests"`
+	BodyTimeout  jsonc.Duration `json:"bodyTimeout"`
+	StallTimeout jsonc.Duration `json:"stallTimeout"`
 }
 
 // defaultLimits stand where a file names no limit.
 var defaultLimits = wireLimits{
-	BodyBytes:      1 << 20,
-	HeaderBytes:    64 << 10,
-	QueueLength:    4096,
-	QueueBytes:     32 << 20,
-	Connections:    8192,
-	RequestTimeout: jsonc.Duration(10 * time.Minute),
+	Connections:  16384,
+	Requests:     8192,
+	BodyTimeout:  jsonc.Duration(30 * time.Second),
+	StallTimeout: jsonc.Duration(30 * time.Second),
 }
 
 // Parse decodes and checks settings. It returns every fault at once, ordered
@@ -102,12 +98,10 @@
 			Authority: w.Platform.Authority,
 		},
 		Limits: Limits{
-			BodyBytes:      int64(w.Limits.BodyBytes),
-			HeaderBytes:    int64(w.Limits.HeaderBytes),
-			QueueLength:    w.Limits.QueueLength,
-			QueueBytes:     int64(w.Limits.QueueBytes),
-			Connections:    w.Limits.Connections,
-			RequestTimeout: time.Duration(w.Limits.RequestTimeout),
+			Connections:  w.Limits.Connections,
+			Requests:     w.Limits.Requests,
+			BodyTimeout:  time.Duration(w.Limits.BodyTimeout),
+			StallTimeout: time.Duration(w.Limits.StallTimeout),
 		},
 	}
 	for _, o := range w.Operator.Operators {
