--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -50,6 +50,8 @@
 	handOnTimeout = 5 * time.Second
 	// configurationInterval is the time between two reads of the environment.
 	configurationInterval = 500 * time.Millisecond
+	// scheduleInterval is the time between two reviews of waiting requests.
+	scheduleInterval = 50 * time.Millisecond
 	// listInterval is the time between two reads of the list of VMs.
 	listInterval = 2 * time.Second
 	// certificateInterval is the time between two reads of a certificate's
@@ -91,6 +93,7 @@
 type Node struct {
 	config     Config
 	view       *view.View
+	picker     *caller.Scheduled
 	gateway    *caller.Gateway
 	operators  *operator.API
 	controller *control.Controller
@@ -105,8 +108,14 @@
 func New(c Config) *Node {
 	v := view.New(proofTTL)
 	n := &Node{
-		config:     c,
-		view:       v,
+		config: c,
+		view:   v,
+		picker: caller.NewScheduled(caller.ScheduledConfig{
+			View:          v,
+			Clock:         c.Clock,
+			FailureDomain: c.Settings.FailureDomain,
+			Seed:          rand.Uint64(),
+		}),
 		controller: control.New(controlConfig(c, v)),
 		store:      NewStore(c),
 		drains:     drain.New(drain.Config{Table: c.Table, Clock: c.Clock}),
@@ -135,7 +144,7 @@
 	return caller.Config{
 		View:          n.view,
 		Clock:         c.Clock,
-		Picker:        caller.NewLeastInFlight(n.view, c.Clock),
+		Picker:        n.picker,
 		Engine:        c.Engine,
 		Service:       service.NewClient(),
 		Table:         c.Table,
@@ -186,6 +195,7 @@
 	})
 	operators := &http.Server{Handler: n.operators, ReadHeaderTimeout: readHeaderTimeout}
 	n.addServer(&g, n.config.Operators, operators, operators.Shutdown)
+	n.addLoop(&g, scheduleInterval, n.picker.Refresh)
 	n.addLoop(&g, listInterval, n.refreshVMs)
 	n.addLoop(&g, configurationInterval, n.refreshDocument)
 	n.addLoop(&g, probeInterval, n.probe)
