Spread revisions between nodes

Purpose: a new revision has to be in force everywhere within a second at today's size without every node polling the platform, and a node that starts during an outage has to take what its peers hold.

Change: package relay decides who polls (two nodes a failure domain, by rendezvous hashing), the children of a node in the tree of a poller, and the delta between two documents. Package peer carries it over HTTP with peer keys: pushes along the trees of both pollers, heartbeats that compare notes with a random peer and take or hand on what is missing, and the counts for the burn report. Bytes are checked against the digest; a node never moves down.

Ruled out: one tree.

Conclusion: tests cover spread, lost relays, a platform outage with a replaced failure domain, forged bytes and foreign keys. Not wired into the node yet.

--- /dev/null
+++ b/pkg/core/relay/relay_test.go
@@ -0,0 +1,112 @@
+package relay_test
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"almondbay.example/core/relay"
+)
+
+func names(n int) []string {
+	members := make([]string, n)
+	for i := range members {
+		members[i] = fmt.Sprint("entry-", i)
+	}
+	return members
+}
+
+// TestTreeReachesAllOnce walks the tree of each root and finds every member
+// exactly once, at most as deep as the degree allows.
+func TestTreeReachesAllOnce(t *testing.T) {
+	for _, size := range []int{1, 2, 7, 21, 184} {
+		members := names(size)
+		for _, root := range []string{members[0], members[size-1], "unlisted"} {
+			reached := map[string]bool{root: true}
+			level, depth := []string{root}, 0
+			for ; len(level) > 0; depth++ {
+				var next []string
+				for _, id := range level {
+					for _, child := range relay.Children(root, id, members) {
+						if reached[child] {
+							t.Errorf("%s is reached twice from %s", child, root)
+						}
+						reached[child] = true
+						next = append(next, child)
+					}
+				}
+				level = next
+			}
+			for _, id := range members {
+				if !reached[id] {
+					t.Errorf("%s is not reached from %s of %d", id, root, size)
+				}
+			}
+			if depth > 4 {
+				t.Errorf("%d members are %d levels deep", size, depth)
+			}
+		}
+	}
+}
+
+func TestPollers(t *testing.T) {
+	members := names(60)
+	polling := func(members []string) map[string]bool {
+		pollers := make(map[string]bool)
+		for _, id := range members {
+			if relay.Polls(id, members) {
+				pollers[id] = true
+			}
+		}
+		return pollers
+	}
+	before := polling(members)
+	if len(before) != relay.Pollers {
+		t.Fatalf("%d nodes poll", len(before))
+	}
+	for id := range before {
+		var left []string
+		for _, other := range members {
+			if other != id {
+				left = append(left, other)
+			}
+		}
+		after := polling(left)
+		if len(after) != relay.Pollers {
+			t.Errorf("without %s, %d nodes poll", id, len(after))
+		}
+		for other := range before {
+			if other != id && !after[other] {
+				t.Errorf("%s stopped to poll when %s left", other, id)
+			}
+		}
+	}
+	if !relay.Polls("alone", nil) {
+		t.Error("a node without peers does not poll")
+	}
+}
+
+func TestDeltaRoundTrip(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		letters := rapid.SliceOfN(rapid.SampledFrom([]byte("ab")), 0, 12)
+		before, after := letters.Draw(t, "before"), letters.Draw(t, "after")
+		got, ok := relay.NewDelta(before, after).Apply(before)
+		if !ok || !bytes.Equal(got, after) {
+			t.Fatalf("got %q, %t", got, ok)
+		}
+	})
+	if _, ok := (relay.Delta{Prefix: 3, Suffix: 2}).Apply([]byte("abcd")); ok {
+		t.Error("a delta for longer bytes was applied")
+	}
+}
+
+func ExampleDelta() {
+	before := []byte(`{"groups": 2, "span": 4}`)
+	after := []byte(`{"groups": 12, "span": 4}`)
+	delta := relay.NewDelta(before, after)
+	made, _ := delta.Apply(before)
+	fmt.Printf("%s %s\n", delta.Middle, made)
+	// Output: 1 {"groups": 12, "span": 4}
+}
--- /dev/null
+++ b/pkg/serving/peer/http.go
@@ -0,0 +1,151 @@
+package peer
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+
+	"github.com/labstack/echo/v4"
+
+	"almondbay.example/core/jsonc"
+	"almondbay.example/core/revision"
+	"almondbay.example/serving/environment"
+)
+
+// Paths of the protocol between nodes.
+const (
+	pathNote      = "/v1/note"
+	pathRevision  = "/v1/revision"
+	pathHistories = "/v1/histories"
+)
+
+// maxMessageBytes bounds a message between nodes; a document is written in
+// base64 in it.
+const maxMessageBytes = 2*jsonc.MaxBytes + 64<<10
+
+// maxAnswerBytes bounds an answer of a peer.
+const maxAnswerBytes = 64 << 20
+
+// StatusError is an answer with an unexpected status.
+type StatusError struct {
+	Status int
+}
+
+func (e *StatusError) Error() string {
+	return "peer: answered with status " + http.StatusText(e.Status)
+}
+
+// isMissing tells whether a peer lacks the document that a delta was made for.
+func isMissing(err error) bool {
+	var unexpected *StatusError
+	return errors.As(err, &unexpected) && unexpected.Status == http.StatusConflict
+}
+
+// Handler serves the other nodes. It is to stand behind a check of keys.
+func (r *Relay) Handler() http.Handler {
+	e := echo.New()
+	e.POST(pathNote, r.serveNote)
+	e.POST(pathRevision, r.servePush)
+	e.GET(pathRevision, r.serveRevision)
+	e.GET(pathHistories, r.serveHistories)
+	return e
+}
+
+func (r *Relay) serveNote(c echo.Context) error {
+	var wire wireNote
+	if err := decode(c, &wire); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	r.hear(toNote(wire))
+	return c.JSON(http.StatusOK, wireNoteOf(r.note()))
+}
+
+// servePush takes a revision from another node. It answers 409 when the delta
+// was made for a document that this node does not hold.
+func (r *Relay) servePush(c echo.Context) error {
+	var wire wirePush
+	if err := decode(c, &wire); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	p := toPush(wire)
+	held, before := r.whole()
+	if p.Entry.Revision <= held.Revision {
+		r.passAgain(p.Root, p.Entry.Revision)
+		return c.NoContent(http.StatusNoContent)
+	}
+	body := p.Delta.Middle
+	if p.ParentHash != "" {
+		made, ok := p.Delta.Apply(before)
+		if p.ParentHash != held.Hash || !ok {
+			return c.NoContent(http.StatusConflict)
+		}
+		body = made
+	}
+	root := p.Root
+	if root == "" {
+		root = r.config.Node
+	}
+	err := r.take(p.Entry, body, revision.OriginPeer, root)
+	var corrupt *environment.CorruptError
+	if errors.As(err, &corrupt) {
+		return c.NoContent(http.StatusConflict)
+	}
+	if err != nil {
+		return c.NoContent(http.StatusInternalServerError)
+	}
+	return c.NoContent(http.StatusNoContent)
+}
+
+func (r *Relay) serveRevision(c echo.Context) error {
+	entry, body := r.whole()
+	if entry.Revision == 0 {
+		return c.NoContent(http.StatusNotFound)
+	}
+	p := push{Entry: entry}
+	p.Delta.Middle = body
+	return c.JSON(http.StatusOK, wirePushOf(p))
+}
+
+func (r *Relay) serveHistories(c echo.Context) error {
+	return c.JSON(http.StatusOK, wireHistoriesOf(r.config.Histories()))
+}
+
+func decode(c echo.Context, target any) error {
+	body := http.MaxBytesReader(c.Response(), c.Request().Body, maxMessageBytes)
+	return json.NewDecoder(body).Decode(target)
+}
+
+func (r *Relay) post(ctx context.Context, address, path string, message, answer any) error {
+	body, err := json.Marshal(message)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return r.send(ctx, http.MethodPost, address+path, body, answer)
+}
+
+func (r *Relay) get(ctx context.Context, address, path string, answer any) error {
+	return r.send(ctx, http.MethodGet, address+path, nil, answer)
+}
+
+func (r *Relay) send(ctx context.Context, method, target string, body []byte, answer any) error {
+	request, err := http.NewRequestWithContext(ctx, method, r.config.Scheme+"://"+target, bytes.NewReader(body))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := r.config.HTTP.Do(request)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode >= http.StatusMultipleChoices {
+		return &StatusError{Status: response.StatusCode}
+	}
+	if answer == nil {
+		return nil
+	}
+	return Error.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(answer))
+}
--- /dev/null
+++ b/pkg/serving/peer/peer_test.go
@@ -0,0 +1,292 @@
+package peer
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+
+	"almondbay.example/core/burn"
+	"almondbay.example/core/document"
+	"almondbay.example/core/fleet"
+	"almondbay.example/core/relay"
+	"almondbay.example/core/revision"
+	"almondbay.example/serving/environment"
+	"almondbay.example/serving/keys"
+	"almondbay.example/serving/platform"
+)
+
+const seed = 7
+
+var peerKey = keys.NewSecret("the key that the peers share")
+
+// fleetOf is several relays that reach each other over HTTP on loopback.
+type fleetOf struct {
+	store  *cutStore
+	nodes  []fleet.VM
+	relays map[string]*Relay
+	// dead holds the nodes that answer nothing.
+	dead sync.Map
+	// moves counts the revisions that came into force.
+	moves atomic.Int64
+}
+
+// cutStore is the platform's store, which can be cut off.
+type cutStore struct {
+	*environment.Store
+	cut bool
+}
+
+func (s *cutStore) Read(ctx context.Context, name string) (revision.Row, error) {
+	if s.cut {
+		return revision.Row{}, errors.New("cut off")
+	}
+	return s.Store.Read(ctx, name)
+}
+
+func newFleet(t testing.TB, domains, perDomain int) *fleetOf {
+	t.Helper()
+	memory := platform.NewMemory()
+	f := &fleetOf{
+		store: &cutStore{Store: environment.New(environment.Config{
+			Table: memory, Objects: memory, Clock: clockwork.NewFakeClock(), Attempts: 1,
+		})},
+		relays: make(map[string]*Relay),
+	}
+	for i := range domains * perDomain {
+		f.add(t, fmt.Sprintf("entry-%d", i), fmt.Sprintf("domain-%d", i%domains))
+	}
+	return f
+}
+
+func (f *fleetOf) add(t testing.TB, id, domain string) {
+	t.Helper()
+	r := New(Config{
+		Node: id, FailureDomain: domain, Environment: "trial",
+		Store:     f.store,
+		Nodes:     func() []fleet.VM { return f.nodes },
+		Moved:     func(revision.Entry, document.Document) { f.moves.Add(1) },
+		Histories: func() []burn.History { return f.histories(id) },
+		Read:      func(error) {},
+		Scheme:    "http",
+		HTTP:      &http.Client{Transport: keys.Transport{Key: peerKey, Base: http.DefaultTransport}},
+		Clock:     clockwork.NewFakeClock(),
+		Logger:    zap.NewNop(),
+		Random:    rand.New(rand.NewPCG(seed, uint64(len(f.nodes)))),
+	})
+	guarded := keys.Require(keys.Holders([]keys.Secret{peerKey}), func(*http.Request) {}, r.Handler())
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+		if f.isDead(id) {
+			panic(http.ErrAbortHandler)
+		}
+		guarded.ServeHTTP(w, q)
+	}))
+	t.Cleanup(server.Close)
+	f.nodes = append(f.nodes, fleet.VM{ID: id, FailureDomain: domain, Address: strings.TrimPrefix(server.URL, "http://"), Role: fleet.RoleEntry})
+	f.relays[id] = r
+}
+
+func (f *fleetOf) isDead(id string) bool {
+	_, dead := f.dead.Load(id)
+	return dead
+}
+
+func (f *fleetOf) histories(id string) []burn.History {
+	recorder := burn.NewRecorder()
+	now := time.Unix(1_700_000_000, 0)
+	recorder.Record(burn.Series{Workspace: "lisbon", Model: "draft"}, id != "entry-0", now)
+	return recorder.Histories(now)
+}
+
+func (f *fleetOf) accept(t testing.TB, number int) {
+	t.Helper()
+	body := fmt.Appendf(nil, `{"models": [{"name": "draft", "version": "v%d", "groups": 1, "span": 1}]}`, number)
+	_, err := f.store.Accept(t.Context(), "trial", environment.Proposal{
+		Operation: fmt.Sprint(number), Parent: uint64(number - 1), Body: body,
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+// poll has all nodes poll, and waits until all pushes have ended.
+func (f *fleetOf) poll(t *testing.T) {
+	t.Helper()
+	for _, r := range f.relays {
+		if err := r.Poll(t.Context()); err != nil && !f.store.cut {
+			t.Fatal(err)
+		}
+	}
+	const depth = 4
+	for range depth {
+		for _, r := range f.relays {
+			r.Wait()
+		}
+	}
+}
+
+// behind lists the living nodes that hold less than a revision.
+func (f *fleetOf) behind(number uint64) []string {
+	var ids []string
+	for _, vm := range f.nodes {
+		if !f.isDead(vm.ID) && f.relays[vm.ID].Held().Revision < number {
+			ids = append(ids, vm.ID)
+		}
+	}
+	return ids
+}
+
+// heartbeats has all living nodes compare notes for a number of rounds.
+func (f *fleetOf) heartbeats(t *testing.T, rounds int) {
+	t.Helper()
+	for range rounds {
+		for _, vm := range f.nodes {
+			if !f.isDead(vm.ID) {
+				// A dead peer is no fault of this node.
+				_ = f.relays[vm.ID].Heartbeat(t.Context())
+			}
+		}
+	}
+}
+
+func TestRevisionReachesAllNodes(t *testing.T) {
+	f := newFleet(t, 3, 20)
+	for number := 1; number <= 3; number++ {
+		f.accept(t, number)
+		f.poll(t)
+		if ids := f.behind(uint64(number)); len(ids) > 0 {
+			t.Errorf("revision %d is not in force at %v", number, ids)
+		}
+	}
+	if got := f.moves.Load(); got != 3*60 {
+		t.Errorf("%d revisions came into force, want each once at each of 60 nodes", got)
+	}
+	f.heartbeats(t, 1)
+	for _, n := range f.relays["entry-0"].Nodes() {
+		if n.Revision != 0 && n.Revision != 3 {
+			t.Errorf("%s is shown at revision %d", n.ID, n.Revision)
+		}
+	}
+}
+
+// TestLostRelaysDelayNobody kills a relay in each place of the first poller's
+// tree in turn: the second poller's tree reaches the nodes below it.
+func TestLostRelaysDelayNobody(t *testing.T) {
+	f := newFleet(t, 1, 40)
+	var members []string
+	for _, vm := range f.nodes {
+		members = append(members, vm.ID)
+	}
+	number := 0
+	for _, lost := range members {
+		if relay.Polls(lost, members) {
+			continue
+		}
+		f.dead.Clear()
+		f.dead.Store(lost, true)
+		number++
+		f.accept(t, number)
+		f.poll(t)
+		if ids := f.behind(uint64(number)); len(ids) > 0 {
+			t.Errorf("without %s, revision %d is not in force at %v", lost, number, ids)
+		}
+	}
+}
+
+func TestPlatformOutage(t *testing.T) {
+	f := newFleet(t, 2, 4)
+	f.accept(t, 1)
+	f.poll(t)
+	f.store.cut = true
+	// All nodes of a domain but one are replaced, then the last one too.
+	f.add(t, "new-0", "domain-0")
+	f.add(t, "new-1", "domain-0")
+	f.heartbeats(t, 6)
+	for _, id := range []string{"new-0", "new-1"} {
+		if held := f.relays[id].Held(); held.Revision != 1 || held.Confirmed {
+			t.Errorf("%s holds %+v, want revision 1, not confirmed", id, held)
+		}
+	}
+	f.store.cut = false
+	f.accept(t, 2)
+	f.poll(t)
+	f.heartbeats(t, 6)
+	if ids := f.behind(2); len(ids) > 0 {
+		t.Errorf("after the outage, revision 2 is not in force at %v", ids)
+	}
+}
+
+func TestNeverRevertsAndRefusesWrongBytes(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	f.accept(t, 1)
+	f.accept(t, 2)
+	f.poll(t)
+	r, vm := f.relays["entry-0"], f.nodes[1]
+	row, err := f.store.Read(t.Context(), "trial")
+	if err != nil {
+		t.Fatal(err)
+	}
+	old := push{Entry: row.History[0], Delta: relay.Delta{Middle: []byte("{}")}}
+	if err := r.push(t.Context(), vm.Address, old, nil); err != nil {
+		t.Errorf("an old revision got %v, want it passed over", err)
+	}
+	forged := push{Entry: row.Entry, ParentHash: row.Hash, Delta: relay.Delta{Middle: []byte("{}")}}
+	forged.Entry.Revision = 3
+	if err := r.push(t.Context(), vm.Address, forged, []byte("{}")); !isMissing(err) {
+		t.Errorf("bytes of another digest got %v", err)
+	}
+	if held := f.relays["entry-1"].Held(); held.Revision != 2 {
+		t.Errorf("entry-1 holds %+v", held)
+	}
+}
+
+func TestHistoriesOfAllNodes(t *testing.T) {
+	f := newFleet(t, 1, 5)
+	f.dead.Store("entry-4", true)
+	histories, missing := f.relays["entry-1"].Histories(t.Context())
+	if diff := cmp.Diff([]string{"entry-4"}, missing); diff != "" {
+		t.Error(diff)
+	}
+	if len(histories) != 1 || histories[0].Coarse[0].Count != (burn.Count{Good: 3, Bad: 1}) {
+		t.Errorf("got %+v", histories)
+	}
+}
+
+func TestOnlyPeersGetIn(t *testing.T) {
+	f := newFleet(t, 1, 2)
+	r := f.relays["entry-0"]
+	for _, key := range []string{"", "a caller's key", peerKey.Digest()} {
+		r.config.HTTP = &http.Client{Transport: keys.Transport{Key: keys.NewSecret(key), Base: http.DefaultTransport}}
+		for _, path := range []string{pathNote, pathRevision, pathHistories, "/nowhere"} {
+			var refused *StatusError
+			err := r.get(t.Context(), f.nodes[1].Address, path, nil)
+			if !errors.As(err, &refused) || refused.Status != http.StatusUnauthorized {
+				t.Errorf("%s with key %q got %v", path, key, err)
+			}
+		}
+	}
+}
+
+func FuzzPush(f *testing.F) {
+	f.Add(`{"entry": {"revision": 9, "hash": "x"}, "parentHash": "", "prefix": -1, "middle": "e30="}`)
+	f.Fuzz(func(t *testing.T, body string) {
+		fl := &Relay{config: Config{Logger: zap.NewNop()}, follower: revision.NewFollower("trial")}
+		request := httptest.NewRequest(http.MethodPost, pathRevision, strings.NewReader(body))
+		answer := httptest.NewRecorder()
+		fl.Handler().ServeHTTP(answer, request)
+		if fl.Held().Revision != 0 {
+			t.Errorf("took %q", body)
+		}
+	})
+}
