Wire the relay of revisions into the node

The node polls, spreads and compares notes through package peer, on a listener of its own that refuses requests without a peer key, and over TLS where the settings name a certificate. Status names the other nodes with their revision; the burn report merges the counts of all nodes and names those missing. A test now also fails for an event that nothing logs, which dropped one.

--- a/cmd/almondbay/serve.go
+++ b/cmd/almondbay/serve.go
@@ -73,24 +73,32 @@
 		VMs:      client,
 		Engine:   enginehttp.New(enginehttp.Config{ControlTimeout: controlTimeout}),
 	}
-	config.Callers, err = listen(&config, "caller", s.Caller)
-	if err != nil {
+	if config.Callers, _, err = listen(&config, "caller", s.Caller); err != nil {
+		return node.Config{}, err
+	}
+	if config.Operators, _, err = listen(&config, "operator", s.Operator.Listener); err != nil {
+		return node.Config{}, err
+	}
+	var store *certificate.Store
+	if config.Peers, store, err = listen(&config, "peer", s.Peer.Listener); err != nil {
 		return node.Config{}, err
 	}
-	config.Operators, err = listen(&config, "operator", s.Operator.Listener)
-	return config, err
+	if store != nil {
+		config.PeerDial = store.Dial
+	}
+	return config, nil
 }
 
 // listen opens a listener, with TLS when its settings name a certificate.
-func listen(c *node.Config, name string, s settings.Listener) (net.Listener, error) {
+func listen(c *node.Config, name string, s settings.Listener) (net.Listener, *certificate.Store, error) {
 	listener, err := net.Listen("tcp", s.Address)
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	event.NodeListening.Log(c.Logger, zap.String("listener", name),
 		zap.String("address", listener.Addr().String()), zap.Bool("tls", !s.TLS.IsZero()))
 	if s.TLS.IsZero() {
-		return listener, nil
+		return listener, nil, nil
 	}
 	store, err := certificate.Load(certificate.Config{
 		Certificate: s.TLS.Certificate,
@@ -99,10 +107,10 @@
 		Logger:      c.Logger,
 	})
 	if err != nil {
-		return nil, err
+		return nil, nil, err
 	}
 	c.Certificates = append(c.Certificates, store)
-	return store.Listen(listener), nil
+	return store.Listen(listener), store, nil
 }
 
 func platformClient(p settings.Platform) (*platformhttp.Client, error) {
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -20,7 +20,6 @@
 	}
 	NodeDraining = Definition{
 		Number: 103, Level: zapcore.InfoLevel, Message: "draining",
-		Fields:  []string{"signal"},
 		Meaning: "The node was told to stop; it is unready and waits for all requests in flight.",
 		Action:  "None; a second signal cuts the requests that are left.",
 	}
@@ -29,12 +28,6 @@
 		Meaning: "All requests have ended and the process exits.",
 		Action:  noAction,
 	}
-	NodeCut = Definition{
-		Number: 105, Level: zapcore.WarnLevel, Message: "stopped by a second signal",
-		Fields:  []string{"requests"},
-		Meaning: "A second signal ended the node while requests were in flight.",
-		Action:  "Expect callers to see broken answers.",
-	}
 	NodeFailed = Definition{
 		Number: 106, Level: zapcore.ErrorLevel, Message: "node failed",
 		Fields:  []string{"error"},
@@ -147,7 +140,7 @@
 )
 
 var areas = []area{
-	{"Node", []Definition{NodeStarted, NodeListening, NodeDraining, NodeStopped, NodeCut, NodeFailed, StepFailed}},
+	{"Node", []Definition{NodeStarted, NodeListening, NodeDraining, NodeStopped, NodeFailed, StepFailed}},
 	{"Certificates", []Definition{CertificateLoaded, CertificateRefused}},
 	{"Platform", []Definition{PlatformUnreachable, PlatformReachable}},
 	{"Configuration", []Definition{
--- a/pkg/serving/event/event_test.go
+++ b/pkg/serving/event/event_test.go
@@ -103,9 +103,10 @@
 }
 
 // TestSourceLogsThroughTheCatalogue holds every call in the workspace against
-// the catalogue: only declared fields, and no line past it.
+// the catalogue: only declared fields, no line past it, and no event unused.
 func TestSourceLogsThroughTheCatalogue(t *testing.T) {
 	named := definitions(t)
+	used := make(map[string]bool)
 	for _, path := range sources(t) {
 		files := token.NewFileSet()
 		file, err := parser.ParseFile(files, path, nil, 0)
@@ -128,10 +129,16 @@
 			if !ok {
 				return true
 			}
+			used[name] = true
 			checkFields(t, files, named[name], call)
 			return true
 		})
 	}
+	for name := range named {
+		if !used[name] {
+			t.Errorf("nothing logs event %s", name)
+		}
+	}
 }
 
 func sources(t *testing.T) []string {
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -17,7 +17,6 @@
 	"go.uber.org/zap"
 
 	"almondbay.example/core/burn"
-	"almondbay.example/core/revision"
 	"almondbay.example/serving/caller"
 	"almondbay.example/serving/certificate"
 	"almondbay.example/serving/control"
@@ -27,6 +26,7 @@
 	"almondbay.example/serving/event"
 	"almondbay.example/serving/metric"
 	"almondbay.example/serving/operator"
+	"almondbay.example/serving/peer"
 	"almondbay.example/serving/platform"
 	"almondbay.example/serving/service"
 	"almondbay.example/serving/settings"
@@ -48,6 +48,8 @@
 	leaseInterval = 250 * time.Millisecond
 	// handOnTimeout bounds the wait for the leases to be handed on at shutdown.
 	handOnTimeout = 5 * time.Second
+	// heartbeatInterval is the time between two comparisons of notes with a peer.
+	heartbeatInterval = time.Second
 	// configurationInterval is the time between two reads of the environment.
 	configurationInterval = 500 * time.Millisecond
 	// scheduleInterval is the time between two reviews of waiting requests.
@@ -79,9 +81,14 @@
 	Objects  platform.Objects
 	VMs      platform.VMs
 	Engine   engine.Engine
-	// Callers and Operators are the listeners of the two APIs.
+	// Callers and Operators are the listeners of the APIs for each.
 	Callers   net.Listener
 	Operators net.Listener
+	// Peers is the listener for other nodes; nil for a node that has none.
+	Peers net.Listener
+	// PeerDial connects to other nodes over TLS; nil where they speak plain
+	// HTTP.
+	PeerDial func(ctx context.Context, network, address string) (net.Conn, error)
 	// Certificates are the certificates of the listeners, to be kept fresh.
 	Certificates []*certificate.Store
 	// Linger is how long the node takes connections after it was told to stop;
@@ -99,7 +106,7 @@
 	controller *control.Controller
 	store      *environment.Store
 	drains     *drain.Store
-	follower   *revision.Follower
+	relay      *peer.Relay
 	platform   *platformWatch
 	observer   *observer
 }
@@ -119,10 +126,10 @@
 		controller: control.New(controlConfig(c, v)),
 		store:      NewStore(c),
 		drains:     drain.New(drain.Config{Table: c.Table, Clock: c.Clock}),
-		follower:   revision.NewFollower(c.Settings.Environment),
 		platform:   &platformWatch{clock: c.Clock, logger: c.Logger},
 		observer:   &observer{clock: c.Clock, view: v, recorder: burn.NewRecorder()},
 	}
+	n.relay = peer.New(n.relayConfig())
 	metrics := metric.New(metric.Config{Clock: c.Clock, Status: n.Status, Burn: n.observer.report})
 	n.observer.metrics = metrics
 	n.gateway = caller.New(n.gatewayConfig())
@@ -197,24 +204,30 @@
 	n.addServer(&g, n.config.Operators, operators, operators.Shutdown)
 	n.addLoop(&g, scheduleInterval, n.picker.Refresh)
 	n.addLoop(&g, listInterval, n.refreshVMs)
-	n.addLoop(&g, configurationInterval, n.refreshDocument)
+	n.addLoop(&g, configurationInterval, n.relay.Poll)
+	n.addLoop(&g, heartbeatInterval, n.heartbeat)
 	n.addLoop(&g, probeInterval, n.probe)
 	n.addLoop(&g, controlInterval, n.controller.Step)
 	n.addLoop(&g, reviewInterval, n.gateway.Review)
 	n.addLoop(&g, quarantineInterval, n.gateway.LoadQuarantine)
 	n.addLeases(&g)
+	if n.config.Peers != nil {
+		peers := n.peerServer()
+		n.addServer(&g, n.config.Peers, peers, peers.Shutdown)
+	}
 	for _, store := range n.config.Certificates {
 		n.addLoop(&g, certificateInterval, store.Reload)
 	}
-	addContext(ctx, &g)
+	n.addContext(ctx, &g)
 	return g.Run()
 }
 
 // addContext ends the group when ctx is done.
-func addContext(ctx context.Context, g *run.Group) {
+func (n *Node) addContext(ctx context.Context, g *run.Group) {
 	ctx, cancel := context.WithCancel(ctx)
 	g.Add(func() error {
 		<-ctx.Done()
+		event.NodeDraining.Log(n.config.Logger)
 		return nil
 	}, func(error) { cancel() })
 }
--- a/pkg/serving/node/observer.go
+++ b/pkg/serving/node/observer.go
@@ -47,10 +47,16 @@
 func (o *observer) report() burn.Report {
 	now := o.clock.Now()
 	d, _ := o.view.Document()
-	return burn.NewReport(burn.DefaultPolicy(), d, o.recorder.Histories(now), now)
+	return burn.NewReport(burn.DefaultPolicy(), d, o.histories(), now)
 }
 
-// burn reports on what the nodes have counted.
-func (n *Node) burn(context.Context) (burn.Report, []string, error) {
-	return n.observer.report(), nil, nil
+func (o *observer) histories() []burn.History {
+	return o.recorder.Histories(o.clock.Now())
+}
+
+// burn reports on what all nodes have counted.
+func (n *Node) burn(ctx context.Context) (burn.Report, []string, error) {
+	histories, missing := n.relay.Histories(ctx)
+	d, _ := n.view.Document()
+	return burn.NewReport(burn.DefaultPolicy(), d, histories, n.config.Clock.Now()), missing, nil
 }
--- /dev/null
+++ b/pkg/serving/node/peers.go
@@ -0,0 +1,89 @@
+package node
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondbay.example/core/document"
+	"almondbay.example/core/fleet"
+	"almondbay.example/core/revision"
+	"almondbay.example/serving/event"
+	"almondbay.example/serving/keys"
+	"almondbay.example/serving/peer"
+)
+
+const (
+	// peerTimeout bounds one exchange with a peer.
+	peerTimeout = 5 * time.Second
+	// peerConnections is the number of idle connections kept to each peer.
+	peerConnections = 2
+)
+
+func (n *Node) relayConfig() peer.Config {
+	return peer.Config{
+		Node:          n.config.Settings.Node,
+		FailureDomain: n.config.Settings.FailureDomain,
+		Environment:   n.config.Settings.Environment,
+		Store:         n.store,
+		Nodes:         func() []fleet.VM { return n.view.VMs(fleet.RoleEntry) },
+		Moved:         func(e revision.Entry, d document.Document) { n.view.SetDocument(e.Revision, d) },
+		Histories:     n.observer.histories,
+		Read:          n.platform.saw,
+		Scheme:        n.peerScheme(),
+		HTTP:          n.peerClient(),
+		Clock:         n.config.Clock,
+		Logger:        n.config.Logger,
+		Random:        rand.New(rand.NewPCG(rand.Uint64(), rand.Uint64())),
+	}
+}
+
+// peerScheme returns "https" where nodes speak TLS.
+func (n *Node) peerScheme() string {
+	if n.config.PeerDial != nil {
+		return "https"
+	}
+	return "http"
+}
+
+func (n *Node) peerClient() *http.Client {
+	transport := &http.Transport{
+		DialTLSContext:      n.config.PeerDial,
+		MaxIdleConnsPerHost: peerConnections,
+		IdleConnTimeout:     time.Minute,
+	}
+	return &http.Client{
+		Timeout:   peerTimeout,
+		Transport: keys.Transport{Key: n.peerKey(), Base: transport},
+	}
+}
+
+// peerKey returns the key to show to peers.
+func (n *Node) peerKey() keys.Secret {
+	if len(n.config.Settings.Peer.Keys) == 0 {
+		return keys.Secret{}
+	}
+	return n.config.Settings.Peer.Keys[0]
+}
+
+// peerServer serves the other nodes, if they show a peer key.
+func (n *Node) peerServer() *http.Server {
+	refused := func(r *http.Request) {
+		event.KeyRefused.Log(n.config.Logger,
+			zap.String("listener", "peer"), zap.String("remote", r.RemoteAddr), zap.String("path", r.URL.Path))
+	}
+	return &http.Server{
+		Handler:           keys.Require(keys.Holders(n.config.Settings.Peer.Keys), refused, n.relay.Handler()),
+		ReadHeaderTimeout: readHeaderTimeout,
+	}
+}
+
+// heartbeat compares notes with a peer. A peer that is gone is no fault of this
+// node; the status shows when each was seen.
+func (n *Node) heartbeat(ctx context.Context) error {
+	_ = n.relay.Heartbeat(ctx)
+	return nil
+}
--- a/pkg/serving/node/refresh.go
+++ b/pkg/serving/node/refresh.go
@@ -3,14 +3,10 @@
 import (
 	"context"
 
-	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
-	"almondbay.example/core/document"
 	"almondbay.example/core/fleet"
-	"almondbay.example/core/revision"
 	"almondbay.example/serving/drain"
-	"almondbay.example/serving/event"
 )
 
 // maxProbes bounds the health questions in flight.
@@ -40,45 +36,6 @@
 	return ids
 }
 
-// refreshDocument puts the last accepted revision in force.
-func (n *Node) refreshDocument(ctx context.Context) error {
-	row, err := n.store.Read(ctx, n.config.Settings.Environment)
-	n.platform.saw(err)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if row.Revision <= n.follower.Held().Revision {
-		return n.offer(row.Entry, document.Document{})
-	}
-	body, err := n.store.Document(ctx, row.Hash)
-	if err != nil {
-		event.DocumentUnreadable.Log(n.config.Logger, zap.Uint64("revision", row.Revision), zap.Error(err))
-		return nil
-	}
-	d, faults := document.Parse(row.Hash, body)
-	if len(faults) > 0 {
-		event.DocumentUnreadable.Log(n.config.Logger, zap.Uint64("revision", row.Revision), zap.Error(faults))
-		return nil
-	}
-	return n.offer(row.Entry, d)
-}
-
-// offer puts a revision that the platform shows in force, if it is newer than
-// the one held.
-func (n *Node) offer(e revision.Entry, d document.Document) error {
-	moved, err := n.follower.Offer(e, revision.OriginPlatform)
-	if err != nil {
-		event.RevisionSplit.Log(n.config.Logger, zap.Error(err))
-		return nil
-	}
-	if moved {
-		n.view.SetDocument(e.Revision, d)
-		event.RevisionInForce.Log(n.config.Logger, zap.Uint64("revision", e.Revision),
-			zap.String("hash", e.Hash), zap.String("origin", string(revision.OriginPlatform)))
-	}
-	return nil
-}
-
 // probe asks each backend server for its report. A member that does not
 // answer keeps its last report, which proves nothing once it is old.
 func (n *Node) probe(ctx context.Context) error {
--- a/pkg/serving/node/status.go
+++ b/pkg/serving/node/status.go
@@ -29,10 +29,11 @@
 		Environment:    n.config.Settings.Environment,
 		Version:        Version,
 		At:             now,
-		Revision:       n.follower.Held(),
+		Revision:       n.relay.Held(),
 		PlatformSeenAt: n.platform.at(),
 		Models:         n.modelStates(groups),
 		VMs:            n.vmStates(),
+		Nodes:          n.relay.Nodes(),
 	}
 	s.Ready = s.Revision.Revision > 0
 	if !s.Ready {
