Tell the other nodes of requests that crash backend servers

Purpose: the gateway keeps suspects apart and quarantines them over all nodes, and had no peers to tell.

Change: package peer announces evidence to all listed nodes and asks the owner of a replica group, chosen by rendezvous hashing, for grants; the node gives its relay to the gateway.

--- a/pkg/core/relay/relay.go
+++ b/pkg/core/relay/relay.go
@@ -30,6 +30,16 @@
 	return slices.Contains(order[:min(Pollers, len(order))], self)
 }
 
+// Owner returns the member that is responsible for a key, by rendezvous
+// hashing; empty without members.
+func Owner(key string, members []string) string {
+	order := ordered(key, members)
+	if len(order) == 0 {
+		return ""
+	}
+	return order[0]
+}
+
 // Children returns the nodes that self passes a revision on to, in the tree
 // whose root is the given node. Members are the nodes of the failure domain.
 func Children(root, self string, members []string) []string {
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -157,6 +157,7 @@
 		Table:         c.Table,
 		FailureDomain: c.Settings.FailureDomain,
 		Observer:      n.observer,
+		Peers:         n.relay,
 		Limits: caller.Limits{
 			Connections:  c.Settings.Limits.Connections,
 			Requests:     c.Settings.Limits.Requests,
--- a/pkg/serving/node/peers.go
+++ b/pkg/serving/node/peers.go
@@ -32,6 +32,7 @@
 		Nodes:         func() []fleet.VM { return n.view.VMs(fleet.RoleEntry) },
 		Moved:         func(e revision.Entry, d document.Document) { n.view.SetDocument(e.Revision, d) },
 		Histories:     n.observer.histories,
+		Suspects:      func() peer.Suspects { return n.gateway },
 		Read:          n.platform.saw,
 		Scheme:        n.peerScheme(),
 		HTTP:          n.peerClient(),
--- a/pkg/serving/peer/http.go
+++ b/pkg/serving/peer/http.go
@@ -51,6 +51,9 @@
 	e.POST(pathRevision, r.servePush)
 	e.GET(pathRevision, r.serveRevision)
 	e.GET(pathHistories, r.serveHistories)
+	e.POST(pathConviction, r.serveConviction)
+	e.POST(pathGrant, r.serveGrant)
+	e.POST(pathRelease, r.serveRelease)
 	return e
 }
 
--- a/pkg/serving/peer/peer.go
+++ b/pkg/serving/peer/peer.go
@@ -1,6 +1,6 @@
 // Package peer speaks to the other nodes: it spreads revisions of the document,
-// compares notes, and collects the counts of requests. Every request carries a
-// peer key.
+// compares notes, collects the counts of requests, and tells of requests that
+// crash backend servers. Every request carries a peer key.
 package peer
 
 import (
@@ -63,6 +63,9 @@
 	Moved func(e revision.Entry, d document.Document)
 	// Histories returns what this node has counted.
 	Histories func() []burn.History
+	// Suspects returns what this node knows of suspects; not called before the
+	// node serves.
+	Suspects func() Suspects
 	// Read is told the outcome of each read of the platform.
 	Read func(err error)
 	// Scheme is "https" where nodes speak TLS, else "http".
--- a/pkg/serving/peer/peer_test.go
+++ b/pkg/serving/peer/peer_test.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"almondbay.example/core/attempt"
 	"almondbay.example/core/burn"
 	"almondbay.example/core/document"
 	"almondbay.example/core/fleet"
@@ -36,6 +37,8 @@
 	store  *cutStore
 	nodes  []fleet.VM
 	relays map[string]*Relay
+	// suspects holds what each node was told.
+	suspects map[string]*told
 	// dead holds the nodes that answer nothing.
 	dead sync.Map
 	// moves counts the revisions that came into force.
@@ -62,7 +65,8 @@
 		store: &cutStore{Store: environment.New(environment.Config{
 			Table: memory, Objects: memory, Clock: clockwork.NewFakeClock(), Attempts: 1,
 		})},
-		relays: make(map[string]*Relay),
+		relays:   make(map[string]*Relay),
+		suspects: make(map[string]*told),
 	}
 	for i := range domains * perDomain {
 		f.add(t, fmt.Sprintf("entry-%d", i), fmt.Sprintf("domain-%d", i%domains))
@@ -78,6 +82,7 @@
 		Nodes:     func() []fleet.VM { return f.nodes },
 		Moved:     func(revision.Entry, document.Document) { f.moves.Add(1) },
 		Histories: func() []burn.History { return f.histories(id) },
+		Suspects:  func() Suspects { return f.suspects[id] },
 		Read:      func(error) {},
 		Scheme:    "http",
 		HTTP:      &http.Client{Transport: keys.Transport{Key: peerKey, Base: http.DefaultTransport}},
@@ -95,6 +100,19 @@
 	t.Cleanup(server.Close)
 	f.nodes = append(f.nodes, fleet.VM{ID: id, FailureDomain: domain, Address: strings.TrimPrefix(server.URL, "http://"), Role: fleet.RoleEntry})
 	f.relays[id] = r
+	f.suspects[id] = &told{Trials: attempt.NewTrials()}
+}
+
+// told is what a node was told of suspects.
+type told struct {
+	*attempt.Trials
+	learnt atomic.Int64
+}
+
+func (d *told) Learn(attempt.Conviction) { d.learnt.Add(1) }
+
+func (d *told) Grant(group string, f attempt.Fingerprint) bool {
+	return d.Trials.Grant(group, f, time.Unix(0, 0), time.Hour)
 }
 
 func (f *fleetOf) isDead(id string) bool {
@@ -263,12 +281,41 @@
 	}
 }
 
+func TestSuspectsAreKeptApart(t *testing.T) {
+	f := newFleet(t, 2, 3)
+	first, second := attempt.NewFingerprint([]byte("first")), attempt.NewFingerprint([]byte("second"))
+	for group := range 10 {
+		name := fmt.Sprint("draft-", group)
+		if !f.relays["entry-0"].Grant(t.Context(), name, first) {
+			t.Errorf("%s is not granted to its first suspect", name)
+		}
+		if f.relays["entry-3"].Grant(t.Context(), name, second) {
+			t.Errorf("%s is granted to two suspects at once", name)
+		}
+		f.relays["entry-0"].Release(t.Context(), name, first)
+		if !f.relays["entry-3"].Grant(t.Context(), name, second) {
+			t.Errorf("%s is not granted after its release", name)
+		}
+	}
+	f.dead.Store("entry-5", true)
+	f.relays["entry-1"].Announce(t.Context(), attempt.Conviction{Fingerprint: first})
+	for id, suspects := range f.suspects {
+		want := int64(1)
+		if id == "entry-1" || id == "entry-5" {
+			want = 0
+		}
+		if got := suspects.learnt.Load(); got != want {
+			t.Errorf("%s learnt %d times, want %d", id, got, want)
+		}
+	}
+}
+
 func TestOnlyPeersGetIn(t *testing.T) {
 	f := newFleet(t, 1, 2)
 	r := f.relays["entry-0"]
 	for _, key := range []string{"", "a caller's key", peerKey.Digest()} {
 		r.config.HTTP = &http.Client{Transport: keys.Transport{Key: keys.NewSecret(key), Base: http.DefaultTransport}}
-		for _, path := range []string{pathNote, pathRevision, pathHistories, "/nowhere"} {
+		for _, path := range []string{pathNote, pathRevision, pathHistories, pathConviction, pathGrant, "/nowhere"} {
 			var refused *StatusError
 			err := r.get(t.Context(), f.nodes[1].Address, path, nil)
 			if !errors.As(err, &refused) || refused.Status != http.StatusUnauthorized {
--- a/pkg/serving/peer/wire.go
+++ b/pkg/serving/peer/wire.go
@@ -66,6 +66,15 @@
 	}
 }
 
+type wireGrant struct {
+	Group       string `json:"group"`
+	Fingerprint string `json:"fingerprint"`
+}
+
+type wireGranted struct {
+	Granted bool `json:"granted"`
+}
+
 type wireHistories struct {
 	Histories []wireHistory `json:"histories"`
 }
