--- a/pkg/serving/caller/gateway.go
+++ b/pkg/serving/caller/gateway.go
@@ -21,8 +21,12 @@
 	"almondbay.example/serving/view"
 )
 
-// PathReady answers 200 while the node takes requests.
-const PathReady = "/readyz"
+const (
+	// PathReady answers 200 while the node takes requests.
+	PathReady = "/readyz"
+	// PathHealth answers 200 as long as the process serves at all.
+	PathHealth = "/healthz"
+)
 
 // Config configures a Gateway.
 type Config struct {
@@ -90,6 +94,7 @@
 	g.echo.HTTPErrorHandler = handleError
 	g.echo.Use(g.guard)
 	g.echo.GET(PathReady, g.ready)
+	g.echo.GET(PathHealth, func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	g.echo.GET("/v1/models", g.models)
 	g.echo.POST(enginewire.PathChatCompletions, g.generate)
 	g.echo.POST(enginewire.PathCompletions, g.generate)
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -106,9 +106,11 @@
 	controller *control.Controller
 	store      *environment.Store
 	drains     *drain.Store
-	relay      *peer.Relay
-	platform   *platformWatch
-	observer   *observer
+	// drainsReadAt is when refreshDrains last read the platform.
+	drainsReadAt time.Time
+	relay        *peer.Relay
+	platform     *platformWatch
+	observer     *observer
 }
 
 // New assembles a node.
--- a/pkg/serving/node/refresh.go
+++ b/pkg/serving/node/refresh.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"golang.org/x/sync/errgroup"
 
@@ -9,6 +10,9 @@
 	"almondbay.example/serving/drain"
 )
 
+// drainReads bounds the reads of drains a second that all nodes make together.
+const drainReads = 100
+
 // maxProbes bounds the health questions in flight.
 const maxProbes = 64
 
@@ -20,12 +24,26 @@
 		return Error.Wrap(err)
 	}
 	// Without the drains the list is still of use; those known before hold.
-	drains, drainsErr := n.drains.List(ctx)
-	if drainsErr == nil {
-		n.view.SetDrained(vmsOf(drains))
-	}
+	drainsErr := n.refreshDrains(ctx)
 	n.view.SetVMs(vms)
-	return Error.Wrap(drainsErr)
+	return drainsErr
+}
+
+// refreshDrains reads the operators' drains, more seldom the more nodes there
+// are, so that all nodes together keep to drainReads.
+func (n *Node) refreshDrains(ctx context.Context) error {
+	now := n.config.Clock.Now()
+	interval := time.Duration(len(n.view.VMs(fleet.RoleEntry))) * time.Second / drainReads
+	if now.Sub(n.drainsReadAt) < interval {
+		return nil
+	}
+	drains, err := n.drains.List(ctx)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	n.drainsReadAt = now
+	n.view.SetDrained(vmsOf(drains))
+	return nil
 }
 
 func vmsOf(drains []drain.Drain) []string {
--- a/pkg/serving/peer/peer.go
+++ b/pkg/serving/peer/peer.go
@@ -5,11 +5,9 @@
 
 import (
 	"context"
-	"maps"
 	"math/rand/v2"
 	"net/http"
 	"slices"
-	"strings"
 	"sync"
 	"time"
 
@@ -25,7 +23,6 @@
 	"almondbay.example/core/revision"
 	"almondbay.example/serving/environment"
 	"almondbay.example/serving/event"
-	"almondbay.example/serving/status"
 )
 
 // Error is the class of all errors of this package.
@@ -100,16 +97,6 @@
 	heard map[string]note
 }
 
-// note is what a node says about itself.
-type note struct {
-	Node          string
-	FailureDomain string
-	Revision      uint64
-	Hash          string
-	// At is when it was heard, by the hearer's clock.
-	At time.Time
-}
-
 // New returns a relay that holds no revision.
 func New(c Config) *Relay {
 	r := &Relay{config: c, follower: revision.NewFollower(c.Environment), heard: make(map[string]note), passed: make(map[string]uint64)}
@@ -290,31 +277,6 @@
 	return r.follower.Held().Entry, r.body
 }
 
-func (r *Relay) note() note {
-	held := r.Held()
-	return note{Node: r.config.Node, FailureDomain: r.config.FailureDomain, Revision: held.Revision, Hash: held.Hash}
-}
-
-func (r *Relay) hear(n note) {
-	n.At = r.config.Clock.Now()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	r.heard[n.Node] = n
-}
-
-// forget drops what was heard of nodes that are no longer listed, and the trees
-// that are no longer in use.
-func (r *Relay) forget() {
-	listed := make(map[string]bool)
-	for _, vm := range r.config.Nodes() {
-		listed[vm.ID] = true
-	}
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	maps.DeleteFunc(r.heard, func(id string, _ note) bool { return !listed[id] })
-	maps.DeleteFunc(r.passed, func(id string, _ uint64) bool { return !listed[id] && id != r.config.Node })
-}
-
 // domain returns the listed nodes of this node's failure domain.
 func (r *Relay) domain() []string {
 	var ids []string
@@ -326,75 +288,6 @@
 	return ids
 }
 
-// randomPeer picks a peer, mostly of this node's failure domain.
-func (r *Relay) randomPeer() (fleet.VM, bool) {
-	var near, far []fleet.VM
-	for _, vm := range r.config.Nodes() {
-		switch {
-		case vm.ID == r.config.Node:
-		case vm.FailureDomain == r.config.FailureDomain:
-			near = append(near, vm)
-		default:
-			far = append(far, vm)
-		}
-	}
-	from := near
-	if len(near) == 0 || (len(far) > 0 && r.config.Random.IntN(distantShare) == 0) {
-		from = far
-	}
-	if len(from) == 0 {
-		return fleet.VM{}, false
-	}
-	return from[r.config.Random.IntN(len(from))], true
-}
-
-// Nodes returns the state of the other listed nodes, as far as heard.
-func (r *Relay) Nodes() []status.Node {
-	vms := r.config.Nodes()
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	var nodes []status.Node
-	for _, vm := range vms {
-		if vm.ID == r.config.Node {
-			continue
-		}
-		heard := r.heard[vm.ID]
-		nodes = append(nodes, status.Node{
-			ID: vm.ID, FailureDomain: vm.FailureDomain, Revision: heard.Revision, SeenAt: heard.At,
-		})
-	}
-	return nodes
-}
-
-// Histories merges the counts of all listed nodes, and names those that did not
-// answer.
-func (r *Relay) Histories(ctx context.Context) (merged []burn.History, missing []string) {
-	var mu sync.Mutex
-	all := [][]burn.History{r.config.Histories()}
-	var group errgroup.Group
-	group.SetLimit(maxPushes)
-	for _, vm := range r.config.Nodes() {
-		if vm.ID == r.config.Node {
-			continue
-		}
-		group.Go(func() error {
-			var answer wireHistories
-			err := r.get(ctx, vm.Address, pathHistories, &answer)
-			mu.Lock()
-			defer mu.Unlock()
-			if err != nil {
-				missing = append(missing, vm.ID)
-				return nil
-			}
-			all = append(all, toHistories(answer))
-			return nil
-		})
-	}
-	_ = group.Wait()
-	slices.SortFunc(missing, strings.Compare)
-	return burn.Merge(all...), missing
-}
-
 // Wait returns when no push is in flight.
 func (r *Relay) Wait() {
 	r.mu.Lock()
--- a/pkg/serving/report/plot.go
+++ b/pkg/serving/report/plot.go
@@ -23,6 +23,8 @@
 	dotRadius vg.Length = 1.5
 	// headroom keeps the highest value off the upper edge.
 	headroom = 1.1
+	// labelledHours is the number of hours between two labels of the time axis.
+	labelledHours = 3
 )
 
 var (
@@ -34,37 +36,44 @@
 	}
 )
 
-// plotRow writes the burn rate of a row over the period as an SVG element, with
-// a line for each alert.
+// plotRow writes the burn rate of a row over the period as an SVG element.
 func plotRow(w io.Writer, r burn.Report, row burn.Row) error {
+	p, err := buildPlot(r, row)
+	if err != nil {
+		return err
+	}
+	canvas := vgsvg.New(plotWidth, plotHeight)
+	p.Draw(draw.New(canvas))
+	var document bytes.Buffer
+	if _, err := canvas.WriteTo(&document); err != nil {
+		return Error.Wrap(err)
+	}
+	_, err = w.Write(element(document.Bytes()))
+	return Error.Wrap(err)
+}
+
+// buildPlot draws the burn rate of a row with a line for each alert.
+func buildPlot(r burn.Report, row burn.Row) (*plot.Plot, error) {
 	p := plot.New()
-	p.X.Tick.Marker = plot.TimeTicks{Format: "15:04", Time: plot.UTCUnixTime}
+	p.X.Tick.Marker = plot.TickerFunc(hourTicks)
 	p.Y.Label.Text = "burn rate"
 	p.X.Min = unix(r.At.Add(-r.Policy.Period))
 	p.X.Max = unix(r.At)
 	p.Legend.Top, p.Legend.Left = true, true
 	p.Add(plotter.NewGrid())
 	if err := addRates(p, row.Points); err != nil {
-		return err
+		return nil, err
 	}
 	if err := addLevel(p, "budget", 1, budgetColor); err != nil {
-		return err
+		return nil, err
 	}
-	highest := highestRate(row)
 	for i, a := range row.Alerts {
 		if err := addLevel(p, a.Rule, a.Factor, alertColors[i%len(alertColors)]); err != nil {
-			return err
+			return nil, err
 		}
 	}
-	p.Y.Min, p.Y.Max = 0, highest*headroom
-	canvas := vgsvg.New(plotWidth, plotHeight)
-	p.Draw(draw.New(canvas))
-	var document bytes.Buffer
-	if _, err := canvas.WriteTo(&document); err != nil {
-		return Error.Wrap(err)
-	}
-	_, err := w.Write(element(document.Bytes()))
-	return Error.Wrap(err)
+	p.Y.Min, p.Y.Max = 0, highestRate(row)*headroom
+	return p, nil
 }
 
 // element drops what stands before the SVG element in an SVG document.
@@ -128,6 +137,20 @@
 	return nil
 }
 
+// hourTicks marks every hour of a time axis and labels each labelledHours.
+func hourTicks(from, to float64) []plot.Tick {
+	var ticks []plot.Tick
+	at := time.Unix(int64(from), 0).UTC().Truncate(time.Hour).Add(time.Hour)
+	for ; unix(at) <= to; at = at.Add(time.Hour) {
+		tick := plot.Tick{Value: unix(at)}
+		if at.Hour()%labelledHours == 0 {
+			tick.Label = at.Format("15:04")
+		}
+		ticks = append(ticks, tick)
+	}
+	return ticks
+}
+
 func unix(t time.Time) float64 {
 	return float64(t.Unix())
 }
