Hold the acceptance of documents by stricter tests

Cause: trial mutants showed that tests let two faults pass: a write without its condition, since the racing operators never met between read and write, and a late write that nothing came before. The admin API also took an unknown outcome for a conflict when it wrapped one, and told notRun.

Change: the racers now wait for each other between read and write; a late write arrives after another revision; a promotion's source moves before its write; a lost answer is followed by as many revisions as drop out of the history; the new nodes of an outage compare notes alone.

--- a/cmd/almondbay/serve.go
+++ b/cmd/almondbay/serve.go
@@ -40,7 +40,8 @@
 	if err != nil {
 		return err
 	}
-	logger, err := zap.NewProduction()
+	// Lines name the code that logs, which is one call above the catalogue.
+	logger, err := zap.NewProduction(zap.AddCallerSkip(1))
 	if err != nil {
 		return err
 	}
--- a/pkg/serving/environment/environment_test.go
+++ b/pkg/serving/environment/environment_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"errors"
 	"fmt"
+	"sync"
+	"sync/atomic"
 	"testing"
 
 	"github.com/jonboulle/clockwork"
@@ -139,6 +141,9 @@
 		t.Fatal(err)
 	}
 	results := make([]error, operators)
+	racing := &barrierTable{Memory: memory}
+	racing.readers.Add(operators)
+	store = newStore(racing, memory)
 	var group errgroup.Group
 	for i := range operators {
 		group.Go(func() error {
@@ -162,30 +167,109 @@
 	}
 }
 
-// TestLoserOfARaceAfterALostAnswer has another operator take the revision
-// while the first one's answer is lost: the first must learn that it lost, and
-// only then.
-func TestLoserOfARaceAfterALostAnswer(t *testing.T) {
+// barrierTable holds each read back until all operators have read, so that
+// all of them decide on the same version.
+type barrierTable struct {
+	*platform.Memory
+	readers sync.WaitGroup
+	late    atomic.Bool
+}
+
+func (b *barrierTable) Read(ctx context.Context, key string) (platform.Row, error) {
+	row, err := b.Memory.Read(ctx, key)
+	if !b.late.Load() {
+		b.readers.Done()
+		b.readers.Wait()
+		b.late.Store(true)
+	}
+	return row, err
+}
+
+// TestLateWriteNeverReverts has a write of the first operator arrive after the
+// second operator's revision.
+func TestLateWriteNeverReverts(t *testing.T) {
+	memory := platform.NewMemory()
+	table := &faultyTable{Memory: memory, faults: []fault{late}}
+	if _, err := newStore(table, memory).Accept(t.Context(), "trial", proposal("op", "v1", 0)); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := newStore(memory, memory).Accept(t.Context(), "trial", proposal("other", "v2", 1)); err != nil {
+		t.Fatal(err)
+	}
+	for _, held := range table.held {
+		var conflict *platform.ConflictError
+		if err := memory.Commit(t.Context(), held); !errors.As(err, &conflict) {
+			t.Errorf("the late write got %v", err)
+		}
+	}
+	row, err := newStore(memory, memory).Read(t.Context(), "trial")
+	if err != nil || row.Revision != 2 || row.Operation != "other" {
+		t.Errorf("the table holds %+v, %v", row.Entry, err)
+	}
+}
+
+// movingTable has another operator change the source right before a commit.
+type movingTable struct {
+	*platform.Memory
+	moved bool
+}
+
+func (m *movingTable) Commit(ctx context.Context, t platform.Transaction) error {
+	if !m.moved {
+		m.moved = true
+		if _, err := newStore(m.Memory, m.Memory).Accept(ctx, "trial", proposal("other", "v2", 1)); err != nil {
+			return err
+		}
+	}
+	return m.Memory.Commit(ctx, t)
+}
+
+func TestPromotionSeesTheSourceMove(t *testing.T) {
 	memory := platform.NewMemory()
-	table := &faultyTable{Memory: memory, faults: []fault{lostBefore}}
-	clock := clockwork.NewFakeClock()
-	store := environment.New(environment.Config{Table: &interloper{faultyTable: table}, Objects: memory, Clock: clock, Attempts: 3})
-	_, err := store.Accept(t.Context(), "trial", proposal("op", "v1", 0))
+	if _, err := newStore(memory, memory).Accept(t.Context(), "trial", proposal("op", "v1", 0)); err != nil {
+		t.Fatal(err)
+	}
+	store := newStore(&movingTable{Memory: memory}, memory)
+	_, err := store.Promote(t.Context(), "trial", "production", revision.Promotion{Operation: "p", SourceRevision: 1})
 	var conflict *revision.ConflictError
-	if !errors.As(err, &conflict) || conflict.Current.Operation != "other" {
-		t.Errorf("got %v, want a conflict with the other operator", err)
+	if !errors.As(err, &conflict) || conflict.Environment != "trial" || conflict.Current.Revision != 2 {
+		t.Errorf("got %v, want a conflict in the source", err)
+	}
+	if row, err := store.Read(t.Context(), "production"); err != nil || row.Revision != 0 {
+		t.Errorf("production holds %+v, %v", row.Entry, err)
+	}
+}
+
+// TestRaceInsideALostAnswer has other operators accept documents while the
+// answer of the first is lost. It must learn that it lost, and only if the
+// history shows that its write can never take effect.
+func TestRaceInsideALostAnswer(t *testing.T) {
+	for others, lost := range map[int]bool{1: true, revision.HistoryLimit: true, revision.HistoryLimit + 2: false} {
+		memory := platform.NewMemory()
+		table := &interloper{faultyTable: &faultyTable{Memory: memory, faults: []fault{lostBefore}}, others: others}
+		_, err := newStore(table, memory).Accept(t.Context(), "trial", proposal("op", "v0", 0))
+		var conflict *revision.ConflictError
+		var unknown *environment.UnknownOutcomeError
+		if lost != !errors.As(err, &unknown) || (lost && !errors.As(err, &conflict)) {
+			t.Errorf("after %d other commands, got %v", others, err)
+		}
 	}
 }
 
-// interloper has another operator accept a document after the first commit.
+// interloper has others accept documents right after the first commit.
 type interloper struct {
 	*faultyTable
+	others int
 }
 
 func (i *interloper) Commit(ctx context.Context, t platform.Transaction) error {
 	err := i.faultyTable.Commit(ctx, t)
-	if i.commits == 1 {
-		_, other := newStore(i.Memory, i.Memory).Accept(ctx, "trial", proposal("other", "v2", 0))
+	if i.commits > 1 {
+		return err
+	}
+	for n := range i.others {
+		name := fmt.Sprint("other", n)
+		_, other := newStore(i.Memory, i.Memory).Accept(ctx, "trial", proposal(name, name, uint64(n)))
 		err = errors.Join(err, other)
 	}
 	return err
--- a/pkg/serving/operator/problem.go
+++ b/pkg/serving/operator/problem.go
@@ -39,7 +39,11 @@
 		unavailable *environment.UnavailableError
 		routing     *echo.HTTPError
 	)
+	// An unknown outcome comes first: it may wrap the conflict of its last try.
 	switch {
+	case errors.As(err, &unknown), errors.As(err, &drainLost):
+		problem.Code, problem.Outcome = "outcomeUnknown", operatorwire.OutcomeUnknown
+		return http.StatusGatewayTimeout, problem
 	case errors.As(err, &faults):
 		problem.Code, problem.Faults = "unsoundDocument", operatorwire.FromFaults(faults)
 		return http.StatusUnprocessableEntity, problem
@@ -60,9 +64,6 @@
 	case errors.As(err, &routing):
 		problem.Code = "malformedRequest"
 		return routing.Code, problem
-	case errors.As(err, &unknown), errors.As(err, &drainLost):
-		problem.Code, problem.Outcome = "outcomeUnknown", operatorwire.OutcomeUnknown
-		return http.StatusGatewayTimeout, problem
 	case errors.As(err, &unavailable):
 		problem.Code = "platformUnavailable"
 		return http.StatusServiceUnavailable, problem
--- a/pkg/serving/peer/peer_test.go
+++ b/pkg/serving/peer/peer_test.go
@@ -245,8 +245,11 @@
 	// All nodes of a domain but one are replaced, then the last one too.
 	f.add(t, "new-0", "domain-0")
 	f.add(t, "new-1", "domain-0")
-	f.heartbeats(t, 6)
 	for _, id := range []string{"new-0", "new-1"} {
+		// The new node alone compares notes.
+		for range 6 {
+			_ = f.relays[id].Heartbeat(t.Context())
+		}
 		if held := f.relays[id].Held(); held.Revision != 1 || held.Confirmed {
 			t.Errorf("%s holds %+v, want revision 1, not confirmed", id, held)
 		}
