Print how to reach the dev node once it serves

Cause: the curl line was printed at once, and replica groups form some seconds later, so that a new user's first request was refused as unavailable (seen in a run of the printed line 3 s after the start).

Change: dev prints its line, also the one of JSON, when all replica groups of its document serve.

Conclusion: a test sends a request right after the line and gets the whole answer, which the burn report then counts as its only request.

--- a/cmd/almondbay/commands.go
+++ b/cmd/almondbay/commands.go
@@ -65,7 +65,7 @@
 		},
 		{
 			name: "dev", summary: "run a node with an embedded platform and engines",
-			text:    "Runs a node, an in-memory platform and engines that stand in for real ones, all in one process, and prints a curl line that streams an answer.",
+			text:    "Runs a node, an in-memory platform and engines that stand in for real ones, all in one process. Once they serve, which takes a few seconds, it prints a curl line that streams an answer.",
 			example: "almondbay dev --listen 127.0.0.1:8080",
 			command: &devCommand{session: s},
 		},
--- a/cmd/almondbay/dev.go
+++ b/cmd/almondbay/dev.go
@@ -36,6 +36,8 @@
 	devFirstToken    = 50 * time.Millisecond
 	devTokenInterval = 10 * time.Millisecond
 	devLoadTime      = 300 * time.Millisecond
+	// devInterval is the time between two looks whether the node serves.
+	devInterval = 20 * time.Millisecond
 
 	readHeaderTimeout = 10 * time.Second
 )
@@ -45,7 +47,7 @@
 
 	Listen      string `long:"listen" default:"127.0.0.1:8080" description:"Address for callers"`
 	AdminListen string `long:"admin-listen" default:"127.0.0.1:0" description:"Address of the admin API"`
-	JSON        bool   `long:"json" description:"Print one line of JSON in place of text"`
+	JSON        bool   `long:"json" description:"Print one line of JSON in place of text, once the node serves"`
 }
 
 // Execute implements flags.Commander.
@@ -74,13 +76,36 @@
 	n := node.New(config)
 	nodeContext, cancel := context.WithCancel(ctx)
 	g.Add(func() error { return n.Run(nodeContext) }, func(error) { cancel() })
-	if err := c.print(callers.Addr().String(), operators.Addr().String(), key, adminKey); err != nil {
-		cancel()
-		return err
-	}
+	g.Add(func() error {
+		if !serves(nodeContext, n, config.Clock) {
+			return nil
+		}
+		if err := c.print(callers.Addr().String(), operators.Addr().String(), key, adminKey); err != nil {
+			return err
+		}
+		<-nodeContext.Done()
+		return nil
+	}, func(error) { cancel() })
 	return g.Run()
 }
 
+// serves waits until the node has all replica groups of the document, so that
+// what is printed then works at once. It returns false when ctx ends first.
+func serves(ctx context.Context, n *node.Node, clock clockwork.Clock) bool {
+	ticker := clock.NewTicker(devInterval)
+	defer ticker.Stop()
+	for {
+		if s := n.Status(); s.Ready && s.Distance() == 0 {
+			return true
+		}
+		select {
+		case <-ctx.Done():
+			return false
+		case <-ticker.Chan():
+		}
+	}
+}
+
 func devNode(memory *platform.Memory, callers, operators net.Listener, adminKey keys.Secret) node.Config {
 	return node.Config{
 		Settings: settings.Settings{
--- a/cmd/almondbay/main_test.go
+++ b/cmd/almondbay/main_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"encoding/json"
 	"flag"
+	"fmt"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -16,6 +17,8 @@
 	"testing"
 
 	"golang.org/x/sync/errgroup"
+
+	"almondbay.example/serving/keys"
 )
 
 // result is what a command left behind.
@@ -68,8 +71,32 @@
 
 const secondDocument = `{"models": [{"name": "demo", "version": "2", "groups": 2, "span": 4}]}`
 
+// chat streams one answer and returns it whole.
+func chat(t *testing.T, dev devLine) string {
+	t.Helper()
+	body := fmt.Sprintf(`{"model": %q, "stream": true, "messages": [{"role": "user", "content": "hello"}]}`, dev.Model)
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+dev.Address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	keys.NewSecret(dev.Key).Authorize(request.Header)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(answer)
+}
+
 func TestOperatorsCommands(t *testing.T) {
 	dev := startDev(t)
+	if answer := chat(t, dev); !strings.Contains(answer, "[DONE]") {
+		t.Errorf("the first request got %q", answer)
+	}
 	t.Setenv("ALMONDBAY_OPERATOR_KEY", dev.AdminKey)
 	server := "http://" + dev.AdminAddress
 	file := write(t, "second.jsonc", secondDocument)
@@ -95,7 +122,7 @@
 		{[]string{"history", "-e", "production"}, exitDone, "dev/3", ""},
 		{[]string{"drain", "vm-1"}, exitDone, "receives no new work", ""},
 		{[]string{"drain", "--cancel", "vm-1"}, exitDone, "may receive work again", ""},
-		{[]string{"report", "burn"}, exitDone, "WORKSPACE", ""},
+		{[]string{"report", "burn"}, exitDone, "default    demo   95%     1", ""},
 		{[]string{"history", "--key", "wrong"}, exitRefused, "", "key is not valid"},
 		{[]string{"history", "--key", dev.Key}, exitRefused, "", "key is not valid"},
 	}
