Measure and cut the cost of a scheduling decision

The profile showed the medians worked out anew for each request, powers of two in them, and times compared in the heaps.

The median cost is now kept between samples, bucket edges are a table and the order of tickets is one integer.

--- a/pkg/core/schedule/predict.go
+++ b/pkg/core/schedule/predict.go
@@ -53,12 +53,20 @@
 	for i, n := range d.counts {
 		rest -= int(n)
 		if rest <= 0 {
-			return math.Exp2(float64(i+1) / bucketsPerOctave)
+			return upperEdges[i]
 		}
 	}
-	return math.Exp2(distributionSize / bucketsPerOctave)
+	return upperEdges[distributionSize-1]
 }
 
+// upperEdges holds the upper edge of each bucket.
+var upperEdges = func() (edges [distributionSize]float64) {
+	for i := range edges {
+		edges[i] = math.Exp2(float64(i+1) / bucketsPerOctave)
+	}
+	return edges
+}()
+
 func bucketOf(x float64) int {
 	if x <= 1 {
 		return 0
--- a/pkg/core/schedule/queue.go
+++ b/pkg/core/schedule/queue.go
@@ -52,7 +52,7 @@
 }
 
 func (t *Ticket) before(other *Ticket, _ int) bool {
-	return t.order.Before(other.order)
+	return t.order < other.order
 }
 
 func (t *Ticket) place(_, position int) {
@@ -160,7 +160,7 @@
 // precedes orders tickets of different classes.
 func (t *Ticket) precedes(other *Ticket) bool {
 	if t.queue == other.queue {
-		return t.order.Before(other.order)
+		return t.order < other.order
 	}
 	return t.queue.virtualTime < other.queue.virtualTime
 }
--- a/pkg/core/schedule/request.go
+++ b/pkg/core/schedule/request.go
@@ -92,9 +92,9 @@
 	// predicted is the predicted cost in tokens of decoding.
 	predicted float64
 	bucket    int
-	// order sorts the tickets of one queue: the time of Submit plus a delay in
-	// proportion to the predicted cost, so that waiting work ages.
-	order      time.Time
+	// order sorts the tickets of one queue: the time of Submit in nanoseconds
+	// plus a delay in proportion to the predicted cost, so that waiting work ages.
+	order      int64
 	index      int
 	dispatchBy time.Time
 	// hopeless is set when the first token will be late whatever is done; other
--- a/pkg/core/schedule/shard.go
+++ b/pkg/core/schedule/shard.go
@@ -28,6 +28,8 @@
 	// outlivedFactor is the length that is expected of a request that has become
 	// long, as a multiple of its length then.
 	outlivedFactor = 2
+	// typicalInterval is the number of samples between two looks at the median.
+	typicalInterval = 8
 	// maxSetAside bounds the tickets that are passed over in one round because
 	// the groups with room are ones they must avoid.
 	maxSetAside = 4
@@ -45,6 +47,8 @@
 	rate      slotRate
 	// costs is the distribution of the cost of finished requests.
 	costs distribution
+	// typical is the median of costs, at least one, as of the last few samples.
+	typical float64
 	// firstTokens holds milliseconds from dispatch to first token, by promptSize.
 	firstTokens [promptSizes]distribution
 	// slots is the sum over groups of the larger of budget and requests in
@@ -65,8 +69,9 @@
 			limits: c.limits(),
 			random: rand.New(rand.NewPCG(seed, 0)),
 		},
-		groups: make(map[string]*groupState),
-		shares: shares,
+		groups:  make(map[string]*groupState),
+		shares:  shares,
+		typical: 1,
 	}
 }
 
@@ -162,7 +167,7 @@
 	if r.Notify == nil {
 		r.Notify = func(Decision) {}
 	}
-	typical := max(1, s.costs.quantile(0.5))
+	typical := s.typical
 	tokens := s.predictor.predict(&r, typical)
 	cost := tokens + float64(r.PromptTokens)*s.config.PromptCost
 	t := &Ticket{request: r, shard: s, predicted: cost, index: -1}
@@ -170,7 +175,7 @@
 		t.class = classLong
 	}
 	t.bucket = min(costBuckets-1, bucketOf(cost)/bucketsPerOctave)
-	t.order = now.Add(scale(s.config.AgeingDelay, cost/typical))
+	t.order = now.UnixNano() + int64(scale(s.config.AgeingDelay, cost/typical))
 	due := r.FirstTokenBy
 	if due.IsZero() {
 		due = now.Add(s.config.FirstToken)
@@ -302,7 +307,7 @@
 // quantum bounds the cost that is charged before it has been used, so that one
 // long request does not lock its workspace out.
 func (s *shard) quantum() float64 {
-	return max(1, s.costs.quantile(0.5)) * s.config.LongFactor
+	return s.typical * s.config.LongFactor
 }
 
 // firstToken records that a running request has sent its first token.
@@ -389,10 +394,17 @@
 	}
 	s.advance(t, max(tokens, 1), now)
 	s.predictor.learn(&t.request, tokens)
-	s.costs.add(s.used(t))
+	s.learnCost(s.used(t))
 	s.release(t, now)
 }
 
+func (s *shard) learnCost(cost float64) {
+	s.costs.add(cost)
+	if s.costs.total <= minSamples || s.costs.total%typicalInterval == 0 {
+		s.typical = max(1, s.costs.quantile(0.5))
+	}
+}
+
 // cancel ends a ticket whose request will not complete.
 func (s *shard) cancel(t *Ticket, now time.Time) {
 	s.mu.Lock()
