--- a/pkg/core/schedule/group.go
+++ b/pkg/core/schedule/group.go
@@ -19,6 +19,8 @@
 	// report above which the report is not believed.
 	minSlack  = 2
 	slackPart = 0.1
+	// doubtTime is how long the reports of a group are not believed after that.
+	doubtTime = 10 * time.Second
 	// maxUnequal and maxAbove bound the budget in terms of an equal share, so
 	// that reports which are wrong all the time cannot let it grow for ever.
 	maxUnequal = 2
@@ -72,6 +74,8 @@
 	// others is the number of requests of other schedulers at the last report.
 	others   float64
 	reported time.Time
+	// doubtedUntil is when reports are believed again.
+	doubtedUntil time.Time
 	// since is when the group was first seen.
 	since   time.Time
 	history history
@@ -126,7 +130,10 @@
 	own := float64(g.history.at(r.At, g.running))
 	total := float64(r.Running + r.Waiting)
 	if total+l.slack(g.Slots) < own {
-		g.assume(l, random) // The report cannot be true.
+		g.doubtedUntil = r.At.Add(doubtTime) // The report cannot be true.
+	}
+	if r.At.Before(g.doubtedUntil) {
+		g.assume(l, random)
 		return
 	}
 	total = max(own, total)
--- a/pkg/core/schedule/trial/figures.go
+++ b/pkg/core/schedule/trial/figures.go
@@ -45,7 +45,7 @@
 }
 
 func (w *world) figures() Figures {
-	var f Figures
+	f := Figures{Messages: w.messages}
 	var waits, firsts []time.Duration
 	spaces := make([]spaceTally, len(w.config.Workload.workspaces))
 	goodWork, long, longGood := 0.0, 0, 0
