Try placing adapters ahead of demand against least recent use

The question was whether the split of "Data-driven Hybrid Caching in Hierarchical Edge Cache Networks" helps adapters under a rate-limited weight store.

Protecting adapters on their way from eviction made plain LRU worse and was taken out.

Groups load all adapters of their model today, so nothing is built on it yet.

--- a/cmd/trial/wire.go
+++ b/cmd/trial/wire.go
@@ -55,3 +55,35 @@
 		Messages:       f.Messages,
 	}
 }
+
+// wireAdapterResult is one adapter trial in JSON. Times are in seconds.
+type wireAdapterResult struct {
+	Deployment string  `json:"deployment"`
+	Seed       uint64  `json:"seed"`
+	Room       int     `json:"room"`
+	Policy     string  `json:"policy"`
+	Requests   int     `json:"requests"`
+	InTime     float64 `json:"inTime"`
+	Hit        float64 `json:"hit"`
+	Loads      int     `json:"loads"`
+	Wait50     float64 `json:"wait50"`
+	Wait95     float64 `json:"wait95"`
+	Wait99     float64 `json:"wait99"`
+}
+
+func wireAdapterResultOf(r adapterResult) wireAdapterResult {
+	f := r.figures
+	return wireAdapterResult{
+		Deployment: r.deployment,
+		Seed:       r.seed,
+		Room:       r.policy.Room,
+		Policy:     r.policy.Name,
+		Requests:   f.Requests,
+		InTime:     f.InTime,
+		Hit:        f.Hit,
+		Loads:      f.Loads,
+		Wait50:     f.Wait.P50.Seconds(),
+		Wait95:     f.Wait.P95.Seconds(),
+		Wait99:     f.Wait.P99.Seconds(),
+	}
+}
--- a/pkg/core/schedule/trial/trial_test.go
+++ b/pkg/core/schedule/trial/trial_test.go
@@ -67,3 +67,18 @@
 		}
 	}
 }
+
+// TestPlacingAdaptersAhead holds what the split was taken for: where room is
+// short it beats least recent use for both deployments, and costs nothing where
+// there is room for all.
+func TestPlacingAdaptersAhead(t *testing.T) {
+	for _, load := range []Workload{Cartaz(), Sava()} {
+		for _, room := range []int{6, 10} {
+			recent := RunAdapters(load, AdapterPolicy{Affinity: true, Room: room}, 1)
+			ahead := RunAdapters(load, AdapterPolicy{Affinity: true, Room: room, Proactive: 0.84}, 1)
+			if ahead.InTime < recent.InTime-0.005 || (room == 6 && ahead.InTime < recent.InTime+0.1) {
+				t.Errorf("%s, room for %d: %.3f in time, %.3f by recent use", load.Name, room, ahead.InTime, recent.InTime)
+			}
+		}
+	}
+}
