--- a/pkg/core/schedule/trial/trial_test.go
+++ b/pkg/core/schedule/trial/trial_test.go
@@ -52,3 +52,33 @@
 		t.Errorf("the same seed gave\n%+v\n%+v", a, b)
 	}
 }
+
+// TestLongWorkDoesNotHoldUpShortWork holds the rise of the 99th percentile that
+// long work brings to a tenth of the objective for the first token.
+func TestLongWorkDoesNotHoldUpShortWork(t *testing.T) {
+	for _, load := range []Workload{Cartaz(), Sava()} {
+		c := overloaded(load, OwnerPerDomain, Capacity(load, 1))
+		c.Flat, c.Overload = true, 0.8
+		with := Run(c).ShortWait.P99
+		c.WithoutLong = true
+		without := Run(c).ShortWait.P99
+		if with-without > firstTokenObjective/10 {
+			t.Errorf("%s: short work waits %s beside long work and %s without", load.Name, with, without)
+		}
+	}
+}
+
+// TestPlacingAdaptersAhead holds what the split was taken for: where room is
+// short it beats least recent use for both deployments, and costs nothing where
+// there is room for all.
+func TestPlacingAdaptersAhead(t *testing.T) {
+	for _, load := range []Workload{Cartaz(), Sava()} {
+		for _, room := range []int{6, 10} {
+			recent := RunAdapters(load, AdapterPolicy{Affinity: true, Room: room}, 1)
+			ahead := RunAdapters(load, AdapterPolicy{Affinity: true, Room: room, Proactive: 0.84}, 1)
+			if ahead.InTime < recent.InTime-0.005 || (room == 6 && ahead.InTime < recent.InTime+0.1) {
+				t.Errorf("%s, room for %d: %.3f in time, %.3f by recent use", load.Name, room, ahead.InTime, recent.InTime)
+			}
+		}
+	}
+}
