--- a/pkg/core/group/plan_test.go
+++ b/pkg/core/group/plan_test.go
@@ -6,8 +6,47 @@
 	"almondbay.example/core/document"
 	"almondbay.example/core/fleet"
 	"almondbay.example/core/group"
+	"almondbay.example/core/group/trial"
 )
 
+// fakeFleet is a fleet of one test.
+type fakeFleet struct {
+	*trial.Fleet
+	t *testing.T
+}
+
+func newFleet(t *testing.T, domains map[string]int, models ...document.Model) fakeFleet {
+	return fakeFleet{trial.NewFleet(domains, models...), t}
+}
+
+func (f fakeFleet) step() {
+	f.t.Helper()
+	if err := f.Step(); err != nil {
+		f.t.Fatal(err)
+	}
+}
+
+// until steps until ok and fails the test after limit steps.
+func (f fakeFleet) until(what string, limit int, ok func() bool) int {
+	f.t.Helper()
+	for n := range limit {
+		if ok() {
+			return n
+		}
+		f.step()
+	}
+	f.t.Fatalf("not %s after %d steps: %v", what, limit, f.States())
+	return 0
+}
+
+// serving returns a condition: exactly n groups are proven, all at version.
+func (f fakeFleet) serving(version string, n int) func() bool {
+	return func() bool {
+		proven := f.Proven()
+		return proven[version] == n && len(proven) <= 1
+	}
+}
+
 func model(groups int) document.Model {
 	return document.Model{Name: "m", Version: "1", Groups: groups, Span: 4, MaxUnavailable: 1}
 }
@@ -15,7 +54,7 @@
 func TestFormsAllGroups(t *testing.T) {
 	f := newFleet(t, map[string]int{"a": 9, "b": 9, "c": 9}, model(6))
 	f.until("serving", 90, f.serving("1", 6))
-	if n := f.steps[group.StepForm]; n != 6 {
+	if n := f.Steps[group.StepForm]; n != 6 {
 		t.Fatalf("%d groups formed, want 6", n)
 	}
 }
@@ -23,42 +62,42 @@
 func TestRepairUsesASpareAndKeepsWeights(t *testing.T) {
 	f := newFleet(t, map[string]int{"a": 9}, model(2))
 	f.until("serving", 90, f.serving("1", 2))
-	lost := f.groups["m-0"].Value.Members[1]
-	f.members[lost].down = true
+	lost := f.Groups["m-0"].Value.Members[1]
+	f.Members[lost].Down = true
 	f.until("out of service", 10, f.serving("1", 1))
 	n := f.until("repaired", 100, f.serving("1", 2))
 	if limit := 10 + 60 + 6; n > limit {
 		t.Fatalf("repaired after %d s, want at most %d", n, limit)
 	}
-	if f.vms[lost].Value.Group != "m-0" {
+	if f.VMs[lost].Value.Group != "m-0" {
 		t.Fatal("a VM that can't be reached was freed")
 	}
-	f.members[lost].down = false
-	f.until("freed", 10, func() bool { return f.vms[lost].Value.Group == "" })
+	f.Members[lost].Down = false
+	f.until("freed", 10, func() bool { return f.VMs[lost].Value.Group == "" })
 }
 
 func TestMemberChanges(t *testing.T) {
 	tests := []struct {
 		name   string
-		change func(f *fakeFleet, id string)
+		change func(f fakeFleet, id string)
 		limit  int
 	}{
-		{"reboots", func(f *fakeFleet, id string) { f.reboot(id) }, 70},
-		{"is told to leave", func(f *fakeFleet, id string) { f.members[id].vm.State = fleet.VMLeaving }, 80},
-		{"says that it leaves", func(f *fakeFleet, id string) { f.members[id].leaving = true }, 80},
-		{"is gone from the list", func(f *fakeFleet, id string) { delete(f.members, id) }, 70},
-		{"takes a late order", func(f *fakeFleet, id string) { f.members[id].order.Epoch = 99 }, 10},
+		{"reboots", func(f fakeFleet, id string) { f.Reboot(id) }, 70},
+		{"is told to leave", func(f fakeFleet, id string) { f.Members[id].VM.State = fleet.VMLeaving }, 80},
+		{"says that it leaves", func(f fakeFleet, id string) { f.Members[id].Leaving = true }, 80},
+		{"is gone from the list", func(f fakeFleet, id string) { f.RemoveVM(id) }, 70},
+		{"takes a late order", func(f fakeFleet, id string) { f.Members[id].Order.Epoch = 99 }, 10},
 	}
 	for _, tt := range tests {
 		for i, role := range []string{"leader", "follower"} {
 			t.Run(role+" "+tt.name, func(t *testing.T) {
 				f := newFleet(t, map[string]int{"a": 5}, model(1))
 				f.until("serving", 90, f.serving("1", 1))
-				before := f.groups["m-0"].Value
+				before := f.Groups["m-0"].Value
 				tt.change(f, before.Members[i])
 				f.until("out of service", 5, f.serving("1", 0))
 				f.until("serving", tt.limit, f.serving("1", 1))
-				if after := f.groups["m-0"].Value; after.Epoch == before.Epoch {
+				if after := f.Groups["m-0"].Value; after.Epoch == before.Epoch {
 					t.Fatal("the group serves again under the same epoch")
 				}
 			})
@@ -69,12 +108,12 @@
 func TestPausedMemberReturnsInTime(t *testing.T) {
 	f := newFleet(t, map[string]int{"a": 5}, model(1))
 	f.until("serving", 90, f.serving("1", 1))
-	m := f.members[f.groups["m-0"].Value.Members[2]]
-	m.down = true
+	m := f.Members[f.Groups["m-0"].Value.Members[2]]
+	m.Down = true
 	f.until("out of service", 6, f.serving("1", 0))
-	m.down = false
+	m.Down = false
 	f.until("serving", 2, f.serving("1", 1))
-	if e := f.groups["m-0"].Value.Epoch; e != 1 {
+	if e := f.Groups["m-0"].Value.Epoch; e != 1 {
 		t.Fatalf("epoch %d after a short pause, want 1", e)
 	}
 }
@@ -82,11 +121,11 @@
 func TestDarkDomainIsReplacedAndReturns(t *testing.T) {
 	f := newFleet(t, map[string]int{"a": 8, "b": 8}, model(2))
 	f.until("serving", 90, f.serving("1", 2))
-	dark := f.groups["m-0"].Value.FabricDomain
+	dark := f.Groups["m-0"].Value.FabricDomain
 	set := func(down bool) {
-		for _, m := range f.members {
-			if m.vm.FabricDomain == dark {
-				m.down = down
+		for _, m := range f.Members {
+			if m.VM.FabricDomain == dark {
+				m.Down = down
 			}
 		}
 	}
@@ -95,14 +134,14 @@
 	f.until("formed elsewhere", 130, f.serving("1", 2))
 	set(false)
 	f.until("freed", 20, func() bool {
-		for id, row := range f.vms {
-			if f.members[id].vm.FabricDomain == dark && row.Value.Group != "" {
+		for id, row := range f.VMs {
+			if f.Members[id].VM.FabricDomain == dark && row.Value.Group != "" {
 				return false
 			}
 		}
 		return true
 	})
-	if p := f.proven()["1"]; p != 2 {
+	if p := f.Proven()["1"]; p != 2 {
 		t.Fatalf("%d groups serve, want 2", p)
 	}
 }
@@ -110,15 +149,15 @@
 func TestShortDarknessKeepsGroups(t *testing.T) {
 	f := newFleet(t, map[string]int{"a": 8}, model(2))
 	f.until("serving", 90, f.serving("1", 2))
-	for _, m := range f.members {
-		m.down = true
+	for _, m := range f.Members {
+		m.Down = true
 	}
-	f.until("yielded", 20, func() bool { return f.groups["m-0"].Value.Yielded && f.groups["m-1"].Value.Yielded })
-	for _, m := range f.members {
-		m.down = false
+	f.until("yielded", 20, func() bool { return f.Groups["m-0"].Value.Yielded && f.Groups["m-1"].Value.Yielded })
+	for _, m := range f.Members {
+		m.Down = false
 	}
 	f.until("serving", 3, f.serving("1", 2))
-	if e := f.groups["m-0"].Value.Epoch; e != 1 {
+	if e := f.Groups["m-0"].Value.Epoch; e != 1 {
 		t.Fatalf("epoch %d, want the old group back", e)
 	}
 }
@@ -127,10 +166,10 @@
 	f := newFleet(t, map[string]int{"a": 8}, model(2))
 	f.until("serving", 90, f.serving("1", 2))
 	for _, id := range []string{"m-0", "m-1"} {
-		f.members[f.groups[id].Value.Members[3]].down = true
+		f.Members[f.Groups[id].Value.Members[3]].Down = true
 	}
-	f.until("one group serving", 100, func() bool { return f.proven()["1"] == 1 })
-	if n := f.steps[group.StepDissolve]; n != 1 {
+	f.until("one group serving", 100, func() bool { return f.Proven()["1"] == 1 })
+	if n := f.Steps[group.StepDissolve]; n != 1 {
 		t.Fatalf("%d groups dissolved, want 1", n)
 	}
 }
@@ -140,10 +179,10 @@
 	other.Name = "other"
 	f := newFleet(t, map[string]int{"a": 16}, model(3), other)
 	f.until("serving", 90, f.serving("1", 4))
-	f.members[f.groups["other-0"].Value.Members[0]].down = true
-	f.until("out of service", 10, func() bool { return f.proven()["1"] == 3 })
-	f.until("serving again", 120, func() bool { return f.proves(f.groups["other-0"].Value) })
-	if p := f.proven()["1"]; p != 3 {
+	f.Members[f.Groups["other-0"].Value.Members[0]].Down = true
+	f.until("out of service", 10, func() bool { return f.Proven()["1"] == 3 })
+	f.until("serving again", 120, func() bool { return f.Proves(f.Groups["other-0"].Value) })
+	if p := f.Proven()["1"]; p != 3 {
 		t.Fatalf("%d groups serve, want 3", p)
 	}
 }
@@ -151,28 +190,28 @@
 func TestScaleDownAndRemoval(t *testing.T) {
 	f := newFleet(t, map[string]int{"a": 9, "b": 9}, model(4))
 	f.until("serving", 90, f.serving("1", 4))
-	f.models[0].Groups = 1
-	f.revision++
+	f.Models[0].Groups = 1
+	f.Revision++
 	f.until("scaled down", 30, f.serving("1", 1))
-	f.models = nil
-	f.revision++
+	f.Models = nil
+	f.Revision++
 	f.until("removed", 30, func() bool {
 		free := true
-		for _, row := range f.vms {
+		for _, row := range f.VMs {
 			free = free && row.Value.Group == ""
 		}
-		return free && len(f.proven()) == 0
+		return free && len(f.Proven()) == 0
 	})
 }
 
 func TestRolloutKeepsTheBound(t *testing.T) {
 	f := newFleet(t, map[string]int{"a": 9, "b": 9, "c": 9}, model(6))
 	f.until("serving", 90, f.serving("1", 6))
-	f.models[0].Version = "2"
-	f.revision++
+	f.Models[0].Version = "2"
+	f.Revision++
 	for range 800 {
 		f.step()
-		p := f.proven()
+		p := f.Proven()
 		if p["1"]+p["2"] < 5 {
 			t.Fatalf("only %v serve", p)
 		}
@@ -180,24 +219,24 @@
 			return
 		}
 	}
-	t.Fatalf("not rolled out: %v", f.states())
+	t.Fatalf("not rolled out: %v", f.States())
 }
 
 func TestRolloutHaltsAndIsReversed(t *testing.T) {
 	f := newFleet(t, map[string]int{"a": 9, "b": 9}, model(4))
-	f.models[0].MaxUnavailable = 2
+	f.Models[0].MaxUnavailable = 2
 	f.until("serving", 90, f.serving("1", 4))
-	f.models[0].Version = "2"
-	f.bad = "2"
-	f.revision++
+	f.Models[0].Version = "2"
+	f.Bad = "2"
+	f.Revision++
 	for range 1000 {
 		f.step()
 	}
-	if p := f.proven()["1"]; p < 2 {
+	if p := f.Proven()["1"]; p < 2 {
 		t.Fatalf("the roll-out of a bad version left %d groups", p)
 	}
-	f.models[0].Version = "1"
-	f.revision++
+	f.Models[0].Version = "1"
+	f.Revision++
 	f.until("reversed", 70, f.serving("1", 4))
 }
 
@@ -205,24 +244,24 @@
 	for at := 0; at < 300; at += 7 {
 		f := newFleet(t, map[string]int{"a": 9}, model(2))
 		f.until("serving", 90, f.serving("1", 2))
-		f.models[0].Version = "2"
-		f.revision++
+		f.Models[0].Version = "2"
+		f.Revision++
 		for range at {
 			f.step()
 		}
-		f.models[0].Version = "1"
-		f.revision++
+		f.Models[0].Version = "1"
+		f.Revision++
 		f.until("reversed", 300, f.serving("1", 2))
 	}
 }
 
 func TestOldDocumentPlansNothing(t *testing.T) {
 	f := newFleet(t, map[string]int{"a": 5}, model(1))
-	f.revision = 2
+	f.Revision = 2
 	f.until("serving", 90, f.serving("1", 1))
-	f.revision = 1
-	f.models = nil
-	if c := group.Plan(f.view("a"), f.policy); len(c.Transactions)+len(c.Orders) > 0 {
+	f.Revision = 1
+	f.Models = nil
+	if c := group.Plan(f.View("a"), f.Policy); len(c.Transactions)+len(c.Orders) > 0 {
 		t.Fatalf("planned %+v from an old document", c)
 	}
 }
@@ -230,16 +269,16 @@
 func TestAdaptersChangeWithoutDowntime(t *testing.T) {
 	f := newFleet(t, map[string]int{"a": 4}, model(1))
 	f.until("serving", 90, f.serving("1", 1))
-	f.models[0].Adapters = []document.Adapter{{Name: "x", Version: "3"}}
-	f.revision++
+	f.Models[0].Adapters = []document.Adapter{{Name: "x", Version: "3"}}
+	f.Revision++
 	for range 5 {
 		f.step()
-		if f.proven()["1"] != 1 {
+		if f.Proven()["1"] != 1 {
 			t.Fatal("the group stopped serving")
 		}
 	}
-	leader := f.groups["m-0"].Value.Members[0]
-	if a := f.reports[leader].Adapters; len(a) != 1 || a[0] != "x@3" {
+	leader := f.Groups["m-0"].Value.Members[0]
+	if a := f.Members[leader].Order.Adapters; len(a) != 1 || a[0] != "x@3" {
 		t.Fatalf("adapters %v, want x@3", a)
 	}
 }
@@ -247,18 +286,18 @@
 func TestLeaderIsReleasedFirst(t *testing.T) {
 	f := newFleet(t, map[string]int{"a": 4}, model(1))
 	f.until("serving", 90, f.serving("1", 1))
-	leader := f.groups["m-0"].Value.Members[0]
-	f.models = nil
-	f.revision++
+	leader := f.Groups["m-0"].Value.Members[0]
+	f.Models = nil
+	f.Revision++
 	for range 20 {
 		f.step()
 		left := 0
-		for _, m := range f.members {
-			if m.order.Group == "" {
+		for _, m := range f.Members {
+			if m.Order.Group == "" {
 				left++
 			}
 		}
-		if left > 0 && f.members[leader].order.Group != "" {
+		if left > 0 && f.Members[leader].Order.Group != "" {
 			t.Fatal("another member was released before the leader")
 		}
 	}
--- a/pkg/serving/control/domain.go
+++ b/pkg/serving/control/domain.go
@@ -138,7 +138,7 @@
 func (d *domain) commitAll(ctx context.Context, all []group.Transaction) error {
 	for _, t := range all {
 		d.count++
-		operation := fmt.Sprintf("%s/%s/%d", d.name, d.config.Holder, d.count)
+		operation := fmt.Sprintf("%s/%s/%d/%s", d.name, d.config.Holder, d.count, t.Step)
 		d.pending = d.transaction(t, operation)
 		if err := d.resubmit(ctx); err != nil {
 			return err
