--- a/cmd/almondbay/serve.go
+++ b/cmd/almondbay/serve.go
@@ -39,15 +39,15 @@
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", s.CallerAddress)
+	callers, err := net.Listen("tcp", s.Caller.Address)
 	if err != nil {
 		return err
 	}
-	operators, err := net.Listen("tcp", s.OperatorAddress)
+	operators, err := net.Listen("tcp", s.Operator.Address)
 	if err != nil {
 		return err
 	}
-	client := platformhttp.New(platformhttp.Config{Address: s.Platform, Timeout: platformTimeout})
+	client := platformhttp.New(platformhttp.Config{Address: s.Platform.Address, Timeout: platformTimeout})
 	n := node.New(node.Config{
 		Settings:  s,
 		Clock:     clockwork.NewRealClock(),
@@ -61,5 +61,7 @@
 	})
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
+	// The first signal drains the node; a second one ends it at once.
+	context.AfterFunc(ctx, stop)
 	return n.Run(ctx)
 }
--- a/pkg/core/attempt/poison.go
+++ b/pkg/core/attempt/poison.go
@@ -13,10 +13,11 @@
 	Group string
 	// Epoch is the epoch of the group when it crashed.
 	Epoch uint64
-	// Fabric is the fabric domain of the group. Crashes in one fabric domain
-	// may share a cause and count as one. Where the model has groups in one
-	// fabric domain only, the name of the group stands here instead.
-	Fabric string
+	// Site names what crashes may have as their common cause; crashes at one
+	// site count as one. It is the fabric domain of the group. Where a model
+	// has groups in one fabric domain only, it is the group, and where it has
+	// one group only, the group and its epoch.
+	Site string
 }
 
 // Strike is a crash during which a request was in flight.
@@ -43,7 +44,8 @@
 	StandingClear Standing = iota
 	// StandingSuspect means that the request was in flight during a crash
 	// which nothing else explains. It may run only on a group that runs no
-	// other suspect, and not again on the group that crashed.
+	// other suspect, and not on one that crashed under it while there is
+	// another.
 	StandingSuspect
 	// StandingQuarantined means that the request is refused.
 	StandingQuarantined
@@ -87,13 +89,15 @@
 //
 // The standing of a request is a function of the strikes alone, so that nodes
 // with the same evidence agree, whatever order it came in. A request with
-// crashes in two fabric domains is quarantined unless another request with as
+// crashes at two sites is quarantined unless another request with as
 // many crashes shares one of them; then a further crash decides. A crash that
-// a quarantined request explains counts against nobody else.
+// a quarantined request explains counts against nobody else, and one that was
+// part of an outage of its site counts against nobody.
 type Quarantine struct {
 	config   QuarantineConfig
 	requests *table[Fingerprint, []strike]
 	crashes  *table[Crash, crashRecord]
+	outages  *outages
 }
 
 // NewQuarantine returns an empty quarantine.
@@ -102,6 +106,7 @@
 		config:   c,
 		requests: newTable[Fingerprint, []strike](hashFingerprint),
 		crashes:  newTable[Crash, crashRecord](hashCrash),
+		outages:  newOutages(),
 	}
 }
 
@@ -112,6 +117,11 @@
 	return q.Standing(f, now)
 }
 
+// Crashed notes a crash, whether or not a request of this node was in flight.
+func (q *Quarantine) Crashed(c Crash, now time.Time) {
+	q.outages.note(c, now)
+}
+
 // Clear forgets all strikes of a request that has run to its end.
 func (q *Quarantine) Clear(f Fingerprint) {
 	var strikes []strike
@@ -142,13 +152,13 @@
 }
 
 // Groups returns the groups on which the request was in flight when they
-// crashed, and their fabric domains.
-func (q *Quarantine) Groups(f Fingerprint, now time.Time) (groups, fabrics []string) {
+// crashed, and their sites.
+func (q *Quarantine) Groups(f Fingerprint, now time.Time) (groups, sites []string) {
 	for _, s := range q.strikes(f, now) {
 		groups = append(groups, s.crash.Group)
-		fabrics = append(fabrics, s.crash.Fabric)
+		sites = append(sites, s.crash.Site)
 	}
-	return groups, fabrics
+	return groups, sites
 }
 
 // Learn takes in the evidence of another node.
@@ -195,6 +205,7 @@
 			}
 		}
 	})
+	q.outages.expire(now, q.config.QuarantineTTL)
 	q.crashes.each(func(rows map[Crash]crashRecord) {
 		for c, r := range rows {
 			if now.Sub(r.at) > q.config.QuarantineTTL {
@@ -205,6 +216,7 @@
 }
 
 func (q *Quarantine) note(f Fingerprint, c Crash, at time.Time) {
+	q.outages.note(c, at)
 	evicted := strikeOwner{}
 	q.requests.with(f, func(rows map[Fingerprint][]strike) {
 		known := rows[f]
@@ -299,9 +311,10 @@
 func (q *Quarantine) strikes(f Fingerprint, now time.Time) []strike {
 	var strikes []strike
 	q.requests.with(f, func(rows map[Fingerprint][]strike) {
-		strikes = q.live(rows[f], now)
+		strikes = rows[f]
 	})
-	return strikes
+	blamed := slices.DeleteFunc(slices.Clone(strikes), func(s strike) bool { return q.outages.includes(s.crash) })
+	return q.live(blamed, now)
 }
 
 // live returns the strikes that still count. Those of a request with enough
@@ -320,12 +333,11 @@
 	return nil
 }
 
-// independent reports whether two of the strikes are of different groups in
-// different fabric domains.
+// independent reports whether two of the strikes are at different sites.
 func independent(strikes []strike) bool {
 	for i, s := range strikes {
 		for _, o := range strikes[i+1:] {
-			if s.crash.Group != o.crash.Group && s.crash.Fabric != o.crash.Fabric {
+			if s.crash.Site != o.crash.Site {
 				return true
 			}
 		}
--- a/pkg/core/document/codec.go
+++ b/pkg/core/document/codec.go
@@ -1,16 +1,17 @@
 package document
 
 import (
-	"encoding/json"
-	"fmt"
 	"time"
 
-	"github.com/tailscale/hujson"
-	"github.com/zeebo/errs"
+	"almondbay.example/core/jsonc"
 )
 
-// Error is the class of all errors of this package.
-var Error = errs.Class("document")
+// Defaults of fields that a document may leave out.
+const (
+	defaultMaxUnavailable = 1
+	defaultShare          = 1.0
+	defaultServiceTimeout = 30 * time.Second
+)
 
 type wireDocument struct {
 	Models     []wireModel     `json:"models"`
@@ -43,15 +44,15 @@
 }
 
 type wireObjective struct {
-	FirstToken   string  `json:"firstToken"`
-	BetweenToken string  `json:"betweenToken"`
-	Target       float64 `json:"target"`
+	FirstToken   jsonc.Duration `json:"firstToken"`
+	BetweenToken jsonc.Duration `json:"betweenToken"`
+	Target       float64        `json:"target"`
 }
 
 type wireService struct {
-	Name          string     `json:"name"`
-	Timeout       string     `json:"timeout"`
-	NonIdempotent []wireCall `json:"nonIdempotent"`
+	Name          string         `json:"name"`
+	Timeout       jsonc.Duration `json:"timeout"`
+	NonIdempotent []wireCall     `json:"nonIdempotent"`
 }
 
 type wireCall struct {
@@ -63,98 +64,78 @@
 	Fencing []string `json:"fencing"`
 }
 
-// Parse decodes a document written in JSON with comments.
-func Parse(body []byte) (Document, error) {
-	standard, err := hujson.Standardize(body)
-	if err != nil {
-		return Document{}, Error.Wrap(err)
-	}
+// Parse decodes and checks a document. It returns every fault at once, ordered
+// by position; the document is sound only when there is none. The name stands
+// for the text in the faults.
+func Parse(name string, body []byte) (Document, jsonc.Faults) {
+	source := jsonc.Parse(name, body)
 	var wire wireDocument
-	if err := json.Unmarshal(standard, &wire); err != nil {
-		return Document{}, Error.Wrap(err)
+	source.Decode(&wire)
+	d := Document{
+		Models:     mapModels(source, wire.Models),
+		Workspaces: mapWorkspaces(source, wire.Workspaces),
+		Services:   mapServices(source, wire.Services),
+		Engines:    Engines(wire.Engines),
 	}
-	return toDocument(wire)
+	check(source, d)
+	return d, source.Faults()
 }
 
-func toDocument(w wireDocument) (Document, error) {
-	d := Document{Engines: Engines{Fencing: w.Engines.Fencing}}
-	for _, m := range w.Models {
-		d.Models = append(d.Models, toModel(m))
-	}
-	for _, s := range w.Workspaces {
-		workspace, err := toWorkspace(s)
-		if err != nil {
-			return Document{}, err
+func mapModels(source *jsonc.Source, wire []wireModel) []Model {
+	models := make([]Model, 0, len(wire))
+	for i, w := range wire {
+		m := Model{
+			Name:           w.Name,
+			Version:        w.Version,
+			Groups:         w.Groups,
+			Span:           w.Span,
+			Spares:         w.Spares,
+			MaxUnavailable: w.MaxUnavailable,
 		}
-		d.Workspaces = append(d.Workspaces, workspace)
-	}
-	for _, s := range w.Services {
-		service, err := toService(s)
-		if err != nil {
-			return Document{}, err
+		if !source.Has(jsonc.Pointer("models", i, "maxUnavailable")) {
+			m.MaxUnavailable = defaultMaxUnavailable
 		}
-		d.Services = append(d.Services, service)
-	}
-	return d, nil
-}
-
-func toModel(w wireModel) Model {
-	m := Model{
-		Name:           w.Name,
-		Version:        w.Version,
-		Groups:         w.Groups,
-		Span:           w.Span,
-		Spares:         w.Spares,
-		MaxUnavailable: max(1, w.MaxUnavailable),
-	}
-	for _, a := range w.Adapters {
-		m.Adapters = append(m.Adapters, Adapter{Name: a.Name, Version: a.Version})
-	}
-	return m
-}
-
-func toWorkspace(w wireWorkspace) (Workspace, error) {
-	firstToken, err := duration("firstToken", w.Objective.FirstToken)
-	if err != nil {
-		return Workspace{}, err
-	}
-	betweenToken, err := duration("betweenToken", w.Objective.BetweenToken)
-	if err != nil {
-		return Workspace{}, err
+		for _, a := range w.Adapters {
+			m.Adapters = append(m.Adapters, Adapter(a))
+		}
+		models = append(models, m)
 	}
-	return Workspace{
-		Name:      w.Name,
-		KeyHashes: w.KeyHashes,
-		Share:     w.Share,
-		Models:    w.Models,
-		Objective: Objective{
-			FirstToken:   firstToken,
-			BetweenToken: betweenToken,
-			Target:       w.Objective.Target,
-		},
-	}, nil
+	return models
 }
 
-func toService(w wireService) (Service, error) {
-	timeout, err := duration("timeout", w.Timeout)
-	if err != nil {
-		return Service{}, err
-	}
-	s := Service{Name: w.Name, Timeout: timeout}
-	for _, c := range w.NonIdempotent {
-		s.NonIdempotent = append(s.NonIdempotent, Call{Method: c.Method, Path: c.Path})
+func mapWorkspaces(source *jsonc.Source, wire []wireWorkspace) []Workspace {
+	workspaces := make([]Workspace, 0, len(wire))
+	for i, w := range wire {
+		workspace := Workspace{
+			Name:      w.Name,
+			KeyHashes: w.KeyHashes,
+			Share:     w.Share,
+			Models:    w.Models,
+			Objective: Objective{
+				FirstToken:   time.Duration(w.Objective.FirstToken),
+				BetweenToken: time.Duration(w.Objective.BetweenToken),
+				Target:       w.Objective.Target,
+			},
+		}
+		if !source.Has(jsonc.Pointer("workspaces", i, "share")) {
+			workspace.Share = defaultShare
+		}
+		workspaces = append(workspaces, workspace)
 	}
-	return s, nil
+	return workspaces
 }
 
-// duration parses a duration with a unit; an empty one is zero.
-func duration(field, text string) (time.Duration, error) {
-	if text == "" {
-		return 0, nil
-	}
-	d, err := time.ParseDuration(text)
-	if err != nil {
-		return 0, Error.Wrap(fmt.Errorf("%s: %w", field, err))
+func mapServices(source *jsonc.Source, wire []wireService) []Service {
+	services := make([]Service, 0, len(wire))
+	for i, w := range wire {
+		service := Service{Name: w.Name, Timeout: time.Duration(w.Timeout)}
+		if !source.Has(jsonc.Pointer("services", i, "timeout")) {
+			service.Timeout = defaultServiceTimeout
+		}
+		for _, c := range w.NonIdempotent {
+			service.NonIdempotent = append(service.NonIdempotent, Call(c))
+		}
+		services = append(services, service)
 	}
-	return d, nil
+	return services
 }
