Log what the controller does as numbered events

Change: events 501 to 506 for leases taken, ended and not handed on, changes of groups and VMs with their step and fencing number, and orders refused for an old one. Ruled out: a line for every order, since the next report says the same.

--- a/pkg/serving/control/control.go
+++ b/pkg/serving/control/control.go
@@ -15,6 +15,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"almondbay.example/core/fleet"
@@ -79,6 +80,7 @@
 	Table       platform.Table
 	Engine      engine.Engine
 	Clock       clockwork.Clock
+	Logger      *zap.Logger
 	Timing      Timing
 	Policy      group.Policy
 	// Jitter returns a random duration in [0, limit).
--- a/pkg/serving/control/domain.go
+++ b/pkg/serving/control/domain.go
@@ -8,12 +8,14 @@
 	"time"
 
 	"github.com/zeebo/errs"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"almondbay.example/core/fleet"
 	"almondbay.example/core/group"
 	"almondbay.example/core/lease"
 	"almondbay.example/serving/engine"
+	"almondbay.example/serving/event"
 	"almondbay.example/serving/platform"
 )
 
@@ -26,14 +28,19 @@
 	mu      sync.Mutex
 	machine *lease.Machine
 
+	// held is the term that renew last found held, for the log.
+	held uint64
+
 	// The fields below belong to step.
 
 	ages *group.Ages
 	// fence is the version of the term row in fenceTerm; zero until it was read.
 	fence     uint64
 	fenceTerm uint64
-	// pending is a transaction whose outcome is not known.
+	// pending is a transaction whose outcome is not known, and planned what it
+	// was made from.
 	pending *platform.Transaction
+	planned group.Transaction
 	count   uint64
 	// ordered is when each member was last given an order.
 	ordered map[string]time.Time
@@ -140,6 +147,7 @@
 		d.count++
 		operation := fmt.Sprintf("%s/%s/%d/%s", d.name, d.config.Holder, d.count, t.Step)
 		d.pending = d.transaction(t, operation)
+		d.planned = t
 		if err := d.resubmit(ctx); err != nil {
 			return err
 		}
@@ -160,13 +168,32 @@
 
 	err := d.config.Table.Commit(ctx, *d.pending)
 	var conflict *platform.ConflictError
-	if err == nil || errors.As(err, &conflict) {
+	switch {
+	case err == nil:
+		d.pending = nil
+		d.logChange(d.planned)
+		return nil
+	case errors.As(err, &conflict):
 		d.pending = nil
 		return nil
 	}
 	return Error.Wrap(err)
 }
 
+func (d *domain) logChange(t group.Transaction) {
+	if t.Group == nil {
+		for _, w := range t.VMs {
+			event.VMChanged.Log(d.config.Logger, zap.String("step", string(t.Step)), zap.String("vm", w.Value.ID),
+				zap.String("fabricDomain", d.name), zap.Uint64("term", d.fenceTerm))
+		}
+		return
+	}
+	r := t.Group.Value
+	event.GroupChanged.Log(d.config.Logger, zap.String("step", string(t.Step)), zap.String("group", r.ID),
+		zap.String("fabricDomain", d.name), zap.Uint64("epoch", r.Epoch), zap.String("state", string(r.State)),
+		zap.String("version", r.Version), zap.Strings("members", r.Members), zap.Uint64("term", d.fenceTerm))
+}
+
 // orderAll gives the orders, except to members that have not answered since
 // their last one.
 func (d *domain) orderAll(ctx context.Context, orders []group.MemberOrder) error {
@@ -218,6 +245,8 @@
 	err := d.config.Engine.Order(ctx, vm.Address, o)
 	var stale *engine.StaleTermError
 	if errors.As(err, &stale) {
+		event.OrderRefused.Log(d.config.Logger, zap.String("vm", vm.ID),
+			zap.Uint64("term", o.Term), zap.Uint64("accepted", stale.Term))
 		return nil
 	}
 	return err
--- a/pkg/serving/control/renew.go
+++ b/pkg/serving/control/renew.go
@@ -5,7 +5,10 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
 	"almondbay.example/core/lease"
+	"almondbay.example/serving/event"
 	"almondbay.example/serving/platform"
 )
 
@@ -26,7 +29,24 @@
 
 // renew takes the next step of the lease. It must not run twice at a time.
 func (d *domain) renew(ctx context.Context) error {
-	return d.do(ctx, d.next())
+	err := d.do(ctx, d.next())
+	d.logLease()
+	return err
+}
+
+func (d *domain) logLease() {
+	term, ok := d.term(d.config.Clock.Now())
+	if !ok {
+		term = 0
+	}
+	switch term {
+	case d.held:
+	case 0:
+		event.LeaseEnded.Log(d.config.Logger, zap.String("fabricDomain", d.name))
+	default:
+		event.LeaseTaken.Log(d.config.Logger, zap.String("fabricDomain", d.name), zap.Uint64("term", term))
+	}
+	d.held = term
 }
 
 func (d *domain) next() lease.Command {
@@ -116,6 +136,7 @@
 // lease has lapsed. Calls that fail are repeated until ctx is done.
 func (d *domain) handOn(ctx context.Context) error {
 	d.release()
+	defer d.logLease()
 	for !d.released() {
 		c := d.next()
 		if c.Action != lease.ActionWait {
--- a/pkg/serving/control/world_test.go
+++ b/pkg/serving/control/world_test.go
@@ -11,6 +11,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"almondbay.example/core/document"
@@ -181,7 +182,7 @@
 	p := &process{w: w, node: node, view: view.New(proofTTL)}
 	p.controller = New(Config{
 		Node: node, Holder: fmt.Sprintf("%s-%d", node, w.starts), Environment: "e",
-		View: p.view, Table: faultyTable{p}, Engine: faultyEngine{p: p}, Clock: w.clock,
+		View: p.view, Table: faultyTable{p}, Engine: faultyEngine{p: p}, Clock: w.clock, Logger: zap.NewNop(),
 		Timing: Timing{Duration: 6 * tick, Margin: tick, Interval: tick, Timeout: 2 * tick},
 		Policy: group.Policy{
 			Fresh: proofTTL, ProofTTL: proofTTL, RepairAfter: 4 * tick, DrainTimeout: 10 * tick,
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -120,6 +120,46 @@
 	}
 )
 
+// Events of leases and replica groups.
+var (
+	LeaseTaken = Definition{
+		Number: 501, Level: zapcore.InfoLevel, Message: "lease taken",
+		Fields:  []string{"fabricDomain", "term"},
+		Meaning: "The node controls the fabric domain from now on; term is the fencing number of its orders.",
+		Action:  noAction,
+	}
+	LeaseEnded = Definition{
+		Number: 502, Level: zapcore.InfoLevel, Message: "lease ended",
+		Fields:  []string{"fabricDomain"},
+		Meaning: "The node has handed the lease on, or could not renew it in time; another node takes it.",
+		Action:  "None, unless leases end often; then look at the platform.",
+	}
+	LeasesKept = Definition{
+		Number: 503, Level: zapcore.WarnLevel, Message: "leases not handed on",
+		Fields:  []string{"error"},
+		Meaning: "The node stops without having handed its leases on; other nodes take them once they have lapsed.",
+		Action:  noAction,
+	}
+	GroupChanged = Definition{
+		Number: 504, Level: zapcore.InfoLevel, Message: "replica group changed",
+		Fields:  []string{"step", "group", "fabricDomain", "epoch", "state", "version", "members", "term"},
+		Meaning: "A transaction on the group's row took effect; GROUPS.md lists the steps.",
+		Action:  "None, unless step is fail; then check the version's weights and undo the document if they are bad.",
+	}
+	VMChanged = Definition{
+		Number: 505, Level: zapcore.InfoLevel, Message: "VM changed",
+		Fields:  []string{"step", "vm", "fabricDomain", "term"},
+		Meaning: "A VM was freed by its own answer, or marked as gone or forgotten after the platform's list.",
+		Action:  noAction,
+	}
+	OrderRefused = Definition{
+		Number: 506, Level: zapcore.WarnLevel, Message: "order refused",
+		Fields:  []string{"vm", "term", "accepted"},
+		Meaning: "A member has seen a higher fencing number: another node controls its fabric domain.",
+		Action:  noAction,
+	}
+)
+
 // Events of operators and peers.
 var (
 	KeyRefused = Definition{
@@ -143,5 +183,6 @@
 	{"Configuration", []Definition{
 		RevisionInForce, RevisionSplit, DocumentUnreadable, DocumentAccepted, DocumentRefused, DocumentOutcomeUnknown,
 	}},
+	{"Leases and replica groups", []Definition{LeaseTaken, LeaseEnded, LeasesKept, GroupChanged, VMChanged, OrderRefused}},
 	{"Operators and peers", []Definition{KeyRefused, DrainRequested}},
 }
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -130,6 +130,7 @@
 		Table:       c.Table,
 		Engine:      c.Engine,
 		Clock:       c.Clock,
+		Logger:      c.Logger,
 		Timing:      control.DefaultTiming(),
 		Policy:      control.DefaultPolicy(proofTTL),
 		Jitter:      rand.N[time.Duration],
@@ -200,7 +201,7 @@
 		ending, stop := context.WithTimeout(context.Background(), handOnTimeout)
 		defer stop()
 		if err := n.controller.HandOn(ending); err != nil {
-			n.config.Logger.Warn("leases not handed on", zap.Error(err))
+			event.LeasesKept.Log(n.config.Logger, zap.Error(err))
 		}
 		return nil
 	}, func(error) { cancel() })
