Let a holder that reaches no member hand its lease on

Cause: a holder cut off from a fabric domain, but not from the platform, kept renewing. It took every member for lost and yielded healthy groups, though other nodes still reached them.

Change: a node that reaches no member of a domain stands ten places back among the candidates, and a holder that has reached none for one and a half times RepairAfter resigns. That is long enough to yield the groups of a domain that is dark for everyone. Ruled out: resigning at once, since then no holder would ever yield a dark domain.

--- a/pkg/core/lease/machine.go
+++ b/pkg/core/lease/machine.go
@@ -26,6 +26,7 @@
 	// rank is the place of this node among the candidates; zero is the first.
 	rank      int
 	releasing bool
+	resigning bool
 	// next is the earliest time of the next read or write.
 	next     time.Time
 	failures int
@@ -57,7 +58,7 @@
 // Holds reports whether the lease is held at now. It must be asked right
 // before each order and each write under the lease.
 func (m *Machine) Holds(now time.Time) bool {
-	return m.term > 0 && !m.releasing && now.Before(m.deadline)
+	return m.term > 0 && !m.releasing && !m.resigning && now.Before(m.deadline)
 }
 
 // Term returns the fencing number of the lease; zero while it is not held.
@@ -81,6 +82,13 @@
 	m.releasing = true
 }
 
+// Resign asks to hand the lease on once. Holds is false until the machine takes
+// the lease again, which it does at its rank. It does nothing while the lease
+// is not held.
+func (m *Machine) Resign() {
+	m.resigning = m.term > 0
+}
+
 // Released reports whether the machine holds nothing and has no write under
 // way, after Release.
 func (m *Machine) Released() bool {
@@ -119,6 +127,7 @@
 		return
 	}
 	m.term = 0
+	m.resigning = false
 	if m.pending == nil {
 		m.known = false
 	}
@@ -137,7 +146,7 @@
 	row := m.row.Row
 	row.Sequence++
 	row.Duration = m.config.Duration
-	if m.releasing {
+	if m.releasing || m.resigning {
 		row.Holder = ""
 	}
 	return Command{Row: row}
@@ -205,13 +214,14 @@
 	}, now)
 	m.term = 0
 	if p.command.Row.Holder == "" {
+		m.resigning = false
 		return
 	}
 	m.deadline = p.sentAt.Add(m.config.Duration - m.config.Margin)
 	if now.Before(m.deadline) {
 		m.term = p.command.Row.Term
 	}
-	if m.releasing {
+	if m.releasing || m.resigning {
 		m.next = now
 	}
 }
@@ -241,6 +251,7 @@
 	}
 	m.pending = nil
 	m.term = 0
+	m.resigning = false
 	m.see(row, now)
 }
 
--- a/pkg/serving/control/domain.go
+++ b/pkg/serving/control/domain.go
@@ -27,6 +27,8 @@
 
 	mu      sync.Mutex
 	machine *lease.Machine
+	// heldSince is when the lease was found held; zero while it is not.
+	heldSince time.Time
 
 	// held is the term that renew last found held, for the log.
 	held uint64
--- a/pkg/serving/control/matrix_test.go
+++ b/pkg/serving/control/matrix_test.go
@@ -385,3 +385,38 @@
 		})
 	}
 }
+
+// TestHolderThatReachesNoMemberResigns cuts the holders of both leases off from
+// all members. The other node takes over and the groups stay as they are.
+func TestHolderThatReachesNoMemberResigns(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, true, nil, safeguards{})
+		w.accept("1", 2)
+		for range 20 {
+			w.step()
+		}
+		before, _ := w.rows()
+		for _, p := range w.nodes {
+			if len(p.controller.Holds()) > 0 {
+				p.membersCut = w.clock.Now().Add(time.Hour)
+				break
+			}
+		}
+		for range 40 {
+			w.step()
+		}
+		after, _ := w.rows()
+		for id, g := range after {
+			if g.Value.Epoch != before[id].Value.Epoch || g.Value.Yielded || g.Value.State != group.StateServing {
+				t.Errorf("%s changed: %+v", id, g.Value)
+			}
+		}
+		for _, p := range w.nodes {
+			if !p.membersCut.IsZero() && len(p.controller.Holds()) > 0 {
+				t.Errorf("%s still holds %v", p.node, p.controller.Holds())
+			}
+		}
+		w.stop()
+		synctest.Wait()
+	})
+}
--- a/pkg/serving/control/renew.go
+++ b/pkg/serving/control/renew.go
@@ -7,6 +7,7 @@
 
 	"go.uber.org/zap"
 
+	"almondbay.example/core/fleet"
 	"almondbay.example/core/lease"
 	"almondbay.example/serving/event"
 	"almondbay.example/serving/platform"
@@ -20,11 +21,60 @@
 	return d.machine.Term(), d.machine.Holds(now)
 }
 
+// Nodes that reach no member of a fabric domain are of little use as its
+// holder.
+const (
+	// blindRank is the number of places by which such a node stands back.
+	blindRank = 10
+	// blindAfter is how long a holder keeps its lease, in RepairAfter. It is
+	// longer than a holder takes to yield the groups of a domain that is dark
+	// for everyone.
+	blindAfter = 1.5
+)
+
+// setRank sets the node's place among the candidates. A node that reaches no
+// member stands back behind the others, and a holder that has not for a while
+// gives the lease up once.
 func (d *domain) setRank(r int) {
+	now := d.config.Clock.Now()
+	seen, known := d.lastSeen()
+	blind := known && now.Sub(seen) > d.config.Policy.Fresh
+	if blind {
+		r += blindRank
+	}
+	limit := time.Duration(blindAfter * float64(d.config.Policy.RepairAfter))
+
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
 	d.machine.SetRank(r)
+	if !d.machine.Holds(now) {
+		d.heldSince = time.Time{}
+		return
+	}
+	if d.heldSince.IsZero() {
+		d.heldSince = now
+	}
+	if blind && now.Sub(seen) > limit && now.Sub(d.heldSince) > limit {
+		d.machine.Resign()
+	}
+}
+
+// lastSeen returns when a member of the fabric domain last answered, and false
+// when the fabric domain has no VM.
+func (d *domain) lastSeen() (time.Time, bool) {
+	var last time.Time
+	known := false
+	for _, vm := range d.config.View.VMs(fleet.RoleBackend) {
+		if vm.FabricDomain != d.name {
+			continue
+		}
+		known = true
+		if r, ok := d.config.View.Report(vm.ID); ok && r.SeenAt.After(last) {
+			last = r.SeenAt
+		}
+	}
+	return last, known
 }
 
 // renew takes the next step of the lease. It must not run twice at a time.
