--- a/pkg/serving/caller/gateway.go
+++ b/pkg/serving/caller/gateway.go
@@ -21,8 +21,12 @@
 	"almondbay.example/serving/view"
 )
 
-// PathReady answers 200 while the node takes requests.
-const PathReady = "/readyz"
+const (
+	// PathReady answers 200 while the node takes requests.
+	PathReady = "/readyz"
+	// PathHealth answers 200 as long as the process serves at all.
+	PathHealth = "/healthz"
+)
 
 // Config configures a Gateway.
 type Config struct {
@@ -38,6 +42,8 @@
 	Limits Limits
 	// FailureDomain is that of the node; plain services in it come first.
 	FailureDomain string
+	// Observer is told of generation requests that have ended; nil for none.
+	Observer Observer
 	// Peers is the other nodes; nil when there are none.
 	Peers Peers
 	// NoQuarantine lets requests that crash backend servers run, for
@@ -58,6 +64,7 @@
 	suspects *suspects
 	inFlight *inFlight
 	domain   string
+	observer Observer
 	// calls counts the calls in flight on each VM of a plain service.
 	calls *counts
 	echo  *echo.Echo
@@ -83,6 +90,7 @@
 		suspects: newSuspects(c),
 		inFlight: newInFlight(),
 		domain:   c.FailureDomain,
+		observer: c.Observer,
 		calls:    newCounts(),
 		echo:     echo.New(),
 	}
@@ -90,6 +98,7 @@
 	g.echo.HTTPErrorHandler = handleError
 	g.echo.Use(g.guard)
 	g.echo.GET(PathReady, g.ready)
+	g.echo.GET(PathHealth, func(c echo.Context) error { return c.NoContent(http.StatusOK) })
 	g.echo.GET("/v1/models", g.models)
 	g.echo.POST(enginewire.PathChatCompletions, g.generate)
 	g.echo.POST(enginewire.PathCompletions, g.generate)
