--- a/pkg/standin/callertest/speed_test.go
+++ b/pkg/standin/callertest/speed_test.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"almondbay.example/core/fleet"
+	"almondbay.example/serving/caller"
 	"almondbay.example/serving/engine/enginewire"
 )
 
@@ -32,7 +33,9 @@
 // newSpeedRig has engines send answers of that many tokens, so many tokens at
 // a time, with a pause between.
 func newSpeedRig(b testing.TB, tokens, together int, pause time.Duration) *speedRig {
-	r := newRig(b, rigConfig{nodes: 1, groups: 1})
+	r := newRig(b, rigConfig{nodes: 1, groups: 1, gateway: func(c *caller.Config) {
+		c.Picker = caller.NewScheduled(caller.ScheduledConfig{View: c.View, Clock: c.Clock, Seed: 1})
+	}})
 	identity := fleet.Identity{Member: "g0-0", Boot: "1", Group: "g0", Epoch: 1, Model: "demo", Version: "1"}
 	var pieces []string
 	for i := 0; i < tokens; i += together {
