Kill, pause and cut real processes

Purpose: the promises are proved on the programs as they run, too. A platform, nine members and up to three nodes run as separate processes, built with the race detector; a member is killed under load, paused past its proof and woken, a node is killed just before a member, the platform goes down and comes back, and a node is told to stop with streams in flight.

Each answer that ends as if it were whole is compared with the pure function of its prompt and seed; every other one must say its outcome.

--- /dev/null
+++ b/cmd/processtest/cluster_test.go
@@ -0,0 +1,301 @@
+// Package processtest runs the programs as separate processes on loopback and
+// kills, pauses and cuts them.
+package processtest
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"almondbay.example/standin/platformstandin"
+)
+
+const (
+	key          = "secret"
+	span         = 4
+	groups       = 2
+	members      = span*groups + 1
+	pollInterval = 50 * time.Millisecond
+	// patience bounds each wait for the processes to get somewhere; only a hang
+	// reaches it.
+	patience = time.Minute
+)
+
+var programs string
+
+func TestMain(m *testing.M) {
+	dir, err := os.MkdirTemp("", "processtest")
+	if err != nil {
+		panic(err)
+	}
+	programs = dir
+	build := exec.Command("go", "build", "-race", "-o", dir, "../almondbay", "../standin")
+	if out, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%s\n%v\n", out, err)
+		os.Exit(1)
+	}
+	code := m.Run()
+	_ = os.RemoveAll(dir)
+	os.Exit(code)
+}
+
+// process is one running program.
+type process struct {
+	*exec.Cmd
+	// address is the first line that the program printed, if it was awaited.
+	address string
+	log     *bytes.Buffer
+}
+
+func (p *process) signal(t *testing.T, s syscall.Signal) {
+	t.Helper()
+	if err := p.Process.Signal(s); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// cluster is a platform, members and nodes.
+type cluster struct {
+	platform *process
+	members  []*process
+	nodes    []*process
+	// callers and operators are the addresses of the nodes' two APIs.
+	callers, operators []string
+}
+
+// start runs a program until the test ends.
+func start(t *testing.T, awaitLine bool, name string, args ...string) *process {
+	t.Helper()
+	p := &process{Cmd: exec.Command(filepath.Join(programs, name), args...), log: &bytes.Buffer{}}
+	p.Stderr = p.log
+	out, err := p.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := p.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		_ = p.Process.Kill()
+		_ = p.Wait()
+		if strings.Contains(p.log.String(), "DATA RACE") {
+			t.Errorf("%s %v: a data race", name, args)
+		}
+		if t.Failed() {
+			t.Logf("%s %v:\n%.4000s", name, args, p.log)
+		}
+	})
+	if awaitLine {
+		line, err := bufio.NewReader(out).ReadString('\n')
+		if err != nil {
+			t.Fatalf("%s %v: %v: %s", name, args, err, p.log)
+		}
+		p.address = strings.TrimSpace(line)
+	}
+	return p
+}
+
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return l.Addr().String()
+}
+
+// newCluster starts a platform, members with the given pace and nodes, applies
+// a document and waits until every group serves.
+func newCluster(t *testing.T, nodes int, tokenInterval time.Duration) *cluster {
+	t.Helper()
+	c := &cluster{platform: start(t, true, "standin", "platform")}
+	for i := range members {
+		c.members = append(c.members, start(t, true, "standin", "engine",
+			"--id", fmt.Sprintf("vm-%d", i), "--platform", "http://"+c.platform.address,
+			"--fabric-domain", "fabric-1", "--load-time", "100ms",
+			"--token-interval", tokenInterval.String()))
+	}
+	for i := range nodes {
+		c.startNode(t, fmt.Sprintf("node-%d", i))
+	}
+	c.apply(t, "1")
+	c.awaitReady(t, "1")
+	return c
+}
+
+func hash(s string) string {
+	sum := sha256.Sum256([]byte(s))
+	return hex.EncodeToString(sum[:])
+}
+
+func (c *cluster) startNode(t *testing.T, id string) {
+	t.Helper()
+	callers, operators, peers := freeAddress(t), freeAddress(t), freeAddress(t)
+	settings := fmt.Sprintf(`{
+	"node": %q, "failureDomain": "a", "environment": "trial",
+	"caller": {"address": %q},
+	"operator": {"address": %q, "operators": [{"name": "test", "keyHash": %q}]},
+	"peer": {"address": %q, "keys": ["a key that peers share"]},
+	"platform": {"address": "http://%s"},
+}`, id, callers, operators, hash(key), peers, c.platform.address)
+	c.control(t, platformstandin.PathControlVM, fmt.Sprintf(
+		`{"id": %q, "address": %q, "failureDomain": "a", "role": "entry", "state": "live"}`, id, peers))
+	path := filepath.Join(t.TempDir(), id+".jsonc")
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	c.nodes = append(c.nodes, start(t, false, "almondbay", "serve", path))
+	c.callers = append(c.callers, callers)
+	c.operators = append(c.operators, operators)
+}
+
+// apply accepts a document that serves a version of the model.
+func (c *cluster) apply(t *testing.T, version string) {
+	t.Helper()
+	document := fmt.Sprintf(`{
+	"models": [{"name": "demo", "version": %q, "groups": %d, "span": %d}],
+	"workspaces": [{"name": "default", "keyHashes": [%q], "share": 1,
+		"objective": {"firstToken": "2s", "betweenToken": "45ms", "target": 0.95}}],
+}`, version, groups, span, hash(key))
+	path := filepath.Join(t.TempDir(), "document.jsonc")
+	if err := os.WriteFile(path, []byte(document), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	var last []byte
+	poll(t, "the document is accepted", func() bool {
+		command := exec.Command(filepath.Join(programs, "almondbay"), "apply", "--server", "http://"+c.operators[0], path)
+		command.Env = append(os.Environ(), "ALMONDBAY_OPERATOR_KEY="+key)
+		out, err := command.CombinedOutput()
+		last = out
+		return err == nil
+	}, func() string { return string(last) })
+}
+
+// poll waits until condition holds.
+func poll(t *testing.T, what string, condition func() bool, detail func() string) {
+	t.Helper()
+	ticker := time.NewTicker(pollInterval)
+	defer ticker.Stop()
+	deadline := time.NewTimer(patience)
+	defer deadline.Stop()
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-deadline.C:
+			t.Fatalf("waited in vain until %s: %s", what, detail())
+		}
+	}
+}
+
+// health is the part of a member's health answer that the tests read.
+type health struct {
+	Group   string `json:"group"`
+	Version string `json:"version"`
+	Phase   string `json:"phase"`
+	Running int    `json:"running"`
+}
+
+func memberHealth(address string) health {
+	client := http.Client{Timeout: time.Second}
+	response, err := client.Get("http://" + address + "/health")
+	if err != nil {
+		return health{}
+	}
+	defer func() { _ = response.Body.Close() }()
+	var h health
+	_ = json.NewDecoder(response.Body).Decode(&h)
+	return h
+}
+
+// awaitReady waits until every group has all its members ready at version and
+// every node gives whole answers.
+func (c *cluster) awaitReady(t *testing.T, version string) {
+	t.Helper()
+	var seen map[string]int
+	poll(t, "all groups are ready at version "+version, func() bool {
+		seen = map[string]int{}
+		for _, m := range c.members {
+			if h := memberHealth(m.address); h.Phase == "ready" && h.Version == version {
+				seen[h.Group]++
+			}
+		}
+		full := 0
+		for _, n := range seen {
+			if n == span {
+				full++
+			}
+		}
+		return full == groups
+	}, func() string { return fmt.Sprint(seen) })
+	for _, address := range c.callers {
+		var last string
+		poll(t, "node "+address+" gives a whole answer", func() bool {
+			last = ask(address, 0)
+			return whole(last)
+		}, func() string { return last })
+	}
+}
+
+// ask streams one answer and returns its events; seed makes it distinct.
+func ask(address string, seed int) string {
+	body := fmt.Sprintf(`{"model": "demo", "stream": true, "seed": %d,
+		"messages": [{"role": "user", "content": "hello"}]}`, seed)
+	request, err := http.NewRequest(http.MethodPost, "http://"+address+"/v1/chat/completions", strings.NewReader(body))
+	if err != nil {
+		return err.Error()
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return string(answer) + err.Error()
+	}
+	return string(answer)
+}
+
+func whole(answer string) bool {
+	return strings.HasSuffix(answer, "data: [DONE]\n\n")
+}
+
+// fault switches the platform to a fault.
+func (c *cluster) fault(t *testing.T, f platformstandin.Fault) {
+	t.Helper()
+	c.control(t, platformstandin.PathControlFault+"/"+string(f), "")
+}
+
+// control calls the platform stand-in's own control.
+func (c *cluster) control(t *testing.T, path, body string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPut, "http://"+c.platform.address+path, strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Content-Type", "application/json")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if response.StatusCode != http.StatusNoContent {
+		t.Fatalf("%s: %s", path, response.Status)
+	}
+}
--- /dev/null
+++ b/cmd/processtest/process_test.go
@@ -0,0 +1,145 @@
+package processtest
+
+import (
+	"strings"
+	"syscall"
+	"testing"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"almondbay.example/standin/enginestandin"
+	"almondbay.example/standin/platformstandin"
+)
+
+// text returns the words of a streamed chat answer.
+func text(answer string) string {
+	var b strings.Builder
+	for _, line := range strings.Split(answer, "\n") {
+		_, after, found := strings.Cut(line, `"content":"`)
+		if !found {
+			continue
+		}
+		word, _, _ := strings.Cut(after, `"`)
+		b.WriteString(word)
+	}
+	return b.String()
+}
+
+// checkAnswer fails the test when an answer that ends as if it were whole is
+// not the answer to its own request.
+func checkAnswer(t *testing.T, answer string, seed int) bool {
+	t.Helper()
+	want := enginestandin.Text("user: hello", int64(seed), 0)
+	if whole(answer) && text(answer) != want {
+		t.Errorf("seed %d: %q, want %q", seed, text(answer), want)
+	}
+	return whole(answer)
+}
+
+// askMany asks n questions at the nodes in turn, at the same time, and returns
+// how many answers were whole.
+func (c *cluster) askMany(t *testing.T, n int, during func()) int {
+	t.Helper()
+	answers := make([]string, n)
+	var g errgroup.Group
+	for i := range n {
+		g.Go(func() error {
+			answers[i] = ask(c.callers[i%len(c.callers)], i)
+			return nil
+		})
+	}
+	during()
+	_ = g.Wait()
+	got := 0
+	for i, answer := range answers {
+		if checkAnswer(t, answer, i) {
+			got++
+		} else if !strings.Contains(answer, "outcome") {
+			t.Errorf("seed %d: neither whole nor an explicit error: %q", i, answer)
+		}
+	}
+	return got
+}
+
+func TestMemberKilledUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, 20*time.Millisecond)
+	victim := -1
+	for i, m := range c.members {
+		if memberHealth(m.address).Group != "" {
+			victim = i
+		}
+	}
+	got := c.askMany(t, 24, func() { c.members[victim].signal(t, syscall.SIGKILL) })
+	t.Logf("%d of 24 answers were whole while a member was killed", got)
+	c.awaitReady(t, "1")
+}
+
+func TestMemberPausedAndWoken(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, time.Millisecond)
+	victim := -1
+	for i, m := range c.members {
+		if memberHealth(m.address).Group != "" {
+			victim = i
+		}
+	}
+	c.members[victim].signal(t, syscall.SIGSTOP)
+	c.awaitReady(t, "1")
+	c.members[victim].signal(t, syscall.SIGCONT)
+	poll(t, "the woken member is released", func() bool {
+		return memberHealth(c.members[victim].address).Phase == "idle"
+	}, func() string { return "" })
+	c.awaitReady(t, "1")
+}
+
+func TestNodeKilledBeforeMember(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, time.Millisecond)
+	c.nodes[0].signal(t, syscall.SIGKILL)
+	c.callers = c.callers[1:]
+	for _, m := range c.members {
+		if memberHealth(m.address).Group != "" {
+			m.signal(t, syscall.SIGKILL)
+			break
+		}
+	}
+	c.awaitReady(t, "1")
+}
+
+func TestPlatformDown(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, time.Millisecond)
+	c.fault(t, platformstandin.FaultDown)
+	if got := c.askMany(t, 20, func() {}); got != 20 {
+		t.Errorf("%d of 20 answers were whole while the platform was down", got)
+	}
+	c.fault(t, platformstandin.FaultNone)
+	c.apply(t, "2")
+	c.awaitReady(t, "2")
+}
+
+func TestGracefulShutdown(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 50*time.Millisecond)
+	stopping := c.nodes[0]
+	address := c.callers[0]
+	c.callers = []string{address}
+	got := c.askMany(t, 8, func() {
+		poll(t, "the requests are running", func() bool {
+			running := 0
+			for _, m := range c.members {
+				running += memberHealth(m.address).Running
+			}
+			return running == 8
+		}, func() string { return "" })
+		stopping.signal(t, syscall.SIGTERM)
+	})
+	if got != 8 {
+		t.Errorf("%d of 8 answers were whole at a graceful shutdown", got)
+	}
+	if err := stopping.Wait(); err != nil {
+		t.Errorf("the node ended with: %v", err)
+	}
+}
