Ask the owner of a model for slots over the protocol between nodes

A node asks the owner, named by rendezvous hashing, and sends the request to the group itself. What became of the slots is told every 20 ms. Lost messages: the asker chooses the ID and gives back what it may have been granted, news are told again after a failure, and an owner takes back the slots of a node that was silent for 10 s. An owner that cannot be reached is passed over for 3 s and its asks in flight end at once; the node then schedules by itself.

Weighed: passing requests through the owner (tokens would pass twice), and an ask with a short timeout (a wait in the queue is as long as the objective, so the timeout would say nothing; the news serve as the heartbeat instead).

--- a/pkg/serving/caller/scheduled.go
+++ b/pkg/serving/caller/scheduled.go
@@ -19,8 +19,6 @@
 	// defaultSlots is the number of requests that a group runs at the same time
 	// while its leader has not reported one.
 	defaultSlots = 8
-	// progressTokens is how many tokens apart progress is passed on.
-	progressTokens = 16
 	// maxPicks bounds the groups that a request is given before one of them
 	// still has a proof.
 	maxPicks = 4
@@ -34,6 +32,9 @@
 	FailureDomain string
 	// Seed makes random choices repeatable.
 	Seed uint64
+	// Owns tells whether this node schedules a model for its failure domain;
+	// nil when all nodes do.
+	Owns func(model string) bool
 }
 
 // Scheduled lets requests wait in fair queues and picks the replica group for
@@ -41,6 +42,7 @@
 type Scheduled struct {
 	config    ScheduledConfig
 	scheduler *schedule.Scheduler
+	desk      *schedule.Desk
 
 	mu         sync.Mutex
 	revision   uint64
@@ -55,9 +57,11 @@
 
 // NewScheduled returns a picker over the replica groups in the view.
 func NewScheduled(c ScheduledConfig) *Scheduled {
+	scheduler := schedule.New(schedule.Config{FailureDomain: c.FailureDomain, Seed: c.Seed})
 	return &Scheduled{
 		config:    c,
-		scheduler: schedule.New(schedule.Config{FailureDomain: c.FailureDomain, Seed: c.Seed}),
+		scheduler: scheduler,
+		desk:      schedule.NewDesk(scheduler),
 		reported:  make(map[string]time.Time),
 	}
 }
@@ -72,6 +76,7 @@
 	s.readDocument()
 	s.readGroups(now)
 	s.scheduler.Tick(now)
+	s.desk.Expire(now)
 	return nil
 }
 
@@ -146,24 +151,39 @@
 	if slots <= 0 {
 		slots = defaultSlots
 	}
-	shared := nodes[t.FailureDomain]
-	if t.FailureDomain != s.config.FailureDomain {
-		shared = 0
-		for domain, n := range nodes {
-			if domain != t.FailureDomain {
-				shared += n
-			}
-		}
-	}
 	return schedule.Group{
 		ID:            t.Group.ID,
 		Model:         model,
 		FailureDomain: t.FailureDomain,
 		Slots:         slots,
-		Shared:        max(1, shared),
+		Shared:        max(1, s.sharedBy(model, t, nodes)),
 	}
 }
 
+// sharedBy returns how many schedulers send to a group on equal terms: its owner
+// alone or all nodes of its failure domain, and elsewhere the owners or nodes of
+// all other failure domains.
+func (s *Scheduled) sharedBy(model string, t view.Target, nodes map[string]int) int {
+	owns := s.config.Owns != nil && s.config.Owns(model)
+	if t.FailureDomain == s.config.FailureDomain {
+		if owns {
+			return 1
+		}
+		return nodes[t.FailureDomain]
+	}
+	shared := 0
+	for domain, n := range nodes {
+		switch {
+		case domain == t.FailureDomain:
+		case owns:
+			shared++
+		default:
+			shared += n
+		}
+	}
+	return shared
+}
+
 // reportOf returns the load of a target unless it has been taken in before.
 func (s *Scheduled) reportOf(model string, t view.Target) (schedule.Report, bool) {
 	r, ok := s.config.View.Report(t.Leader.Member)
@@ -182,62 +202,106 @@
 
 // Pick implements Picker.
 func (s *Scheduled) Pick(ctx context.Context, q Query) (Choice, error) {
+	return s.pick(ctx, q, func(q Query, all []view.Target) (granted, error) {
+		return s.wait(ctx, q, all)
+	})
+}
+
+// granted is a slot in a group.
+type granted struct {
+	group string
+	long  bool
+	slot  Slot
+}
+
+// pick gets slots until one is in a group that still has a proof.
+func (s *Scheduled) pick(ctx context.Context, q Query, get func(Query, []view.Target) (granted, error)) (Choice, error) {
 	for range maxPicks {
 		all := s.config.View.Targets(q.Model, s.config.Clock.Now())
 		if len(Allowed(all, q)) == 0 {
-			return Choice{}, &UnavailableError{Model: q.Model}
+			break
 		}
-		d, err := s.wait(ctx, q, all)
+		got, err := get(q, all)
 		if err != nil {
 			return Choice{}, err
 		}
-		slot := &scheduledSlot{scheduler: s.scheduler, clock: s.config.Clock, ticket: d.Ticket}
 		now := s.config.View.Targets(q.Model, s.config.Clock.Now())
-		i := slices.IndexFunc(now, func(t view.Target) bool { return t.Group.ID == d.Group })
-		if i >= 0 {
-			choice := ChoiceOf(now[i], Site(now, now[i]), slot)
-			choice.Long = d.Long
+		i := slices.IndexFunc(now, func(t view.Target) bool { return t.Group.ID == got.group })
+		if i >= 0 && ctx.Err() == nil {
+			choice := ChoiceOf(now[i], Site(now, now[i]), got.slot)
+			choice.Long = got.long
 			return choice, nil
 		}
-		slot.Release()
-		q.Avoid = append(slices.Clone(q.Avoid), d.Group)
+		got.slot.Release()
+		q.Avoid = append(slices.Clone(q.Avoid), got.group)
 	}
 	return Choice{}, &UnavailableError{Model: q.Model}
 }
 
 // wait queues the request until a group has been chosen for it.
-func (s *Scheduled) wait(ctx context.Context, q Query, all []view.Target) (schedule.Decision, error) {
+func (s *Scheduled) wait(ctx context.Context, q Query, all []view.Target) (granted, error) {
 	decided := make(chan schedule.Decision, 1)
-	ticket, err := s.submit(s.requestOf(q, all, decided))
+	r := s.requestOf(q, all, func(d schedule.Decision) { decided <- d })
+	var ticket *schedule.Ticket
+	err := s.refreshed(func() (err error) {
+		ticket, err = s.scheduler.Submit(r, s.config.Clock.Now())
+		return err
+	})
 	if err != nil {
-		return schedule.Decision{}, refusalOf(q.Model, err)
+		return granted{}, refusalOf(q.Model, err)
 	}
 	select {
 	case d := <-decided:
 		if d.Refusal != nil {
-			return schedule.Decision{}, refusalOf(q.Model, d.Refusal)
+			return granted{}, refusalOf(q.Model, d.Refusal)
 		}
-		return d, nil
+		slot := &scheduledSlot{scheduler: s.scheduler, clock: s.config.Clock, ticket: d.Ticket}
+		return granted{group: d.Group, long: d.Long, slot: slot}, nil
 	case <-ctx.Done():
 		s.scheduler.Cancel(ticket, s.config.Clock.Now())
-		return schedule.Decision{}, Error.Wrap(ctx.Err())
+		return granted{}, Error.Wrap(ctx.Err())
 	}
 }
 
-// submit queues a request. A group may have come since the last refresh.
-func (s *Scheduled) submit(r schedule.Request) (*schedule.Ticket, error) {
-	ticket, err := s.scheduler.Submit(r, s.config.Clock.Now())
+// Answer answers the ask of another node once it is decided.
+func (s *Scheduled) Answer(ctx context.Context, a schedule.Ask) schedule.Grant {
+	answered := make(chan schedule.Grant, 1)
+	var refusal *schedule.Refusal
+	err := s.refreshed(func() error {
+		return s.desk.Ask(a, func(g schedule.Grant) { answered <- g }, s.config.Clock.Now())
+	})
+	if errors.As(err, &refusal) {
+		return schedule.Grant{Refusal: refusal}
+	}
+	select {
+	case g := <-answered:
+		return g
+	case <-ctx.Done():
+		s.Hear(a.Node, []schedule.News{{ID: a.ID, Event: schedule.EventRelease}})
+		return schedule.Grant{Refusal: &schedule.Refusal{Reason: schedule.ReasonLate, RetryAfter: retrySoon}}
+	}
+}
+
+// Hear takes in what became of slots that other nodes were granted.
+func (s *Scheduled) Hear(node string, news []schedule.News) {
+	s.desk.Tell(node, news, s.config.Clock.Now())
+}
+
+// refreshed submits a request, and once more if there was no group: one may have
+// come since the last refresh.
+func (s *Scheduled) refreshed(submit func() error) error {
+	err := submit()
 	var refusal *schedule.Refusal
 	if !errors.As(err, &refusal) || refusal.Reason != schedule.ReasonNoGroup {
-		return ticket, err
+		return err
 	}
 	if err := s.Refresh(context.Background()); err != nil {
-		return nil, err
+		return err
 	}
-	return s.scheduler.Submit(r, s.config.Clock.Now())
+	return submit()
 }
 
-func (s *Scheduled) requestOf(q Query, all []view.Target, decided chan<- schedule.Decision) schedule.Request {
+func (s *Scheduled) requestOf(q Query, all []view.Target, notify func(schedule.Decision)) schedule.Request {
 	return schedule.Request{
 		Workspace:    q.Workspace,
 		Model:        q.Model,
@@ -246,7 +310,7 @@
 		MaxTokens:    q.MaxTokens,
 		FirstTokenBy: s.firstTokenBy(q),
 		Avoid:        notAllowed(all, q),
-		Notify:       func(d schedule.Decision) { decided <- d },
+		Notify:       notify,
 	}
 }
 
@@ -294,43 +358,3 @@
 		Overloaded: refusal.Reason != schedule.ReasonNoGroup,
 	}
 }
-
-// scheduledSlot passes the progress of an attempt on to the scheduler.
-type scheduledSlot struct {
-	scheduler *schedule.Scheduler
-	clock     clockwork.Clock
-	ticket    *schedule.Ticket
-	// first is the number of tokens at the first call of Progress, which is not
-	// zero for a resumed answer. Progress is called by one goroutine only.
-	first    int
-	passedOn int
-	started  bool
-}
-
-var _ Slot = (*scheduledSlot)(nil)
-
-// Progress implements Slot.
-func (s *scheduledSlot) Progress(tokens int) {
-	if !s.started {
-		s.started = true
-		s.first = tokens - 1
-		s.scheduler.FirstToken(s.ticket, s.clock.Now())
-		return
-	}
-	made := tokens - s.first
-	if made-s.passedOn < progressTokens {
-		return
-	}
-	s.passedOn = made
-	s.scheduler.Progress(s.ticket, made, s.clock.Now())
-}
-
-// Finish implements Slot.
-func (s *scheduledSlot) Finish(tokens int) {
-	s.scheduler.Finish(s.ticket, tokens-s.first, s.clock.Now())
-}
-
-// Release implements Slot.
-func (s *scheduledSlot) Release() {
-	s.scheduler.Cancel(s.ticket, s.clock.Now())
-}
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -54,6 +54,8 @@
 	configurationInterval = 500 * time.Millisecond
 	// scheduleInterval is the time between two reviews of waiting requests.
 	scheduleInterval = 50 * time.Millisecond
+	// flushInterval is the time between two messages to the owners of slots.
+	flushInterval = 20 * time.Millisecond
 	// listInterval is the time between two reads of the list of VMs.
 	listInterval = 2 * time.Second
 	// certificateInterval is the time between two reads of a certificate's
@@ -101,6 +103,7 @@
 	config     Config
 	view       *view.View
 	picker     *caller.Scheduled
+	owned      *caller.Owned
 	gateway    *caller.Gateway
 	operators  *operator.API
 	controller *control.Controller
@@ -117,21 +120,23 @@
 func New(c Config) *Node {
 	v := view.New(proofTTL)
 	n := &Node{
-		config: c,
-		view:   v,
-		picker: caller.NewScheduled(caller.ScheduledConfig{
-			View:          v,
-			Clock:         c.Clock,
-			FailureDomain: c.Settings.FailureDomain,
-			Seed:          rand.Uint64(),
-		}),
+		config:     c,
+		view:       v,
 		controller: control.New(controlConfig(c, v)),
 		store:      NewStore(c),
 		drains:     drain.New(drain.Config{Table: c.Table, Clock: c.Clock}),
 		platform:   &platformWatch{clock: c.Clock, logger: c.Logger},
 		observer:   &observer{clock: c.Clock, view: v, recorder: burn.NewRecorder()},
 	}
+	n.picker = caller.NewScheduled(caller.ScheduledConfig{
+		View:          v,
+		Clock:         c.Clock,
+		FailureDomain: c.Settings.FailureDomain,
+		Seed:          rand.Uint64(),
+		Owns:          n.owns,
+	})
 	n.relay = peer.New(n.relayConfig())
+	n.owned = caller.NewOwned(caller.OwnedConfig{Node: c.Settings.Node, Local: n.picker, Owners: n.relay})
 	metrics := metric.New(metric.Config{Clock: c.Clock, Status: n.Status, Burn: n.observer.report})
 	n.observer.metrics = metrics
 	n.gateway = caller.New(n.gatewayConfig())
@@ -153,7 +158,7 @@
 	return caller.Config{
 		View:          n.view,
 		Clock:         c.Clock,
-		Picker:        n.picker,
+		Picker:        n.gatewayPicker(),
 		Engine:        c.Engine,
 		Service:       service.NewClient(),
 		Table:         c.Table,
@@ -170,6 +175,24 @@
 	}
 }
 
+// gatewayPicker returns the picker of the gateway: a node that others can reach
+// takes part in the division of models among owners.
+func (n *Node) gatewayPicker() caller.Picker {
+	if n.config.Peers == nil {
+		return n.picker
+	}
+	return n.owned
+}
+
+// owns tells whether this node schedules a model for its failure domain.
+func (n *Node) owns(model string) bool {
+	if n.config.Peers == nil {
+		return false
+	}
+	_, isSelf := n.relay.Owner(model)
+	return isSelf
+}
+
 // NewStore returns the store of the environments that a node reads.
 func NewStore(c Config) *environment.Store {
 	return environment.New(environment.Config{
@@ -206,6 +229,7 @@
 	operators := &http.Server{Handler: n.operators, ReadHeaderTimeout: readHeaderTimeout}
 	n.addServer(&g, n.config.Operators, operators, operators.Shutdown)
 	n.addLoop(&g, scheduleInterval, n.picker.Refresh)
+	n.addLoop(&g, flushInterval, n.owned.Flush)
 	n.addLoop(&g, listInterval, n.refreshVMs)
 	n.addLoop(&g, configurationInterval, n.relay.Poll)
 	n.addLoop(&g, heartbeatInterval, n.heartbeat)
--- a/pkg/serving/node/peers.go
+++ b/pkg/serving/node/peers.go
@@ -20,7 +20,7 @@
 	// peerTimeout bounds one exchange with a peer.
 	peerTimeout = 5 * time.Second
 	// peerConnections is the number of idle connections kept to each peer.
-	peerConnections = 2
+	peerConnections = 32
 )
 
 func (n *Node) relayConfig() peer.Config {
@@ -33,6 +33,7 @@
 		Moved:         func(e revision.Entry, d document.Document) { n.view.SetDocument(e.Revision, d) },
 		Histories:     n.observer.histories,
 		Suspects:      func() peer.Suspects { return n.gateway },
+		Slots:         func() peer.Slots { return n.picker },
 		Read:          n.platform.saw,
 		Scheme:        n.peerScheme(),
 		HTTP:          n.peerClient(),
--- a/pkg/serving/peer/http.go
+++ b/pkg/serving/peer/http.go
@@ -54,6 +54,8 @@
 	e.POST(pathConviction, r.serveConviction)
 	e.POST(pathGrant, r.serveGrant)
 	e.POST(pathRelease, r.serveRelease)
+	e.POST(pathAsk, r.serveAsk)
+	e.POST(pathTell, r.serveTell)
 	return e
 }
 
--- a/pkg/serving/peer/peer.go
+++ b/pkg/serving/peer/peer.go
@@ -63,6 +63,8 @@
 	// Suspects returns what this node knows of suspects; not called before the
 	// node serves.
 	Suspects func() Suspects
+	// Slots schedules what this node owns; not called before the node serves.
+	Slots func() Slots
 	// Read is told the outcome of each read of the platform.
 	Read func(err error)
 	// Scheme is "https" where nodes speak TLS, else "http".
