--- a/pkg/serving/control/renew.go
+++ b/pkg/serving/control/renew.go
@@ -5,7 +5,11 @@
 	"errors"
 	"time"
 
+	"go.uber.org/zap"
+
+	"almondbay.example/core/fleet"
 	"almondbay.example/core/lease"
+	"almondbay.example/serving/event"
 	"almondbay.example/serving/platform"
 )
 
@@ -17,16 +21,82 @@
 	return d.machine.Term(), d.machine.Holds(now)
 }
 
+// Nodes that reach no member of a fabric domain are of little use as its
+// holder.
+const (
+	// blindRank is the number of places by which such a node stands back.
+	blindRank = 10
+	// blindAfter is how long a holder keeps its lease, in RepairAfter. It is
+	// longer than a holder takes to yield the groups of a domain that is dark
+	// for everyone.
+	blindAfter = 1.5
+)
+
+// setRank sets the node's place among the candidates. A node that reaches no
+// member stands back behind the others, and a holder that has not for a while
+// gives the lease up once.
 func (d *domain) setRank(r int) {
+	now := d.config.Clock.Now()
+	seen, known := d.lastSeen()
+	blind := known && now.Sub(seen) > d.config.Policy.Fresh
+	if blind {
+		r += blindRank
+	}
+	limit := time.Duration(blindAfter * float64(d.config.Policy.RepairAfter))
+
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
 	d.machine.SetRank(r)
+	if !d.machine.Holds(now) {
+		d.heldSince = time.Time{}
+		return
+	}
+	if d.heldSince.IsZero() {
+		d.heldSince = now
+	}
+	if blind && now.Sub(seen) > limit && now.Sub(d.heldSince) > limit {
+		d.machine.Resign()
+	}
+}
+
+// lastSeen returns when a member of the fabric domain last answered, and false
+// when the fabric domain has no VM.
+func (d *domain) lastSeen() (time.Time, bool) {
+	var last time.Time
+	known := false
+	for _, vm := range d.config.View.VMs(fleet.RoleBackend) {
+		if vm.FabricDomain != d.name {
+			continue
+		}
+		known = true
+		if r, ok := d.config.View.Report(vm.ID); ok && r.SeenAt.After(last) {
+			last = r.SeenAt
+		}
+	}
+	return last, known
 }
 
 // renew takes the next step of the lease. It must not run twice at a time.
 func (d *domain) renew(ctx context.Context) error {
-	return d.do(ctx, d.next())
+	err := d.do(ctx, d.next())
+	d.logLease()
+	return err
+}
+
+func (d *domain) logLease() {
+	term, ok := d.term(d.config.Clock.Now())
+	if !ok {
+		term = 0
+	}
+	switch term {
+	case d.held:
+	case 0:
+		event.LeaseEnded.Log(d.config.Logger, zap.String("fabricDomain", d.name))
+	default:
+		event.LeaseTaken.Log(d.config.Logger, zap.String("fabricDomain", d.name), zap.Uint64("term", term))
+	}
+	d.held = term
 }
 
 func (d *domain) next() lease.Command {
@@ -116,6 +186,7 @@
 // lease has lapsed. Calls that fail are repeated until ctx is done.
 func (d *domain) handOn(ctx context.Context) error {
 	d.release()
+	defer d.logLease()
 	for !d.released() {
 		c := d.next()
 		if c.Action != lease.ActionWait {
--- a/pkg/serving/peer/peer_test.go
+++ b/pkg/serving/peer/peer_test.go
@@ -146,6 +146,11 @@
 			t.Fatal(err)
 		}
 	}
+	f.settle()
+}
+
+// settle waits until no push goes on, down all levels of the trees.
+func (f *fleetOf) settle() {
 	const depth = 4
 	for range depth {
 		for _, r := range f.relays {
@@ -222,6 +227,16 @@
 	}
 }
 
+func TestAcceptingNodeTellsAllDomains(t *testing.T) {
+	f := newFleet(t, 3, 7)
+	f.accept(t, 1)
+	f.relays["entry-4"].Accepted(t.Context())
+	f.settle()
+	if ids := f.behind(1); len(ids) > 0 {
+		t.Errorf("the accepted revision is not in force at %v", ids)
+	}
+}
+
 func TestPlatformOutage(t *testing.T) {
 	f := newFleet(t, 2, 4)
 	f.accept(t, 1)
@@ -230,8 +245,11 @@
 	// All nodes of a domain but one are replaced, then the last one too.
 	f.add(t, "new-0", "domain-0")
 	f.add(t, "new-1", "domain-0")
-	f.heartbeats(t, 6)
 	for _, id := range []string{"new-0", "new-1"} {
+		// The new node alone compares notes.
+		for range 6 {
+			_ = f.relays[id].Heartbeat(t.Context())
+		}
 		if held := f.relays[id].Held(); held.Revision != 1 || held.Confirmed {
 			t.Errorf("%s holds %+v, want revision 1, not confirmed", id, held)
 		}
