Make the matrix notice a leader that does not move first

Cause: with the rule taken out that a leader leaves an epoch before the other members, the planner's test and the matrix still passed: all orders of a step arrived together, and no gateway relied on rows from just before a roll-out.

Change: the matrix gains a tenth fault, a lost request; orders to leaders and to the others, of first and of later epochs, are operations of their own; two more gateways read the rows every 12 s and probe at odd and at even seconds. The planner's test makes the leader deaf to orders and expects nobody else to move.

--- a/pkg/core/group/plan_test.go
+++ b/pkg/core/group/plan_test.go
@@ -283,23 +283,37 @@
 	}
 }
 
-func TestLeaderIsReleasedFirst(t *testing.T) {
-	f := newFleet(t, map[string]int{"a": 4}, model(1))
-	f.until("serving", 90, f.serving("1", 1))
-	leader := f.Groups["m-0"].Value.Members[0]
-	f.Models = nil
-	f.Revision++
-	for range 20 {
-		f.step()
-		left := 0
-		for _, m := range f.Members {
-			if m.Order.Group == "" {
-				left++
+func TestLeaderMovesFirst(t *testing.T) {
+	changes := map[string]func(f fakeFleet){
+		"released":   func(f fakeFleet) { f.Models = nil },
+		"retargeted": func(f fakeFleet) { f.Models[0].Version = "2" },
+	}
+	for name, change := range changes {
+		t.Run(name, func(t *testing.T) {
+			f := newFleet(t, map[string]int{"a": 4}, model(1))
+			f.until("serving", 90, f.serving("1", 1))
+			leader := f.Members[f.Groups["m-0"].Value.Members[0]]
+			leader.Deaf = true
+			change(f)
+			f.Revision++
+			for range 30 {
+				f.step()
+				for id, m := range f.Members {
+					if m.Order.Group != "m-0" || m.Order.Epoch != 1 {
+						t.Fatalf("%s has left the epoch before its leader", id)
+					}
+				}
 			}
-		}
-		if left > 0 && f.Members[leader].Order.Group != "" {
-			t.Fatal("another member was released before the leader")
-		}
+			leader.Deaf = false
+			f.until("moved on", 20, func() bool {
+				for _, m := range f.Members {
+					if m.Order.Group == "m-0" && m.Order.Epoch == 1 {
+						return false
+					}
+				}
+				return true
+			})
+		})
 	}
 }
 
--- a/pkg/core/group/trial/fleet.go
+++ b/pkg/core/group/trial/fleet.go
@@ -18,6 +18,8 @@
 	VM fleet.VM
 	// Down members answer nothing.
 	Down bool
+	// Deaf members answer and take no orders.
+	Deaf bool
 	// Boot changes with each Reboot.
 	Boot  int
 	Order fleet.Order
@@ -239,7 +241,7 @@
 		}
 	}
 	for _, o := range c.Orders {
-		if m := f.Members[o.Member]; m != nil && !m.Down {
+		if m := f.Members[o.Member]; m != nil && !m.Down && !m.Deaf {
 			f.give(m, o.Order)
 		}
 	}
--- a/pkg/serving/control/matrix_test.go
+++ b/pkg/serving/control/matrix_test.go
@@ -93,9 +93,11 @@
 type fakeGateway struct {
 	w       *world
 	refresh int
-	turns   int
-	groups  map[string]group.Versioned[group.Row]
-	reports map[string]fleet.Report
+	// probeOdd is 1 if the gateway probes at odd turns, else 0.
+	probeOdd int
+	turns    int
+	groups   map[string]group.Versioned[group.Row]
+	reports  map[string]fleet.Report
 }
 
 func (g *fakeGateway) dispatch(now time.Time, rows map[string]group.Versioned[group.Row], in map[string]string) {
@@ -105,7 +107,7 @@
 	}
 	g.turns++
 	for id, m := range g.w.members {
-		if r, ok := m.report(now); ok && (g.turns+len(id))%2 == 0 {
+		if r, ok := m.report(now); ok && g.turns%2 == g.probeOdd {
 			g.reports[id] = r
 		}
 	}
@@ -295,7 +297,7 @@
 // riskiest are the operations at which two faults in turn are tried.
 var riskiest = []string{
 	"write takeOver", "write form", "write repair", "write retarget", "write serve", "write free",
-	"order join", "order release",
+	"order lead updated", "order release",
 }
 
 // cells returns every fault at every operation, and pairs at the riskiest.
--- a/pkg/serving/control/world_test.go
+++ b/pkg/serving/control/world_test.go
@@ -164,7 +164,12 @@
 		w.memory.SetVM(fleet.VM{ID: n, FailureDomain: "f", Role: fleet.RoleEntry, State: fleet.VMLive})
 		w.start(n)
 	}
-	w.gateways = []*fakeGateway{{w: w, refresh: 1}, {w: w, refresh: 40}}
+	w.gateways = []*fakeGateway{
+		{w: w, refresh: 1},
+		{w: w, refresh: 40},
+		{w: w, refresh: 12},
+		{w: w, refresh: 12, probeOdd: 1},
+	}
 	return w
 }
 
@@ -300,6 +305,7 @@
 	faultCutMembers
 	faultCutPlatform
 	faultLostAnswer
+	faultLostRequest
 	// The faults from here on let an operation take effect late.
 	faultPause
 	faultSlow
@@ -308,7 +314,7 @@
 	faults
 )
 
-var faultNames = []string{"crashBefore", "crashAfter", "cutMembers", "cutPlatform", "lostAnswer", "pause", "slow", "late", "duplicate"}
+var faultNames = []string{"crashBefore", "crashAfter", "cutMembers", "cutPlatform", "lostAnswer", "lostRequest", "pause", "slow", "late", "duplicate"}
 
 // injection makes a fault happen at the first operation with the label, once
 // the injections before it have happened.
@@ -359,6 +365,8 @@
 	case faultLostAnswer:
 		_ = do()
 		return lost
+	case faultLostRequest:
+		return lost
 	case faultLate:
 		p.w.delay(label, lateBy, do)
 		return lost
@@ -478,10 +486,7 @@
 }
 
 func (f faultyEngine) Order(_ context.Context, address string, o fleet.Order) error {
-	label := "order join"
-	if o.Group == "" {
-		label = "order release"
-	}
+	label := orderLabel(address, o)
 	m := f.p.w.members[address]
 	return f.p.call(label, true, func() error {
 		if m.hidden {
@@ -490,3 +495,22 @@
 		return m.give(o, f.p.w.clock.Now())
 	})
 }
+
+// orderLabel tells orders to the leader and to the others apart, and the first
+// epoch of a group from later ones and from those that bring a new version.
+func orderLabel(address string, o fleet.Order) string {
+	if o.Group == "" {
+		return "order release"
+	}
+	label := "order join"
+	if o.Members[0] == address {
+		label = "order lead"
+	}
+	switch {
+	case o.Version != "1":
+		return label + " updated"
+	case o.Epoch > 1:
+		return label + " again"
+	}
+	return label
+}
