--- a/pkg/core/schedule/trial/figures.go
+++ b/pkg/core/schedule/trial/figures.go
@@ -29,8 +29,8 @@
 	WronglyRefused float64
 	GaveUp         float64
 	Failed         float64
-	// ShortWait is the time from arrival to a slot of requests that are not
-	// long and were given one.
+	// ShortWait is the time from arrival to the first token of requests that
+	// are not long and were given one; it includes waiting inside the engine.
 	ShortWait  Percentiles
 	FirstToken Percentiles
 	// LongGood is Good over the long requests only.
@@ -45,7 +45,7 @@
 }
 
 func (w *world) figures() Figures {
-	var f Figures
+	f := Figures{Messages: w.messages}
 	var waits, firsts []time.Duration
 	spaces := make([]spaceTally, len(w.config.Workload.workspaces))
 	goodWork, long, longGood := 0.0, 0, 0
@@ -65,8 +65,8 @@
 		if j.long {
 			long++
 			longGood += count(good)
-		} else if j.started > 0 {
-			waits = append(waits, j.started-j.at)
+		} else if j.made > 0 {
+			waits = append(waits, j.first-j.at)
 		}
 		if j.made > 0 {
 			firsts = append(firsts, j.first-j.at)
