--- a/pkg/core/lease/machine.go
+++ b/pkg/core/lease/candidate.go
@@ -5,8 +5,8 @@
 	"time"
 )
 
-// Machine runs the lease of one fabric domain at one node.
-type Machine struct {
+// Candidate is the part of one node in the lease of one fabric domain.
+type Candidate struct {
 	config Config
 
 	// row is the last row seen or written; meaningful once known is set.
@@ -44,241 +44,241 @@
 	conflicted bool
 }
 
-// New returns a machine that holds nothing.
-func New(c Config) *Machine {
-	return &Machine{config: c}
+// New returns a candidate that holds nothing.
+func New(c Config) *Candidate {
+	return &Candidate{config: c}
 }
 
 // SetRank sets the place of this node among the nodes that may hold the lease.
 // A node waits for one interval per place before it takes a free lease.
-func (m *Machine) SetRank(rank int) {
-	m.rank = rank
+func (n *Candidate) SetRank(rank int) {
+	n.rank = rank
 }
 
 // Holds reports whether the lease is held at now. It must be asked right
 // before each order and each write under the lease.
-func (m *Machine) Holds(now time.Time) bool {
-	return m.term > 0 && !m.releasing && !m.resigning && now.Before(m.deadline)
+func (n *Candidate) Holds(now time.Time) bool {
+	return n.term > 0 && !n.releasing && !n.resigning && now.Before(n.deadline)
 }
 
 // Term returns the fencing number of the lease; zero while it is not held.
-func (m *Machine) Term() uint64 {
-	return m.term
+func (n *Candidate) Term() uint64 {
+	return n.term
 }
 
 // Deadline returns when the lease lapses unless it is renewed.
-func (m *Machine) Deadline() time.Time {
-	return m.deadline
+func (n *Candidate) Deadline() time.Time {
+	return n.deadline
 }
 
 // Row returns the last row seen and whether any was seen.
-func (m *Machine) Row() (Row, bool) {
-	return m.row.Row, m.known
+func (n *Candidate) Row() (Row, bool) {
+	return n.row.Row, n.known
 }
 
-// Release asks to hand the lease on. Holds is false from here on. The machine
+// Release asks to hand the lease on. Holds is false from here on. The candidate
 // is done once Released reports true.
-func (m *Machine) Release() {
-	m.releasing = true
+func (n *Candidate) Release() {
+	n.releasing = true
 }
 
-// Resign asks to hand the lease on once. Holds is false until the machine takes
+// Resign asks to hand the lease on once. Holds is false until the candidate takes
 // the lease again, which it does at its rank. It does nothing while the lease
 // is not held.
-func (m *Machine) Resign() {
-	m.resigning = m.term > 0
+func (n *Candidate) Resign() {
+	n.resigning = n.term > 0
 }
 
-// Released reports whether the machine holds nothing and has no write under
+// Released reports whether the candidate holds nothing and has no write under
 // way, after Release.
-func (m *Machine) Released() bool {
-	return m.releasing && m.term == 0 && m.pending == nil
+func (n *Candidate) Released() bool {
+	return n.releasing && n.term == 0 && n.pending == nil
 }
 
 // Next returns the next step.
-func (m *Machine) Next(now time.Time) Command {
-	m.lapse(now)
-	if m.Released() {
-		return Command{Action: ActionWait, At: now.Add(m.config.Interval)}
+func (n *Candidate) Next(now time.Time) Command {
+	n.lapse(now)
+	if n.Released() {
+		return Command{Action: ActionWait, At: now.Add(n.config.Interval)}
 	}
-	if now.Before(m.next) {
-		return Command{Action: ActionWait, At: m.next}
+	if now.Before(n.next) {
+		return Command{Action: ActionWait, At: n.next}
 	}
-	if m.pending != nil {
-		return m.resolve()
+	if n.pending != nil {
+		return n.resolve()
 	}
-	if !m.known {
+	if !n.known {
 		return Command{Action: ActionRead}
 	}
-	if m.term > 0 {
-		return m.write(m.renewal(), now)
+	if n.term > 0 {
+		return n.write(n.renewal(), now)
 	}
-	if free := m.freeAt(); now.Before(free) {
+	if free := n.freeAt(); now.Before(free) {
 		return Command{Action: ActionRead}
 	}
-	return m.write(m.takeOver(), now)
+	return n.write(n.takeOver(), now)
 }
 
 // lapse gives up a lease whose deadline has passed. The node may take it again
 // at once, since nobody else can have held it while the row is unchanged, but
 // under a new term: orders from before the lapse are then fenced off.
-func (m *Machine) lapse(now time.Time) {
-	if m.term == 0 || now.Before(m.deadline) {
+func (n *Candidate) lapse(now time.Time) {
+	if n.term == 0 || now.Before(n.deadline) {
 		return
 	}
-	m.term = 0
-	m.resigning = false
-	if m.pending == nil {
-		m.known = false
+	n.term = 0
+	n.resigning = false
+	if n.pending == nil {
+		n.known = false
 	}
 }
 
 // freeAt returns when this node may take the lease.
-func (m *Machine) freeAt() time.Time {
-	turn := time.Duration(m.rank) * m.config.Interval
-	if m.row.Holder == "" || m.row.Holder == m.config.Holder {
-		return m.since.Add(turn)
+func (n *Candidate) freeAt() time.Time {
+	turn := time.Duration(n.rank) * n.config.Interval
+	if n.row.Holder == "" || n.row.Holder == n.config.Holder {
+		return n.since.Add(turn)
 	}
-	return m.since.Add(m.row.Duration + turn)
+	return n.since.Add(n.row.Duration + turn)
 }
 
-func (m *Machine) renewal() Command {
-	row := m.row.Row
+func (n *Candidate) renewal() Command {
+	row := n.row.Row
 	row.Sequence++
-	row.Duration = m.config.Duration
-	if m.releasing || m.resigning {
+	row.Duration = n.config.Duration
+	if n.releasing || n.resigning {
 		row.Holder = ""
 	}
 	return Command{Row: row}
 }
 
-func (m *Machine) takeOver() Command {
+func (n *Candidate) takeOver() Command {
 	return Command{
 		Row: Row{
-			FabricDomain: m.config.FabricDomain,
-			Holder:       m.config.Holder,
-			Term:         m.row.Term + 1,
-			Sequence:     m.row.Sequence + 1,
-			Duration:     m.config.Duration,
+			FabricDomain: n.config.FabricDomain,
+			Holder:       n.config.Holder,
+			Term:         n.row.Term + 1,
+			Sequence:     n.row.Sequence + 1,
+			Duration:     n.config.Duration,
 		},
 		TakeOver: true,
 	}
 }
 
-func (m *Machine) write(c Command, now time.Time) Command {
-	m.count++
+func (n *Candidate) write(c Command, now time.Time) Command {
+	n.count++
 	c.Action = ActionWrite
-	c.Version = m.row.Version
-	c.Operation = fmt.Sprintf("lease/%s/%s/%d", m.config.FabricDomain, m.config.Holder, m.count)
-	m.pending = &attempt{command: c, sentAt: now}
+	c.Version = n.row.Version
+	c.Operation = fmt.Sprintf("lease/%s/%s/%d", n.config.FabricDomain, n.config.Holder, n.count)
+	n.pending = &attempt{command: c, sentAt: now}
 	return c
 }
 
 // resolve finds out what became of the pending write: by sending the very same
 // operation again, which can take effect only once since it is conditional on
 // the row's version, and once that fails by reading back.
-func (m *Machine) resolve() Command {
-	if m.pending.conflicted {
+func (n *Candidate) resolve() Command {
+	if n.pending.conflicted {
 		return Command{Action: ActionRead}
 	}
-	return m.pending.command
+	return n.pending.command
 }
 
 // Wrote tells the outcome of the last ActionWrite.
-func (m *Machine) Wrote(o Outcome, now time.Time) {
-	p := m.pending
+func (n *Candidate) Wrote(o Outcome, now time.Time) {
+	p := n.pending
 	if p == nil {
 		return
 	}
 	switch o {
 	case OutcomeApplied:
-		m.applied(now)
+		n.applied(now)
 	case OutcomeConflict:
 		p.conflicted = true
 	case OutcomeRefused, OutcomeUnknown:
-		m.backOff(now)
+		n.backOff(now)
 	}
 }
 
 // applied enters the pending write as the row and extends the lease from
 // before the write was first sent.
-func (m *Machine) applied(now time.Time) {
-	p := m.pending
-	m.pending = nil
-	m.failures = 0
-	m.next = now.Add(m.config.Interval)
-	m.see(Versioned{
+func (n *Candidate) applied(now time.Time) {
+	p := n.pending
+	n.pending = nil
+	n.failures = 0
+	n.next = now.Add(n.config.Interval)
+	n.see(Versioned{
 		Row:       p.command.Row,
 		Version:   p.command.Version + 1,
 		Operation: p.command.Operation,
 	}, now)
-	m.term = 0
+	n.term = 0
 	if p.command.Row.Holder == "" {
-		m.resigning = false
+		n.resigning = false
 		return
 	}
-	m.deadline = p.sentAt.Add(m.config.Duration - m.config.Margin)
-	if now.Before(m.deadline) {
-		m.term = p.command.Row.Term
+	n.deadline = p.sentAt.Add(n.config.Duration - n.config.Margin)
+	if now.Before(n.deadline) {
+		n.term = p.command.Row.Term
 	}
-	if m.releasing || m.resigning {
-		m.next = now
+	if n.releasing || n.resigning {
+		n.next = now
 	}
 }
 
 // Saw tells what a read returned and when its answer was received.
-func (m *Machine) Saw(row Versioned, now time.Time) {
-	m.failures = 0
-	m.next = now.Add(m.config.Interval)
-	if m.pending != nil {
-		m.readBack(row, now)
+func (n *Candidate) Saw(row Versioned, now time.Time) {
+	n.failures = 0
+	n.next = now.Add(n.config.Interval)
+	if n.pending != nil {
+		n.readBack(row, now)
 		return
 	}
-	m.see(row, now)
-	if free := m.freeAt(); m.term == 0 && free.Before(m.next) {
-		m.next = free
+	n.see(row, now)
+	if free := n.freeAt(); n.term == 0 && free.Before(n.next) {
+		n.next = free
 	}
 }
 
 // readBack settles a pending write whose condition no longer holds.
-func (m *Machine) readBack(row Versioned, now time.Time) {
-	if row.Version <= m.pending.command.Version {
+func (n *Candidate) readBack(row Versioned, now time.Time) {
+	if row.Version <= n.pending.command.Version {
 		return
 	}
-	if row.Operation == m.pending.command.Operation {
-		m.applied(now)
+	if row.Operation == n.pending.command.Operation {
+		n.applied(now)
 		return
 	}
-	m.pending = nil
-	m.term = 0
-	m.resigning = false
-	m.see(row, now)
+	n.pending = nil
+	n.term = 0
+	n.resigning = false
+	n.see(row, now)
 }
 
 // see notes the row. The time since which it is unchanged starts anew with
 // every change, whoever made it.
-func (m *Machine) see(row Versioned, now time.Time) {
-	if m.known && row.Version <= m.row.Version {
+func (n *Candidate) see(row Versioned, now time.Time) {
+	if n.known && row.Version <= n.row.Version {
 		return
 	}
-	m.row = row
-	m.row.FabricDomain = m.config.FabricDomain
-	m.known = true
-	m.since = now
+	n.row = row
+	n.row.FabricDomain = n.config.FabricDomain
+	n.known = true
+	n.since = now
 }
 
 // ReadFailed tells that a read was not answered.
-func (m *Machine) ReadFailed(now time.Time) {
-	m.backOff(now)
+func (n *Candidate) ReadFailed(now time.Time) {
+	n.backOff(now)
 }
 
 // backOff delays the next attempt by a random time that grows with the number
 // of failures in a row, so that the nodes do not return in step after an
 // outage.
-func (m *Machine) backOff(now time.Time) {
-	m.failures++
-	limit := m.config.Interval * time.Duration(min(m.failures, maxBackOff))
-	m.next = now.Add(m.config.Jitter(limit))
+func (n *Candidate) backOff(now time.Time) {
+	n.failures++
+	limit := n.config.Interval * time.Duration(min(n.failures, maxBackOff))
+	n.next = now.Add(n.config.Jitter(limit))
 }
 
 // maxBackOff bounds the delay after failures, in intervals.
--- a/pkg/core/lease/machine_test.go
+++ b/pkg/core/lease/candidate_test.go
@@ -36,14 +36,14 @@
 	return true
 }
 
-// node is a machine under a clock of its own that runs a little fast or slow,
+// node is a candidate under a clock of its own that runs a little fast or slow,
 // and that stands still while the node is paused.
 type node struct {
-	machine  *lease.Machine
-	rate     float64
-	pausedTo time.Duration
-	asked    *lease.Command
-	answerAt time.Duration
+	candidate *lease.Candidate
+	rate      float64
+	pausedTo  time.Duration
+	asked     *lease.Command
+	answerAt  time.Duration
 }
 
 func (n *node) clock(at time.Duration) time.Time {
@@ -68,7 +68,7 @@
 			Duration: duration, Margin: margin, Interval: interval,
 			Jitter: func(limit time.Duration) time.Duration { return time.Duration(w.random.Int64N(int64(limit))) },
 		}
-		w.nodes = append(w.nodes, &node{machine: lease.New(c), rate: rate})
+		w.nodes = append(w.nodes, &node{candidate: lease.New(c), rate: rate})
 	}
 	return w
 }
@@ -91,7 +91,7 @@
 		}
 		return
 	}
-	c := n.machine.Next(now)
+	c := n.candidate.Next(now)
 	if c.Action == lease.ActionWait {
 		return
 	}
@@ -104,14 +104,14 @@
 	fault := w.random.IntN(12)
 	if c.Action == lease.ActionRead {
 		if fault == 0 {
-			n.machine.ReadFailed(now)
+			n.candidate.ReadFailed(now)
 			return
 		}
 		row := w.table.row
 		if w.mutant.wait && row.Holder != "" {
 			row.Duration /= 4
 		}
-		n.machine.Saw(row, now)
+		n.candidate.Saw(row, now)
 		return
 	}
 	switch fault {
@@ -124,22 +124,22 @@
 		w.table.late = append(w.table.late, c)
 		w.lost(n, now)
 	case 3:
-		n.machine.Wrote(lease.OutcomeRefused, now)
+		n.candidate.Wrote(lease.OutcomeRefused, now)
 	default:
 		o := lease.OutcomeConflict
 		if w.table.commit(c) {
 			o = lease.OutcomeApplied
 		}
-		n.machine.Wrote(o, now)
+		n.candidate.Wrote(o, now)
 	}
 }
 
 func (w *world) lost(n *node, now time.Time) {
 	if w.mutant.lostIsDone {
-		n.machine.Wrote(lease.OutcomeApplied, now)
+		n.candidate.Wrote(lease.OutcomeApplied, now)
 		return
 	}
-	n.machine.Wrote(lease.OutcomeUnknown, now)
+	n.candidate.Wrote(lease.OutcomeUnknown, now)
 }
 
 // run returns the number of moments at which two nodes held the lease, or one
@@ -161,15 +161,15 @@
 func (w *world) violations(at time.Duration) int {
 	holders, found := 0, 0
 	for i, n := range w.nodes {
-		if !n.machine.Holds(n.clock(at)) {
+		if !n.candidate.Holds(n.clock(at)) {
 			continue
 		}
 		holders++
-		first, ok := w.terms[n.machine.Term()]
+		first, ok := w.terms[n.candidate.Term()]
 		if ok && first != i {
 			found++
 		}
-		w.terms[n.machine.Term()] = i
+		w.terms[n.candidate.Term()] = i
 	}
 	if holders > 1 {
 		found++
@@ -217,20 +217,20 @@
 		config := func(holder string) lease.Config {
 			return lease.Config{Holder: holder, Duration: duration, Margin: margin, Interval: interval}
 		}
-		slow := node{machine: lease.New(config("slow")), rate: 0.96}
-		fast := node{machine: lease.New(config("fast")), rate: 1.04}
-		slow.machine.Saw(lease.Versioned{}, slow.clock(0))
-		c := slow.machine.Next(slow.clock(interval * 2))
+		slow := node{candidate: lease.New(config("slow")), rate: 0.96}
+		fast := node{candidate: lease.New(config("fast")), rate: 1.04}
+		slow.candidate.Saw(lease.Versioned{}, slow.clock(0))
+		c := slow.candidate.Next(slow.clock(interval * 2))
 		row := lease.Versioned{Row: c.Row, Version: 1, Operation: c.Operation}
-		fast.machine.Saw(row, fast.clock(interval*2))
-		slow.machine.Wrote(lease.OutcomeApplied, slow.clock(interval*2))
+		fast.candidate.Saw(row, fast.clock(interval*2))
+		slow.candidate.Wrote(lease.OutcomeApplied, slow.clock(interval*2))
 		for at := interval * 2; at < 3*duration; at += tick / 10 {
-			c := fast.machine.Next(fast.clock(at))
+			c := fast.candidate.Next(fast.clock(at))
 			switch c.Action {
 			case lease.ActionRead:
-				fast.machine.Saw(row, fast.clock(at))
+				fast.candidate.Saw(row, fast.clock(at))
 			case lease.ActionWrite:
-				return slow.machine.Holds(slow.clock(at))
+				return slow.candidate.Holds(slow.clock(at))
 			}
 		}
 		t.Fatal("no take-over")
--- a/pkg/core/lease/lease.go
+++ b/pkg/core/lease/lease.go
@@ -8,7 +8,7 @@
 // its own monotonic clock. The term grows by one with each take-over and is
 // the fencing number of every order given under the lease.
 //
-// A Machine is pure: it is told what was read and written and at what time,
+// A Candidate is pure: it is told what was read and written and at what time,
 // and tells what to do next. It is not safe for concurrent use.
 package lease
 
@@ -38,7 +38,7 @@
 	Operation string
 }
 
-// Config configures a Machine.
+// Config configures a Candidate.
 type Config struct {
 	FabricDomain string
 	// Holder is unique to this start of this node's process.
@@ -72,10 +72,10 @@
 	OutcomeUnknown
 )
 
-// Action is what a machine asks for.
+// Action is what a candidate asks for.
 type Action int
 
-// Actions of a machine.
+// Actions of a candidate.
 const (
 	// ActionWait asks to call Next again at Command.At.
 	ActionWait Action = iota + 1
@@ -85,7 +85,7 @@
 	ActionWrite
 )
 
-// Command is the next step of a machine.
+// Command is the next step of a candidate.
 type Command struct {
 	Action Action
 	// At is set for ActionWait.
--- a/pkg/serving/control/domain.go
+++ b/pkg/serving/control/domain.go
@@ -25,8 +25,8 @@
 	config Config
 	name   string
 
-	mu      sync.Mutex
-	machine *lease.Machine
+	mu        sync.Mutex
+	candidate *lease.Candidate
 	// heldSince is when the lease was found held; zero while it is not.
 	heldSince time.Time
 
@@ -52,7 +52,7 @@
 	return &domain{
 		config: c,
 		name:   name,
-		machine: lease.New(lease.Config{
+		candidate: lease.New(lease.Config{
 			FabricDomain: name,
 			Holder:       c.Holder,
 			Duration:     c.Timing.Duration,
--- a/pkg/serving/control/renew.go
+++ b/pkg/serving/control/renew.go
@@ -18,7 +18,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	return d.machine.Term(), d.machine.Holds(now)
+	return d.candidate.Term(), d.candidate.Holds(now)
 }
 
 // Nodes that reach no member of a fabric domain are of little use as its
@@ -47,8 +47,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.machine.SetRank(r)
-	if !d.machine.Holds(now) {
+	d.candidate.SetRank(r)
+	if !d.candidate.Holds(now) {
 		d.heldSince = time.Time{}
 		return
 	}
@@ -56,7 +56,7 @@
 		d.heldSince = now
 	}
 	if blind && now.Sub(seen) > limit && now.Sub(d.heldSince) > limit {
-		d.machine.Resign()
+		d.candidate.Resign()
 	}
 }
 
@@ -103,7 +103,7 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	return d.machine.Next(d.config.Clock.Now())
+	return d.candidate.Next(d.config.Clock.Now())
 }
 
 func (d *domain) do(ctx context.Context, c lease.Command) error {
@@ -131,10 +131,10 @@
 	defer d.mu.Unlock()
 	now := d.config.Clock.Now()
 	if err != nil {
-		d.machine.ReadFailed(now)
+		d.candidate.ReadFailed(now)
 		return Error.Wrap(err)
 	}
-	d.machine.Saw(lease.Versioned{Row: decoded, Version: row.Version, Operation: row.Operation}, now)
+	d.candidate.Saw(lease.Versioned{Row: decoded, Version: row.Version, Operation: row.Operation}, now)
 	return nil
 }
 
@@ -158,7 +158,7 @@
 
 	d.mu.Lock()
 	defer d.mu.Unlock()
-	d.machine.Wrote(o, d.config.Clock.Now())
+	d.candidate.Wrote(o, d.config.Clock.Now())
 	if o == lease.OutcomeApplied || o == lease.OutcomeConflict {
 		return nil
 	}
@@ -202,14 +202,14 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	d.machine.Release()
+	d.candidate.Release()
 }
 
 func (d *domain) released() bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	return d.machine.Released()
+	return d.candidate.Released()
 }
 
 func (d *domain) wait(ctx context.Context, until time.Time) error {
