Show leases and other nodes in the status

Purpose: an operator wants to see who controls a fabric domain and where a revision is in force, not only who lags.

--- a/cmd/almondbay/read.go
+++ b/cmd/almondbay/read.go
@@ -168,7 +168,8 @@
 	fmt.Fprintf(&text, "node %s in %s, environment %s, version %s\n", s.Node, s.FailureDomain, s.Environment, s.Version)
 	fmt.Fprintf(&text, "ready: %t %s\n", s.Ready, strings.Join(s.Reasons, "; "))
 	fmt.Fprintf(&text, "revision %d in force, confirmed by the platform: %t\n", s.Revision.Revision, s.Revision.Confirmed)
-	fmt.Fprintf(&text, "replica groups missing: %d\n\n", s.Distance())
+	fmt.Fprintf(&text, "replica groups missing: %d\n", s.Distance())
+	fmt.Fprintf(&text, "fabric domains controlled here: %s\n\n", strings.Join(s.Leases, ", "))
 	text.WriteString(table("MODEL\tVERSION\tWANTED\tSERVING", func(row func(...any)) {
 		for _, m := range s.Models {
 			row(m.Name, m.Version, m.Wanted, m.Serving)
@@ -184,12 +185,27 @@
 			row(vm.ID, vm.Role, vm.FailureDomain, vm.State, vm.Phase, vm.Drained)
 		}
 	}))
+	if len(s.Nodes) == 0 {
+		return text.String()
+	}
+	text.WriteString("\n" + table("NODE\tDOMAIN\tREVISION\tSEEN", func(row func(...any)) {
+		for _, n := range s.Nodes {
+			row(n.ID, n.FailureDomain, n.Revision, seenText(s.At, n.SeenAt))
+		}
+	}))
 	for _, n := range s.Lagging() {
 		fmt.Fprintf(&text, "\nnode %s in %s lags at revision %d", n.ID, n.FailureDomain, n.Revision)
 	}
 	return text.String()
 }
 
+func seenText(now, at time.Time) string {
+	if at.IsZero() {
+		return "never"
+	}
+	return now.Sub(at).Round(time.Millisecond).String() + " ago"
+}
+
 // table lines up rows under a head.
 func table(head string, rows func(row func(...any))) string {
 	var text strings.Builder
--- a/pkg/serving/metric/catalogue.go
+++ b/pkg/serving/metric/catalogue.go
@@ -69,6 +69,10 @@
 		Name: "almondbay_nodes_lagging", Kind: KindGauge,
 		Help: "Other nodes known to hold an older revision.",
 	}
+	leasesHeld = Definition{
+		Name: "almondbay_leases_held", Kind: KindGauge,
+		Help: "Fabric domains that the node controls.",
+	}
 	platformAge = Definition{
 		Name: "almondbay_platform_age_seconds", Kind: KindGauge,
 		Help: "Time since the platform's table service last answered.",
@@ -102,7 +106,7 @@
 // snapshotDefinitions are the metrics that a scrape makes from the state of the
 // node.
 var snapshotDefinitions = []Definition{
-	build, ready, revisionInForce, revisionConfirmed, documentDistance, nodesLagging, platformAge,
+	build, ready, revisionInForce, revisionConfirmed, documentDistance, nodesLagging, leasesHeld, platformAge,
 	groupsWanted, groupsServing, groupStates, vms, burnRate, budgetLeft,
 }
 
--- a/pkg/serving/metric/metric.go
+++ b/pkg/serving/metric/metric.go
@@ -132,6 +132,7 @@
 	send(revisionConfirmed, flag(state.Revision.Confirmed))
 	send(documentDistance, float64(state.Distance()))
 	send(nodesLagging, float64(len(state.Lagging())))
+	send(leasesHeld, float64(len(state.Leases)))
 	if !state.PlatformSeenAt.IsZero() {
 		send(platformAge, s.config.Clock.Since(state.PlatformSeenAt).Seconds())
 	}
--- a/pkg/serving/operator/operator_test.go
+++ b/pkg/serving/operator/operator_test.go
@@ -202,7 +202,7 @@
 func TestStatusAndBurnSurviveTheWire(t *testing.T) {
 	f := start(t)
 	f.status = status.Status{
-		Node: "entry-1", FailureDomain: "lisbon-1", Environment: "trial", At: noon, Ready: true, Reasons: []string{},
+		Node: "entry-1", FailureDomain: "lisbon-1", Environment: "trial", At: noon, Ready: true, Reasons: []string{}, Leases: []string{"fabric-1"},
 		Revision: revision.Held{Entry: revision.Entry{Revision: 7, Hash: "ab", Kind: revision.KindApply, AcceptedAt: noon}, Confirmed: true},
 		Models:   []status.Model{{Name: "draft", Version: "v1", Wanted: 3, Serving: 2}},
 		Groups:   []status.Group{{ID: "draft-0", Model: "draft", Version: "v1", Epoch: 4, State: "serving", Members: []string{"vm-1"}, Serving: true}},
--- a/pkg/serving/operator/operatorwire/status_wire.go
+++ b/pkg/serving/operator/operatorwire/status_wire.go
@@ -23,6 +23,7 @@
 	Models         []StatusModel `json:"models"`
 	Groups         []StatusGroup `json:"groups"`
 	VMs            []StatusVM    `json:"vms"`
+	Leases         []string      `json:"leases"`
 	Nodes          []StatusNode  `json:"nodes"`
 }
 
@@ -82,6 +83,7 @@
 		Models:         []StatusModel{},
 		Groups:         []StatusGroup{},
 		VMs:            []StatusVM{},
+		Leases:         append([]string{}, s.Leases...),
 		Nodes:          []StatusNode{},
 	}
 	for _, m := range s.Models {
@@ -126,6 +128,7 @@
 		Reasons:        w.Reasons,
 		Revision:       revision.Held{Entry: ToEntry(w.Revision), Confirmed: w.Confirmed},
 		PlatformSeenAt: value(w.PlatformSeenAt),
+		Leases:         w.Leases,
 	}
 	for _, m := range w.Models {
 		s.Models = append(s.Models, status.Model(m))
--- a/pkg/serving/status/status.go
+++ b/pkg/serving/status/status.go
@@ -28,6 +28,8 @@
 	Models         []Model
 	Groups         []Group
 	VMs            []VM
+	// Leases lists the fabric domains that this node controls.
+	Leases []string
 	// Nodes are the other nodes that this one hears from.
 	Nodes []Node
 }
