--- a/pkg/core/schedule/request.go
+++ b/pkg/core/schedule/request.go
@@ -92,16 +92,21 @@
 	// predicted is the predicted cost in tokens of decoding.
 	predicted float64
 	bucket    int
-	// order sorts the tickets of one queue: the time of Submit plus a delay in
-	// proportion to the predicted cost, so that waiting work ages.
-	order      time.Time
+	// order sorts the tickets of one queue: the time of Submit in nanoseconds
+	// plus a delay in proportion to the predicted cost, so that waiting work ages.
+	order      int64
 	index      int
 	dispatchBy time.Time
+	// hopeless is set when the first token will be late whatever is done; other
+	// work then goes first.
+	hopeless bool
 
 	group        *groupState
 	dispatchedAt time.Time
 	progressAt   time.Time
 	tokens       int
+	// prompting is the part of the group's prompting that is due to the ticket.
+	prompting int
 	// charged is the cost that the workspace has been charged so far.
 	charged float64
 }
