--- a/pkg/serving/peer/peer_test.go
+++ b/pkg/serving/peer/peer_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"math/rand/v2"
@@ -355,3 +356,30 @@
 		}
 	})
 }
+
+// TestMessagesAreSmall holds the size of what is sent for a change of a large
+// document, and of a comparison of notes.
+func TestMessagesAreSmall(t *testing.T) {
+	const most = 1 << 10
+	before := []byte(strings.Repeat("0123456789abcdef\n", 12_000))
+	after := append([]byte("a changed line\n"), before...)
+	hash := environment.Hash(after)
+	operation := strings.Repeat("o", 36)
+	messages := map[string]any{
+		"push": wirePushOf(push{
+			Root: "lisboa-1-entry-17", ParentHash: environment.Hash(before), Delta: relay.NewDelta(before, after),
+			Entry: revision.Entry{Revision: 1 << 40, Hash: hash, Parent: 1<<40 - 1, Operation: operation, Kind: revision.KindPromote, Author: "ines", Source: revision.Source{Environment: "production", Revision: 1 << 40}},
+		}),
+		"note": wireNoteOf(note{Node: "lisboa-1-entry-17", FailureDomain: "lisboa-1", Revision: 1 << 40, Hash: hash}),
+	}
+	for name, message := range messages {
+		body, err := json.Marshal(message)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Logf("a %s has %d bytes", name, len(body))
+		if len(body) > most {
+			t.Errorf("a %s has %d bytes, the most is %d", name, len(body), most)
+		}
+	}
+}
