Show each decision library by a runnable example

Purpose: others embed the libraries and start from an example that is known to run.

Conclusion: each runs as a test and prints what it says.

--- /dev/null
+++ b/pkg/core/revision/example_test.go
@@ -0,0 +1,36 @@
+package revision_test
+
+import (
+	"fmt"
+	"time"
+
+	"almondbay.example/core/revision"
+)
+
+// Two operators propose on the same revision; the row that is written holds the
+// first proposal, and the second is refused.
+func ExampleAccept() {
+	at := time.Unix(1_700_000_000, 0)
+	row, err := revision.Accept(revision.Row{Environment: "trial"},
+		revision.Proposal{Operation: "a", Parent: 0, Hash: "ab", Author: "ana"}, at)
+	fmt.Println(row.Revision, row.Author, err)
+	_, err = revision.Accept(row,
+		revision.Proposal{Operation: "b", Parent: 0, Hash: "cd", Author: "rui"}, at)
+	fmt.Println(err)
+	// Output:
+	// 1 ana <nil>
+	// revision: environment "trial" is at revision 1 by ana, not at 0
+}
+
+// A follower never moves down, whatever it is shown.
+func ExampleFollower() {
+	follower := revision.NewFollower("trial")
+	for _, number := range []uint64{2, 1, 3} {
+		moved, _ := follower.Offer(revision.Entry{Revision: number, Hash: fmt.Sprint(number)}, revision.OriginPeer)
+		fmt.Println(number, moved, follower.Held().Revision)
+	}
+	// Output:
+	// 2 true 2
+	// 1 false 2
+	// 3 true 3
+}
