--- /dev/null
+++ b/pkg/serving/peer/wire.go
@@ -0,0 +1,147 @@
+package peer
+
+import (
+	"encoding/json"
+	"time"
+
+	"almondbay.example/core/fleet"
+	"almondbay.example/core/membership"
+)
+
+// wireMessage is one direction of an exchange. Durations are in microseconds.
+// Names are short since every node sends it every beat.
+type wireMessage struct {
+	Node   string `json:"n"`
+	Domain string `json:"fd"`
+	// Start differs after a restart of the sender.
+	Start    int64  `json:"st"`
+	Revision uint64 `json:"r,omitempty"`
+	// Notices are the bodies of quarantine notices.
+	Notices []json.RawMessage `json:"q,omitempty"`
+	// Link is left out between failure domains.
+	Link *wireLink `json:"l,omitempty"`
+}
+
+type wireLink struct {
+	Session   uint64      `json:"s"`
+	To        uint64      `json:"t,omitempty"`
+	Sequence  uint64      `json:"i"`
+	Ack       uint64      `json:"a,omitempty"`
+	Clock     int64       `json:"c"`
+	Echo      int64       `json:"e,omitempty"`
+	Held      int64       `json:"h,omitempty"`
+	IndexBase int         `json:"xb,omitempty"`
+	Index     []string    `json:"x,omitempty"`
+	Deltas    []wireDelta `json:"d,omitempty"`
+	// Ages is base64 with one byte for each numbered section.
+	Ages []byte `json:"g,omitempty"`
+}
+
+type wireDelta struct {
+	Node        string         `json:"n"`
+	Incarnation uint64         `json:"i"`
+	Version     uint64         `json:"v"`
+	Base        uint64         `json:"b,omitempty"`
+	Age         int64          `json:"a"`
+	Sightings   []wireSighting `json:"s,omitempty"`
+	Dropped     []string       `json:"d,omitempty"`
+}
+
+type wireSighting struct {
+	Member   string      `json:"m"`
+	Missing  bool        `json:"x,omitempty"`
+	Boot     string      `json:"b,omitempty"`
+	Group    string      `json:"g,omitempty"`
+	Epoch    uint64      `json:"e,omitempty"`
+	Model    string      `json:"mo,omitempty"`
+	Version  string      `json:"v,omitempty"`
+	Phase    fleet.Phase `json:"p,omitempty"`
+	Term     uint64      `json:"t,omitempty"`
+	Leaving  bool        `json:"l,omitempty"`
+	Running  int         `json:"r,omitempty"`
+	Waiting  int         `json:"w,omitempty"`
+	Slots    int         `json:"s,omitempty"`
+	Tokens   int         `json:"k,omitempty"`
+	Adapters []string    `json:"a,omitempty"`
+}
+
+func linkToWire(m membership.Message) *wireLink {
+	w := &wireLink{
+		Session: m.Session, To: m.To, Sequence: m.Sequence, Ack: m.Ack,
+		// Rounding takes the clock down and the held time down, so that the
+		// other end never trusts a time too late.
+		Clock: m.Clock.Microseconds(), Echo: m.Echo.Microseconds(), Held: m.Held.Microseconds(),
+		IndexBase: m.IndexBase, Index: m.Index, Ages: m.Ages,
+	}
+	if m.Echo == 0 {
+		w.Held = 0
+	}
+	for _, d := range m.Deltas {
+		w.Deltas = append(w.Deltas, deltaToWire(d))
+	}
+	return w
+}
+
+func linkFromWire(from string, w *wireLink) membership.Message {
+	m := membership.Message{
+		From: from, Session: w.Session, To: w.To, Sequence: w.Sequence, Ack: w.Ack,
+		Clock: microseconds(w.Clock), Echo: microseconds(w.Echo), Held: microseconds(w.Held),
+		IndexBase: w.IndexBase, Index: w.Index, Ages: w.Ages,
+	}
+	for _, d := range w.Deltas {
+		m.Deltas = append(m.Deltas, deltaFromWire(d))
+	}
+	return m
+}
+
+func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+
+func deltaToWire(d membership.Delta) wireDelta {
+	w := wireDelta{
+		Node: d.Node, Incarnation: d.Incarnation, Version: d.Version, Base: d.Base,
+		// An age is rounded up.
+		Age: d.Age.Microseconds() + 1, Dropped: d.Dropped,
+	}
+	for _, s := range d.Sightings {
+		w.Sightings = append(w.Sightings, sightingToWire(s))
+	}
+	return w
+}
+
+func deltaFromWire(w wireDelta) membership.Delta {
+	d := membership.Delta{
+		Position: membership.Position{Node: w.Node, Incarnation: w.Incarnation, Version: w.Version},
+		Age:      microseconds(w.Age), Base: w.Base, Dropped: w.Dropped,
+	}
+	for _, s := range w.Sightings {
+		d.Sightings = append(d.Sightings, sightingFromWire(s))
+	}
+	return d
+}
+
+func sightingToWire(s membership.Sighting) wireSighting {
+	r := s.Report
+	return wireSighting{
+		Member: s.Member, Missing: s.Missing, Boot: r.Identity.Boot,
+		Group: r.Identity.Group, Epoch: r.Identity.Epoch,
+		Model: r.Identity.Model, Version: r.Identity.Version,
+		Phase: r.Phase, Term: r.Term, Leaving: r.Leaving,
+		Running: r.Load.Running, Waiting: r.Load.Waiting, Slots: r.Load.Slots, Tokens: r.Load.Tokens,
+		Adapters: r.Adapters,
+	}
+}
+
+func sightingFromWire(w wireSighting) membership.Sighting {
+	return membership.Sighting{
+		Member: w.Member, Missing: w.Missing,
+		Report: fleet.Report{
+			Identity: fleet.Identity{
+				Member: w.Member, Boot: w.Boot, Group: w.Group, Epoch: w.Epoch,
+				Model: w.Model, Version: w.Version,
+			},
+			Phase: w.Phase, Term: w.Term, Leaving: w.Leaving,
+			Load:     fleet.Load{Running: w.Running, Waiting: w.Waiting, Slots: w.Slots, Tokens: w.Tokens},
+			Adapters: w.Adapters,
+		},
+	}
+}
