--- a/cmd/almondbay/serve.go
+++ b/cmd/almondbay/serve.go
@@ -1,16 +1,17 @@
 package main
 
 import (
-	"context"
 	"net"
-	"os/signal"
-	"syscall"
+	"net/http"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"almondbay.example/serving/certificate"
 	"almondbay.example/serving/engine/enginehttp"
+	"almondbay.example/serving/event"
+	"almondbay.example/serving/keys"
 	"almondbay.example/serving/node"
 	"almondbay.example/serving/platform/platformhttp"
 	"almondbay.example/serving/settings"
@@ -19,11 +20,15 @@
 const (
 	// platformTimeout bounds one call of the platform.
 	platformTimeout = 5 * time.Second
+	// platformConnections is the number of idle connections kept to the platform.
+	platformConnections = 32
 	// controlTimeout bounds one health question or order.
 	controlTimeout = time.Second
 )
 
 type serveCommand struct {
+	session *session
+
 	Args struct {
 		Settings string `positional-arg-name:"SETTINGS" required:"true"`
 	} `positional-args:"true"`
@@ -35,31 +40,91 @@
 	if err != nil {
 		return err
 	}
-	logger, err := zap.NewProduction()
+	// Lines name the code that logs, which is one call above the catalogue.
+	logger, err := zap.NewProduction(zap.AddCallerSkip(1))
 	if err != nil {
 		return err
 	}
-	callers, err := net.Listen("tcp", s.Caller.Address)
+	event.NodeStarted.Log(logger, zap.String("node", s.Node), zap.String("failureDomain", s.FailureDomain),
+		zap.String("environment", s.Environment), zap.String("version", node.Version))
+	config, err := nodeConfig(s, logger)
 	if err != nil {
 		return err
 	}
-	operators, err := net.Listen("tcp", s.Operator.Address)
-	if err != nil {
+	if err := node.New(config).Run(c.session.ctx); err != nil {
+		event.NodeFailed.Log(logger, zap.Error(err))
 		return err
 	}
-	client := platformhttp.New(platformhttp.Config{Address: s.Platform.Address, Timeout: platformTimeout})
-	n := node.New(node.Config{
-		Settings:  s,
-		Clock:     clockwork.NewRealClock(),
-		Logger:    logger,
-		Table:     client,
-		Objects:   client,
-		VMs:       client,
-		Engine:    enginehttp.New(enginehttp.Config{ControlTimeout: controlTimeout}),
-		Callers:   callers,
-		Operators: operators,
+	event.NodeStopped.Log(logger)
+	return nil
+}
+
+// nodeConfig opens what a node works with.
+func nodeConfig(s settings.Settings, logger *zap.Logger) (node.Config, error) {
+	client, err := platformClient(s.Platform)
+	if err != nil {
+		return node.Config{}, err
+	}
+	config := node.Config{
+		Settings: s,
+		Clock:    clockwork.NewRealClock(),
+		Logger:   logger,
+		Table:    client,
+		Objects:  client,
+		VMs:      client,
+		Engine:   enginehttp.New(enginehttp.Config{ControlTimeout: controlTimeout}),
+	}
+	if config.Callers, _, err = listen(&config, "caller", s.Caller); err != nil {
+		return node.Config{}, err
+	}
+	if config.Operators, _, err = listen(&config, "operator", s.Operator.Listener); err != nil {
+		return node.Config{}, err
+	}
+	var store *certificate.Store
+	if config.Peers, store, err = listen(&config, "peer", s.Peer.Listener); err != nil {
+		return node.Config{}, err
+	}
+	if store != nil {
+		config.PeerDial = store.Dial
+	}
+	return config, nil
+}
+
+// listen opens a listener, with TLS when its settings name a certificate.
+func listen(c *node.Config, name string, s settings.Listener) (net.Listener, *certificate.Store, error) {
+	listener, err := net.Listen("tcp", s.Address)
+	if err != nil {
+		return nil, nil, err
+	}
+	event.NodeListening.Log(c.Logger, zap.String("listener", name),
+		zap.String("address", listener.Addr().String()), zap.Bool("tls", !s.TLS.IsZero()))
+	if s.TLS.IsZero() {
+		return listener, nil, nil
+	}
+	store, err := certificate.Load(certificate.Config{
+		Certificate: s.TLS.Certificate,
+		Key:         s.TLS.Key,
+		Authority:   s.TLS.Authority,
+		Logger:      c.Logger,
 	})
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
-	defer stop()
-	return n.Run(ctx)
+	if err != nil {
+		return nil, nil, err
+	}
+	c.Certificates = append(c.Certificates, store)
+	return store.Listen(listener), store, nil
+}
+
+func platformClient(p settings.Platform) (*platformhttp.Client, error) {
+	trust, err := certificate.Client(p.Authority)
+	if err != nil {
+		return nil, err
+	}
+	return platformhttp.New(platformhttp.Config{
+		Address: p.Address,
+		Timeout: platformTimeout,
+		Transport: keys.Transport{Key: p.Key, Base: &http.Transport{
+			TLSClientConfig:     trust,
+			MaxIdleConnsPerHost: platformConnections,
+		}},
+	}), nil
 }
--- a/pkg/core/membership/membership_test.go
+++ b/pkg/core/membership/membership_test.go
@@ -266,3 +266,24 @@
 		}
 	}
 }
+
+func TestAgesOutOfRangeProveNothing(t *testing.T) {
+	now := time.Unix(1_000_000, 0)
+	for _, age := range []time.Duration{-1, -time.Hour, 1<<63 - 1, -1 << 63} {
+		table := membership.NewTable(membership.Config{Node: "n0"}, now)
+		link := membership.NewLink(now)
+		request := table.Send(link, now)
+		later := now.Add(time.Second)
+		table.Take(link, membership.Message{
+			From: "n1", Session: 1, To: request.Session, Sequence: 1, Ack: 1, Clock: 1, Echo: request.Clock, Held: 1 << 62,
+			Index: []string{"n1"}, Ages: []byte{0},
+			Deltas: []membership.Delta{{
+				Position: membership.Position{Node: "n1", Incarnation: 1, Version: 1}, Age: age,
+				Sightings: []membership.Sighting{{Member: "m0"}},
+			}},
+		}, later)
+		if r := table.Reports(later)["m0"]; later.Sub(r.SeenAt) <= proofTTL {
+			t.Errorf("age %v: seen at %v, now is %v", age, r.SeenAt, later)
+		}
+	}
+}
--- a/pkg/core/membership/section.go
+++ b/pkg/core/membership/section.go
@@ -6,6 +6,9 @@
 	"almondbay.example/core/fleet"
 )
 
+// maxAge bounds the ages that are told; no proof lasts as long.
+const maxAge = time.Hour
+
 // Sighting is what a prober last saw of one member.
 type Sighting struct {
 	Member string
@@ -73,7 +76,16 @@
 
 // age returns the time since the oldest probe behind the version held.
 func (s *section) age(now time.Time) time.Duration {
-	return max(now.Sub(s.confirmedAt), 0)
+	return min(max(now.Sub(s.confirmedAt), 0), maxAge)
+}
+
+// probedAt returns the time of the oldest probe behind a delta that was sent no
+// earlier than sentAt. A peer's age is not trusted to be in range.
+func (d Delta) probedAt(sentAt time.Time) time.Time {
+	if d.Age < 0 || d.Age > maxAge {
+		return time.Time{}
+	}
+	return sentAt.Add(-d.Age)
 }
 
 // confirm takes over a fresher time of the oldest probe behind the version.
@@ -112,6 +124,6 @@
 		s.entries[member] = &entry{version: d.Version, dropped: true}
 	}
 	s.position = d.Position
-	s.confirmedAt = sentAt.Add(-d.Age)
+	s.confirmedAt = d.probedAt(sentAt)
 	s.heardAt = now
 }
--- a/pkg/core/membership/table.go
+++ b/pkg/core/membership/table.go
@@ -128,7 +128,7 @@
 	}
 	if !d.newer(s.position) {
 		if d.Position == s.position {
-			s.confirm(sentAt.Add(-d.Age), now)
+			s.confirm(d.probedAt(sentAt), now)
 		}
 		return false
 	}
--- a/pkg/core/schedule/trial/figures.go
+++ b/pkg/core/schedule/trial/figures.go
@@ -6,6 +6,9 @@
 	"time"
 )
 
+// idealPace is the time between tokens of a full batch without prompts.
+const idealPace = stepBase + engineSlots*stepPerRequest
+
 // Figures are the results of one trial, over the requests that came during the
 // crest. Fractions are of those requests.
 type Figures struct {
@@ -26,8 +29,8 @@
 	WronglyRefused float64
 	GaveUp         float64
 	Failed         float64
-	// ShortWait is the time from arrival to a slot of requests that are not
-	// long and were given one.
+	// ShortWait is the time from arrival to the first token of requests that
+	// are not long and were given one; it includes waiting inside the engine.
 	ShortWait  Percentiles
 	FirstToken Percentiles
 	// LongGood is Good over the long requests only.
@@ -42,7 +45,7 @@
 }
 
 func (w *world) figures() Figures {
-	var f Figures
+	f := Figures{Messages: w.messages}
 	var waits, firsts []time.Duration
 	spaces := make([]spaceTally, len(w.config.Workload.workspaces))
 	goodWork, long, longGood := 0.0, 0, 0
@@ -52,17 +55,18 @@
 			goodWork += j.windowWork
 			spaces[j.workspace].served += j.windowWork
 		}
+		spaces[j.workspace].demand += j.demand(w.engines[0].window)
 		if j.at < warm || j.at >= warm+crest {
 			continue
 		}
 		f.Requests++
 		f.count(j)
-		spaces[j.workspace].add(j, w.engines[0].window)
+		spaces[j.workspace].add(j)
 		if j.long {
 			long++
 			longGood += count(good)
-		} else if j.started > 0 {
-			waits = append(waits, j.started-j.at)
+		} else if j.made > 0 {
+			waits = append(waits, j.first-j.at)
 		}
 		if j.made > 0 {
 			firsts = append(firsts, j.first-j.at)
@@ -116,14 +120,26 @@
 	served float64
 }
 
-func (s *spaceTally) add(j *job, measured window) {
+func (s *spaceTally) add(j *job) {
 	s.requests++
 	if j.made > 0 && j.first-j.at < firstTokenObjective {
 		s.inTime++
 	}
-	if measured.contains(j.at) {
-		s.demand += j.work()
+}
+
+// demand is the work that the request would have had done in the window had it
+// started at once: a long request cannot be served faster than its tokens come.
+func (j *job) demand(measured window) float64 {
+	start, end := j.at, j.at+time.Duration(j.tokens)*idealPace
+	if end <= measured.from || start >= measured.to {
+		return 0
+	}
+	inside := min(end, measured.to) - max(start, measured.from)
+	work := float64(inside) / float64(idealPace)
+	if measured.contains(start) {
+		work += promptCost * float64(j.prompt)
 	}
+	return work
 }
 
 // compareShares works out how the workspaces fared against a fair division.
--- a/pkg/serving/caller/generate.go
+++ b/pkg/serving/caller/generate.go
@@ -35,6 +35,7 @@
 	if !known || !allowed(call.workspace, request.model) {
 		return notRun(http.StatusNotFound, CodeUnknownModel, "the model is not served").write(c)
 	}
+	call.model = request.model
 	call.idempotent = call.options.idempotence != idempotenceNo
 	call.print = attempt.NewFingerprint([]byte(call.workspace.Name), []byte(request.model), call.body)
 	b := &engineBackend{gateway: g, call: call, generation: request, model: model, path: c.Path()}
@@ -50,7 +51,11 @@
 		return g.book(ctx, c, call, b)
 	}
 	s := g.callerSink(c)
-	return s.close(c, g.exchange(b, call, s, true).run(ctx))
+	timed := &timedSink{sink: s, clock: g.clock}
+	x := g.exchange(b, call, timed, true)
+	p := x.run(ctx)
+	g.observe(call, timed, x.request.Forwarded(), p)
+	return s.close(c, p)
 }
 
 // engineBackend sends a generation request to replica groups.
@@ -102,7 +107,7 @@
 		Body:     b.call.body,
 		Expected: p.expected.Expected,
 		Offset:   s.offset,
-		Priority: string(b.call.options.priority),
+		Priority: string(b.priority(p)),
 		Timeout:  s.timeout,
 		Once:     !b.call.idempotent,
 		Written:  s.written,
@@ -127,6 +132,15 @@
 	return head, nil
 }
 
+// priority lets long work yield to other work at the engine unless its caller
+// has asked for more.
+func (b *engineBackend) priority(p place) Priority {
+	if p.expected.Long && b.call.options.priority == PriorityNormal {
+		return PriorityLow
+	}
+	return b.call.options.priority
+}
+
 // engineFailure turns an error of the engine client into the end of an
 // attempt.
 func engineFailure(err error) *failureError {
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -20,7 +20,6 @@
 	}
 	NodeDraining = Definition{
 		Number: 103, Level: zapcore.InfoLevel, Message: "draining",
-		Fields:  []string{"signal"},
 		Meaning: "The node was told to stop; it is unready and waits for all requests in flight.",
 		Action:  "None; a second signal cuts the requests that are left.",
 	}
@@ -29,12 +28,6 @@
 		Meaning: "All requests have ended and the process exits.",
 		Action:  noAction,
 	}
-	NodeCut = Definition{
-		Number: 105, Level: zapcore.WarnLevel, Message: "stopped by a second signal",
-		Fields:  []string{"requests"},
-		Meaning: "A second signal ended the node while requests were in flight.",
-		Action:  "Expect callers to see broken answers.",
-	}
 	NodeFailed = Definition{
 		Number: 106, Level: zapcore.ErrorLevel, Message: "node failed",
 		Fields:  []string{"error"},
@@ -120,6 +113,46 @@
 	}
 )
 
+// Events of leases and replica groups.
+var (
+	LeaseTaken = Definition{
+		Number: 501, Level: zapcore.InfoLevel, Message: "lease taken",
+		Fields:  []string{"fabricDomain", "term"},
+		Meaning: "The node controls the fabric domain from now on; term is the fencing number of its orders.",
+		Action:  noAction,
+	}
+	LeaseEnded = Definition{
+		Number: 502, Level: zapcore.InfoLevel, Message: "lease ended",
+		Fields:  []string{"fabricDomain"},
+		Meaning: "The node has handed the lease on, or could not renew it in time; another node takes it.",
+		Action:  "None, unless leases end often; then look at the platform.",
+	}
+	LeasesKept = Definition{
+		Number: 503, Level: zapcore.WarnLevel, Message: "leases not handed on",
+		Fields:  []string{"error"},
+		Meaning: "The node stops without having handed its leases on; other nodes take them once they have lapsed.",
+		Action:  noAction,
+	}
+	GroupChanged = Definition{
+		Number: 504, Level: zapcore.InfoLevel, Message: "replica group changed",
+		Fields:  []string{"step", "group", "fabricDomain", "epoch", "state", "version", "members", "term"},
+		Meaning: "A transaction on the group's row took effect; GROUPS.md lists the steps.",
+		Action:  "None, unless step is fail; then check the version's weights and undo the document if they are bad.",
+	}
+	VMChanged = Definition{
+		Number: 505, Level: zapcore.InfoLevel, Message: "VM changed",
+		Fields:  []string{"step", "vm", "fabricDomain", "term"},
+		Meaning: "A VM was freed by its own answer, or marked as gone or forgotten after the platform's list.",
+		Action:  noAction,
+	}
+	OrderRefused = Definition{
+		Number: 506, Level: zapcore.WarnLevel, Message: "order refused",
+		Fields:  []string{"vm", "term", "accepted"},
+		Meaning: "A member has seen a higher fencing number: another node controls its fabric domain.",
+		Action:  noAction,
+	}
+)
+
 // Events of operators and peers.
 var (
 	KeyRefused = Definition{
@@ -137,11 +170,12 @@
 )
 
 var areas = []area{
-	{"Node", []Definition{NodeStarted, NodeListening, NodeDraining, NodeStopped, NodeCut, NodeFailed, StepFailed}},
+	{"Node", []Definition{NodeStarted, NodeListening, NodeDraining, NodeStopped, NodeFailed, StepFailed}},
 	{"Certificates", []Definition{CertificateLoaded, CertificateRefused}},
 	{"Platform", []Definition{PlatformUnreachable, PlatformReachable}},
 	{"Configuration", []Definition{
 		RevisionInForce, RevisionSplit, DocumentUnreadable, DocumentAccepted, DocumentRefused, DocumentOutcomeUnknown,
 	}},
+	{"Leases and replica groups", []Definition{LeaseTaken, LeaseEnded, LeasesKept, GroupChanged, VMChanged, OrderRefused}},
 	{"Operators and peers", []Definition{KeyRefused, DrainRequested}},
 }
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -16,12 +16,19 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"almondbay.example/core/burn"
 	"almondbay.example/serving/caller"
+	"almondbay.example/serving/certificate"
 	"almondbay.example/serving/control"
+	"almondbay.example/serving/drain"
 	"almondbay.example/serving/engine"
+	"almondbay.example/serving/environment"
 	"almondbay.example/serving/event"
+	"almondbay.example/serving/metric"
 	"almondbay.example/serving/operator"
+	"almondbay.example/serving/peer"
 	"almondbay.example/serving/platform"
+	"almondbay.example/serving/service"
 	"almondbay.example/serving/settings"
 	"almondbay.example/serving/view"
 )
@@ -41,12 +48,26 @@
 	leaseInterval = 250 * time.Millisecond
 	// handOnTimeout bounds the wait for the leases to be handed on at shutdown.
 	handOnTimeout = 5 * time.Second
+	// heartbeatInterval is the time between two comparisons of notes with a peer.
+	heartbeatInterval = time.Second
 	// configurationInterval is the time between two reads of the environment.
 	configurationInterval = 500 * time.Millisecond
+	// scheduleInterval is the time between two reviews of waiting requests.
+	scheduleInterval = 50 * time.Millisecond
 	// listInterval is the time between two reads of the list of VMs.
 	listInterval = 2 * time.Second
-	// drainTimeout bounds the wait for requests in flight at shutdown.
-	drainTimeout = 10 * time.Minute
+	// certificateInterval is the time between two reads of a certificate's
+	// files.
+	certificateInterval = 5 * time.Second
+	// commandAttempts bounds the tries of an operator's command.
+	commandAttempts = 4
+	// commandPause is the time between two tries of an operator's command.
+	commandPause = 250 * time.Millisecond
+	// reviewInterval is the time between two looks for lost groups.
+	reviewInterval = 200 * time.Millisecond
+	// quarantineInterval is the time between two reads of the quarantined
+	// requests.
+	quarantineInterval = 5 * time.Second
 	// readHeaderTimeout bounds the time that a caller takes to send its head.
 	readHeaderTimeout = 10 * time.Second
 )
@@ -60,45 +81,107 @@
 	Objects  platform.Objects
 	VMs      platform.VMs
 	Engine   engine.Engine
-	// Callers and Operators are the listeners of the two APIs.
+	// Callers and Operators are the listeners of the APIs for each.
 	Callers   net.Listener
 	Operators net.Listener
+	// Peers is the listener for other nodes; nil for a node that has none.
+	Peers net.Listener
+	// PeerDial connects to other nodes over TLS; nil where they speak plain
+	// HTTP.
+	PeerDial func(ctx context.Context, network, address string) (net.Conn, error)
+	// Certificates are the certificates of the listeners, to be kept fresh.
+	Certificates []*certificate.Store
+	// Linger is how long the node takes connections after it was told to stop;
+	// zero for the default, negative for not at all.
+	Linger time.Duration
 }
 
 // Node is one node of the system.
 type Node struct {
 	config     Config
 	view       *view.View
+	picker     *caller.Scheduled
 	gateway    *caller.Gateway
 	operators  *operator.API
 	controller *control.Controller
+	store      *environment.Store
+	drains     *drain.Store
+	// drainsReadAt is when refreshDrains last read the platform.
+	drainsReadAt time.Time
+	relay        *peer.Relay
+	platform     *platformWatch
+	observer     *observer
 }
 
 // New assembles a node.
 func New(c Config) *Node {
 	v := view.New(proofTTL)
-	return &Node{
+	n := &Node{
 		config: c,
 		view:   v,
-		gateway: caller.New(caller.Config{
-			View:   v,
-			Picker: caller.NewLeastInFlight(v, c.Clock),
-			Engine: c.Engine,
+		picker: caller.NewScheduled(caller.ScheduledConfig{
+			View:          v,
+			Clock:         c.Clock,
+			FailureDomain: c.Settings.FailureDomain,
+			Seed:          rand.Uint64(),
 		}),
-		operators:  operator.New(operatorConfig(c)),
 		controller: control.New(controlConfig(c, v)),
+		store:      NewStore(c),
+		drains:     drain.New(drain.Config{Table: c.Table, Clock: c.Clock}),
+		platform:   &platformWatch{clock: c.Clock, logger: c.Logger},
+		observer:   &observer{clock: c.Clock, view: v, recorder: burn.NewRecorder()},
 	}
+	n.relay = peer.New(n.relayConfig())
+	metrics := metric.New(metric.Config{Clock: c.Clock, Status: n.Status, Burn: n.observer.report})
+	n.observer.metrics = metrics
+	n.gateway = caller.New(n.gatewayConfig())
+	n.operators = operator.New(operator.Config{
+		Operators: c.Settings.Operator.Operators,
+		Store:     n.store,
+		Drains:    n.drains,
+		Clock:     c.Clock,
+		Logger:    c.Logger,
+		Status:    n.Status,
+		Accepted:  n.accepted,
+		Burn:      n.burn,
+		Metrics:   metrics.Handler(),
+	})
+	return n
 }
 
-func operatorConfig(c Config) operator.Config {
-	return operator.Config{
-		Environment: c.Settings.Environment,
-		KeyHashes:   c.Settings.Operator.KeyHashes,
-		Table:       c.Table,
-		Objects:     c.Objects,
+func (n *Node) gatewayConfig() caller.Config {
+	c := n.config
+	return caller.Config{
+		View:          n.view,
+		Clock:         c.Clock,
+		Picker:        n.picker,
+		Engine:        c.Engine,
+		Service:       service.NewClient(),
+		Table:         c.Table,
+		FailureDomain: c.Settings.FailureDomain,
+		Observer:      n.observer,
+		Peers:         n.relay,
+		Limits: caller.Limits{
+			Connections:  c.Settings.Limits.Connections,
+			Requests:     c.Settings.Limits.Requests,
+			BodyTimeout:  c.Settings.Limits.BodyTimeout,
+			StallTimeout: c.Settings.Limits.StallTimeout,
+			Linger:       c.Linger,
+		},
 	}
 }
 
+// NewStore returns the store of the environments that a node reads.
+func NewStore(c Config) *environment.Store {
+	return environment.New(environment.Config{
+		Table:    c.Table,
+		Objects:  c.Objects,
+		Clock:    c.Clock,
+		Attempts: commandAttempts,
+		Pause:    commandPause,
+	})
+}
+
 func controlConfig(c Config, v *view.View) control.Config {
 	return control.Config{
 		Node:        c.Settings.Node,
@@ -108,6 +191,7 @@
 		Table:       c.Table,
 		Engine:      c.Engine,
 		Clock:       c.Clock,
+		Logger:      c.Logger,
 		Timing:      control.DefaultTiming(),
 		Policy:      control.DefaultPolicy(proofTTL),
 		Jitter:      rand.N[time.Duration],
@@ -117,29 +201,44 @@
 // Run serves until ctx is done, then waits for the requests in flight.
 func (n *Node) Run(ctx context.Context) error {
 	var g run.Group
-	n.addServer(&g, n.config.Callers, n.gateway)
-	n.addServer(&g, n.config.Operators, n.operators)
+	callers := n.gateway.Server()
+	n.addServer(&g, n.config.Callers, callers, func(ctx context.Context) error {
+		return n.gateway.Stop(ctx, callers)
+	})
+	operators := &http.Server{Handler: n.operators, ReadHeaderTimeout: readHeaderTimeout}
+	n.addServer(&g, n.config.Operators, operators, operators.Shutdown)
+	n.addLoop(&g, scheduleInterval, n.picker.Refresh)
 	n.addLoop(&g, listInterval, n.refreshVMs)
-	n.addLoop(&g, configurationInterval, n.refreshDocument)
+	n.addLoop(&g, configurationInterval, n.relay.Poll)
+	n.addLoop(&g, heartbeatInterval, n.heartbeat)
 	n.addLoop(&g, probeInterval, n.probe)
 	n.addLoop(&g, controlInterval, n.controller.Step)
+	n.addLoop(&g, reviewInterval, n.gateway.Review)
+	n.addLoop(&g, quarantineInterval, n.gateway.LoadQuarantine)
 	n.addLeases(&g)
-	addContext(ctx, &g)
+	if n.config.Peers != nil {
+		peers := n.peerServer()
+		n.addServer(&g, n.config.Peers, peers, peers.Shutdown)
+	}
+	for _, store := range n.config.Certificates {
+		n.addLoop(&g, certificateInterval, store.Reload)
+	}
+	n.addContext(ctx, &g)
 	return g.Run()
 }
 
 // addContext ends the group when ctx is done.
-func addContext(ctx context.Context, g *run.Group) {
+func (n *Node) addContext(ctx context.Context, g *run.Group) {
 	ctx, cancel := context.WithCancel(ctx)
 	g.Add(func() error {
 		<-ctx.Done()
+		event.NodeDraining.Log(n.config.Logger)
 		return nil
 	}, func(error) { cancel() })
 }
 
-// addServer serves handler until the group ends, then drains it.
-func (n *Node) addServer(g *run.Group, l net.Listener, handler http.Handler) {
-	server := &http.Server{Handler: handler, ReadHeaderTimeout: readHeaderTimeout}
+// addServer runs server until the group ends, then stops it by drain.
+func (n *Node) addServer(g *run.Group, l net.Listener, server *http.Server, drain func(context.Context) error) {
 	drained := make(chan struct{})
 	g.Add(func() error {
 		err := server.Serve(l)
@@ -150,9 +249,8 @@
 		return nil
 	}, func(error) {
 		defer close(drained)
-		ctx, cancel := context.WithTimeout(context.Background(), drainTimeout)
-		defer cancel()
-		_ = server.Shutdown(ctx)
+		// Only a second signal cuts requests in flight.
+		_ = drain(context.Background())
 	})
 }
 
@@ -173,7 +271,7 @@
 		ending, stop := context.WithTimeout(context.Background(), handOnTimeout)
 		defer stop()
 		if err := n.controller.HandOn(ending); err != nil {
-			n.config.Logger.Warn("leases not handed on", zap.Error(err))
+			event.LeasesKept.Log(n.config.Logger, zap.Error(err))
 		}
 		return nil
 	}, func(error) { cancel() })
--- a/pkg/serving/peer/peer.go
+++ b/pkg/serving/peer/peer.go
@@ -1,13 +1,11 @@
-// Package peer speaks to the other nodes: what probers see, the revision of
-// the configuration in force, and quarantined requests spread by it.
+// Package peer speaks to the other nodes: it spreads revisions of the document,
+// compares notes, collects the counts of requests, and tells of requests that
+// crash backend servers. Every request carries a peer key.
 package peer
 
 import (
-	"bytes"
 	"context"
-	"encoding/json"
-	"fmt"
-	"io"
+	"math/rand/v2"
 	"net/http"
 	"slices"
 	"sync"
@@ -15,394 +13,320 @@
 
 	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
+	"almondbay.example/core/burn"
+	"almondbay.example/core/document"
 	"almondbay.example/core/fleet"
-	"almondbay.example/core/membership"
-	"almondbay.example/serving/keys"
+	"almondbay.example/core/relay"
+	"almondbay.example/core/revision"
+	"almondbay.example/serving/environment"
+	"almondbay.example/serving/event"
 )
 
 // Error is the class of all errors of this package.
 var Error = errs.Class("peer")
 
-// Paths of the API between nodes.
 const (
-	PathExchange = "/peer/exchange"
-	PathDocument = "/peer/document"
+	// pushTimeout bounds the time to hand a revision to one peer.
+	pushTimeout = 2 * time.Second
+	// backstop is how often a node reads the platform that is not a poller of
+	// its failure domain.
+	backstop = 30 * time.Second
+	// maxPushes bounds the pushes in flight.
+	maxPushes = 64
+	// distantShare is one over the fraction of heartbeats that go to another
+	// failure domain.
+	distantShare = 4
 )
 
-const (
-	// maxMessageBytes bounds a message; a whole domain at the target size
-	// stays below it.
-	maxMessageBytes = 4 << 20
-	// maxNotices bounds the notices that a node remembers.
-	maxNotices = 1024
-)
-
-// Configuration is the configuration in force at a node. Offer ignores a
-// revision that is not above the one held.
-type Configuration interface {
-	Held() (revision uint64, body []byte)
-	Offer(ctx context.Context, revision uint64, body []byte) error
-}
-
-// Quarantine takes notices of quarantined requests. Learn reports whether the
-// notice was news.
-type Quarantine interface {
-	Learn(notice []byte) (bool, error)
+// Store reads the environments on the platform.
+type Store interface {
+	Read(ctx context.Context, name string) (revision.Row, error)
+	Document(ctx context.Context, hash string) ([]byte, error)
 }
 
-// Config configures a Peer.
+// Config configures a Relay.
 type Config struct {
+	// Node is the ID of the VM that the node runs on.
 	Node          string
 	FailureDomain string
-	// Keys are the keys that peers may show; the first is the one to send.
-	Keys          []keys.Secret
-	Client        *http.Client
-	Clock         clockwork.Clock
-	Membership    membership.Config
-	Configuration Configuration
-	Quarantine    Quarantine
-	// Nodes returns the entry VMs of all failure domains.
+	Environment   string
+	Store         Store
+	// Nodes returns the entry VMs that the platform lists.
 	Nodes func() []fleet.VM
+	// Moved is called, in order, with each revision that comes into force.
+	Moved func(e revision.Entry, d document.Document)
+	// Histories returns what this node has counted.
+	Histories func() []burn.History
+	// Suspects returns what this node knows of suspects; not called before the
+	// node serves.
+	Suspects func() Suspects
+	// Read is told the outcome of each read of the platform.
+	Read func(err error)
+	// Scheme is "https" where nodes speak TLS, else "http".
+	Scheme string
+	// HTTP sends the requests; it adds the peer key.
+	HTTP   *http.Client
+	Clock  clockwork.Clock
+	Logger *zap.Logger
+	Random *rand.Rand
 }
 
-// Peer is one node's end of the exchange with all others. It is safe for
-// concurrent use.
-type Peer struct {
-	config Config
+// Relay holds the revision in force at a node and passes it on. It is safe for
+// concurrent use, but for Poll and Heartbeat, which one goroutine each calls.
+type Relay struct {
+	config   Config
+	follower *revision.Follower
+	pushes   errgroup.Group
+	// polledAt is when Poll last read the platform.
+	polledAt time.Time
+
+	mu sync.Mutex
+	// body holds the bytes of the document in force, and last how they came out
+	// of the document before.
+	body []byte
+	last push
+	// passed holds the revision that was last passed on in each root's tree.
+	passed map[string]uint64
+	// inFlight is the number of pushes on their way; idle tells of each end.
+	inFlight int
+	idle     *sync.Cond
+	// heard holds what other nodes said last, by their ID.
+	heard map[string]note
+}
 
-	mu    sync.Mutex
-	table *membership.Table
-	links map[string]*membership.Link
-	// notices are those that this node has learnt, oldest first.
-	notices []json.RawMessage
-	// peers holds what is known of each peer.
-	peers map[string]*known
-	// ahead is a peer that told a later revision than the one held; empty when
-	// there is none.
-	ahead string
-	// start tells this run from former ones.
-	start int64
-	news  chan struct{}
+// New returns a relay that holds no revision.
+func New(c Config) *Relay {
+	r := &Relay{config: c, follower: revision.NewFollower(c.Environment), heard: make(map[string]note), passed: make(map[string]uint64)}
+	r.idle = sync.NewCond(&r.mu)
+	r.pushes.SetLimit(maxPushes)
+	return r
 }
 
-// known is what a node knows of a peer.
-type known struct {
-	start int64
-	// revision is the last one that the peer told.
-	revision uint64
-	// noticed is how many notices the peer was sent. An answer that is lost
-	// loses its notices on this path; the other tree and the table service
-	// are behind it.
-	noticed int
+// Held returns the revision in force at this node.
+func (r *Relay) Held() revision.Held {
+	return r.follower.Held()
 }
 
-// New returns a Peer that knows nothing yet.
-func New(c Config) *Peer {
-	return &Peer{
-		config: c,
-		table:  membership.NewTable(c.Membership, c.Clock.Now()),
-		links:  make(map[string]*membership.Link),
-		peers:  make(map[string]*known),
-		start:  c.Clock.Now().UnixNano(),
-		news:   make(chan struct{}, 1),
+// Poll reads the platform if this node is a poller of its failure domain, or if
+// its last read is long ago. It is to be called a few times a second.
+func (r *Relay) Poll(ctx context.Context) error {
+	now := r.config.Clock.Now()
+	if !relay.Polls(r.config.Node, r.domain()) && now.Sub(r.polledAt) < backstop {
+		return nil
 	}
+	if err := r.read(ctx); err != nil {
+		return err
+	}
+	r.polledAt = now
+	return nil
 }
 
-// Assign returns the members that this node is to probe.
-func (p *Peer) Assign(members []string) []string {
-	now := p.config.Clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	live := p.live(now)
-	var mine []string
-	for _, m := range members {
-		if slices.Contains(membership.Probers(m, live), p.config.Node) {
-			mine = append(mine, m)
+// Accepted reads the platform at once, since this node has just accepted a
+// document, and tells a node in each other failure domain, which is the root of
+// a tree there. Pollers cover for what fails.
+func (r *Relay) Accepted(ctx context.Context) {
+	before := r.Held().Revision
+	if err := r.read(ctx); err != nil || r.Held().Revision == before {
+		return
+	}
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	told := map[string]bool{r.config.FailureDomain: true}
+	for _, vm := range r.config.Nodes() {
+		if told[vm.FailureDomain] {
+			continue
 		}
+		told[vm.FailureDomain] = true
+		r.start(vm.Address, r.last, r.body)
 	}
-	p.table.Assign(mine, now)
-	return mine
 }
 
-// Observe takes the outcome of a probe sent at sentAt.
-func (p *Peer) Observe(s membership.Sighting, sentAt time.Time) {
-	p.mu.Lock()
-	changed := p.table.Observe(s, sentAt)
-	p.mu.Unlock()
-	if changed {
-		p.Announce()
+// read takes the revision that the platform shows.
+func (r *Relay) read(ctx context.Context) error {
+	row, err := r.config.Store.Read(ctx, r.config.Environment)
+	r.config.Read(err)
+	if err != nil {
+		return Error.Wrap(err)
 	}
-}
-
-// Reports returns the reports of all members of the failure domain.
-func (p *Peer) Reports() map[string]fleet.Report {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	return p.table.Reports(p.config.Clock.Now())
-}
-
-// Revisions returns the revision that each peer last told, for status.
-func (p *Peer) Revisions() map[string]uint64 {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	revisions := make(map[string]uint64, len(p.peers))
-	for node, k := range p.peers {
-		revisions[node] = k.revision
+	if row.Revision == 0 {
+		return nil
 	}
-	return revisions
-}
-
-// News receives a value when there is something that Push should pass on.
-func (p *Peer) News() <-chan struct{} { return p.news }
-
-// Announce asks for a Push, after a new revision was put in force here.
-func (p *Peer) Announce() {
-	select {
-	case p.news <- struct{}{}:
-	default:
+	if row.Revision <= r.Held().Revision {
+		return r.take(row.Entry, nil, revision.OriginPlatform, r.config.Node)
 	}
+	body, err := r.config.Store.Document(ctx, row.Hash)
+	if err != nil {
+		event.DocumentUnreadable.Log(r.config.Logger, zap.Uint64("revision", row.Revision), zap.Error(err))
+		return nil
+	}
+	return r.take(row.Entry, body, revision.OriginPlatform, r.config.Node)
 }
 
-// Notify spreads a notice at once.
-func (p *Peer) Notify(notice []byte) {
-	p.mu.Lock()
-	p.keep(notice)
-	p.mu.Unlock()
-	p.Announce()
-}
-
-// keep remembers a notice. The caller holds the lock.
-func (p *Peer) keep(notice []byte) {
-	if len(p.notices) == maxNotices {
-		// Peers that lag by more than the bound learn from the table service.
-		p.notices = slices.Delete(p.notices, 0, 1)
-		for _, k := range p.peers {
-			k.noticed = max(k.noticed-1, 0)
+// take puts a revision in force if it is newer than the one held, and passes
+// it on in the tree of its root. The body may be missing when it is not newer.
+func (r *Relay) take(e revision.Entry, body []byte, from revision.Origin, root string) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	held := r.follower.Held()
+	var d document.Document
+	if e.Revision > held.Revision {
+		if environment.Hash(body) != e.Hash {
+			return &environment.CorruptError{Hash: e.Hash}
+		}
+		var faults error
+		if d, faults = parse(e, body); faults != nil {
+			event.DocumentUnreadable.Log(r.config.Logger, zap.Uint64("revision", e.Revision), zap.Error(faults))
+			return nil
 		}
 	}
-	p.notices = append(p.notices, notice)
-}
-
-// Beat exchanges once with the parents, and with the roots of the other failure
-// domains when this node is a root. It returns the errors of all exchanges.
-func (p *Peer) Beat(ctx context.Context) error {
-	return p.exchangeAll(ctx, p.targets(false))
+	moved, err := r.follower.Offer(e, from)
+	if err != nil {
+		event.RevisionSplit.Log(r.config.Logger, zap.Error(err))
+		return nil
+	}
+	if !moved {
+		return nil
+	}
+	r.last = push{Entry: e, ParentHash: held.Hash, Delta: relay.NewDelta(r.body, body)}
+	r.body = body
+	r.config.Moved(e, d)
+	event.RevisionInForce.Log(r.config.Logger, zap.Uint64("revision", e.Revision),
+		zap.String("hash", e.Hash), zap.String("origin", string(from)))
+	r.passOn(root)
+	if relay.Polls(r.config.Node, r.domain()) {
+		r.passOn(r.config.Node)
+	}
+	return nil
 }
 
-// Push is a Beat that reaches the children as well, for news that can't wait.
-func (p *Peer) Push(ctx context.Context) error {
-	return p.exchangeAll(ctx, p.targets(true))
+func parse(e revision.Entry, body []byte) (document.Document, error) {
+	d, faults := document.Parse(e.Hash, body)
+	return d, faults.Err()
 }
 
-func (p *Peer) exchangeAll(ctx context.Context, targets []fleet.VM) error {
-	errors := make([]error, len(targets))
-	var g errgroup.Group
-	for i, vm := range targets {
-		g.Go(func() error {
-			errors[i] = p.exchange(ctx, vm)
-			return nil
-		})
+// passOn hands the revision held to the children of this node in the tree of a
+// root, once for each root. A child that cannot be reached learns by other ways,
+// so errors are passed over. When too many pushes are in flight the rest learn
+// by heartbeats. The caller holds the lock.
+func (r *Relay) passOn(root string) {
+	p, body := r.last, r.body
+	if r.passed[root] >= p.Entry.Revision {
+		return
+	}
+	r.passed[root] = p.Entry.Revision
+	p.Root = root
+	children := relay.Children(root, r.config.Node, r.domain())
+	for _, vm := range r.config.Nodes() {
+		if vm.ID == r.config.Node || !slices.Contains(children, vm.ID) {
+			continue
+		}
+		r.start(vm.Address, p, body)
 	}
-	_ = g.Wait()
-	return errs.Combine(errors...)
 }
 
-// live returns the live nodes of the own failure domain. The caller holds the
+// start starts a push, unless too many are in flight. The caller holds the
 // lock.
-func (p *Peer) live(now time.Time) []string {
-	listed := []string{p.config.Node}
-	for _, vm := range p.config.Nodes() {
-		if vm.FailureDomain == p.config.FailureDomain && vm.State == fleet.VMLive && vm.ID != p.config.Node {
-			listed = append(listed, vm.ID)
-		}
+func (r *Relay) start(address string, p push, body []byte) {
+	started := r.pushes.TryGo(func() error {
+		defer r.pushed()
+		ctx, cancel := context.WithTimeout(context.Background(), pushTimeout)
+		defer cancel()
+		_ = r.push(ctx, address, p, body)
+		return nil
+	})
+	if started {
+		r.inFlight++
 	}
-	return p.table.Live(listed, now)
 }
 
-// targets returns the nodes to exchange with.
-func (p *Peer) targets(children bool) []fleet.VM {
-	now := p.config.Clock.Now()
-	p.mu.Lock()
-	p.table.Forget(now)
-	live := p.live(now)
-	wanted := map[string]bool{p.ahead: true}
-	p.ahead = ""
-	p.mu.Unlock()
-
-	for i := range membership.Trees {
-		tree := membership.NewTree(i, live)
-		wanted[tree.Parent(p.config.Node)] = true
-		if children {
-			for _, child := range tree.Children(p.config.Node) {
-				wanted[child] = true
-			}
-		}
-		if tree.Root() == p.config.Node {
-			for _, root := range p.otherRoots(i) {
-				wanted[root] = true
-			}
-		}
-	}
-	var targets []fleet.VM
-	for _, vm := range p.config.Nodes() {
-		if wanted[vm.ID] && vm.ID != p.config.Node {
-			targets = append(targets, vm)
-		}
-	}
-	return targets
+// pushed notes that a push has ended.
+func (r *Relay) pushed() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.inFlight--
+	r.idle.Broadcast()
 }
 
-// otherRoots returns the root of tree i in each other failure domain.
-func (p *Peer) otherRoots(i int) []string {
-	domains := make(map[string][]string)
-	for _, vm := range p.config.Nodes() {
-		if vm.FailureDomain != p.config.FailureDomain && vm.State == fleet.VMLive {
-			domains[vm.FailureDomain] = append(domains[vm.FailureDomain], vm.ID)
-		}
+// passAgain passes on a revision that came a second time, in another tree.
+func (r *Relay) passAgain(root string, number uint64) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if root != "" && number == r.last.Entry.Revision {
+		r.passOn(root)
 	}
-	var roots []string
-	for _, nodes := range domains {
-		roots = append(roots, membership.NewTree(i, nodes).Root())
-	}
-	return roots
 }
 
-// exchange sends one message to a node and takes its answer.
-func (p *Peer) exchange(ctx context.Context, vm fleet.VM) error {
-	request := p.message(vm.ID, vm.FailureDomain)
-	body, err := p.call(ctx, http.MethodPost, vm.Address, PathExchange, request)
-	if err != nil {
+// push sends the delta, and the whole document if the peer cannot apply it.
+func (r *Relay) push(ctx context.Context, address string, p push, body []byte) error {
+	err := r.post(ctx, address, pathRevision, wirePushOf(p), nil)
+	if !isMissing(err) {
 		return err
 	}
-	var answer wireMessage
-	if err := json.Unmarshal(body, &answer); err != nil {
-		return Error.Wrap(err)
-	}
-	if err := p.take(answer); err != nil {
-		return err
-	}
-	return p.catchUp(ctx, vm, answer.Revision)
+	p.ParentHash, p.Delta = "", relay.Delta{Middle: body}
+	return r.post(ctx, address, pathRevision, wirePushOf(p), nil)
 }
 
-// catchUp fetches the configuration from a node that holds a later revision.
-func (p *Peer) catchUp(ctx context.Context, vm fleet.VM, revision uint64) error {
-	held, _ := p.config.Configuration.Held()
-	if revision <= held {
+// Heartbeat compares notes with one random peer, and takes or hands on what the
+// other lacks. It is to be called about once a second.
+func (r *Relay) Heartbeat(ctx context.Context) error {
+	r.forget()
+	vm, ok := r.randomPeer()
+	if !ok {
 		return nil
 	}
-	body, err := p.call(ctx, http.MethodGet, vm.Address, fmt.Sprintf("%s/%d", PathDocument, revision), nil)
-	if err != nil {
+	var answer wireNote
+	if err := r.post(ctx, vm.Address, pathNote, wireNoteOf(r.note()), &answer); err != nil {
 		return err
 	}
-	if err := p.config.Configuration.Offer(ctx, revision, body); err != nil {
-		return Error.Wrap(err)
+	theirs := toNote(answer)
+	r.hear(theirs)
+	held := r.Held()
+	switch {
+	case theirs.Revision > held.Revision:
+		return r.fetch(ctx, vm.Address)
+	case theirs.Revision < held.Revision:
+		p, body := r.whole()
+		return r.post(ctx, vm.Address, pathRevision, wirePushOf(push{Entry: p, Delta: relay.Delta{Middle: body}}), nil)
 	}
-	p.Announce()
 	return nil
 }
 
-// message returns the next message to a node.
-func (p *Peer) message(node, domain string) wireMessage {
-	revision, _ := p.config.Configuration.Held()
-	now := p.config.Clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	k := p.peer(node)
-	m := wireMessage{
-		Node: p.config.Node, Domain: p.config.FailureDomain, Start: p.start, Revision: revision,
-		Notices: slices.Clone(p.notices[k.noticed:]),
-	}
-	k.noticed = len(p.notices)
-	if domain == p.config.FailureDomain {
-		m.Link = linkToWire(p.table.Send(p.link(node, now), now))
-	}
-	return m
-}
-
-// peer returns what is known of a node. The caller holds the lock.
-func (p *Peer) peer(node string) *known {
-	k := p.peers[node]
-	if k == nil {
-		k = &known{}
-		p.peers[node] = k
+// fetch takes the revision that a peer holds.
+func (r *Relay) fetch(ctx context.Context, address string) error {
+	var answer wirePush
+	if err := r.get(ctx, address, pathRevision, &answer); err != nil {
+		return err
 	}
-	return k
+	p := toPush(answer)
+	return r.take(p.Entry, p.Delta.Middle, revision.OriginPeer, r.config.Node)
 }
 
-// link returns the link to a node. The caller holds the lock.
-func (p *Peer) link(node string, now time.Time) *membership.Link {
-	l := p.links[node]
-	if l == nil {
-		l = membership.NewLink(now)
-		p.links[node] = l
-	}
-	return l
+// whole returns the revision held and its bytes.
+func (r *Relay) whole() (revision.Entry, []byte) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.follower.Held().Entry, r.body
 }
 
-// take takes a message and announces what is to be passed on.
-func (p *Peer) take(m wireMessage) error {
-	held, _ := p.config.Configuration.Held()
-	if p.takeLink(m, held) {
-		p.Announce()
-	}
-	for _, notice := range m.Notices {
-		fresh, err := p.config.Quarantine.Learn(notice)
-		if err != nil {
-			return Error.Wrap(err)
-		}
-		if fresh {
-			p.Notify(notice)
+// domain returns the listed nodes of this node's failure domain.
+func (r *Relay) domain() []string {
+	var ids []string
+	for _, vm := range r.config.Nodes() {
+		if vm.FailureDomain == r.config.FailureDomain {
+			ids = append(ids, vm.ID)
 		}
 	}
-	return nil
+	return ids
 }
 
-// takeLink takes the message but for its notices, and reports whether there is
-// something to pass on or to fetch.
-func (p *Peer) takeLink(m wireMessage, held uint64) bool {
-	now := p.config.Clock.Now()
-	p.mu.Lock()
-	defer p.mu.Unlock()
-	k := p.peer(m.Node)
-	if k.start != m.Start {
-		*k = known{start: m.Start}
-	}
-	k.revision = m.Revision
-	news := m.Revision > held
-	if news {
-		p.ahead = m.Node
-	}
-	if m.Link != nil && m.Domain == p.config.FailureDomain {
-		news = p.table.Take(p.link(m.Node, now), linkFromWire(m.Node, m.Link), now) || news
-	}
-	return news
-}
-
-// call sends a request to a node and returns the body of its answer.
-func (p *Peer) call(ctx context.Context, method, address, path string, message any) ([]byte, error) {
-	var body io.Reader = http.NoBody
-	if message != nil {
-		encoded, err := json.Marshal(message)
-		if err != nil {
-			return nil, Error.Wrap(err)
-		}
-		body = bytes.NewReader(encoded)
-	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+address+path, body)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	p.config.Keys[0].Authorize(request.Header)
-	response, err := p.config.Client.Do(request)
-	if err != nil {
-		return nil, Error.Wrap(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-	if response.StatusCode != http.StatusOK {
-		return nil, Error.New("%s %s: %s", address, path, response.Status)
+// Wait returns when no push is in flight.
+func (r *Relay) Wait() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	for r.inFlight > 0 {
+		r.idle.Wait()
 	}
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxMessageBytes))
-	return answer, Error.Wrap(err)
 }
--- a/pkg/serving/peer/wire.go
+++ b/pkg/serving/peer/wire.go
@@ -1,147 +1,131 @@
 package peer
 
 import (
-	"encoding/json"
 	"time"
 
-	"almondbay.example/core/fleet"
-	"almondbay.example/core/membership"
+	"almondbay.example/core/burn"
+	"almondbay.example/core/relay"
+	"almondbay.example/core/revision"
+	"almondbay.example/serving/operator/operatorwire"
 )
 
-// wireMessage is one direction of an exchange. Durations are in microseconds.
-// Names are short since every node sends it every beat.
-type wireMessage struct {
-	Node   string `json:"n"`
-	Domain string `json:"fd"`
-	// Start differs after a restart of the sender.
-	Start    int64  `json:"st"`
-	Revision uint64 `json:"r,omitempty"`
-	// Notices are the bodies of quarantine notices.
-	Notices []json.RawMessage `json:"q,omitempty"`
-	// Link is left out between failure domains.
-	Link *wireLink `json:"l,omitempty"`
-}
-
-type wireLink struct {
-	Session   uint64      `json:"s"`
-	To        uint64      `json:"t,omitempty"`
-	Sequence  uint64      `json:"i"`
-	Ack       uint64      `json:"a,omitempty"`
-	Clock     int64       `json:"c"`
-	Echo      int64       `json:"e,omitempty"`
-	Held      int64       `json:"h,omitempty"`
-	IndexBase int         `json:"xb,omitempty"`
-	Index     []string    `json:"x,omitempty"`
-	Deltas    []wireDelta `json:"d,omitempty"`
-	// Ages is base64 with one byte for each numbered section.
-	Ages []byte `json:"g,omitempty"`
-}
-
-type wireDelta struct {
-	Node        string         `json:"n"`
-	Incarnation uint64         `json:"i"`
-	Version     uint64         `json:"v"`
-	Base        uint64         `json:"b,omitempty"`
-	Age         int64          `json:"a"`
-	Sightings   []wireSighting `json:"s,omitempty"`
-	Dropped     []string       `json:"d,omitempty"`
-}
-
-type wireSighting struct {
-	Member   string      `json:"m"`
-	Missing  bool        `json:"x,omitempty"`
-	Boot     string      `json:"b,omitempty"`
-	Group    string      `json:"g,omitempty"`
-	Epoch    uint64      `json:"e,omitempty"`
-	Model    string      `json:"mo,omitempty"`
-	Version  string      `json:"v,omitempty"`
-	Phase    fleet.Phase `json:"p,omitempty"`
-	Term     uint64      `json:"t,omitempty"`
-	Leaving  bool        `json:"l,omitempty"`
-	Running  int         `json:"r,omitempty"`
-	Waiting  int         `json:"w,omitempty"`
-	Slots    int         `json:"s,omitempty"`
-	Tokens   int         `json:"k,omitempty"`
-	Adapters []string    `json:"a,omitempty"`
-}
-
-func linkToWire(m membership.Message) *wireLink {
-	w := &wireLink{
-		Session: m.Session, To: m.To, Sequence: m.Sequence, Ack: m.Ack,
-		// Rounding takes the clock down and the held time down, so that the
-		// other end never trusts a time too late.
-		Clock: m.Clock.Microseconds(), Echo: m.Echo.Microseconds(), Held: m.Held.Microseconds(),
-		IndexBase: m.IndexBase, Index: m.Index, Ages: m.Ages,
-	}
-	if m.Echo == 0 {
-		w.Held = 0
-	}
-	for _, d := range m.Deltas {
-		w.Deltas = append(w.Deltas, deltaToWire(d))
-	}
-	return w
+// push is a revision on its way to another node.
+type push struct {
+	// Root is the poller whose tree the push goes along; empty for a push to
+	// one node, which then is a root itself.
+	Root  string
+	Entry revision.Entry
+	// ParentHash names the document that Delta is applied to; empty when
+	// Delta.Middle holds the whole document.
+	ParentHash string
+	Delta      relay.Delta
 }
 
-func linkFromWire(from string, w *wireLink) membership.Message {
-	m := membership.Message{
-		From: from, Session: w.Session, To: w.To, Sequence: w.Sequence, Ack: w.Ack,
-		Clock: microseconds(w.Clock), Echo: microseconds(w.Echo), Held: microseconds(w.Held),
-		IndexBase: w.IndexBase, Index: w.Index, Ages: w.Ages,
-	}
-	for _, d := range w.Deltas {
-		m.Deltas = append(m.Deltas, deltaFromWire(d))
-	}
-	return m
+type wireNote struct {
+	Node          string `json:"node"`
+	FailureDomain string `json:"failureDomain"`
+	Revision      uint64 `json:"revision"`
+	Hash          string `json:"hash"`
 }
 
-func microseconds(n int64) time.Duration { return time.Duration(n) * time.Microsecond }
+func wireNoteOf(n note) wireNote {
+	return wireNote{Node: n.Node, FailureDomain: n.FailureDomain, Revision: n.Revision, Hash: n.Hash}
+}
 
-func deltaToWire(d membership.Delta) wireDelta {
-	w := wireDelta{
-		Node: d.Node, Incarnation: d.Incarnation, Version: d.Version, Base: d.Base,
-		// An age is rounded up.
-		Age: d.Age.Microseconds() + 1, Dropped: d.Dropped,
+func toNote(w wireNote) note {
+	return note{Node: w.Node, FailureDomain: w.FailureDomain, Revision: w.Revision, Hash: w.Hash}
+}
+
+type wirePush struct {
+	Root       string             `json:"root,omitempty"`
+	Entry      operatorwire.Entry `json:"entry"`
+	ParentHash string             `json:"parentHash,omitempty"`
+	Prefix     int                `json:"prefix,omitempty"`
+	Suffix     int                `json:"suffix,omitempty"`
+	// Middle is in base64.
+	Middle []byte `json:"middle"`
+}
+
+func wirePushOf(p push) wirePush {
+	return wirePush{
+		Root:       p.Root,
+		Entry:      operatorwire.FromEntry(p.Entry),
+		ParentHash: p.ParentHash,
+		Prefix:     p.Delta.Prefix,
+		Suffix:     p.Delta.Suffix,
+		Middle:     p.Delta.Middle,
 	}
-	for _, s := range d.Sightings {
-		w.Sightings = append(w.Sightings, sightingToWire(s))
+}
+
+func toPush(w wirePush) push {
+	return push{
+		Root:       w.Root,
+		Entry:      operatorwire.ToEntry(w.Entry),
+		ParentHash: w.ParentHash,
+		Delta:      relay.Delta{Prefix: w.Prefix, Suffix: w.Suffix, Middle: w.Middle},
 	}
-	return w
 }
 
-func deltaFromWire(w wireDelta) membership.Delta {
-	d := membership.Delta{
-		Position: membership.Position{Node: w.Node, Incarnation: w.Incarnation, Version: w.Version},
-		Age:      microseconds(w.Age), Base: w.Base, Dropped: w.Dropped,
+type wireGrant struct {
+	Group       string `json:"group"`
+	Fingerprint string `json:"fingerprint"`
+}
+
+type wireGranted struct {
+	Granted bool `json:"granted"`
+}
+
+type wireHistories struct {
+	Histories []wireHistory `json:"histories"`
+}
+
+type wireHistory struct {
+	Workspace string       `json:"workspace"`
+	Model     string       `json:"model"`
+	Fine      []wireBucket `json:"fine"`
+	Coarse    []wireBucket `json:"coarse"`
+}
+
+type wireBucket struct {
+	Start time.Time `json:"start"`
+	Good  uint64    `json:"good"`
+	Bad   uint64    `json:"bad"`
+}
+
+func wireHistoriesOf(histories []burn.History) wireHistories {
+	wire := wireHistories{Histories: []wireHistory{}}
+	for _, h := range histories {
+		wire.Histories = append(wire.Histories, wireHistory{
+			Workspace: h.Workspace, Model: h.Model, Fine: wireBuckets(h.Fine), Coarse: wireBuckets(h.Coarse),
+		})
 	}
-	for _, s := range w.Sightings {
-		d.Sightings = append(d.Sightings, sightingFromWire(s))
+	return wire
+}
+
+func wireBuckets(buckets []burn.Bucket) []wireBucket {
+	wire := make([]wireBucket, 0, len(buckets))
+	for _, b := range buckets {
+		wire = append(wire, wireBucket{Start: b.Start, Good: b.Good, Bad: b.Bad})
 	}
-	return d
-}
-
-func sightingToWire(s membership.Sighting) wireSighting {
-	r := s.Report
-	return wireSighting{
-		Member: s.Member, Missing: s.Missing, Boot: r.Identity.Boot,
-		Group: r.Identity.Group, Epoch: r.Identity.Epoch,
-		Model: r.Identity.Model, Version: r.Identity.Version,
-		Phase: r.Phase, Term: r.Term, Leaving: r.Leaving,
-		Running: r.Load.Running, Waiting: r.Load.Waiting, Slots: r.Load.Slots, Tokens: r.Load.Tokens,
-		Adapters: r.Adapters,
+	return wire
+}
+
+func toHistories(w wireHistories) []burn.History {
+	var histories []burn.History
+	for _, h := range w.Histories {
+		histories = append(histories, burn.History{
+			Series: burn.Series{Workspace: h.Workspace, Model: h.Model},
+			Fine:   toBuckets(h.Fine),
+			Coarse: toBuckets(h.Coarse),
+		})
 	}
+	return histories
 }
 
-func sightingFromWire(w wireSighting) membership.Sighting {
-	return membership.Sighting{
-		Member: w.Member, Missing: w.Missing,
-		Report: fleet.Report{
-			Identity: fleet.Identity{
-				Member: w.Member, Boot: w.Boot, Group: w.Group, Epoch: w.Epoch,
-				Model: w.Model, Version: w.Version,
-			},
-			Phase: w.Phase, Term: w.Term, Leaving: w.Leaving,
-			Load:     fleet.Load{Running: w.Running, Waiting: w.Waiting, Slots: w.Slots, Tokens: w.Tokens},
-			Adapters: w.Adapters,
-		},
+func toBuckets(wire []wireBucket) []burn.Bucket {
+	var buckets []burn.Bucket
+	for _, b := range wire {
+		buckets = append(buckets, burn.Bucket{Start: b.Start, Count: burn.Count{Good: b.Good, Bad: b.Bad}})
 	}
+	return buckets
 }
--- a/pkg/serving/settings/codec.go
+++ b/pkg/serving/settings/codec.go
@@ -30,9 +30,14 @@
 }
 
 type wireOperator struct {
-	Address   string   `json:"address"`
-	TLS       wireTLS  `json:"tls"`
-	KeyHashes []string `json:"keyHashes"`
+	Address   string       `json:"address"`
+	TLS       wireTLS      `json:"tls"`
+	Operators []wireHolder `json:"operators"`
+}
+
+type wireHolder struct {
+	Name    string `json:"name"`
+	KeyHash string `json:"keyHash"`
 }
 
 type wirePeer struct {
@@ -48,22 +53,18 @@
 }
 
 type wireLimits struct {
-	BodyBytes      jsonc.Size     `json:"bodyBytes"`
-	HeaderBytes    jsonc.Size     `json:"headerBytes"`
-	QueueLength    int            `json:"queueLength"`
-	QueueBytes     jsonc.Size     `json:"queueBytes"`
-	Connections    int            `json:"connections"`
-	RequestTimeout jsonc.Duration `json:"requestTimeout"`
+	Connections  int            `json:"connections"`
+	Requests     int            `json:"requests"`
+	BodyTimeout  jsonc.Duration `json:"bodyTimeout"`
+	StallTimeout jsonc.Duration `json:"stallTimeout"`
 }
 
 // defaultLimits stand where a file names no limit.
 var defaultLimits = wireLimits{
-	BodyBytes:      1 << 20,
-	HeaderBytes:    64 << 10,
-	QueueLength:    4096,
-	QueueBytes:     32 << 20,
-	Connections:    8192,
-	RequestTimeout: jsonc.Duration(10 * time.Minute),
+	Connections:  16384,
+	Requests:     8192,
+	BodyTimeout:  jsonc.Duration(30 * time.Second),
+	StallTimeout: jsonc.Duration(30 * time.Second),
 }
 
 // Parse decodes and checks settings. It returns every fault at once, ordered
@@ -86,8 +87,7 @@
 		Environment:   w.Environment,
 		Caller:        Listener{Address: w.Caller.Address, TLS: TLS(w.Caller.TLS)},
 		Operator: OperatorListener{
-			Listener:  Listener{Address: w.Operator.Address, TLS: TLS(w.Operator.TLS)},
-			KeyHashes: w.Operator.KeyHashes,
+			Listener: Listener{Address: w.Operator.Address, TLS: TLS(w.Operator.TLS)},
 		},
 		Peer: PeerListener{
 			Listener: Listener{Address: w.Peer.Address, TLS: TLS(w.Peer.TLS)},
@@ -98,14 +98,15 @@
 			Authority: w.Platform.Authority,
 		},
 		Limits: Limits{
-			BodyBytes:      int64(w.Limits.BodyBytes),
-			HeaderBytes:    int64(w.Limits.HeaderBytes),
-			QueueLength:    w.Limits.QueueLength,
-			QueueBytes:     int64(w.Limits.QueueBytes),
-			Connections:    w.Limits.Connections,
-			RequestTimeout: time.Duration(w.Limits.RequestTimeout),
+			Connections:  w.Limits.Connections,
+			Requests:     w.Limits.Requests,
+			BodyTimeout:  time.Duration(w.Limits.BodyTimeout),
+			StallTimeout: time.Duration(w.Limits.StallTimeout),
 		},
 	}
+	for _, o := range w.Operator.Operators {
+		s.Operator.Operators = append(s.Operator.Operators, keys.Holder{Name: o.Name, Digest: o.KeyHash})
+	}
 	for _, key := range w.Peer.Keys {
 		s.Peer.Keys = append(s.Peer.Keys, keys.NewSecret(key))
 	}
--- a/pkg/serving/settings/settings.go
+++ b/pkg/serving/settings/settings.go
@@ -65,9 +65,8 @@
 // OperatorListener is the address of the admin API.
 type OperatorListener struct {
 	Listener
-	// KeyHashes are the hex SHA-256 digests of the operators' keys; at least
-	// one.
-	KeyHashes []string
+	// Operators may use the admin API; at least one.
+	Operators []keys.Holder
 }
 
 // PeerListener is the address for the other nodes.
@@ -91,18 +90,14 @@
 
 // Limits bound what callers can make a node hold. All are above zero.
 type Limits struct {
-	// BodyBytes bounds the body of a request.
-	BodyBytes int64
-	// HeaderBytes bounds the head of a request.
-	HeaderBytes int64
-	// QueueLength bounds the requests that wait in a node.
-	QueueLength int
-	// QueueBytes bounds the bodies of the requests that wait in a node.
-	QueueBytes int64
-	// Connections bounds the connections from callers.
+	// Connections bounds the open connections that are served.
 	Connections int
-	// RequestTimeout bounds a request that brings no deadline of its own.
-	RequestTimeout time.Duration
+	// Requests bounds the requests in flight.
+	Requests int
+	// BodyTimeout bounds the time that a caller takes to send a body.
+	BodyTimeout time.Duration
+	// StallTimeout bounds the time that a caller takes no byte of an answer.
+	StallTimeout time.Duration
 }
 
 // Load reads settings from the file at path and takes keys from the process
--- a/pkg/serving/settings/settings_test.go
+++ b/pkg/serving/settings/settings_test.go
@@ -18,11 +18,11 @@
 	return `{
 	"node": "entry-1", "failureDomain": "lisbon-1", "environment": "trial",
 	"caller": {"address": "10.0.0.1:8080"},
-	"operator": {"address": "127.0.0.1:8081", "keyHashes": ["` + digest + `"]},
+	"operator": {"address": "127.0.0.1:8081", "operators": [{"name": "ana", "keyHash": "` + digest + `"}]},
 	"peer": {"address": "10.0.0.1:8082", "keys": ["0123456789abcdef"],
 		"tls": {"certificate": "node.pem", "key": "node.key", "authority": "peers.pem"}},
 	"platform": {"address": "https://10.0.0.9:9000", "key": "file"}, // Shared.
-	"limits": {"bodyBytes": "2MiB", "requestTimeout": "90s"},
+	"limits": {"requests": 100, "bodyTimeout": "90s"},
 }`
 }
 
@@ -43,7 +43,7 @@
 		Caller: settings.Listener{Address: "10.0.0.1:8080"},
 		Operator: settings.OperatorListener{
 			Listener:  settings.Listener{Address: "127.0.0.1:8081"},
-			KeyHashes: []string{digest},
+			Operators: []keys.Holder{{Name: "ana", Digest: digest}},
 		},
 		Peer: settings.PeerListener{
 			Listener: settings.Listener{
@@ -54,8 +54,7 @@
 		},
 		Platform: settings.Platform{Address: "https://10.0.0.9:9000", Key: keys.NewSecret("file")},
 		Limits: settings.Limits{
-			BodyBytes: 2 << 20, HeaderBytes: 64 << 10, QueueLength: 4096, QueueBytes: 32 << 20,
-			Connections: 8192, RequestTimeout: 90 * time.Second,
+			Connections: 16384, Requests: 100, BodyTimeout: 90 * time.Second, StallTimeout: 30 * time.Second,
 		},
 	}
 	if diff := cmp.Diff(want, got, cmp.Comparer(func(a, b keys.Secret) bool { return a == b })); diff != "" {
@@ -94,13 +93,14 @@
 		"address twice": {`10.0.0.1:8080`, `10.0.0.1:8082`, `s:5:22: /peer/address: 10.0.0.1:8082 is given already at /caller/address`},
 		"plain admin":   {`127.0.0.1:8081`, `10.0.0.1:8081`, `s:4:14: /operator/tls: is needed on an address that is not loopback`},
 		"half pair":     {`"key": "node.key", `, ``, `s:6:10: /peer/tls: needs both certificate and key`},
-		"no key hash":   {`"` + digest + `"`, ``, `s:4:57: /operator/keyHashes: at least one key hash is needed`},
-		"bare key":      {digest, `operator`, `s:4:58: /operator/keyHashes/0: must be a SHA-256 digest in 64 lower-case hex digits`},
+		"no operator":   {`{"name": "ana", "keyHash": "` + digest + `"}`, ``, `s:4:57: /operator/operators: at least one operator is needed`},
+		"same operator": {`{"name": "ana",`, `{"name": "ana", "keyHash": "` + digest + `"}, {"name": "ana",`, `s:4:163: /operator/operators/1/name: "ana" is given already`},
+		"bare key":      {digest, `operator`, `s:4:85: /operator/operators/0/keyHash: must be a SHA-256 digest in 64 lower-case hex digits`},
 		"no peer key":   {`"0123456789abcdef"`, ``, `s:5:47: /peer/keys: at least one key is needed, here or in ALMONDBAY_PEER_KEYS`},
 		"short key":     {`"0123456789abcdef"`, `"short"`, `s:5:48: /peer/keys/0: must have at least 16 characters`},
 		"platform":      {`https://10.0.0.9:9000`, `10.0.0.9:9000`, `s:7:26: /platform/address: must be an http or https URL`},
 		"user in URL":   {`https://10.0.0.9`, `https://a:b@10.0.0.9`, `s:7:26: /platform/address: must not hold a user name or password`},
-		"limits":        {`"bodyBytes": "2MiB"`, `"bodyBytes": "64MiB", "connections": 0`, "s:8:12: /limits/queueBytes: must hold at least one body of 67108864 bytes\ns:8:50: /limits/connections: must be above 0"},
+		"limits":        {`"requests": 100`, `"requests": 0, "stallTimeout": "0s"`, "s:8:25: /limits/requests: must be above 0\ns:8:44: /limits/stallTimeout: must be above 0"},
 		"unknown":       {`"limits"`, `"limit"`, `s:8:2: /limit: unknown field`},
 	}
 	for name, test := range tests {
