Send loads alone where nothing else changed, and measure a beat

A table that restarted under the same incarnation, as the test did, ended with two contents under one version. An incarnation is a time in nanoseconds and does not repeat; the test now restarts with a lower one, the harder case of a clock that was set back, and a table outlives any later section of its own.

BenchmarkBeat, TestDomainUnderFaults (20 runs under the race detector).

--- a/pkg/core/membership/membership_test.go
+++ b/pkg/core/membership/membership_test.go
@@ -27,6 +27,8 @@
 	down    map[string]bool
 	cut     func(a, b string) bool
 	members map[string]*member
+
+	incarnation uint64
 }
 
 type node struct {
@@ -45,7 +47,7 @@
 func newDomain(t *testing.T, nodes, members int) *domain {
 	d := &domain{
 		t: t, random: rand.New(rand.NewPCG(1, 2)), now: time.Unix(1_000_000, 0),
-		nodes: map[string]*node{}, down: map[string]bool{}, members: map[string]*member{},
+		incarnation: 1000, nodes: map[string]*node{}, down: map[string]bool{}, members: map[string]*member{},
 		cut: func(string, string) bool { return false },
 	}
 	for i := range nodes {
@@ -60,9 +62,11 @@
 }
 
 func (d *domain) start(name string) {
+	// A clock that was set back is the harder case.
+	d.incarnation--
 	n := &node{skew: time.Duration(d.random.Int64N(int64(time.Hour))), links: map[string]*membership.Link{}}
 	n.table = membership.NewTable(membership.Config{
-		Node: name, Incarnation: 1, LoadInterval: time.Second,
+		Node: name, Incarnation: d.incarnation, LoadInterval: time.Second,
 		SilentAfter: 2 * proofTTL, ForgetAfter: 10 * proofTTL,
 	}, d.now.Add(n.skew))
 	d.nodes[name] = n
@@ -117,6 +121,9 @@
 	d.now = d.now.Add(beat)
 	for _, name := range d.names {
 		for id, r := range d.nodes[name].table.Reports(d.local(name)) {
+			if r.Identity.Member != id {
+				d.t.Fatalf("%s holds %+v for %s", name, r, id)
+			}
 			if last := d.members[id].last[r.Identity.Epoch].Add(d.nodes[name].skew); r.SeenAt.After(last) {
 				d.t.Fatalf("%s holds %s at epoch %d for seen at %v, last so at %v", name, id, r.Identity.Epoch, r.SeenAt, last)
 			}
--- a/pkg/core/membership/section.go
+++ b/pkg/core/membership/section.go
@@ -15,14 +15,20 @@
 	// Missing is set while the member doesn't answer; Report is then the last
 	// one that it gave, or zero.
 	Missing bool
-	Report  fleet.Report
+	// LoadOnly is set in a delta whose receiver holds all else; Report then
+	// has the member's load alone.
+	LoadOnly bool
+	Report   fleet.Report
 }
 
 // entry is a sighting with the section's version that brought it.
 type entry struct {
 	sighting Sighting
 	version  uint64
-	dropped  bool
+	// stateVersion is the section's version that last changed more than the
+	// load.
+	stateVersion uint64
+	dropped      bool
 	// probedAt is meaningful in the own section only.
 	probedAt time.Time
 }
@@ -104,6 +110,9 @@
 		case e.version <= base:
 		case e.dropped:
 			d.Dropped = append(d.Dropped, member)
+		case e.stateVersion <= base:
+			load := fleet.Report{Load: e.sighting.Report.Load}
+			d.Sightings = append(d.Sightings, Sighting{Member: member, LoadOnly: true, Report: load})
 		default:
 			d.Sightings = append(d.Sightings, e.sighting)
 		}
@@ -118,7 +127,12 @@
 		s.entries = make(map[string]*entry, len(d.Sightings))
 	}
 	for _, sighting := range d.Sightings {
-		s.entries[sighting.Member] = &entry{sighting: sighting, version: d.Version}
+		e := &entry{sighting: sighting, version: d.Version, stateVersion: d.Version}
+		if held := s.entries[sighting.Member]; sighting.LoadOnly && held != nil {
+			e.sighting, e.stateVersion = held.sighting, held.stateVersion
+			e.sighting.Report.Load = sighting.Report.Load
+		}
+		s.entries[sighting.Member] = e
 	}
 	for _, member := range d.Dropped {
 		s.entries[member] = &entry{version: d.Version, dropped: true}
--- a/pkg/core/membership/table.go
+++ b/pkg/core/membership/table.go
@@ -11,9 +11,9 @@
 type Config struct {
 	// Node is the ID of the node that the table belongs to.
 	Node string
-	// Incarnation is higher than at the node's former starts; the time of the
-	// start does. A table that meets its own section of a higher incarnation
-	// moves above it.
+	// Incarnation differs from that of the node's former starts and is best
+	// higher; the time of the start in nanoseconds does. A table that meets its
+	// own section of a higher incarnation moves above it.
 	Incarnation uint64
 	// LoadInterval is the least time between two spread changes of a member's
 	// load while all else stays the same.
@@ -81,7 +81,11 @@
 	if !changed && (s.Report.Load == last.Report.Load || sentAt.Sub(e.loadAt()) < t.config.LoadInterval) {
 		return false
 	}
-	t.change(&entry{sighting: s, probedAt: sentAt}, s.Member)
+	next := &entry{sighting: s, probedAt: sentAt}
+	if !changed {
+		next.stateVersion = e.stateVersion
+	}
+	t.change(next, s.Member)
 	t.own.entries[s.Member].sighting.Report.SeenAt = sentAt
 	return changed
 }
@@ -92,6 +96,9 @@
 func (t *Table) change(e *entry, member string) {
 	t.own.position.Version++
 	e.version = t.own.position.Version
+	if e.stateVersion == 0 {
+		e.stateVersion = e.version
+	}
 	t.own.entries[member] = e
 }
 
@@ -119,7 +126,7 @@
 // the table moved.
 func (t *Table) apply(d Delta, sentAt, now time.Time) bool {
 	if d.Node == t.config.Node {
-		t.outlive(d.Incarnation)
+		t.outlive(d.Position)
 		return false
 	}
 	s := t.sections[d.Node]
@@ -141,9 +148,9 @@
 }
 
 // outlive moves the own section above a former start's, which peers still hold.
-func (t *Table) outlive(incarnation uint64) {
-	if incarnation > t.own.position.Incarnation {
-		t.own.position.Incarnation = incarnation + 1
+func (t *Table) outlive(former Position) {
+	if former.newer(t.own.position) {
+		t.own.position.Incarnation = former.Incarnation + 1
 	}
 }
 
@@ -187,7 +194,7 @@
 	reports := make(map[string]fleet.Report)
 	for _, s := range t.sections {
 		for member, e := range s.entries {
-			if e.dropped || e.sighting.Missing {
+			if e.dropped || e.sighting.Missing || e.sighting.LoadOnly {
 				continue
 			}
 			r := e.sighting.Report
--- a/pkg/serving/peer/sightings_test.go
+++ b/pkg/serving/peer/sightings_test.go
@@ -42,7 +42,7 @@
 		s := NewSightings(SightingsConfig{
 			Node: vm.ID, FailureDomain: vm.FailureDomain, Scheme: "http", HTTP: http.DefaultClient, Clock: w.clock,
 			Membership: membership.Config{
-				Node: vm.ID, Incarnation: 1, LoadInterval: 5 * time.Second,
+				Node: vm.ID, Incarnation: 1, LoadInterval: 500 * time.Millisecond,
 				SilentAfter: 10 * time.Second, ForgetAfter: time.Minute,
 			},
 			Nodes: func() []fleet.VM { return w.vms },
@@ -58,14 +58,18 @@
 	sentAt := w.clock.Now()
 	for _, s := range w.nodes {
 		for _, m := range s.Assign(w.members) {
-			s.Observe(membership.Sighting{Member: m, Report: fleet.Report{
-				Identity: fleet.Identity{Member: m, Boot: "5b1c7a", Group: "draft-12", Epoch: epoch, Model: "draft", Version: "v7"},
-				Phase:    fleet.PhaseReady, Term: 3, Load: fleet.Load{Running: int(epoch), Slots: 32},
-			}}, sentAt)
+			s.Observe(w.sighting(m, epoch), sentAt)
 		}
 	}
 }
 
+func (w *watch) sighting(member string, epoch uint64) membership.Sighting {
+	return membership.Sighting{Member: member, Report: fleet.Report{
+		Identity: fleet.Identity{Member: member, Boot: "5b1c7a", Group: "draft-12", Epoch: epoch, Model: "draft", Version: "v7"},
+		Phase:    fleet.PhaseReady, Term: 3, Load: fleet.Load{Running: 7, Slots: 32},
+	}}
+}
+
 // settle passes on news until there is none.
 func (w *watch) settle(t testing.TB) {
 	for again := true; again; {
--- a/pkg/serving/peer/sightingwire.go
+++ b/pkg/serving/peer/sightingwire.go
@@ -38,6 +38,7 @@
 type wireSighting struct {
 	Member   string      `json:"m"`
 	Missing  bool        `json:"x,omitempty"`
+	LoadOnly bool        `json:"u,omitempty"`
 	Boot     string      `json:"b,omitempty"`
 	Group    string      `json:"g,omitempty"`
 	Epoch    uint64      `json:"e,omitempty"`
@@ -110,7 +111,7 @@
 func wireSightingOf(s membership.Sighting) wireSighting {
 	r := s.Report
 	return wireSighting{
-		Member: s.Member, Missing: s.Missing, Boot: r.Identity.Boot,
+		Member: s.Member, Missing: s.Missing, LoadOnly: s.LoadOnly, Boot: r.Identity.Boot,
 		Group: r.Identity.Group, Epoch: r.Identity.Epoch,
 		Model: r.Identity.Model, Version: r.Identity.Version,
 		Phase: r.Phase, Term: r.Term, Leaving: r.Leaving,
@@ -121,7 +122,7 @@
 
 func toSighting(w wireSighting) membership.Sighting {
 	return membership.Sighting{
-		Member: w.Member, Missing: w.Missing,
+		Member: w.Member, Missing: w.Missing, LoadOnly: w.LoadOnly,
 		Report: fleet.Report{
 			Identity: fleet.Identity{
 				Member: w.Member, Boot: w.Boot, Group: w.Group, Epoch: w.Epoch,
