--- a/pkg/core/lease/example_test.go
+++ b/pkg/core/lease/example_test.go
@@ -9,7 +9,7 @@
 
 // A machine reads the row of a fabric domain that nobody controls, takes the
 // lease, and holds it until its deadline, which counts from before the write.
-func ExampleMachine() {
+func ExampleCandidate() {
 	now := time.Unix(1_700_000_000, 0)
 	machine := lease.New(lease.Config{
 		FabricDomain: "fabric-1", Holder: "entry-1/boot",
