Say ran only of a successful answer and follow no redirects

Cause: TestEngineErrors, which has every engine answer with an error. A request that engines answered with 500 was told to have run, a redirect sent the attempt again up to ten times, and when no other group was left the caller was told that nothing serves the model in place of how its request failed.

Change: only a head with a status below 300 shows that a request has run; the engine client follows no redirects, as the client of plain services; the last failure is told when there is no place for another attempt.

--- a/pkg/serving/caller/exchange.go
+++ b/pkg/serving/caller/exchange.go
@@ -102,6 +102,8 @@
 	request *attempt.Request
 	wish    wish
 	offset  int
+	// last is the end of the last attempt; nil before that.
+	last *failureError
 	// started is set once the head of the answer has gone to the sink.
 	started bool
 }
@@ -138,6 +140,7 @@
 			x.completed()
 			return nil
 		}
+		x.last = failure
 		if failure.kind == attempt.FailureCrashed {
 			g := x.gateway
 			g.suspects.strike(ctx, x.call.print, p.crash, g.clock.Now())
@@ -194,13 +197,22 @@
 			return place{}, nil, failed(contextFailure(ctx), x.request.Outcome(), false)
 		}
 		if len(busy) == 0 || now.After(giveUp) {
-			return place{}, nil, unavailable(err, x.request.Outcome())
+			return place{}, nil, x.unavailable(err)
 		}
 		busy = nil
 		g.pause(ctx, trialInterval)
 	}
 }
 
+// unavailable returns what to tell the caller when there is no place for
+// another attempt: why the last one failed, if there was one.
+func (x *exchange) unavailable(err error) *problem {
+	if x.last != nil {
+		return x.ended(x.last, attempt.Decision{})
+	}
+	return unavailable(err, x.request.Outcome())
+}
+
 // pick chooses a place, for a suspect away from where it may have caused a
 // crash.
 func (x *exchange) pick(ctx context.Context, s attempt.Standing, busy []string) (place, error) {
@@ -237,7 +249,9 @@
 		written: func() { x.request.Written(id) },
 	})
 	if failure == nil {
-		x.request.Answered(id)
+		if a.status < http.StatusMultipleChoices {
+			x.request.Answered(id)
+		}
 		failure = x.relay(a, p, id)
 		_ = a.body.Close()
 	}
--- a/pkg/serving/caller/relay.go
+++ b/pkg/serving/caller/relay.go
@@ -24,7 +24,7 @@
 
 // relay passes an answer on to the sink.
 func (x *exchange) relay(a answer, p place, id attempt.ID) *failureError {
-	if a.status >= http.StatusInternalServerError && !x.backend.final(a) {
+	if a.status >= http.StatusMultipleChoices && !x.backend.final(a) {
 		return fail(attempt.FailureServer, Error.New("status %d", a.status))
 	}
 	if a.stream {
--- a/pkg/serving/engine/enginehttp/client.go
+++ b/pkg/serving/engine/enginehttp/client.go
@@ -61,8 +61,17 @@
 	once.DisableKeepAlives = true
 	return &Client{
 		timeout: c.ControlTimeout,
-		http:    &http.Client{Transport: transport},
-		once:    &http.Client{Transport: once},
+		http:    client(transport),
+		once:    client(once),
+	}
+}
+
+// client returns a client that follows no redirects: that would send an
+// attempt a second time.
+func client(t *http.Transport) *http.Client {
+	return &http.Client{
+		Transport:     t,
+		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
 
--- a/pkg/standin/callertest/outcome_test.go
+++ b/pkg/standin/callertest/outcome_test.go
@@ -165,6 +165,52 @@
 	}
 }
 
+// TestEngineErrors has every engine answer with an error.
+func TestEngineErrors(t *testing.T) {
+	tests := []struct {
+		name          string
+		status        int
+		notStarted    bool
+		code, outcome string
+		calls         int32
+	}{
+		{"own error", 500, false, caller.CodeBroken, "unknown", 2},
+		{"busy, not started", 503, true, caller.CodeUnavailable, "notRun", 2},
+		{"busy", 503, false, caller.CodeBroken, "unknown", 2},
+		{"invalid, not started", 400, true, caller.CodeRejected, "notRun", 1},
+		{"rejected", 422, false, caller.CodeRejected, "unknown", 1},
+		{"redirect", 307, false, caller.CodeBroken, "unknown", 2},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			r := newRig(t, rigConfig{nodes: 1, groups: 2})
+			var calls atomic.Int32
+			for _, g := range r.groups {
+				inner := g.members[0].Config.Handler
+				g.members[0].Config.Handler = http.HandlerFunc(func(w http.ResponseWriter, q *http.Request) {
+					if q.Method != http.MethodPost {
+						inner.ServeHTTP(w, q)
+						return
+					}
+					calls.Add(1)
+					enginewire.SetIdentity(w.Header(), fleet.Identity{Member: g.id + "-0", Boot: "1", Group: g.id, Epoch: 1, Model: "demo", Version: "1"})
+					w.Header().Set(enginewire.HeaderAttempt, q.Header.Get(enginewire.HeaderAttempt))
+					w.Header().Set("Location", q.URL.Path)
+					if tt.notStarted {
+						w.Header().Set(enginewire.HeaderNotStarted, "true")
+					}
+					w.WriteHeader(tt.status)
+				})
+			}
+			body, _ := chat("p", true, 3)
+			got := r.send(0, chatPath, body, nil)
+			if got.code != tt.code || got.outcome != tt.outcome || calls.Load() != tt.calls {
+				t.Errorf("%d calls, %+v", calls.Load(), got)
+			}
+		})
+	}
+}
+
 func TestBadInput(t *testing.T) {
 	r := newRig(t, rigConfig{nodes: 1, groups: 1})
 	good, _ := chat("p", false, 3)
