Put the table service's guard into the node

Cause: the guard was there and nothing used it, so that a booking during an outage waited for the platform's timeout of 5 s before it was refused, and nothing kept the nodes together within 2,000 reads and 500 writes a second.

Bookings, control and polls now go through it with falling priority; the list of VMs tells it how many nodes share the budget.

--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -101,6 +101,7 @@
 // Node is one node of the system.
 type Node struct {
 	config     Config
+	guard      *platform.Guard
 	view       *view.View
 	picker     *caller.Scheduled
 	owned      *caller.Owned
@@ -119,12 +120,14 @@
 // New assembles a node.
 func New(c Config) *Node {
 	v := view.New(proofTTL)
+	guard := newGuard(c)
 	n := &Node{
 		config:     c,
+		guard:      guard,
 		view:       v,
-		controller: control.New(controlConfig(c, v)),
-		store:      NewStore(c),
-		drains:     drain.New(drain.Config{Table: c.Table, Clock: c.Clock}),
+		controller: control.New(controlConfig(guarded(c, guard, platform.PriorityControl), v)),
+		store:      NewStore(guarded(c, guard, platform.PriorityControl)),
+		drains:     drain.New(drain.Config{Table: guard.Table(platform.PriorityBackground), Clock: c.Clock}),
 		platform:   &platformWatch{clock: c.Clock, logger: c.Logger},
 		observer:   &observer{clock: c.Clock, view: v, recorder: burn.NewRecorder()},
 	}
@@ -162,7 +165,7 @@
 		Picker:        n.gatewayPicker(),
 		Engine:        c.Engine,
 		Service:       service.NewClient(),
-		Table:         c.Table,
+		Table:         n.guard.Table(platform.PriorityBooking),
 		FailureDomain: c.Settings.FailureDomain,
 		Observer:      n.observer,
 		Peers:         n.relay,
--- a/pkg/serving/node/refresh.go
+++ b/pkg/serving/node/refresh.go
@@ -26,6 +26,7 @@
 	// Without the drains the list is still of use; those known before hold.
 	drainsErr := n.refreshDrains(ctx)
 	n.view.SetVMs(vms)
+	n.guard.SetNodes(len(n.view.VMs(fleet.RoleEntry)))
 	return drainsErr
 }
 
