Let requests follow the prefix of their prompt

The choice of group could follow a prefix, but the gateway gave none. It now hashes the first of several messages, which is either what all requests of an application begin with or the start of one conversation. A single message or prompt has no prefix: to hash it would send each request to a group of its own in place of the less loaded of two.

--- a/pkg/serving/caller/generate.go
+++ b/pkg/serving/caller/generate.go
@@ -77,6 +77,7 @@
 		Kind:         b.path,
 		PromptTokens: b.generation.promptBytes / bytesPerToken,
 		MaxTokens:    b.generation.maxTokens,
+		Prefix:       b.generation.prefix,
 		Priority:     b.call.options.priority,
 		Deadline:     b.call.deadline,
 		Avoid:        w.avoid,
--- a/pkg/serving/caller/picker.go
+++ b/pkg/serving/caller/picker.go
@@ -21,7 +21,10 @@
 	PromptTokens int
 	// MaxTokens is the caller's bound on the answer; zero when it has none.
 	MaxTokens int
-	Priority  Priority
+	// Prefix is a hash of the part of the prompt that other requests share;
+	// zero when there is none.
+	Prefix   uint64
+	Priority Priority
 	// Deadline is when the answer is due.
 	Deadline time.Time
 	// Avoid lists replica groups that must not be picked.
--- a/pkg/serving/caller/scheduled.go
+++ b/pkg/serving/caller/scheduled.go
@@ -308,6 +308,7 @@
 		Kind:         q.Kind,
 		PromptTokens: q.PromptTokens,
 		MaxTokens:    q.MaxTokens,
+		Prefix:       q.Prefix,
 		FirstTokenBy: s.firstTokenBy(q),
 		Avoid:        notAllowed(all, q),
 		Notify:       notify,
--- a/pkg/serving/caller/wire.go
+++ b/pkg/serving/caller/wire.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"hash/fnv"
 
 	"github.com/zeebo/errs"
 )
@@ -46,6 +47,9 @@
 	maxTokens int
 	// promptBytes is the length of the prompt as JSON.
 	promptBytes int
+	// prefix is a hash of the first message if others follow, such as the one
+	// that all requests of an application begin with; zero otherwise.
+	prefix uint64
 }
 
 // errModelMissing reports a generation request that names no model.
@@ -65,9 +69,21 @@
 		stream:      w.Stream,
 		maxTokens:   max(0, w.MaxTokens, w.MaxCompletionTokens),
 		promptBytes: len(w.Messages) + len(w.Prompt),
+		prefix:      prefixOf(w.Messages),
 	}, nil
 }
 
+// prefixOf hashes the first of several messages. All nodes give the same hash.
+func prefixOf(messages json.RawMessage) uint64 {
+	var list []json.RawMessage
+	if err := json.Unmarshal(messages, &list); err != nil || len(list) < 2 {
+		return 0
+	}
+	digest := fnv.New64a()
+	_, _ = digest.Write(list[0])
+	return digest.Sum64()
+}
+
 type wireModels struct {
 	Object string      `json:"object"`
 	Data   []wireModel `json:"data"`
