Show that groups serve through a platform outage

Cause: the new test failed since the matrix' gateway forgot its reports whenever it read the rows, so the gateway with current rows proved groups only at every other second. The fault was in the test; the gateway keeps its reports now, which makes the matrix stricter.

Change: all nodes lose the platform for ten leases; three groups serve at every second, keep their epochs, and both leases are taken again.

--- a/pkg/serving/control/matrix_test.go
+++ b/pkg/serving/control/matrix_test.go
@@ -103,6 +103,8 @@
 func (g *fakeGateway) dispatch(now time.Time, rows map[string]group.Versioned[group.Row], in map[string]string) {
 	if g.turns%g.refresh == 0 {
 		g.groups = rows
+	}
+	if g.reports == nil {
 		g.reports = map[string]fleet.Report{}
 	}
 	g.turns++
@@ -422,3 +424,44 @@
 		synctest.Wait()
 	})
 }
+
+// TestGroupsServeThroughAPlatformOutage cuts every node off from the platform
+// for far longer than a lease. Groups serve on by their proofs, nothing is
+// reassigned, and the leases are taken again.
+func TestGroupsServeThroughAPlatformOutage(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, true, nil, safeguards{})
+		w.accept("1", 3)
+		for range 40 {
+			w.step()
+		}
+		before, _ := w.rows()
+		for _, p := range w.nodes {
+			p.platformCut = w.clock.Now().Add(60 * tick)
+		}
+		for range 58 {
+			w.step()
+			if !w.converged() {
+				t.Fatalf("a group stopped serving at %v", w.clock.Now())
+			}
+		}
+		held := 0
+		for range 20 {
+			w.step()
+		}
+		for _, p := range w.nodes {
+			held += len(p.controller.Holds())
+		}
+		after, _ := w.rows()
+		for id, g := range after {
+			if g.Value.Epoch != before[id].Value.Epoch {
+				t.Errorf("%s is at epoch %d after the outage, was at %d", id, g.Value.Epoch, before[id].Value.Epoch)
+			}
+		}
+		if held != 2 || len(w.violations) > 0 {
+			t.Errorf("%d leases held, violations %v", held, w.violations)
+		}
+		w.stop()
+		synctest.Wait()
+	})
+}
