--- a/pkg/core/membership/link.go
+++ b/pkg/core/membership/link.go
@@ -166,7 +166,7 @@
 	if m.Sequence <= l.taken || m.IndexBase > len(l.peerIndex) {
 		return false
 	}
-	sentAt := l.settle(m)
+	sentAt := l.settle(m, now)
 	l.taken, l.takenClock, l.takenAt = m.Sequence, m.Clock, now
 	l.peerIndex = append(l.peerIndex[:m.IndexBase], m.Index...)
 
@@ -176,7 +176,7 @@
 			moved = true
 		}
 		l.received[d.Node] = d.Position
-		l.acked[d.Node] = mark{position: d.Position, confirmedAt: sentAt.Add(-d.Age)}
+		l.acked[d.Node] = mark{position: d.Position, confirmedAt: d.probedAt(sentAt)}
 	}
 	t.takeAges(l, m.Ages, sentAt, now)
 	return moved
@@ -185,7 +185,7 @@
 // settle takes the acknowledgement in a message and returns a time, by this
 // node's clock, before which the message was certainly not sent; zero when
 // nothing is known.
-func (l *Link) settle(m Message) time.Time {
+func (l *Link) settle(m Message, now time.Time) time.Time {
 	if m.To != l.session || m.Ack == 0 {
 		return time.Time{}
 	}
@@ -197,7 +197,11 @@
 		}
 		l.indexAcked = len(l.index)
 	}
-	return l.startedAt.Add(m.Echo + m.Held)
+	sentAt := l.startedAt.Add(m.Echo + m.Held)
+	if sentAt.After(now) {
+		return time.Time{}
+	}
+	return sentAt
 }
 
 func (t *Table) takeAges(l *Link, ages []byte, sentAt, now time.Time) {
