Check booked generation at two nodes

Purpose: bookings were shown for plain services only. A generation request marked as non-idempotent runs once under its key, its whole stream is replayed at another node, and a key alone books nothing. No fault was found; without the mark the same test sees two runs. go test -race -run Booked ./callertest in pkg/standin.

--- a/pkg/standin/callertest/booking_test.go
+++ b/pkg/standin/callertest/booking_test.go
@@ -13,6 +13,7 @@
 
 	"almondbay.example/serving/caller"
 	"almondbay.example/serving/platform"
+	"almondbay.example/standin/enginestandin"
 )
 
 // killed ends the goroutine that serves a request, as a node does that is
@@ -279,3 +280,36 @@
 	}
 	t.Logf("outcomes %v", seen)
 }
+
+// TestBookedGeneration checks that a generation request marked as
+// non-idempotent runs once under its key, and that a key alone marks nothing.
+func TestBookedGeneration(t *testing.T) {
+	var runs atomic.Int32
+	r := newRig(t, rigConfig{nodes: 2, groups: 1, engine: func(_ int, c *enginestandin.Config) {
+		c.BeforeToken = func(_ *http.Request, i int) error {
+			if i == 0 {
+				runs.Add(1)
+			}
+			return nil
+		}
+	}})
+	body, want := chat("p", true, 4)
+	for _, marked := range []bool{true, false} {
+		runs.Store(0)
+		h := headers{caller.HeaderIdempotencyKey: "k", caller.HeaderIdempotent: fmt.Sprint(!marked)}
+		for node := range 2 {
+			got := r.send(node, chatPath, body, h)
+			repeated := got.header.Get(caller.HeaderRepeated) == "true"
+			if got.text != want || !got.done || repeated != (marked && node == 1) {
+				t.Errorf("marked %v, node %d: %+v", marked, node, got)
+			}
+		}
+		if n := runs.Load(); marked != (n == 1) {
+			t.Errorf("marked %v: ran %d times", marked, n)
+		}
+	}
+	rows, err := r.table.Range(t.Context(), "booking/")
+	if err != nil || len(rows) != 1 {
+		t.Errorf("%d rows of bookings, %v", len(rows), err)
+	}
+}
