Let a node that starts in an outage learn the fleet from its peers

Cause: a node learned the list of VMs and the rows of replica groups from the platform only. One that was replaced while the platform was down knew neither its peers nor any group, so that a failure domain cut off for an hour lost a node with every restart.

Change: peer.seeds in the settings names other nodes of the failure domain. A node that has never read the list of VMs asks them for it and for the rows, and its relay then fetches the revision. The rows may be old; a group is dispatched to only on its members' own reports, so an old row costs service, never a wrong answer.

Failures of a loop are logged at powers of two; the outage had filled the log with a line per loop and interval.

--- a/cmd/processtest/cluster_test.go
+++ b/cmd/processtest/cluster_test.go
@@ -72,8 +72,8 @@
 	platform *process
 	members  []*process
 	nodes    []*process
-	// callers and operators are the addresses of the nodes' two APIs.
-	callers, operators []string
+	// callers, operators and peers are the addresses of the nodes.
+	callers, operators, peers []string
 }
 
 // start runs a program until the test ends.
@@ -142,16 +142,21 @@
 	return hex.EncodeToString(sum[:])
 }
 
-func (c *cluster) startNode(t *testing.T, id string) {
+// startNode starts a node that may learn from the seeds.
+func (c *cluster) startNode(t *testing.T, id string, seeds ...string) {
 	t.Helper()
 	callers, operators, peers := freeAddress(t), freeAddress(t), freeAddress(t)
+	seedList, err := json.Marshal(append([]string{}, seeds...))
+	if err != nil {
+		t.Fatal(err)
+	}
 	settings := fmt.Sprintf(`{
 	"node": %q, "failureDomain": "a", "environment": "trial",
 	"caller": {"address": %q},
 	"operator": {"address": %q, "operators": [{"name": "test", "keyHash": %q}]},
-	"peer": {"address": %q, "keys": ["a key that peers share"]},
+	"peer": {"address": %q, "keys": ["a key that peers share"], "seeds": %s},
 	"platform": {"address": "http://%s"},
-}`, id, callers, operators, hash(key), peers, c.platform.address)
+}`, id, callers, operators, hash(key), peers, seedList, c.platform.address)
 	c.control(t, platformstandin.PathControlVM, fmt.Sprintf(
 		`{"id": %q, "address": %q, "failureDomain": "a", "role": "entry", "state": "live"}`, id, peers))
 	path := filepath.Join(t.TempDir(), id+".jsonc")
@@ -161,6 +166,7 @@
 	c.nodes = append(c.nodes, start(t, false, "almondbay", "serve", path))
 	c.callers = append(c.callers, callers)
 	c.operators = append(c.operators, operators)
+	c.peers = append(c.peers, peers)
 }
 
 // apply accepts a document that serves a version of the model.
--- a/cmd/processtest/process_test.go
+++ b/cmd/processtest/process_test.go
@@ -143,3 +143,18 @@
 		t.Errorf("the node ended with: %v", err)
 	}
 }
+
+// TestNodesReplacedInOutage replaces a node while the platform is down: the
+// new one has nothing but its settings and the other node to learn from.
+func TestNodesReplacedInOutage(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, time.Millisecond)
+	c.fault(t, platformstandin.FaultDown)
+	c.nodes[0].signal(t, syscall.SIGKILL)
+	c.startNode(t, "node-0", c.peers[1])
+	c.callers = c.callers[2:]
+	c.awaitReady(t, "1")
+	if got := c.askMany(t, 20, func() {}); got != 20 {
+		t.Errorf("%d of 20 answers were whole at the node that started in the outage", got)
+	}
+}
--- a/pkg/serving/control/codec.go
+++ b/pkg/serving/control/codec.go
@@ -80,7 +80,8 @@
 	}, nil
 }
 
-func encodeGroup(r group.Row) []byte {
+// EncodeGroup encodes the row of a group.
+func EncodeGroup(r group.Row) []byte {
 	return mustEncode(wireGroup{
 		ID:           r.ID,
 		Model:        r.Model,
--- a/pkg/serving/control/commit.go
+++ b/pkg/serving/control/commit.go
@@ -23,7 +23,7 @@
 		add(rolloutKey(environment, t.Rollout.Value.Model), t.Rollout.Version, platform.Write{Value: encodeRollout(t.Rollout.Value)})
 	}
 	if t.Group != nil {
-		add(groupKey(environment, t.Group.Value.ID), t.Group.Version, platform.Write{Value: encodeGroup(t.Group.Value)})
+		add(groupKey(environment, t.Group.Value.ID), t.Group.Version, platform.Write{Value: EncodeGroup(t.Group.Value)})
 	}
 	for _, w := range t.VMs {
 		write := platform.Write{Value: encodeVM(w.Value), Delete: w.Delete}
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -36,8 +36,8 @@
 	}
 	StepFailed = Definition{
 		Number: 107, Level: zapcore.WarnLevel, Message: "step failed",
-		Fields:  []string{"error"},
-		Meaning: "A loop of the node could not take its step; it tries again at its next interval.",
+		Fields:  []string{"error", "failures"},
+		Meaning: "A loop of the node could not take its step; it tries again at its next interval. Logged at the first, second, fourth and so on of the failures in a row.",
 		Action:  "None, unless it goes on; then read the error.",
 	}
 )
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -304,13 +304,21 @@
 	}, func(error) { cancel() })
 }
 
-// loop runs step at once and then at each interval, until ctx is done.
+// loop runs step at once and then at each interval, until ctx is done. Of the
+// failures in a row the first, second, fourth and so on are logged, so that an
+// outage does not fill the log.
 func (n *Node) loop(ctx context.Context, interval time.Duration, step func(context.Context) error) {
 	ticker := n.config.Clock.NewTicker(interval)
 	defer ticker.Stop()
+	failures := 0
 	for {
-		if err := step(ctx); err != nil && ctx.Err() == nil {
-			event.StepFailed.Log(n.config.Logger, zap.Error(err))
+		err := step(ctx)
+		switch {
+		case err == nil:
+			failures = 0
+		case ctx.Err() == nil:
+			failures++
+			n.logFailure(err, failures)
 		}
 		select {
 		case <-ctx.Done():
@@ -319,3 +327,11 @@
 		}
 	}
 }
+
+func (n *Node) logFailure(err error, failures int) {
+	isPowerOfTwo := failures&(failures-1) == 0
+	if !isPowerOfTwo {
+		return
+	}
+	event.StepFailed.Log(n.config.Logger, zap.String("error", err.Error()), zap.Int("failures", failures))
+}
--- a/pkg/serving/node/refresh.go
+++ b/pkg/serving/node/refresh.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/zeebo/errs"
 	"golang.org/x/sync/errgroup"
 
 	"almondbay.example/core/fleet"
@@ -21,7 +22,7 @@
 func (n *Node) refreshVMs(ctx context.Context) error {
 	vms, err := n.config.VMs.List(ctx)
 	if err != nil {
-		return Error.Wrap(err)
+		return errs.Combine(Error.Wrap(err), n.learnFleet(ctx))
 	}
 	// Without the drains the list is still of use; those known before hold.
 	drainsErr := n.refreshDrains(ctx)
--- a/pkg/serving/peer/http.go
+++ b/pkg/serving/peer/http.go
@@ -20,6 +20,7 @@
 	pathNote      = "/v1/note"
 	pathRevision  = "/v1/revision"
 	pathHistories = "/v1/histories"
+	pathFleet     = "/v1/fleet"
 )
 
 // maxMessageBytes bounds a message between nodes; a document is written in
@@ -51,6 +52,7 @@
 	e.POST(pathRevision, r.servePush)
 	e.GET(pathRevision, r.serveRevision)
 	e.GET(pathHistories, r.serveHistories)
+	e.GET(pathFleet, r.serveFleet)
 	e.POST(pathConviction, r.serveConviction)
 	e.POST(pathGrant, r.serveGrant)
 	e.POST(pathRelease, r.serveRelease)
--- a/pkg/serving/settings/check.go
+++ b/pkg/serving/settings/check.go
@@ -36,6 +36,7 @@
 	c.listener("/peer", s.Peer.Listener)
 	c.encrypted("/peer", s.Peer.Listener)
 	c.peerKeys(s.Peer)
+	c.seeds(s.Peer)
 	c.platform(s.Platform)
 	c.limits(s.Limits)
 }
@@ -109,6 +110,14 @@
 	}
 }
 
+func (c *checker) seeds(p PeerListener) {
+	for i, seed := range p.Seeds {
+		if _, err := netip.ParseAddrPort(seed); err != nil {
+			c.source.Faultf("/peer/seeds"+jsonc.Pointer(i), "must be an IP number and a port, is %q", seed)
+		}
+	}
+}
+
 func (c *checker) peerKeys(p PeerListener) {
 	if len(p.Keys) == 0 {
 		c.source.Faultf("/peer/keys", "at least one key is needed, here or in %s", PeerKeysVariable)
--- a/pkg/serving/settings/codec.go
+++ b/pkg/serving/settings/codec.go
@@ -44,6 +44,7 @@
 	Address string   `json:"address"`
 	TLS     wireTLS  `json:"tls"`
 	Keys    []string `json:"keys"`
+	Seeds   []string `json:"seeds"`
 }
 
 type wirePlatform struct {
@@ -91,6 +92,7 @@
 		},
 		Peer: PeerListener{
 			Listener: Listener{Address: w.Peer.Address, TLS: TLS(w.Peer.TLS)},
+			Seeds:    w.Peer.Seeds,
 		},
 		Platform: Platform{
 			Address:   w.Platform.Address,
--- a/pkg/serving/settings/settings.go
+++ b/pkg/serving/settings/settings.go
@@ -75,6 +75,9 @@
 	// Keys are the keys that peers may show; the first is the one to send.
 	// There is at least one.
 	Keys []keys.Secret
+	// Seeds are addresses of other nodes of the failure domain, for a start
+	// while the platform gives no answers; there may be none.
+	Seeds []string
 }
 
 // Platform tells how to reach the platform.
--- a/pkg/serving/view/view.go
+++ b/pkg/serving/view/view.go
@@ -5,6 +5,7 @@
 package view
 
 import (
+	"maps"
 	"slices"
 	"strings"
 	"sync"
@@ -120,6 +121,14 @@
 	return out
 }
 
+// Rows returns all VMs and all rows of replica groups, in no order.
+func (v *View) Rows() ([]fleet.VM, []group.Row) {
+	v.mu.RLock()
+	defer v.mu.RUnlock()
+
+	return slices.Collect(maps.Values(v.vms)), slices.Collect(maps.Values(v.groups))
+}
+
 // SetGroups replaces the rows of replica groups.
 func (v *View) SetGroups(groups []group.Row) {
 	byID := make(map[string]group.Row, len(groups))
