Tell refused callers a time at which most of them are served

Retry-After was the time by which the expected wait exceeds the bearable one.

Weighed: promising slots to those who return, which needs a token that callers would have to send back.

--- a/cmd/trial/main.go
+++ b/cmd/trial/main.go
@@ -20,7 +20,7 @@
 
 // options are the flags of the command.
 type options struct {
-	Set         string   `long:"set" default:"crest" choice:"crest" choice:"head" choice:"reports" choice:"faults" choice:"adapters" description:"what to measure"`
+	Set         string   `long:"set" default:"crest" choice:"crest" choice:"head" choice:"reports" choice:"faults" choice:"retries" choice:"adapters" description:"what to measure"`
 	Deployments []string `long:"deployment" choice:"cartaz" choice:"sava" description:"deployments; all when not given"`
 	Nodes       []int    `long:"nodes" description:"numbers of nodes; 20 and 200 when not given"`
 	Policies    []string `long:"policy" description:"policies; those of the set when not given"`
--- a/cmd/trial/plan.go
+++ b/cmd/trial/plan.go
@@ -12,6 +12,10 @@
 const (
 	// overload is the demand at the crest over the capacity.
 	overload = 2
+	// mildOverload is a second demand that retries are measured at, and
+	// maxRetries how often a caller comes back.
+	mildOverload = 1.5
+	maxRetries   = 3
 	// steady is the demand over the capacity when head-of-line blocking is
 	// measured.
 	steady = 0.8
@@ -67,6 +71,8 @@
 		return headVariants(base, o.policies(trial.RoundRobin, trial.LeastInFlight, trial.Independent, trial.OwnerPerDomain))
 	case "reports":
 		return reportVariants(base, o.policies(trial.Independent, trial.OwnerPerDomain))
+	case "retries":
+		return retryVariants(base, o.policies(trial.OwnerPerDomain))
 	case "faults":
 		return faultVariants(base, o.policies(trial.RoundRobin, trial.LeastInFlight, trial.Independent, trial.OwnerPerDomain))
 	default:
@@ -132,6 +138,14 @@
 	return list
 }
 
+// retryVariants have refused callers come back as they were told to.
+func retryVariants(base trial.Config, policies []trial.Policy) []measurement {
+	base.Retries = maxRetries
+	mild := base
+	mild.Overload = mildOverload
+	return append(forEach(mild, "retries, 1.5", policies), forEach(base, "retries, 2", policies)...)
+}
+
 // measure runs the trials, some at the same time.
 func measure(plan []measurement, parallel int) ([]result, error) {
 	results := make([]result, len(plan))
--- a/cmd/trial/wire.go
+++ b/cmd/trial/wire.go
@@ -24,6 +24,8 @@
 	FirstToken95   float64 `json:"firstToken95"`
 	FirstToken99   float64 `json:"firstToken99"`
 	LongGood       float64 `json:"longGood"`
+	Retried        int     `json:"retried"`
+	RetriedGood    float64 `json:"retriedGood"`
 	Messages       int     `json:"messages"`
 }
 
@@ -52,6 +54,8 @@
 		FirstToken95:   f.FirstToken.P95.Seconds(),
 		FirstToken99:   f.FirstToken.P99.Seconds(),
 		LongGood:       f.LongGood,
+		Retried:        f.Retried,
+		RetriedGood:    f.RetriedGood,
 		Messages:       f.Messages,
 	}
 }
--- a/pkg/core/schedule/admit.go
+++ b/pkg/core/schedule/admit.go
@@ -10,7 +10,10 @@
 	rateHalfLife = 5 * time.Second
 	// minRetryAfter is the shortest Retry-After; the header counts seconds.
 	minRetryAfter = time.Second
-	maxRetryAfter = 30 * time.Second
+	maxRetryAfter = time.Minute
+	// refusalGap is the time without refusals after which the next one counts as
+	// the first.
+	refusalGap = 5 * time.Second
 )
 
 // slotRate learns how much cost one slot works off in a second.
@@ -70,9 +73,18 @@
 }
 
 // retryAfter returns when a request that has to wait this much longer than it
-// can may be sent again. It is spread, so that callers do not return together.
-func (s *shard) retryAfter(excess time.Duration) time.Duration {
-	spread := 1 + s.chooser.random.Float64()/2
-	after := time.Duration(float64(excess+minRetryAfter) * spread)
+// can may be sent again.
+//
+// While more comes in than can be served, new requests take every slot that
+// becomes free, and the backlog tells nothing of the end. The best guess is then
+// that refusals will go on for as long as they have gone on. The time is spread,
+// so that callers do not return together.
+func (s *shard) retryAfter(q *workspaceQueue, excess time.Duration, now time.Time) time.Duration {
+	if now.Sub(q.refusedLast) > refusalGap {
+		q.refusedFirst = now
+	}
+	q.refusedLast = now
+	after := max(excess+minRetryAfter, now.Sub(q.refusedFirst))
+	after = scale(after, 1+s.chooser.random.Float64()/2)
 	return min(max(after, minRetryAfter), maxRetryAfter)
 }
--- a/pkg/core/schedule/queue.go
+++ b/pkg/core/schedule/queue.go
@@ -28,6 +28,10 @@
 	backlog [costBuckets]float64
 	at      [classes]int
 	running int
+	// refusedFirst and refusedLast are the first and last refusal of those that
+	// came without a long gap.
+	refusedFirst time.Time
+	refusedLast  time.Time
 }
 
 func newWorkspaceQueue(name string, share float64) *workspaceQueue {
--- a/pkg/core/schedule/shard.go
+++ b/pkg/core/schedule/shard.go
@@ -146,16 +146,16 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if len(s.list) == 0 {
-		return nil, &Refusal{Reason: ReasonNoGroup, RetryAfter: s.retryAfter(s.config.NoGroupRetry)}
+		return nil, &Refusal{Reason: ReasonNoGroup, RetryAfter: s.config.NoGroupRetry}
 	}
 	t := s.newTicket(r, now)
 	if t.queue.len() >= s.config.MaxWaiting {
-		return nil, &Refusal{Reason: ReasonQueueFull, RetryAfter: s.retryAfter(s.expectedWait(t))}
+		return nil, &Refusal{Reason: ReasonQueueFull, RetryAfter: s.retryAfter(t.queue, s.expectedWait(t), now)}
 	}
 	wait := s.expectedWait(t)
 	patience := t.dispatchBy.Sub(now)
 	if patience < 0 || wait > scale(patience, s.config.AdmitSlack) {
-		return nil, &Refusal{Reason: ReasonLate, RetryAfter: s.retryAfter(wait - patience)}
+		return nil, &Refusal{Reason: ReasonLate, RetryAfter: s.retryAfter(t.queue, wait-patience, now)}
 	}
 	s.queue.credit = creditQuanta * s.quantum()
 	s.queue.push(t)
@@ -278,7 +278,7 @@
 	s.queue.remove(t)
 	t.state = ticketDone
 	wait := s.expectedWait(t) - t.dispatchBy.Sub(now)
-	refusal := &Refusal{Reason: ReasonLate, RetryAfter: s.retryAfter(wait)}
+	refusal := &Refusal{Reason: ReasonLate, RetryAfter: s.retryAfter(t.queue, wait, now)}
 	t.request.Notify(Decision{Ticket: t, Refusal: refusal})
 }
 
--- a/pkg/core/schedule/trial/cells.go
+++ b/pkg/core/schedule/trial/cells.go
@@ -177,7 +177,7 @@
 	}
 	cell.waiting--
 	if d.decision.Refusal != nil {
-		c.refuse(d.job)
+		c.refuse(d.job, d.decision.Refusal.RetryAfter)
 		delete(c.placed, d.job)
 		return
 	}
@@ -272,7 +272,7 @@
 		if errors.As(err, &refusal) {
 			cell.waiting--
 			delete(c.placed, j)
-			c.refuse(j)
+			c.refuse(j, refusal.RetryAfter)
 		}
 	})
 }
--- a/pkg/core/schedule/trial/figures.go
+++ b/pkg/core/schedule/trial/figures.go
@@ -35,6 +35,10 @@
 	FirstToken Percentiles
 	// LongGood is Good over the long requests only.
 	LongGood float64
+	// Retried is the number of requests sent again after a refusal, and
+	// RetriedGood the fraction of them that were good.
+	Retried     int
+	RetriedGood float64
 	// Messages is the number of messages between nodes, over the whole trial.
 	Messages int
 }
@@ -56,6 +60,11 @@
 			spaces[j.workspace].served += j.windowWork
 		}
 		spaces[j.workspace].demand += j.demand(w.engines[0].window)
+		if j.retry > 0 {
+			f.Retried++
+			f.RetriedGood += float64(count(good))
+			continue
+		}
 		if j.at < warm || j.at >= warm+crest {
 			continue
 		}
@@ -105,6 +114,7 @@
 }
 
 func (f *Figures) normalise() {
+	f.RetriedGood /= float64(max(1, f.Retried))
 	all := float64(max(1, f.Requests))
 	for _, x := range []*float64{&f.Good, &f.Refused, &f.WronglyRefused, &f.GaveUp, &f.Failed} {
 		*x /= all
--- a/pkg/core/schedule/trial/trial_test.go
+++ b/pkg/core/schedule/trial/trial_test.go
@@ -11,6 +11,16 @@
 	goalInShare = 0.95
 )
 
+// capacities holds what capacityOf has measured.
+var capacities = make(map[string]float64)
+
+func capacityOf(load Workload) float64 {
+	if capacities[load.Name] == 0 {
+		capacities[load.Name] = Capacity(load, 1)
+	}
+	return capacities[load.Name]
+}
+
 func overloaded(load Workload, p Policy, capacity float64) Config {
 	return Config{
 		Workload:  load,
@@ -26,7 +36,7 @@
 func TestCrestMeetsTheGoals(t *testing.T) {
 	for _, load := range []Workload{Cartaz(), Sava()} {
 		t.Run(load.Name, func(t *testing.T) {
-			capacity := Capacity(load, 1)
+			capacity := capacityOf(load)
 			got := Run(overloaded(load, OwnerPerDomain, capacity))
 			if got.Goodput < goalGoodput {
 				t.Errorf("goodput %.3f of capacity", got.Goodput)
@@ -57,7 +67,7 @@
 // long work brings to a tenth of the objective for the first token.
 func TestLongWorkDoesNotHoldUpShortWork(t *testing.T) {
 	for _, load := range []Workload{Cartaz(), Sava()} {
-		c := overloaded(load, OwnerPerDomain, Capacity(load, 1))
+		c := overloaded(load, OwnerPerDomain, capacityOf(load))
 		c.Flat, c.Overload = true, 0.8
 		with := Run(c).ShortWait.P99
 		c.WithoutLong = true
@@ -82,3 +92,15 @@
 		}
 	}
 }
+
+// TestRetryAfterIsHonest has refused callers come back when they were told to:
+// most of them have to be served then.
+func TestRetryAfterIsHonest(t *testing.T) {
+	for _, load := range []Workload{Cartaz(), Sava()} {
+		c := overloaded(load, OwnerPerDomain, capacityOf(load))
+		c.Retries = 1
+		if got := Run(c); got.RetriedGood < 0.5 || got.Goodput < goalGoodput {
+			t.Errorf("%s: %.3f of %d retries served, goodput %.3f", load.Name, got.RetriedGood, got.Retried, got.Goodput)
+		}
+	}
+}
--- a/pkg/core/schedule/trial/workload.go
+++ b/pkg/core/schedule/trial/workload.go
@@ -105,6 +105,8 @@
 	shared    int
 	tokens    int
 	maxTokens int
+	// retry counts the times that the caller has been refused before.
+	retry int
 }
 
 // work is the cost of the request in generated tokens.
--- a/pkg/core/schedule/trial/world.go
+++ b/pkg/core/schedule/trial/world.go
@@ -15,6 +15,8 @@
 	tickInterval     = 50 * time.Millisecond
 	// detection is how long a lost engine or node goes unnoticed.
 	detection = time.Second
+	// comeBackTime is how long a trial goes on for refused callers to come back.
+	comeBackTime = time.Minute
 	// patience is how long a caller waits for its first token.
 	patience = 10 * time.Second
 	// firstTokenObjective is the objective for the time to first token.
@@ -37,6 +39,9 @@
 	ReportLag  time.Duration
 	ReportLoss float64
 	Fault      Fault
+	// Retries is how often a refused caller comes back, each time after the
+	// Retry-After that it was given.
+	Retries int
 	// Capacity is the work per second of all engines, from Capacity.
 	Capacity float64
 }
@@ -146,6 +151,9 @@
 	w.every(tickInterval, w.sharing.tick)
 	w.schedule(c.Fault)
 	w.runUntil(warm + crest + tail)
+	if c.Retries > 0 {
+		w.runUntil(warm + crest + tail + comeBackTime)
+	}
 	return w.figures()
 }
 
@@ -237,11 +245,12 @@
 }
 
 // refuse ends a job; it is wrong if a slot is idle anywhere.
-func (w *world) refuse(j *job) {
+func (w *world) refuse(j *job, retryAfter time.Duration) {
 	if j.outcome != pending {
 		return
 	}
 	j.outcome = refused
+	w.comeBack(j, retryAfter)
 	for _, e := range w.engines {
 		if e.slowness == 1 && e.unused() {
 			j.outcome = wronglyRefused
@@ -249,6 +258,17 @@
 	}
 }
 
+// comeBack has the caller of a refused job send it again.
+func (w *world) comeBack(j *job, retryAfter time.Duration) {
+	if j.retry >= w.config.Retries {
+		return
+	}
+	again := *j.request
+	again.at = w.now + retryAfter
+	again.retry++
+	w.after(retryAfter, func() { w.arrive(&again) })
+}
+
 // back runs the event when word from the engine has reached the job's node.
 func (w *world) back(run func()) {
 	w.after(localHop, run)
