--- a/pkg/core/group/plan_test.go
+++ b/pkg/core/group/plan_test.go
@@ -1,6 +1,7 @@
 package group_test
 
 import (
+	"fmt"
 	"testing"
 
 	"almondbay.example/core/document"
@@ -326,3 +327,31 @@
 		}
 	}
 }
+
+// BenchmarkPlan plans for one fabric domain of 100 VMs when nothing has to be
+// done, with few and with many groups in other fabric domains.
+func BenchmarkPlan(b *testing.B) {
+	for _, groups := range []int{24, 240, 1950} {
+		b.Run(fmt.Sprintf("%d groups", groups), func(b *testing.B) {
+			f := trial.NewFleet(map[string]int{"a": 100}, model(24))
+			for f.Proven()["1"] < 24 {
+				if err := f.Step(); err != nil {
+					b.Fatal(err)
+				}
+			}
+			f.Models[0].Groups = groups
+			for slot := 24; slot < groups; slot++ {
+				r := group.Row{
+					ID: group.ID("m", slot), Model: "m", Slot: slot, FabricDomain: "b", Epoch: 1,
+					State: group.StateServing, Members: []string{"w", "x", "y", "z"}, Version: "1",
+				}
+				f.Groups[r.ID] = group.Versioned[group.Row]{Value: r, Version: 1}
+			}
+			view := f.View("a")
+			b.ReportAllocs()
+			for b.Loop() {
+				group.Plan(view, f.Policy)
+			}
+		})
+	}
+}
