Bound the questions to the owner of a group

Cause: an owner that hangs held a suspect until its deadline, and the release of a grant held up the end of its answer without any bound.

Change: 500 ms for each; nobody waits for a release, which the owner makes up for by itself. Shown failing first by TestPeersHang, which hangs without the bound. go test -race -count=3 ./callertest in pkg/standin: green.

--- a/pkg/serving/caller/suspect.go
+++ b/pkg/serving/caller/suspect.go
@@ -27,8 +27,10 @@
 const (
 	// announceTimeout bounds the time that news of a crash hold up an answer.
 	announceTimeout = time.Second
-	// maxAnnouncements bounds the announcements that nobody waits for.
+	// maxAnnouncements bounds the messages to peers that nobody waits for.
 	maxAnnouncements = 64
+	// grantTimeout bounds one question to the owner of a group.
+	grantTimeout = 500 * time.Millisecond
 	// grantTime is how long a group is granted to a suspect at most.
 	grantTime = 10 * time.Minute
 	// quarantinePrefix starts the keys of the rows of quarantined requests.
@@ -107,17 +109,26 @@
 
 func (s *suspects) grant(ctx context.Context, group string, f attempt.Fingerprint, now time.Time) bool {
 	if s.peers != nil {
+		ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+		defer cancel()
 		return s.peers.Grant(ctx, group, f)
 	}
 	return s.trials.Grant(group, f, now, grantTime)
 }
 
 func (s *suspects) release(ctx context.Context, group string, f attempt.Fingerprint) {
-	if s.peers != nil {
-		s.peers.Release(context.WithoutCancel(ctx), group, f)
+	if s.peers == nil {
+		s.trials.Release(group, f)
 		return
 	}
-	s.trials.Release(group, f)
+	ctx = context.WithoutCancel(ctx)
+	// Nobody waits for this. A grant that is not released ends by itself.
+	s.announce.TryGo(func() error {
+		ctx, cancel := context.WithTimeout(ctx, grantTimeout)
+		defer cancel()
+		s.peers.Release(ctx, group, f)
+		return nil
+	})
 }
 
 // strike notes that a request was in flight during a crash. The other nodes
--- a/pkg/standin/callertest/fleet_test.go
+++ b/pkg/standin/callertest/fleet_test.go
@@ -329,3 +329,25 @@
 	cancel()
 	wg.Wait()
 }
+
+// hangingPeers never answer.
+type hangingPeers struct{}
+
+func (p *hangingPeers) Grant(ctx context.Context, _ string, _ attempt.Fingerprint) bool {
+	<-ctx.Done()
+	return true
+}
+
+func (p *hangingPeers) Release(ctx context.Context, _ string, _ attempt.Fingerprint) { <-ctx.Done() }
+
+func (p *hangingPeers) Announce(ctx context.Context, _ attempt.Conviction) { <-ctx.Done() }
+
+// TestPeersHang checks that peers which never answer hold up a suspect for a
+// bounded time only.
+func TestPeersHang(t *testing.T) {
+	r := newRig(t, rigConfig{nodes: 1, groups: 3, gateway: func(c *caller.Config) { c.Peers = &hangingPeers{} }})
+	poison, _ := chat(crashMarker, false, 6)
+	if got := r.send(0, chatPath, poison, nil); got.code != caller.CodeQuarantined || r.crashes.Load() != 2 {
+		t.Errorf("%d crashes, %+v", r.crashes.Load(), got)
+	}
+}
