Log when the owner of slots cannot be reached

A node that falls back to scheduling by itself serves less well at a crest, and nothing told an operator so. Event 801 names the owner and the cause.

--- a/pkg/serving/caller/owned.go
+++ b/pkg/serving/caller/owned.go
@@ -7,9 +7,11 @@
 	"time"
 
 	"github.com/google/uuid"
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
 
 	"almondbay.example/core/schedule"
+	"almondbay.example/serving/event"
 	"almondbay.example/serving/view"
 )
 
@@ -44,6 +46,8 @@
 	// reached.
 	Local  *Scheduled
 	Owners Owners
+	// Logger may be nil.
+	Logger *zap.Logger
 }
 
 // Owned asks the owner of a model for a slot in a group. Only the wait is at the
@@ -76,6 +80,9 @@
 
 // NewOwned returns a picker that asks owners.
 func NewOwned(c OwnedConfig) *Owned {
+	if c.Logger == nil {
+		c.Logger = zap.NewNop()
+	}
 	return &Owned{config: c, links: make(map[string]*link)}
 }
 
@@ -230,6 +237,7 @@
 			telling, cancel := context.WithTimeout(ctx, tellTimeout)
 			defer cancel()
 			if err := o.config.Owners.Tell(telling, owner, o.config.Node, news); err != nil {
+				event.OwnerUnreachable.Log(o.config.Logger, zap.String("owner", owner), zap.Error(err))
 				l.lose(news, clock.Now())
 				return nil
 			}
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -169,6 +169,16 @@
 	}
 )
 
+// Events of scheduling.
+var (
+	OwnerUnreachable = Definition{
+		Number: 801, Level: zapcore.WarnLevel, Message: "owner of slots unreachable",
+		Fields:  []string{"owner", "error"},
+		Meaning: "The node that schedules a model for the failure domain could not be told anything; this node schedules by itself for a few seconds.",
+		Action:  "None, unless it goes on; then look at the owner, and at the network between the nodes.",
+	}
+)
+
 var areas = []area{
 	{"Node", []Definition{NodeStarted, NodeListening, NodeDraining, NodeStopped, NodeFailed, StepFailed}},
 	{"Certificates", []Definition{CertificateLoaded, CertificateRefused}},
@@ -178,4 +188,5 @@
 	}},
 	{"Leases and replica groups", []Definition{LeaseTaken, LeaseEnded, LeasesKept, GroupChanged, VMChanged, OrderRefused}},
 	{"Operators and peers", []Definition{KeyRefused, DrainRequested}},
+	{"Scheduling", []Definition{OwnerUnreachable}},
 }
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -139,7 +139,9 @@
 		Owns:          n.owns,
 	})
 	n.relay = peer.New(n.relayConfig())
-	n.owned = caller.NewOwned(caller.OwnedConfig{Node: c.Settings.Node, Local: n.picker, Owners: n.relay})
+	n.owned = caller.NewOwned(caller.OwnedConfig{
+		Node: c.Settings.Node, Local: n.picker, Owners: n.relay, Logger: c.Logger,
+	})
 	metrics := metric.New(metric.Config{Clock: c.Clock, Status: n.Status, Burn: n.observer.report})
 	n.observer.metrics = metrics
 	n.gateway = caller.New(n.gatewayConfig())
