Let few nodes read the fleet from the platform and the rest hear of it

Cause: every node read the rows of all replica groups twice a second, the list of VMs every 2 s, the drains and the quarantined requests. docs/CAPACITY.md works out 2,971 range reads a second at 1,100 nodes against the platform's 2,000, and drains that reach a node after 11 s.

Ruled out: equal parts of the read budget alone, which only make nodes fall behind; and the whole fleet at each question, 0.8 MB of rows.

Change: core/feed holds a table as a source that numbers its changes and a copy that asks for what it lacks. The two pollers of each failure domain read the platform; the others ask a poller twice a second, go on to the next when what it knows is older than 3 s, and read the platform themselves after 5 s without news. A row known at a higher version is kept. Nodes that hold no lease do not read the rows for control. The seeds of a node that starts in an outage are asked the same question. The budget's part of a node has a floor, since the few nodes that poll or hold leases need more than an equal part at 1,100 nodes.

Computed at the target: 12 pollers x 2 x 2 = 48 range reads a second in place of 2,200 + 100 + 220. The test of random sources and listeners (rapid) and the directory tests hold that no row goes back.

--- a/cmd/processtest/cluster_test.go
+++ b/cmd/processtest/cluster_test.go
@@ -16,6 +16,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -108,14 +109,31 @@
 	return p
 }
 
+// The ports that freeAddress gives out lie below those that the kernel picks
+// for connections, so that none is taken between its choice and its use.
+const (
+	firstPort = 20000
+	portCount = 12000
+)
+
+var portsGiven atomic.Int64
+
+// freeAddress returns an address that nothing listens on and that it has not
+// returned before.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	for range portCount {
+		port := firstPort + (int64(os.Getpid())*64+portsGiven.Add(1))%portCount
+		address := fmt.Sprintf("127.0.0.1:%d", port)
+		l, err := net.Listen("tcp", address)
+		if err != nil {
+			continue
+		}
+		_ = l.Close()
+		return address
 	}
-	defer func() { _ = l.Close() }()
-	return l.Addr().String()
+	t.Fatal("no port is free")
+	return ""
 }
 
 // newCluster starts a platform, members with the given pace and nodes, applies
--- a/pkg/serving/control/control.go
+++ b/pkg/serving/control/control.go
@@ -116,8 +116,12 @@
 }
 
 // Step reads the rows, makes the groups known to the node, and takes the next
-// steps in each fabric domain whose lease this node holds.
+// steps in each fabric domain whose lease this node holds. A node that holds
+// none reads nothing.
 func (c *Controller) Step(ctx context.Context) error {
+	if len(c.held()) == 0 {
+		return nil
+	}
 	rows, err := c.read(ctx)
 	if err != nil {
 		return err
--- a/pkg/serving/drain/drain.go
+++ b/pkg/serving/drain/drain.go
@@ -20,8 +20,8 @@
 // Error is the class of all errors of this package.
 var Error = errs.Class("drain")
 
-// rowPrefix starts the key of each VM's row.
-const rowPrefix = "drain/"
+// RowPrefix starts the key of each VM's row.
+const RowPrefix = "drain/"
 
 // attempts bounds the tries of one command.
 const attempts = 3
@@ -77,28 +77,37 @@
 
 // List returns all drains in the order of their VMs.
 func (s *Store) List(ctx context.Context) ([]Drain, error) {
-	rows, err := s.config.Table.Range(ctx, rowPrefix)
+	rows, err := s.config.Table.Range(ctx, RowPrefix)
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
 	drains := make([]Drain, 0, len(rows))
 	for _, row := range rows {
-		if len(row.Value) == 0 {
-			continue
-		}
-		d, err := decode(strings.TrimPrefix(row.Key, rowPrefix), row.Value)
+		d, drained, err := Decode(row.Key, row.Value)
 		if err != nil {
 			return nil, err
 		}
-		drains = append(drains, d)
+		if drained {
+			drains = append(drains, d)
+		}
 	}
 	return drains, nil
 }
 
+// Decode decodes the row at key. It returns false for a VM that is not drained
+// any more.
+func Decode(key string, value []byte) (Drain, bool, error) {
+	if len(value) == 0 {
+		return Drain{}, false, nil
+	}
+	d, err := decode(strings.TrimPrefix(key, RowPrefix), value)
+	return d, err == nil, err
+}
+
 // reach writes value until the VM is drained, or is not. An empty value stands
 // for a VM that is not drained.
 func (s *Store) reach(ctx context.Context, vm string, drained bool, value []byte) error {
-	key := rowPrefix + vm
+	key := RowPrefix + vm
 	var unknown bool
 	var last error
 	for range attempts {
--- a/pkg/serving/node/budget.go
+++ b/pkg/serving/node/budget.go
@@ -13,6 +13,12 @@
 	// tableWrites is how many writes a second the table service gives to all
 	// nodes together.
 	tableWrites = 500
+	// minTableReads is how many reads a second a node may make however many
+	// nodes there are: enough for a poller that holds a lease, too.
+	minTableReads = 20
+	// minTableWrites is how many writes a second a node may make however many
+	// nodes there are.
+	minTableWrites = 5
 	// outageFailures is the number of calls in a row without an answer after
 	// which the table service counts as out of service.
 	outageFailures = 5
@@ -29,6 +35,8 @@
 		Clock:           c.Clock,
 		ReadsPerSecond:  tableReads,
 		WritesPerSecond: tableWrites,
+		MinReads:        minTableReads,
+		MinWrites:       minTableWrites,
 		FailuresToOpen:  outageFailures,
 		RetryAfter:      outageRetry,
 	})
--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -56,8 +56,9 @@
 	scheduleInterval = 50 * time.Millisecond
 	// flushInterval is the time between two messages to the owners of slots.
 	flushInterval = 20 * time.Millisecond
-	// listInterval is the time between two reads of the list of VMs.
-	listInterval = 2 * time.Second
+	// fleetInterval is the time between two looks at the list of VMs, the rows
+	// of replica groups and the drains.
+	fleetInterval = 500 * time.Millisecond
 	// certificateInterval is the time between two reads of a certificate's
 	// files.
 	certificateInterval = 5 * time.Second
@@ -110,11 +111,12 @@
 	controller *control.Controller
 	store      *environment.Store
 	drains     *drain.Store
-	// drainsReadAt is when refreshDrains last read the platform.
-	drainsReadAt time.Time
-	relay        *peer.Relay
-	platform     *platformWatch
-	observer     *observer
+	directory  *directory
+	// quarantineReadAt is when loadQuarantine last read the platform.
+	quarantineReadAt time.Time
+	relay            *peer.Relay
+	platform         *platformWatch
+	observer         *observer
 }
 
 // New assembles a node.
@@ -128,8 +130,16 @@
 		controller: control.New(controlConfig(guarded(c, guard, platform.PriorityControl), v)),
 		store:      NewStore(guarded(c, guard, platform.PriorityControl)),
 		drains:     drain.New(drain.Config{Table: guard.Table(platform.PriorityBackground), Clock: c.Clock}),
-		platform:   &platformWatch{clock: c.Clock, logger: c.Logger},
-		observer:   &observer{clock: c.Clock, view: v, recorder: burn.NewRecorder()},
+		directory: newDirectory(directoryConfig{
+			ID:          c.Settings.Node + "/" + uuid.NewString(),
+			Environment: c.Settings.Environment,
+			Clock:       c.Clock,
+			Table:       guard.Table(platform.PriorityControl),
+			VMs:         c.VMs,
+			View:        v,
+		}),
+		platform: &platformWatch{clock: c.Clock, logger: c.Logger},
+		observer: &observer{clock: c.Clock, view: v, recorder: burn.NewRecorder()},
 	}
 	n.picker = caller.NewScheduled(caller.ScheduledConfig{
 		View:          v,
@@ -237,13 +247,13 @@
 	n.addServer(&g, n.config.Operators, operators, operators.Shutdown)
 	n.addLoop(&g, scheduleInterval, n.picker.Refresh)
 	n.addLoop(&g, flushInterval, n.owned.Flush)
-	n.addLoop(&g, listInterval, n.refreshVMs)
+	n.addLoop(&g, fleetInterval, n.refreshFleet)
 	n.addLoop(&g, configurationInterval, n.relay.Poll)
 	n.addLoop(&g, heartbeatInterval, n.heartbeat)
 	n.addLoop(&g, probeInterval, n.probe)
 	n.addLoop(&g, controlInterval, n.controller.Step)
 	n.addLoop(&g, reviewInterval, n.gateway.Review)
-	n.addLoop(&g, quarantineInterval, n.gateway.LoadQuarantine)
+	n.addLoop(&g, quarantineInterval, n.loadQuarantine)
 	n.addLeases(&g)
 	if n.config.Peers != nil {
 		peers := n.peerServer()
--- a/pkg/serving/node/peers.go
+++ b/pkg/serving/node/peers.go
@@ -30,7 +30,7 @@
 		Environment:   n.config.Settings.Environment,
 		Store:         n.store,
 		Nodes:         func() []fleet.VM { return n.view.VMs(fleet.RoleEntry) },
-		Fleet:         n.knownFleet,
+		Fleet:         n.directory,
 		Moved:         func(e revision.Entry, d document.Document) { n.view.SetDocument(e.Revision, d) },
 		Histories:     n.observer.histories,
 		Suspects:      func() peer.Suspects { return n.gateway },
--- a/pkg/serving/node/refresh.go
+++ b/pkg/serving/node/refresh.go
@@ -8,52 +8,90 @@
 	"golang.org/x/sync/errgroup"
 
 	"almondbay.example/core/fleet"
-	"almondbay.example/serving/drain"
 )
 
-// drainReads bounds the reads of drains a second that all nodes make together.
-const drainReads = 100
-
 // maxProbes bounds the health questions in flight.
 const maxProbes = 64
 
-// refreshVMs reads the list of VMs and the operators' drains. A drained VM is
-// treated as leaving.
-func (n *Node) refreshVMs(ctx context.Context) error {
-	vms, err := n.config.VMs.List(ctx)
-	if err != nil {
-		return errs.Combine(Error.Wrap(err), n.learnFleet(ctx))
-	}
-	// Without the drains the list is still of use; those known before hold.
-	drainsErr := n.refreshDrains(ctx)
-	n.view.SetVMs(vms)
+const (
+	// staleAfter is the age beyond which what a poller knows counts as stale.
+	staleAfter = 3 * time.Second
+	// lonelyAfter is the age of what is known beyond which a node reads the
+	// platform itself, since no poller tells it anything newer.
+	lonelyAfter = 5 * time.Second
+)
+
+// refreshFleet learns of the fleet: a poller of the failure domain reads the
+// platform, the rest hear from a poller.
+func (n *Node) refreshFleet(ctx context.Context) error {
+	err := n.learnFleet(ctx)
 	n.guard.SetNodes(len(n.view.VMs(fleet.RoleEntry)))
-	return drainsErr
+	return err
 }
 
-// refreshDrains reads the operators' drains, more seldom the more nodes there
-// are, so that all nodes together keep to drainReads.
-func (n *Node) refreshDrains(ctx context.Context) error {
-	now := n.config.Clock.Now()
-	interval := time.Duration(len(n.view.VMs(fleet.RoleEntry))) * time.Second / drainReads
-	if now.Sub(n.drainsReadAt) < interval {
+func (n *Node) learnFleet(ctx context.Context) error {
+	if n.config.Peers == nil || n.relay.PollsPlatform() {
+		if err := n.directory.read(ctx); err != nil {
+			return errs.Combine(err, n.hearFleet(ctx))
+		}
 		return nil
 	}
-	drains, err := n.drains.List(ctx)
-	if err != nil {
-		return Error.Wrap(err)
+	err := n.hearFleet(ctx)
+	if n.config.Clock.Since(n.directory.lastRead()) <= lonelyAfter {
+		return err
 	}
-	n.drainsReadAt = now
-	n.view.SetDrained(vmsOf(drains))
-	return nil
+	return errs.Combine(err, n.directory.read(ctx))
+}
+
+// hearFleet asks the pollers of the failure domain, or the seeds while none is
+// known, until one tells what is not stale. What is older than the node's own
+// knowledge is not taken: rows learned from a peer may be old, which costs
+// service at worst, since a group is dispatched to only on its members' own
+// reports.
+func (n *Node) hearFleet(ctx context.Context) error {
+	addresses := n.relay.PollerAddresses()
+	if len(n.view.VMs(fleet.RoleEntry)) == 0 {
+		addresses = n.config.Settings.Peer.Seeds
+	}
+	var failed errs.Group
+	for _, address := range addresses {
+		delta, age, err := n.relay.HearFleet(ctx, address, n.directory.copy.Position())
+		if err != nil {
+			failed.Add(err)
+			continue
+		}
+		readAt := n.config.Clock.Now().Add(-age)
+		if readAt.Before(n.directory.lastRead()) {
+			continue
+		}
+		if err := n.directory.heard(delta, readAt); err != nil {
+			failed.Add(err)
+			continue
+		}
+		if age <= staleAfter {
+			return nil
+		}
+	}
+	return Error.Wrap(failed.Err())
 }
 
-func vmsOf(drains []drain.Drain) []string {
-	ids := make([]string, 0, len(drains))
-	for _, d := range drains {
-		ids = append(ids, d.VM)
+// quarantineBackstop is how often a node that is no poller reads the
+// quarantined requests; it is told of new ones by its peers at once.
+const quarantineBackstop = time.Minute
+
+// loadQuarantine reads the quarantined requests if this node is a poller of its
+// failure domain, or if its last read is long ago.
+func (n *Node) loadQuarantine(ctx context.Context) error {
+	now := n.config.Clock.Now()
+	polls := n.config.Peers == nil || n.relay.PollsPlatform()
+	if !polls && now.Sub(n.quarantineReadAt) < quarantineBackstop {
+		return nil
+	}
+	if err := n.gateway.LoadQuarantine(ctx); err != nil {
+		return Error.Wrap(err)
 	}
-	return ids
+	n.quarantineReadAt = now
+	return nil
 }
 
 // probe asks each backend server for its report. A member that does not
--- a/pkg/serving/peer/fleet.go
+++ b/pkg/serving/peer/fleet.go
@@ -3,42 +3,62 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/labstack/echo/v4"
-	"github.com/zeebo/errs"
 
+	"almondbay.example/core/feed"
 	"almondbay.example/core/fleet"
+	"almondbay.example/core/relay"
 )
 
-// Fleet is what a node knows of the fleet from the platform. A node that
-// starts while the platform gives no answers learns it from a peer.
-type Fleet struct {
-	VMs []fleet.VM
-	// Groups holds the rows of replica groups as the table service keeps them.
-	Groups [][]byte
+// Fleet tells what this node knows of the fleet from the platform. Few nodes of
+// each failure domain read the platform; the rest hear from them.
+type Fleet interface {
+	// Since returns what a listener at p lacks, and how long ago the platform
+	// was read for it. The position is empty while nothing is known.
+	Since(p feed.Position) (feed.Delta, time.Duration)
 }
 
-// LearnFleet asks the nodes at the given addresses, in their order, until one
-// of them knows the fleet.
-func (r *Relay) LearnFleet(ctx context.Context, addresses []string) (Fleet, error) {
-	var failed errs.Group
-	for _, address := range addresses {
-		var wire wireFleet
-		err := r.get(ctx, address, pathFleet, &wire)
-		if err == nil {
-			return toFleet(wire), nil
+// PollsPlatform tells whether this node is a poller of its failure domain.
+func (r *Relay) PollsPlatform() bool {
+	return relay.Polls(r.config.Node, r.domain())
+}
+
+// PollerAddresses returns the addresses of the other pollers of this node's
+// failure domain.
+func (r *Relay) PollerAddresses() []string {
+	members := r.domain()
+	var addresses []string
+	for _, vm := range r.config.Nodes() {
+		near := vm.FailureDomain == r.config.FailureDomain && vm.ID != r.config.Node
+		if near && vm.State == fleet.VMLive && relay.Polls(vm.ID, members) {
+			addresses = append(addresses, vm.Address)
 		}
-		failed.Add(err)
 	}
-	return Fleet{}, Error.Wrap(failed.Err())
+	return addresses
+}
+
+// HearFleet asks the node at address for what has changed since a position. It
+// also returns how long ago the platform was read for it.
+func (r *Relay) HearFleet(ctx context.Context, address string, since feed.Position) (feed.Delta, time.Duration, error) {
+	var answer wireFleet
+	if err := r.post(ctx, address, pathFleet, wirePositionOf(since), &answer); err != nil {
+		return feed.Delta{}, 0, err
+	}
+	return toFleetDelta(answer.Delta), time.Duration(answer.AgeMillis) * time.Millisecond, nil
 }
 
-// serveFleet tells what this node knows of the fleet, or answers 404 when it
-// has not learned it yet.
+// serveFleet tells another node what it lacks, or answers 404 when this node
+// knows nothing yet.
 func (r *Relay) serveFleet(c echo.Context) error {
-	known := r.config.Fleet()
-	if len(known.VMs) == 0 {
+	var position wirePosition
+	if err := decode(c, &position); err != nil {
+		return c.NoContent(http.StatusBadRequest)
+	}
+	delta, age := r.config.Fleet.Since(toPosition(position))
+	if delta.Position.Source == "" {
 		return c.NoContent(http.StatusNotFound)
 	}
-	return c.JSON(http.StatusOK, wireFleetOf(known))
+	return c.JSON(http.StatusOK, wireFleet{Delta: wireFleetDeltaOf(delta), AgeMillis: age.Milliseconds()})
 }
--- a/pkg/serving/peer/fleetwire.go
+++ b/pkg/serving/peer/fleetwire.go
@@ -1,41 +1,60 @@
 package peer
 
-import (
-	"encoding/json"
+import "almondbay.example/core/feed"
 
-	"almondbay.example/core/fleet"
-	"almondbay.example/serving/platform/platformwire"
-)
+type wirePosition struct {
+	Source   string `json:"source"`
+	Sequence uint64 `json:"sequence"`
+}
+
+type wireRow struct {
+	Version uint64 `json:"version,omitempty"`
+	// Value is in base64.
+	Value []byte `json:"value"`
+}
+
+type wireFleetDelta struct {
+	Position wirePosition       `json:"position"`
+	Whole    bool               `json:"whole,omitempty"`
+	Rows     map[string]wireRow `json:"rows,omitempty"`
+	Deleted  []string           `json:"deleted,omitempty"`
+}
 
 type wireFleet struct {
-	VMs    []platformwire.VM `json:"vms"`
-	Groups []json.RawMessage `json:"groups"`
+	Delta     wireFleetDelta `json:"delta"`
+	AgeMillis int64          `json:"ageMillis"`
 }
 
-func wireFleetOf(f Fleet) wireFleet {
-	wire := wireFleet{
-		VMs:    make([]platformwire.VM, 0, len(f.VMs)),
-		Groups: make([]json.RawMessage, 0, len(f.Groups)),
-	}
-	for _, vm := range f.VMs {
-		wire.VMs = append(wire.VMs, platformwire.FromVM(vm))
+func wirePositionOf(p feed.Position) wirePosition {
+	return wirePosition{Source: p.Source, Sequence: p.Sequence}
+}
+
+func toPosition(w wirePosition) feed.Position {
+	return feed.Position{Source: w.Source, Sequence: w.Sequence}
+}
+
+func wireFleetDeltaOf(d feed.Delta) wireFleetDelta {
+	w := wireFleetDelta{
+		Position: wirePositionOf(d.Position),
+		Whole:    d.Whole,
+		Rows:     make(map[string]wireRow, len(d.Rows)),
+		Deleted:  d.Deleted,
 	}
-	for _, row := range f.Groups {
-		wire.Groups = append(wire.Groups, row)
+	for key, row := range d.Rows {
+		w.Rows[key] = wireRow{Version: row.Version, Value: row.Value}
 	}
-	return wire
+	return w
 }
 
-func toFleet(w wireFleet) Fleet {
-	f := Fleet{
-		VMs:    make([]fleet.VM, 0, len(w.VMs)),
-		Groups: make([][]byte, 0, len(w.Groups)),
-	}
-	for _, vm := range w.VMs {
-		f.VMs = append(f.VMs, platformwire.ToVM(vm))
+func toFleetDelta(w wireFleetDelta) feed.Delta {
+	d := feed.Delta{
+		Position: toPosition(w.Position),
+		Whole:    w.Whole,
+		Rows:     make(map[string]feed.Row, len(w.Rows)),
+		Deleted:  w.Deleted,
 	}
-	for _, row := range w.Groups {
-		f.Groups = append(f.Groups, row)
+	for key, row := range w.Rows {
+		d.Rows[key] = feed.Row{Version: row.Version, Value: row.Value}
 	}
-	return f
+	return d
 }
--- a/pkg/serving/peer/http.go
+++ b/pkg/serving/peer/http.go
@@ -52,7 +52,7 @@
 	e.POST(pathRevision, r.servePush)
 	e.GET(pathRevision, r.serveRevision)
 	e.GET(pathHistories, r.serveHistories)
-	e.GET(pathFleet, r.serveFleet)
+	e.POST(pathFleet, r.serveFleet)
 	e.POST(pathConviction, r.serveConviction)
 	e.POST(pathGrant, r.serveGrant)
 	e.POST(pathRelease, r.serveRelease)
--- a/pkg/serving/peer/peer.go
+++ b/pkg/serving/peer/peer.go
@@ -56,8 +56,8 @@
 	Store         Store
 	// Nodes returns the entry VMs that the platform lists.
 	Nodes func() []fleet.VM
-	// Fleet returns what this node knows of the fleet.
-	Fleet func() Fleet
+	// Fleet tells what this node knows of the fleet.
+	Fleet Fleet
 	// Moved is called, in order, with each revision that comes into force.
 	Moved func(e revision.Entry, d document.Document)
 	// Histories returns what this node has counted.
--- a/pkg/serving/platform/guard.go
+++ b/pkg/serving/platform/guard.go
@@ -36,6 +36,10 @@
 	// all nodes together.
 	ReadsPerSecond  float64
 	WritesPerSecond float64
+	// MinReads and MinWrites are what a node may use a second however many
+	// nodes there are.
+	MinReads  float64
+	MinWrites float64
 	// FailuresToOpen is the number of calls in a row without an answer after
 	// which the table service counts as out of service.
 	FailuresToOpen int
@@ -70,12 +74,14 @@
 }
 
 // SetNodes sets the number of nodes that share the table service, at least
-// one. Each node keeps to an equal part, so that all of them together stay
-// within what the table service gives.
+// one. Each node keeps to an equal part, or to MinReads and MinWrites where that
+// is more: among many nodes only the few that poll or hold leases use their
+// part at all, and those need more than it.
 func (g *Guard) SetNodes(nodes int) {
 	now := g.config.Clock.Now()
-	share(g.reads, now, g.config.ReadsPerSecond/float64(max(1, nodes)))
-	share(g.writes, now, g.config.WritesPerSecond/float64(max(1, nodes)))
+	n := float64(max(1, nodes))
+	share(g.reads, now, max(g.config.MinReads, g.config.ReadsPerSecond/n))
+	share(g.writes, now, max(g.config.MinWrites, g.config.WritesPerSecond/n))
 }
 
 // share sets the rate of a limiter and the burst that goes with it.
