Guard what the controller last logged of its leases

Cause: logLease reads and writes the term it logged last without a lock. A node that stops hands its lease on while the last renewal may still run, and both log.

Ruled out: the test's own doing, since HandOn and RenewLeases overlap in a node as well.

--- a/pkg/serving/control/domain.go
+++ b/pkg/serving/control/domain.go
@@ -30,7 +30,10 @@
 	// heldSince is when the lease was found held; zero while it is not.
 	heldSince time.Time
 
-	// held is the term that renew last found held, for the log.
+	// logMu guards held, since a node that stops hands its lease on while its
+	// last renewal may still run.
+	logMu sync.Mutex
+	// held is the term that was last logged as held; zero for none.
 	held uint64
 
 	// The fields below belong to step.
--- a/pkg/serving/control/renew.go
+++ b/pkg/serving/control/renew.go
@@ -84,7 +84,11 @@
 	return err
 }
 
+// logLease logs a term that has begun or ended since the last call.
 func (d *domain) logLease() {
+	d.logMu.Lock()
+	defer d.logMu.Unlock()
+
 	term, ok := d.term(d.config.Clock.Now())
 	if !ok {
 		term = 0
