Check callers' keys with the package that checks all others

Cause: the digest and its comparison stood twice, and the gateway made the digest of a caller's key anew for each workspace.

Change: the gateway makes the digest once and compares through package keys.

Conclusion: tests of caller, callertest, keys and cmd pass.

--- a/pkg/serving/caller/gateway.go
+++ b/pkg/serving/caller/gateway.go
@@ -5,7 +5,6 @@
 import (
 	"net/http"
 	"slices"
-	"strings"
 	"sync/atomic"
 	"time"
 
@@ -16,6 +15,7 @@
 	"almondbay.example/core/document"
 	"almondbay.example/serving/engine"
 	"almondbay.example/serving/engine/enginewire"
+	"almondbay.example/serving/keys"
 	"almondbay.example/serving/platform"
 	"almondbay.example/serving/service"
 	"almondbay.example/serving/view"
@@ -180,13 +180,14 @@
 
 // authenticate finds the workspace whose key the request carries.
 func (g *Gateway) authenticate(c echo.Context) (document.Workspace, *problem) {
-	key, ok := strings.CutPrefix(c.Request().Header.Get(echo.HeaderAuthorization), "Bearer ")
-	if !ok {
+	key := keys.FromHeader(c.Request().Header)
+	if key == "" {
 		return document.Workspace{}, notRun(http.StatusUnauthorized, CodeNoKey, "a bearer key is needed")
 	}
+	digest := keys.Digest(key)
 	d, _ := g.view.Document()
 	for _, w := range d.Workspaces {
-		if matchesAny(key, w.KeyHashes) {
+		if keys.Contains(w.KeyHashes, digest) {
 			return w, nil
 		}
 	}
--- a/pkg/serving/caller/key.go
+++ b/pkg/serving/caller/key.go
@@ -1,24 +1,6 @@
 package caller
 
-import (
-	"crypto/sha256"
-	"crypto/subtle"
-	"encoding/hex"
-
-	"almondbay.example/core/attempt"
-)
-
-// matchesAny reports whether the SHA-256 digest of key is among the hex
-// digests. It takes the same time whichever digest matches.
-func matchesAny(key string, digests []string) bool {
-	sum := sha256.Sum256([]byte(key))
-	digest := []byte(hex.EncodeToString(sum[:]))
-	found := 0
-	for _, d := range digests {
-		found |= subtle.ConstantTimeCompare(digest, []byte(d))
-	}
-	return found == 1
-}
+import "almondbay.example/core/attempt"
 
 // validKey reports whether an idempotency key is of printable ASCII and not too
 // long.
--- a/pkg/serving/keys/keys.go
+++ b/pkg/serving/keys/keys.go
@@ -106,6 +106,17 @@
 	return holders[found], true
 }
 
+// Contains tells whether a digest is among others, in a time that does not
+// depend on which of them it is.
+func Contains(digests []string, digest string) bool {
+	wanted := []byte(digest)
+	found := 0
+	for _, d := range digests {
+		found |= subtle.ConstantTimeCompare([]byte(d), wanted)
+	}
+	return found == 1
+}
+
 // Holders names keys by their place in the list.
 func Holders(secrets []Secret) []Holder {
 	holders := make([]Holder, 0, len(secrets))
