Tell owners of progress in growing steps

Progress every 16 tokens would be 102,000 pieces of news a second for one owner at the target size (9.8 million tokens a second over six failure domains). The steps now double from 16 to 256 tokens: slow and long requests are seen as soon as before, and a long one takes one sixteenth of the news.

The rig notes progress at the same steps.

A node that stops no longer takes its owners for lost.

--- a/pkg/core/schedule/schedule.go
+++ b/pkg/core/schedule/schedule.go
@@ -175,11 +175,24 @@
 }
 
 // Progress records how many tokens a dispatched request has sent so far. It is
-// enough to call it every few tokens.
+// enough to call it at the numbers of tokens that NextProgress gives.
 func (s *Scheduler) Progress(t *Ticket, tokens int, now time.Time) {
 	t.shard.progress(t, tokens, now)
 }
 
+// Bounds of the number of tokens between two calls of Progress.
+const (
+	minProgress = 16
+	maxProgress = 256
+)
+
+// NextProgress returns at how many tokens Progress is to be called next after it
+// was called at the given number. The steps double up to a bound: a request is
+// soon seen to be slow or long, and one that is long takes few calls.
+func NextProgress(last int) int {
+	return last + min(max(last, minProgress), maxProgress)
+}
+
 // Finish ends a dispatched request that completed with that many tokens.
 func (s *Scheduler) Finish(t *Ticket, tokens int, now time.Time) {
 	t.shard.finish(t, tokens, now)
--- a/pkg/core/schedule/trial/engine.go
+++ b/pkg/core/schedule/trial/engine.go
@@ -5,6 +5,8 @@
 	"time"
 
 	"github.com/hashicorp/golang-lru/v2/simplelru"
+
+	"almondbay.example/core/schedule"
 )
 
 const (
@@ -22,8 +24,6 @@
 	maxGap = 45 * time.Millisecond
 	// unusedAfter is how long a slot is free before a refusal counts as wrong.
 	unusedAfter = 50 * time.Millisecond
-	// progressTokens is how many tokens apart progress is noted.
-	progressTokens = 16
 )
 
 // job is one request on its way.
@@ -39,6 +39,8 @@
 	// prompting is the number of prompt tokens still to work on.
 	prompting int
 	made      int
+	// noted is the number of tokens at the last progress.
+	noted     int
 	lastToken time.Duration
 	first     time.Duration
 	gaps      int
@@ -218,7 +220,8 @@
 	switch {
 	case j.made >= j.tokens:
 		e.sink.finish(j)
-	case j.made%progressTokens == 0:
+	case j.made >= schedule.NextProgress(j.noted):
+		j.noted = j.made
 		e.sink.progress(j)
 	}
 }
--- a/pkg/serving/caller/owned.go
+++ b/pkg/serving/caller/owned.go
@@ -236,7 +236,11 @@
 		g.Go(func() error {
 			telling, cancel := context.WithTimeout(ctx, tellTimeout)
 			defer cancel()
-			if err := o.config.Owners.Tell(telling, owner, o.config.Node, news); err != nil {
+			err := o.config.Owners.Tell(telling, owner, o.config.Node, news)
+			if ctx.Err() != nil {
+				return nil // This node stops; the owner takes its slots back.
+			}
+			if err != nil {
 				event.OwnerUnreachable.Log(o.config.Logger, zap.String("owner", owner), zap.Error(err))
 				l.lose(news, clock.Now())
 				return nil
--- a/pkg/serving/caller/slot.go
+++ b/pkg/serving/caller/slot.go
@@ -6,9 +6,6 @@
 	"almondbay.example/core/schedule"
 )
 
-// progressTokens is how many tokens apart progress is passed on.
-const progressTokens = 16
-
 // scheduledSlot passes the progress of an attempt on to the scheduler.
 type scheduledSlot struct {
 	progressFilter
@@ -58,7 +55,7 @@
 		return 1, true, false
 	}
 	made = tokens - f.first
-	if made-f.passedOn < progressTokens {
+	if made < schedule.NextProgress(f.passedOn) {
 		return made, false, false
 	}
 	f.passedOn = made
