Let a missing member age nobody

A section is as old as its oldest probe. A silent member's probe stays open longest, and its age made the prober's other members look old, too: with one member silent for 10 s the other one's report was 10 s old at the next node (TestMissingMemberAgesNobody, failing before). A missing member proves nothing, so its probes don't count any more.

Ruled out: an age for each member, a byte each at every beat.

--- a/pkg/core/membership/membership_test.go
+++ b/pkg/core/membership/membership_test.go
@@ -335,3 +335,21 @@
 		t.Errorf("the report came back as %+v", r)
 	}
 }
+
+// TestMissingMemberAgesNobody leaves the question to a silent member open while
+// the other member of the same prober answers.
+func TestMissingMemberAgesNobody(t *testing.T) {
+	d := newDomain(t, 2, 0)
+	table := d.nodes["n000"].table
+	table.Assign([]string{"m0", "m1"}, d.local("n000"))
+	table.Observe(membership.Sighting{Member: "m1", Missing: true}, d.local("n000"))
+	for range 20 {
+		d.now = d.now.Add(beat)
+		table.Observe(membership.Sighting{Member: "m0"}, d.local("n000"))
+		d.exchange("n001", "n000")
+	}
+	r := d.nodes["n001"].table.Reports(d.local("n001"))
+	if age := d.local("n001").Sub(r["m0"].SeenAt); len(r) != 1 || age > proofTTL {
+		t.Errorf("%d reports, m0 is %v old", len(r), age)
+	}
+}
--- a/pkg/core/membership/table.go
+++ b/pkg/core/membership/table.go
@@ -102,11 +102,13 @@
 	t.own.entries[member] = e
 }
 
-// refresh sets the age of the own section from its oldest probe.
+// refresh sets the age of the own section from its oldest probe. Members that
+// are missing prove nothing, so that their probes, which take longest, don't
+// count.
 func (t *Table) refresh(now time.Time) {
 	oldest := now
 	for _, e := range t.own.entries {
-		if !e.dropped && e.probedAt.Before(oldest) {
+		if !e.dropped && !e.sighting.Missing && e.probedAt.Before(oldest) {
 			oldest = e.probedAt
 		}
 	}
