Guard the last logged lease by the domain's lock

Cause: the race detector found HandOn and a renewal that was still waiting for the platform writing the field for the log at the same time, in one of the 1368 cells of the matrix.

Change: the field belongs to the lock of the lease.

--- a/pkg/serving/control/domain.go
+++ b/pkg/serving/control/domain.go
@@ -29,8 +29,7 @@
 	candidate *lease.Candidate
 	// heldSince is when the lease was found held; zero while it is not.
 	heldSince time.Time
-
-	// held is the term that renew last found held, for the log.
+	// held is the term that was last logged as held.
 	held uint64
 
 	// The fields below belong to step.
--- a/pkg/serving/control/renew.go
+++ b/pkg/serving/control/renew.go
@@ -85,8 +85,11 @@
 }
 
 func (d *domain) logLease() {
-	term, ok := d.term(d.config.Clock.Now())
-	if !ok {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	term := d.candidate.Term()
+	if !d.candidate.Holds(d.config.Clock.Now()) {
 		term = 0
 	}
 	switch term {
