--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -101,6 +101,7 @@
 // Node is one node of the system.
 type Node struct {
 	config     Config
+	guard      *platform.Guard
 	view       *view.View
 	picker     *caller.Scheduled
 	owned      *caller.Owned
@@ -119,12 +120,14 @@
 // New assembles a node.
 func New(c Config) *Node {
 	v := view.New(proofTTL)
+	guard := newGuard(c)
 	n := &Node{
 		config:     c,
+		guard:      guard,
 		view:       v,
-		controller: control.New(controlConfig(c, v)),
-		store:      NewStore(c),
-		drains:     drain.New(drain.Config{Table: c.Table, Clock: c.Clock}),
+		controller: control.New(controlConfig(guarded(c, guard, platform.PriorityControl), v)),
+		store:      NewStore(guarded(c, guard, platform.PriorityControl)),
+		drains:     drain.New(drain.Config{Table: guard.Table(platform.PriorityBackground), Clock: c.Clock}),
 		platform:   &platformWatch{clock: c.Clock, logger: c.Logger},
 		observer:   &observer{clock: c.Clock, view: v, recorder: burn.NewRecorder()},
 	}
@@ -136,7 +139,9 @@
 		Owns:          n.owns,
 	})
 	n.relay = peer.New(n.relayConfig())
-	n.owned = caller.NewOwned(caller.OwnedConfig{Node: c.Settings.Node, Local: n.picker, Owners: n.relay})
+	n.owned = caller.NewOwned(caller.OwnedConfig{
+		Node: c.Settings.Node, Local: n.picker, Owners: n.relay, Logger: c.Logger,
+	})
 	metrics := metric.New(metric.Config{Clock: c.Clock, Status: n.Status, Burn: n.observer.report})
 	n.observer.metrics = metrics
 	n.gateway = caller.New(n.gatewayConfig())
@@ -162,7 +167,7 @@
 		Picker:        n.gatewayPicker(),
 		Engine:        c.Engine,
 		Service:       service.NewClient(),
-		Table:         c.Table,
+		Table:         n.guard.Table(platform.PriorityBooking),
 		FailureDomain: c.Settings.FailureDomain,
 		Observer:      n.observer,
 		Peers:         n.relay,
@@ -301,13 +306,21 @@
 	}, func(error) { cancel() })
 }
 
-// loop runs step at once and then at each interval, until ctx is done.
+// loop runs step at once and then at each interval, until ctx is done. Of the
+// failures in a row the first, second, fourth and so on are logged, so that an
+// outage does not fill the log.
 func (n *Node) loop(ctx context.Context, interval time.Duration, step func(context.Context) error) {
 	ticker := n.config.Clock.NewTicker(interval)
 	defer ticker.Stop()
+	failures := 0
 	for {
-		if err := step(ctx); err != nil && ctx.Err() == nil {
-			event.StepFailed.Log(n.config.Logger, zap.Error(err))
+		err := step(ctx)
+		switch {
+		case err == nil:
+			failures = 0
+		case ctx.Err() == nil:
+			failures++
+			n.logFailure(err, failures)
 		}
 		select {
 		case <-ctx.Done():
@@ -316,3 +329,11 @@
 		}
 	}
 }
+
+func (n *Node) logFailure(err error, failures int) {
+	isPowerOfTwo := failures&(failures-1) == 0
+	if !isPowerOfTwo {
+		return
+	}
+	event.StepFailed.Log(n.config.Logger, zap.String("error", err.Error()), zap.Int("failures", failures))
+}
