--- a/pkg/serving/control/rows_test.go
+++ b/pkg/serving/control/rows_test.go
@@ -18,7 +18,7 @@
 			Boots: map[string]string{"w": "1", "x": "1", "y": "1", "z": "1"},
 		}
 		err := memory.Commit(b.Context(), platform.Transaction{
-			Writes: []platform.Write{{Key: groupKey("e", r.ID), Value: encodeGroup(r)}},
+			Writes: []platform.Write{{Key: groupKey("e", r.ID), Value: EncodeGroup(r)}},
 		})
 		if err != nil {
 			b.Fatal(err)
