--- a/pkg/serving/control/domain.go
+++ b/pkg/serving/control/domain.go
@@ -29,11 +29,7 @@
 	candidate *lease.Candidate
 	// heldSince is when the lease was found held; zero while it is not.
 	heldSince time.Time
-
-	// logMu guards held, since a node that stops hands its lease on while its
-	// last renewal may still run.
-	logMu sync.Mutex
-	// held is the term that was last logged as held; zero for none.
+	// held is the term that was last logged as held.
 	held uint64
 
 	// The fields below belong to step.
--- a/pkg/serving/control/renew.go
+++ b/pkg/serving/control/renew.go
@@ -86,11 +86,11 @@
 
 // logLease logs a term that has begun or ended since the last call.
 func (d *domain) logLease() {
-	d.logMu.Lock()
-	defer d.logMu.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 
-	term, ok := d.term(d.config.Clock.Now())
-	if !ok {
+	term := d.candidate.Term()
+	if !d.candidate.Holds(d.config.Clock.Now()) {
 		term = 0
 	}
 	switch term {
