Tell the outcome of an idempotency key apart from that of the request

Cause: a repeat that is refused since the platform is down was told notRun, which is true of the repeat. A caller that had lost the answer to its first request reads it as the answer to the key, and books again under another one.

Ruled out: unknown for each keyed request during an outage, which is not true of the request and leaves first callers without what they need.

Change: the error body has keyOutcome unknown beside outcome notRun. Seen failing first by TestRepeatInOutage (key's outcome was empty).

--- a/pkg/serving/caller/booking.go
+++ b/pkg/serving/caller/booking.go
@@ -173,6 +173,7 @@
 	default:
 		p := notRun(http.StatusServiceUnavailable, CodePlatformDown,
 			"the request was not run now, as it cannot be recorded; whether an earlier one with the key was run is not known")
+		p.keyUnknown = true
 		p.retryAfter = retrySoon
 		return p
 	}
--- a/pkg/serving/caller/errors.go
+++ b/pkg/serving/caller/errors.go
@@ -67,6 +67,9 @@
 	code    string
 	message string
 	outcome attempt.Outcome
+	// keyUnknown is set when the idempotency key of the request may have been
+	// used by an earlier one whose outcome can't be looked up now.
+	keyUnknown bool
 	// retryAfter is zero when a retry is not sensible.
 	retryAfter time.Duration
 }
--- a/pkg/serving/caller/wire.go
+++ b/pkg/serving/caller/wire.go
@@ -5,6 +5,8 @@
 	"hash/fnv"
 
 	"github.com/zeebo/errs"
+
+	"almondbay.example/core/attempt"
 )
 
 // wireProblem is the body of an error answer in OpenAI form.
@@ -18,15 +20,21 @@
 	Param   *string `json:"param"`
 	Code    string  `json:"code"`
 	Outcome string  `json:"outcome"`
+	// KeyOutcome is left out unless it may differ from Outcome.
+	KeyOutcome string `json:"keyOutcome,omitempty"`
 }
 
 func wireProblemOf(p *problem) wireProblem {
-	return wireProblem{Error: wireError{
+	w := wireProblem{Error: wireError{
 		Message: p.message,
 		Type:    "almondbay",
 		Code:    p.code,
 		Outcome: p.outcome.String(),
 	}}
+	if p.keyUnknown {
+		w.Error.KeyOutcome = attempt.Unknown.String()
+	}
+	return w
 }
 
 // wireRequest is the part of a generation request that the gateway reads.
--- a/pkg/standin/callertest/booking_test.go
+++ b/pkg/standin/callertest/booking_test.go
@@ -98,6 +98,26 @@
 	}
 }
 
+// TestRepeatInOutage books, then repeats the key while the platform is down:
+// the repeat is not run, and the answer must not say that of the key, which was.
+func TestRepeatInOutage(t *testing.T) {
+	r := newRig(t, rigConfig{nodes: 2})
+	h := headers{caller.HeaderIdempotencyKey: "k"}
+	if got := r.send(0, bookPath, "seat 7", h); got.status != http.StatusOK {
+		t.Fatalf("the booking: %+v", got)
+	}
+	r.table.onCommit(func(platform.Transaction, func() error) error {
+		return &platform.RefusedError{Reason: "down"}
+	})
+	got := r.send(1, bookPath, "seat 7", h)
+	if got.code != caller.CodePlatformDown || got.outcome != "notRun" || got.keyOutcome != "unknown" {
+		t.Errorf("the repeat: code %q, outcome %q, key's outcome %q", got.code, got.outcome, got.keyOutcome)
+	}
+	if runs := r.service.Runs("seat 7"); runs != 1 {
+		t.Errorf("ran %d times", runs)
+	}
+}
+
 // TestClaimGivenUpIsWithdrawn checks that a booking which was given up since
 // its claim's answers were lost does not block its key for good.
 func TestClaimGivenUpIsWithdrawn(t *testing.T) {
--- a/pkg/standin/callertest/rig_test.go
+++ b/pkg/standin/callertest/rig_test.go
@@ -262,10 +262,12 @@
 	status  int
 	code    string
 	outcome string
-	text    string
-	body    string
-	header  http.Header
-	done    bool
+	// keyOutcome is that of the idempotency key, if the answer tells it apart.
+	keyOutcome string
+	text       string
+	body       string
+	header     http.Header
+	done       bool
 	// closes is set when the answer says that its connection will close.
 	closes bool
 	err    error
@@ -305,14 +307,14 @@
 		o.done = true
 	}
 	var v struct {
-		Error   struct{ Code, Outcome string }
+		Error   struct{ Code, Outcome, KeyOutcome string }
 		Choices []struct{ Delta, Message struct{ Content string } }
 	}
 	if json.Unmarshal(data, &v) != nil {
 		return
 	}
 	if v.Error.Code != "" {
-		o.code, o.outcome = v.Error.Code, v.Error.Outcome
+		o.code, o.outcome, o.keyOutcome = v.Error.Code, v.Error.Outcome, v.Error.KeyOutcome
 	}
 	for _, c := range v.Choices {
 		o.text += c.Delta.Content + c.Message.Content
