--- a/pkg/core/feed/feed.go
+++ b/pkg/core/feed/feed.go
@@ -126,6 +126,9 @@
 		Whole:    whole,
 		Rows:     make(map[string]Row),
 	}
+	if !whole && p.Sequence == s.sequence {
+		return d
+	}
 	for key, e := range s.rows {
 		if whole || e.sequence > p.Sequence {
 			d.Rows[key] = e.row
--- a/pkg/serving/peer/fleet.go
+++ b/pkg/serving/peer/fleet.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"slices"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -26,17 +27,23 @@
 }
 
 // PollerAddresses returns the addresses of the other pollers of this node's
-// failure domain.
+// failure domain. The first differs between nodes, so that the pollers share
+// the questions.
 func (r *Relay) PollerAddresses() []string {
 	members := r.domain()
-	var addresses []string
+	var ids, addresses []string
 	for _, vm := range r.config.Nodes() {
 		near := vm.FailureDomain == r.config.FailureDomain && vm.ID != r.config.Node
 		if near && vm.State == fleet.VMLive && relay.Polls(vm.ID, members) {
+			ids = append(ids, vm.ID)
 			addresses = append(addresses, vm.Address)
 		}
 	}
-	return addresses
+	first := slices.Index(ids, relay.Owner(r.config.Node, ids))
+	if first < 0 {
+		return nil
+	}
+	return slices.Concat(addresses[first:], addresses[:first])
 }
 
 // HearFleet asks the node at address for what has changed since a position. It
--- a/pkg/serving/report/plot.go
+++ b/pkg/serving/report/plot.go
@@ -21,10 +21,13 @@
 	// lineWidth and dotRadius are in points, of which an inch has 72.
 	lineWidth vg.Length = 1.5
 	dotRadius vg.Length = 1.5
-	// headroom keeps the highest value off the upper edge.
-	headroom = 1.1
+	// headroom keeps the highest value below the legend.
+	headroom = 1.5
 	// labelledHours is the number of hours between two labels of the time axis.
 	labelledHours = 3
+	// labelMargin is the time at the end of the axis in which a label would be
+	// cut off.
+	labelMargin = 45 * time.Minute
 )
 
 var (
@@ -143,7 +146,8 @@
 	at := time.Unix(int64(from), 0).UTC().Truncate(time.Hour).Add(time.Hour)
 	for ; unix(at) <= to; at = at.Add(time.Hour) {
 		tick := plot.Tick{Value: unix(at)}
-		if at.Hour()%labelledHours == 0 {
+		fits := unix(at.Add(labelMargin)) <= to
+		if fits && at.Hour()%labelledHours == 0 {
 			tick.Label = at.Format("15:04")
 		}
 		ticks = append(ticks, tick)
