Let an operator's drain reach the planner again

Cause: the directory set the drains after the list of VMs, and drains take effect with the list that follows them. Since the directory publishes only what has changed, no list followed, and a drained VM went on serving. A process test of the whole way, from the command line to the released VM, waited in vain for a minute; the directory's own test had only asked whether the drain was known.

Change: drains first; the directory test asks for the VM's state.

--- a/cmd/processtest/process_test.go
+++ b/cmd/processtest/process_test.go
@@ -1,7 +1,12 @@
 package processtest
 
 import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
 	"strings"
+	"sync/atomic"
 	"syscall"
 	"testing"
 	"time"
@@ -158,3 +163,57 @@
 		t.Errorf("%d of 20 answers were whole at the node that started in the outage", got)
 	}
 }
+
+// TestRollOutUnderLoad rolls a new version out while callers ask all the time:
+// no answer may be cut off or refused, since one group serves throughout.
+func TestRollOutUnderLoad(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, 5*time.Millisecond)
+	const callers = 6
+	done := make(chan struct{})
+	var g errgroup.Group
+	var asked atomic.Int64
+	for i := range callers {
+		g.Go(func() error {
+			for {
+				select {
+				case <-done:
+					return nil
+				default:
+				}
+				seed := int(asked.Add(1))
+				if answer := ask(c.callers[i%len(c.callers)], seed); !checkAnswer(t, answer, seed) {
+					t.Errorf("seed %d: %q", seed, answer)
+				}
+			}
+		})
+	}
+	c.apply(t, "2")
+	c.awaitReady(t, "2")
+	close(done)
+	_ = g.Wait()
+	t.Logf("%d answers during the roll-out", asked.Load())
+}
+
+// TestOperatorDrainsVM takes a VM out of service by the command line: a spare
+// takes its place and the VM is released.
+func TestOperatorDrainsVM(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, time.Millisecond)
+	victim := -1
+	for i, m := range c.members {
+		if memberHealth(m.address).Group != "" {
+			victim = i
+		}
+	}
+	command := exec.Command(filepath.Join(programs, "almondbay"), "drain",
+		"--server", "http://"+c.operators[0], fmt.Sprintf("vm-%d", victim))
+	command.Env = append(os.Environ(), "ALMONDBAY_OPERATOR_KEY="+key)
+	if out, err := command.CombinedOutput(); err != nil {
+		t.Fatalf("drain: %v: %s", err, out)
+	}
+	poll(t, "the drained VM is released", func() bool {
+		return memberHealth(c.members[victim].address).Phase == "idle"
+	}, func() string { return fmt.Sprint(memberHealth(c.members[victim].address)) })
+	c.awaitReady(t, "1")
+}
--- a/pkg/serving/node/directory.go
+++ b/pkg/serving/node/directory.go
@@ -140,8 +140,9 @@
 			drained = append(drained, wish.VM)
 		}
 	}
-	d.config.View.SetVMs(vms)
+	// The drains take effect with the list that follows them.
 	d.config.View.SetDrained(drained)
+	d.config.View.SetVMs(vms)
 	d.config.View.SetGroups(groups)
 	return nil
 }
--- a/pkg/serving/node/directory_test.go
+++ b/pkg/serving/node/directory_test.go
@@ -64,8 +64,8 @@
 		if diff := cmp.Diff([]group.Row{row}, rows); diff != "" {
 			t.Errorf("%s: %s", d.config.ID, diff)
 		}
-		if len(vms) != 1 || vms[0].ID != "vm" || !d.config.View.Drained("vm") {
-			t.Errorf("%s knows %v, drained %v", d.config.ID, vms, d.config.View.Drained("vm"))
+		if len(vms) != 1 || vms[0].ID != "vm" || vms[0].State != fleet.VMLeaving {
+			t.Errorf("%s knows %v, want the drained VM as leaving", d.config.ID, vms)
 		}
 	}
 }
