Pause lease holders and return a member in the process tests

Two of three nodes are paused past their leases while the third repairs a group, then woken, and must follow the next document; a member is killed and comes back at once with another boot ID.

--- a/cmd/processtest/cluster_test.go
+++ b/cmd/processtest/cluster_test.go
@@ -142,10 +142,8 @@
 	t.Helper()
 	c := &cluster{platform: start(t, true, "standin", "platform")}
 	for i := range members {
-		c.members = append(c.members, start(t, true, "standin", "engine",
-			"--id", fmt.Sprintf("vm-%d", i), "--platform", "http://"+c.platform.address,
-			"--fabric-domain", "fabric-1", "--load-time", "100ms",
-			"--token-interval", tokenInterval.String()))
+		c.members = append(c.members, nil)
+		c.startMember(t, i, tokenInterval)
 	}
 	for i := range nodes {
 		c.startNode(t, fmt.Sprintf("node-%d", i))
@@ -155,6 +153,27 @@
 	return c
 }
 
+// startMember starts the member on VM i, again or for the first time.
+func (c *cluster) startMember(t *testing.T, i int, tokenInterval time.Duration) {
+	t.Helper()
+	c.members[i] = start(t, true, "standin", "engine",
+		"--id", fmt.Sprintf("vm-%d", i), "--platform", "http://"+c.platform.address,
+		"--fabric-domain", "fabric-1", "--load-time", "100ms",
+		"--token-interval", tokenInterval.String())
+}
+
+// serving returns the number of a member that is in a group.
+func (c *cluster) serving(t *testing.T) int {
+	t.Helper()
+	for i, m := range c.members {
+		if memberHealth(m.address).Group != "" {
+			return i
+		}
+	}
+	t.Fatal("no member is in a group")
+	return 0
+}
+
 func hash(s string) string {
 	sum := sha256.Sum256([]byte(s))
 	return hex.EncodeToString(sum[:])
--- a/cmd/processtest/process_test.go
+++ b/cmd/processtest/process_test.go
@@ -70,12 +70,7 @@
 func TestMemberKilledUnderLoad(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 3, 20*time.Millisecond)
-	victim := -1
-	for i, m := range c.members {
-		if memberHealth(m.address).Group != "" {
-			victim = i
-		}
-	}
+	victim := c.serving(t)
 	got := c.askMany(t, 24, func() { c.members[victim].signal(t, syscall.SIGKILL) })
 	t.Logf("%d of 24 answers were whole while a member was killed", got)
 	c.awaitReady(t, "1")
@@ -84,12 +79,7 @@
 func TestMemberPausedAndWoken(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 2, time.Millisecond)
-	victim := -1
-	for i, m := range c.members {
-		if memberHealth(m.address).Group != "" {
-			victim = i
-		}
-	}
+	victim := c.serving(t)
 	c.members[victim].signal(t, syscall.SIGSTOP)
 	c.awaitReady(t, "1")
 	c.members[victim].signal(t, syscall.SIGCONT)
@@ -104,12 +94,7 @@
 	c := newCluster(t, 3, time.Millisecond)
 	c.nodes[0].signal(t, syscall.SIGKILL)
 	c.callers = c.callers[1:]
-	for _, m := range c.members {
-		if memberHealth(m.address).Group != "" {
-			m.signal(t, syscall.SIGKILL)
-			break
-		}
-	}
+	c.members[c.serving(t)].signal(t, syscall.SIGKILL)
 	c.awaitReady(t, "1")
 }
 
@@ -200,12 +185,7 @@
 func TestOperatorDrainsVM(t *testing.T) {
 	t.Parallel()
 	c := newCluster(t, 2, time.Millisecond)
-	victim := -1
-	for i, m := range c.members {
-		if memberHealth(m.address).Group != "" {
-			victim = i
-		}
-	}
+	victim := c.serving(t)
 	command := exec.Command(filepath.Join(programs, "almondbay"), "drain",
 		"--server", "http://"+c.operators[0], fmt.Sprintf("vm-%d", victim))
 	command.Env = append(os.Environ(), "ALMONDBAY_OPERATOR_KEY="+key)
@@ -217,3 +197,39 @@
 	}, func() string { return fmt.Sprint(memberHealth(c.members[victim].address)) })
 	c.awaitReady(t, "1")
 }
+
+// TestLeaseHolderPaused pauses two of three nodes past their leases, has the
+// third repair a group, and wakes them: they must not disturb what it did, and
+// all must follow the next document.
+func TestLeaseHolderPaused(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 3, time.Millisecond)
+	for _, n := range c.nodes[:2] {
+		n.signal(t, syscall.SIGSTOP)
+	}
+	c.members[c.serving(t)].signal(t, syscall.SIGKILL)
+	all := c.callers
+	c.callers = all[2:]
+	c.awaitReady(t, "1")
+	for _, n := range c.nodes[:2] {
+		n.signal(t, syscall.SIGCONT)
+	}
+	c.callers = all
+	c.awaitReady(t, "1")
+	c.apply(t, "2")
+	c.awaitReady(t, "2")
+}
+
+// TestMemberReturns kills a member and starts it again at once on the same VM,
+// with another boot ID and no group.
+func TestMemberReturns(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, time.Millisecond)
+	victim := c.serving(t)
+	c.members[victim].signal(t, syscall.SIGKILL)
+	c.startMember(t, victim, time.Millisecond)
+	c.awaitReady(t, "1")
+	if got := c.askMany(t, 20, func() {}); got != 20 {
+		t.Errorf("%d of 20 answers were whole after the member's return", got)
+	}
+}
