--- a/cmd/processtest/cluster_test.go
+++ b/cmd/processtest/cluster_test.go
@@ -73,6 +73,8 @@
 	platform *process
 	members  []*process
 	nodes    []*process
+	// split is the number of the first member in the second fabric domain.
+	split int
 	// callers, operators and peers are the addresses of the nodes.
 	callers, operators, peers []string
 }
@@ -140,7 +142,14 @@
 // a document and waits until every group serves.
 func newCluster(t *testing.T, nodes int, tokenInterval time.Duration) *cluster {
 	t.Helper()
-	c := &cluster{platform: start(t, true, "standin", "platform")}
+	return newSplitCluster(t, nodes, tokenInterval, members)
+}
+
+// newSplitCluster is newCluster with the members from split on in a second
+// fabric domain.
+func newSplitCluster(t *testing.T, nodes int, tokenInterval time.Duration, split int) *cluster {
+	t.Helper()
+	c := &cluster{platform: start(t, true, "standin", "platform"), split: split}
 	for i := range members {
 		c.members = append(c.members, nil)
 		c.startMember(t, i, tokenInterval)
@@ -156,9 +165,13 @@
 // startMember starts the member on VM i, again or for the first time.
 func (c *cluster) startMember(t *testing.T, i int, tokenInterval time.Duration) {
 	t.Helper()
+	fabric := "fabric-1"
+	if i >= c.split {
+		fabric = "fabric-2"
+	}
 	c.members[i] = start(t, true, "standin", "engine",
 		"--id", fmt.Sprintf("vm-%d", i), "--platform", "http://"+c.platform.address,
-		"--fabric-domain", "fabric-1", "--load-time", "100ms",
+		"--fabric-domain", fabric, "--load-time", "100ms",
 		"--token-interval", tokenInterval.String())
 }
 
--- a/cmd/processtest/process_test.go
+++ b/cmd/processtest/process_test.go
@@ -233,3 +233,28 @@
 		t.Errorf("%d of 20 answers were whole after the member's return", got)
 	}
 }
+
+// TestFabricDomainDark kills every member of one of two fabric domains at once:
+// the group in the other one goes on serving, and when the members return all
+// groups do.
+func TestFabricDomainDark(t *testing.T) {
+	t.Parallel()
+	c := newSplitCluster(t, 2, time.Millisecond, span)
+	for _, m := range c.members[:c.split] {
+		m.signal(t, syscall.SIGKILL)
+	}
+	// A caller may be told that its request was cut off; no answer is wrong.
+	c.askMany(t, 20, func() {})
+	for _, address := range c.callers {
+		poll(t, "the group that is left answers", func() bool {
+			return whole(ask(address, 0))
+		}, func() string { return "" })
+	}
+	if got := c.askMany(t, 20, func() {}); got != 20 {
+		t.Errorf("%d of 20 answers were whole with a fabric domain dark", got)
+	}
+	for i := range c.split {
+		c.startMember(t, i, time.Millisecond)
+	}
+	c.awaitReady(t, "1")
+}
