Split the running of a node from its assembly

The directory's polls now count as background in the table service's budget, as their comment says; they had taken control's priority.

--- a/pkg/serving/node/node.go
+++ b/pkg/serving/node/node.go
@@ -4,15 +4,12 @@
 
 import (
 	"context"
-	"errors"
 	"math/rand/v2"
 	"net"
-	"net/http"
 	"time"
 
 	"github.com/google/uuid"
 	"github.com/jonboulle/clockwork"
-	"github.com/oklog/run"
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
@@ -23,7 +20,6 @@
 	"almondbay.example/serving/drain"
 	"almondbay.example/serving/engine"
 	"almondbay.example/serving/environment"
-	"almondbay.example/serving/event"
 	"almondbay.example/serving/metric"
 	"almondbay.example/serving/operator"
 	"almondbay.example/serving/peer"
@@ -123,23 +119,17 @@
 func New(c Config) *Node {
 	v := view.New(proofTTL)
 	guard := newGuard(c)
+	forControl := guarded(c, guard, platform.PriorityControl)
 	n := &Node{
 		config:     c,
 		guard:      guard,
 		view:       v,
-		controller: control.New(controlConfig(guarded(c, guard, platform.PriorityControl), v)),
-		store:      NewStore(guarded(c, guard, platform.PriorityControl)),
-		drains:     drain.New(drain.Config{Table: guard.Table(platform.PriorityBackground), Clock: c.Clock}),
-		directory: newDirectory(directoryConfig{
-			ID:          c.Settings.Node + "/" + uuid.NewString(),
-			Environment: c.Settings.Environment,
-			Clock:       c.Clock,
-			Table:       guard.Table(platform.PriorityControl),
-			VMs:         c.VMs,
-			View:        v,
-		}),
-		platform: &platformWatch{clock: c.Clock, logger: c.Logger},
-		observer: &observer{clock: c.Clock, view: v, recorder: burn.NewRecorder()},
+		controller: newController(forControl, v),
+		store:      NewStore(forControl),
+		drains:     drain.New(drain.Config{Table: forControl.Table, Clock: c.Clock}),
+		directory:  newNodeDirectory(guarded(c, guard, platform.PriorityBackground), v),
+		platform:   &platformWatch{clock: c.Clock, logger: c.Logger},
+		observer:   &observer{clock: c.Clock, view: v, recorder: burn.NewRecorder()},
 	}
 	n.picker = caller.NewScheduled(caller.ScheduledConfig{
 		View:          v,
@@ -220,8 +210,8 @@
 	})
 }
 
-func controlConfig(c Config, v *view.View) control.Config {
-	return control.Config{
+func newController(c Config, v *view.View) *control.Controller {
+	return control.New(control.Config{
 		Node:        c.Settings.Node,
 		Holder:      c.Settings.Node + "/" + uuid.NewString(),
 		Environment: c.Settings.Environment,
@@ -233,117 +223,16 @@
 		Timing:      control.DefaultTiming(),
 		Policy:      control.DefaultPolicy(proofTTL),
 		Jitter:      rand.N[time.Duration],
-	}
-}
-
-// Run serves until ctx is done, then waits for the requests in flight.
-func (n *Node) Run(ctx context.Context) error {
-	var g run.Group
-	callers := n.gateway.Server()
-	n.addServer(&g, n.config.Callers, callers, func(ctx context.Context) error {
-		return n.gateway.Stop(ctx, callers)
 	})
-	operators := &http.Server{Handler: n.operators, ReadHeaderTimeout: readHeaderTimeout}
-	n.addServer(&g, n.config.Operators, operators, operators.Shutdown)
-	n.addLoop(&g, scheduleInterval, n.picker.Refresh)
-	n.addLoop(&g, flushInterval, n.owned.Flush)
-	n.addLoop(&g, fleetInterval, n.refreshFleet)
-	n.addLoop(&g, configurationInterval, n.relay.Poll)
-	n.addLoop(&g, heartbeatInterval, n.heartbeat)
-	n.addLoop(&g, probeInterval, n.probe)
-	n.addLoop(&g, controlInterval, n.controller.Step)
-	n.addLoop(&g, reviewInterval, n.gateway.Review)
-	n.addLoop(&g, quarantineInterval, n.loadQuarantine)
-	n.addLeases(&g)
-	if n.config.Peers != nil {
-		peers := n.peerServer()
-		n.addServer(&g, n.config.Peers, peers, peers.Shutdown)
-	}
-	for _, store := range n.config.Certificates {
-		n.addLoop(&g, certificateInterval, store.Reload)
-	}
-	n.addContext(ctx, &g)
-	return g.Run()
 }
 
-// addContext ends the group when ctx is done.
-func (n *Node) addContext(ctx context.Context, g *run.Group) {
-	ctx, cancel := context.WithCancel(ctx)
-	g.Add(func() error {
-		<-ctx.Done()
-		event.NodeDraining.Log(n.config.Logger)
-		return nil
-	}, func(error) { cancel() })
-}
-
-// addServer runs server until the group ends, then stops it by drain.
-func (n *Node) addServer(g *run.Group, l net.Listener, server *http.Server, drain func(context.Context) error) {
-	drained := make(chan struct{})
-	g.Add(func() error {
-		err := server.Serve(l)
-		if !errors.Is(err, http.ErrServerClosed) {
-			return Error.Wrap(err)
-		}
-		<-drained
-		return nil
-	}, func(error) {
-		defer close(drained)
-		// Only a second signal cuts requests in flight.
-		_ = drain(context.Background())
+func newNodeDirectory(c Config, v *view.View) *directory {
+	return newDirectory(directoryConfig{
+		ID:          c.Settings.Node + "/" + uuid.NewString(),
+		Environment: c.Settings.Environment,
+		Clock:       c.Clock,
+		Table:       c.Table,
+		VMs:         c.VMs,
+		View:        v,
 	})
 }
-
-// addLoop runs step at once and then at each interval, until the group ends.
-func (n *Node) addLoop(g *run.Group, interval time.Duration, step func(context.Context) error) {
-	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error {
-		n.loop(ctx, interval, step)
-		return nil
-	}, func(error) { cancel() })
-}
-
-// addLeases keeps the leases until the group ends, and then hands them on.
-func (n *Node) addLeases(g *run.Group) {
-	ctx, cancel := context.WithCancel(context.Background())
-	g.Add(func() error {
-		n.loop(ctx, leaseInterval, n.controller.RenewLeases)
-		ending, stop := context.WithTimeout(context.Background(), handOnTimeout)
-		defer stop()
-		if err := n.controller.HandOn(ending); err != nil {
-			event.LeasesKept.Log(n.config.Logger, zap.Error(err))
-		}
-		return nil
-	}, func(error) { cancel() })
-}
-
-// loop runs step at once and then at each interval, until ctx is done. Of the
-// failures in a row the first, second, fourth and so on are logged, so that an
-// outage does not fill the log.
-func (n *Node) loop(ctx context.Context, interval time.Duration, step func(context.Context) error) {
-	ticker := n.config.Clock.NewTicker(interval)
-	defer ticker.Stop()
-	failures := 0
-	for {
-		err := step(ctx)
-		switch {
-		case err == nil:
-			failures = 0
-		case ctx.Err() == nil:
-			failures++
-			n.logFailure(err, failures)
-		}
-		select {
-		case <-ctx.Done():
-			return
-		case <-ticker.Chan():
-		}
-	}
-}
-
-func (n *Node) logFailure(err error, failures int) {
-	isPowerOfTwo := failures&(failures-1) == 0
-	if !isPowerOfTwo {
-		return
-	}
-	event.StepFailed.Log(n.config.Logger, zap.String("error", err.Error()), zap.Int("failures", failures))
-}
