Let the nodes of the process tests pick their own ports

Cause: the tests chose ports, closed them and gave them to the nodes. Two test processes side by side chose the same ones, and a node ended with 'address already in use' (TestMemberReturns and TestRollOutUnderLoad, when two copies ran at once).

Change: nodes listen on port 0 and the tests read the addresses from their 'listening' events. Two copies at once pass.

--- a/cmd/processtest/cluster_test.go
+++ b/cmd/processtest/cluster_test.go
@@ -10,13 +10,12 @@
 	"encoding/json"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"os"
 	"os/exec"
 	"path/filepath"
 	"strings"
-	"sync/atomic"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -58,7 +57,7 @@
 	*exec.Cmd
 	// address is the first line that the program printed, if it was awaited.
 	address string
-	log     *bytes.Buffer
+	log     *output
 }
 
 func (p *process) signal(t *testing.T, s syscall.Signal) {
@@ -82,7 +81,7 @@
 // start runs a program until the test ends.
 func start(t *testing.T, awaitLine bool, name string, args ...string) *process {
 	t.Helper()
-	p := &process{Cmd: exec.Command(filepath.Join(programs, name), args...), log: &bytes.Buffer{}}
+	p := &process{Cmd: exec.Command(filepath.Join(programs, name), args...), log: &output{}}
 	p.Stderr = p.log
 	out, err := p.StdoutPipe()
 	if err != nil {
@@ -111,31 +110,35 @@
 	return p
 }
 
-// The ports that freeAddress gives out lie below those that the kernel picks
-// for connections, so that none is taken between its choice and its use.
-const (
-	firstPort = 20000
-	portCount = 12000
-)
+// output keeps what a process prints while it runs.
+type output struct {
+	mu   sync.Mutex
+	text bytes.Buffer
+}
 
-var portsGiven atomic.Int64
+// Write implements io.Writer.
+func (o *output) Write(b []byte) (int, error) {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.Write(b)
+}
 
-// freeAddress returns an address that nothing listens on and that it has not
-// returned before.
-func freeAddress(t *testing.T) string {
-	t.Helper()
-	for range portCount {
-		port := firstPort + (int64(os.Getpid())*64+portsGiven.Add(1))%portCount
-		address := fmt.Sprintf("127.0.0.1:%d", port)
-		l, err := net.Listen("tcp", address)
-		if err != nil {
-			continue
+func (o *output) String() string {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return o.text.String()
+}
+
+// listening returns the addresses that a node has logged, by listener.
+func (o *output) listening() map[string]string {
+	addresses := map[string]string{}
+	for _, line := range strings.Split(o.String(), "\n") {
+		var logged struct{ Msg, Listener, Address string }
+		if json.Unmarshal([]byte(line), &logged) == nil && logged.Msg == "listening" {
+			addresses[logged.Listener] = logged.Address
 		}
-		_ = l.Close()
-		return address
 	}
-	t.Fatal("no port is free")
-	return ""
+	return addresses
 }
 
 // newCluster starts a platform, members with the given pace and nodes, applies
@@ -195,28 +198,33 @@
 // startNode starts a node that may learn from the seeds.
 func (c *cluster) startNode(t *testing.T, id string, seeds ...string) {
 	t.Helper()
-	callers, operators, peers := freeAddress(t), freeAddress(t), freeAddress(t)
 	seedList, err := json.Marshal(append([]string{}, seeds...))
 	if err != nil {
 		t.Fatal(err)
 	}
 	settings := fmt.Sprintf(`{
 	"node": %q, "failureDomain": "a", "environment": "trial",
-	"caller": {"address": %q},
-	"operator": {"address": %q, "operators": [{"name": "test", "keyHash": %q}]},
-	"peer": {"address": %q, "keys": ["a key that peers share"], "seeds": %s},
+	"caller": {"address": "127.0.0.1:0"},
+	"operator": {"address": "127.0.0.1:0", "operators": [{"name": "test", "keyHash": %q}]},
+	"peer": {"address": "127.0.0.1:0", "keys": ["a key that peers share"], "seeds": %s},
 	"platform": {"address": "http://%s"},
-}`, id, callers, operators, hash(key), peers, seedList, c.platform.address)
-	c.control(t, platformstandin.PathControlVM, fmt.Sprintf(
-		`{"id": %q, "address": %q, "failureDomain": "a", "role": "entry", "state": "live"}`, id, peers))
+}`, id, hash(key), seedList, c.platform.address)
 	path := filepath.Join(t.TempDir(), id+".jsonc")
 	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	c.nodes = append(c.nodes, start(t, false, "almondbay", "serve", path))
-	c.callers = append(c.callers, callers)
-	c.operators = append(c.operators, operators)
-	c.peers = append(c.peers, peers)
+	n := start(t, false, "almondbay", "serve", path)
+	var at map[string]string
+	poll(t, id+" listens", func() bool {
+		at = n.log.listening()
+		return len(at) == 3
+	}, n.log.String)
+	c.control(t, platformstandin.PathControlVM, fmt.Sprintf(
+		`{"id": %q, "address": %q, "failureDomain": "a", "role": "entry", "state": "live"}`, id, at["peer"]))
+	c.nodes = append(c.nodes, n)
+	c.callers = append(c.callers, at["caller"])
+	c.operators = append(c.operators, at["operator"])
+	c.peers = append(c.peers, at["peer"])
 }
 
 // apply accepts a document that serves a version of the model.
