--- a/pkg/standin/callertest/booking_test.go
+++ b/pkg/standin/callertest/booking_test.go
@@ -98,6 +98,32 @@
 	}
 }
 
+// TestBookingsOfWorkspacesAreApart uses the same idempotency key in two
+// workspaces: neither may read or block the other's booking.
+func TestBookingsOfWorkspacesAreApart(t *testing.T) {
+	r := newRig(t, rigConfig{nodes: 1})
+	mine := headers{caller.HeaderIdempotencyKey: "k"}
+	theirs := headers{caller.HeaderIdempotencyKey: "k", "Authorization": "Bearer " + otherKey}
+	for _, call := range []struct {
+		body     string
+		headers  headers
+		repeated string
+	}{
+		{"seat 7", mine, ""},
+		{"seat 7", theirs, ""},
+		{"seat 7", theirs, "true"},
+		{"seat 7", mine, "true"},
+	} {
+		got := r.send(0, bookPath, call.body, call.headers)
+		if got.status != http.StatusOK || got.header.Get(caller.HeaderRepeated) != call.repeated {
+			t.Errorf("%v: status %d, repeated %q", call.headers, got.status, got.header.Get(caller.HeaderRepeated))
+		}
+	}
+	if runs := r.service.Runs("seat 7"); runs != 2 {
+		t.Errorf("ran %d times, want once in each workspace", runs)
+	}
+}
+
 // TestRepeatInOutage books, then repeats the key while the platform is down:
 // the repeat is not run, and the answer must not say that of the key, which was.
 func TestRepeatInOutage(t *testing.T) {
--- a/pkg/standin/callertest/rig_test.go
+++ b/pkg/standin/callertest/rig_test.go
@@ -36,6 +36,7 @@
 
 const (
 	key         = "secret"
+	otherKey    = "secret of another workspace"
 	chatPath    = "/v1/chat/completions"
 	bookPath    = "/services/booking/book"
 	crashMarker = "POISON"
@@ -113,11 +114,14 @@
 		r.groups = append(r.groups, &replica{rig: r, id: fmt.Sprintf("g%d", i)})
 		r.groups[i].start(i, c.engine)
 	}
-	sum := sha256.Sum256([]byte(key))
+	sum, otherSum := sha256.Sum256([]byte(key)), sha256.Sum256([]byte(otherKey))
 	r.view.SetDocument(1, document.Document{
-		Models:     []document.Model{{Name: "demo", Version: "1"}},
-		Workspaces: []document.Workspace{{Name: "w", KeyHashes: []string{hex.EncodeToString(sum[:])}}},
-		Services:   []document.Service{{Name: "booking", NonIdempotent: []document.Call{{Method: "*", Path: "/book"}}}},
+		Models: []document.Model{{Name: "demo", Version: "1"}},
+		Workspaces: []document.Workspace{
+			{Name: "w", KeyHashes: []string{hex.EncodeToString(sum[:])}},
+			{Name: "other", KeyHashes: []string{hex.EncodeToString(otherSum[:])}},
+		},
+		Services: []document.Service{{Name: "booking", NonIdempotent: []document.Call{{Method: "*", Path: "/book"}}}},
 	})
 	for range c.nodes {
 		r.addNode(c.gateway)
