--- a/pkg/core/membership/layout.go
+++ b/pkg/core/membership/layout.go
@@ -22,9 +22,6 @@
 const (
 	// ProbersPerMember is the number of nodes that probe each member.
 	ProbersPerMember = 2
-	// RelaysPerDomain is the number of nodes of a failure domain that poll the
-	// platform.
-	RelaysPerDomain = 3
 	// Trees is the number of trees over the nodes of a failure domain; a node
 	// that is inside one tree is most often a leaf of the other.
 	Trees = 2
@@ -60,11 +57,6 @@
 	return Choose("probe/"+member, nodes, ProbersPerMember)
 }
 
-// Relays returns the nodes of a failure domain that poll the platform.
-func Relays(nodes []string) []string {
-	return Choose("relay", nodes, RelaysPerDomain)
-}
-
 // rank orders nodes by their hash with key.
 func rank(key string, nodes []string) []string {
 	weights := make(map[string]uint64, len(nodes))
