Kill a node between the dispatch of a booking and its record

The node that has a booking is ended with SIGKILL when the plain service has run it and not answered. The repeat at another node is told that the outcome is not known, and the booking has run once. Until now the nodes of this test were handlers within one process.

--- a/cmd/processtest/cluster_test.go
+++ b/cmd/processtest/cluster_test.go
@@ -234,6 +234,7 @@
 	"models": [{"name": "demo", "version": %q, "groups": %d, "span": %d}],
 	"workspaces": [{"name": "default", "keyHashes": [%q], "share": 1,
 		"objective": {"firstToken": "2s", "betweenToken": "45ms", "target": 0.95}}],
+	"services": [{"name": "booking", "timeout": "10s", "nonIdempotent": [{"method": "POST", "path": "/"}]}],
 }`, version, groups, span, hash(key))
 	path := filepath.Join(t.TempDir(), "document.jsonc")
 	if err := os.WriteFile(path, []byte(document), 0o600); err != nil {
@@ -336,6 +337,28 @@
 	return string(answer)
 }
 
+// book books at a node under an idempotency key. The status is zero when the
+// node gave no answer.
+func (c *cluster) book(t *testing.T, node int, idempotencyKey, body string) (int, string) {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.callers[node]+"/services/booking/seats", strings.NewReader(body))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Header.Set("Authorization", "Bearer "+key)
+	request.Header.Set("Idempotency-Key", idempotencyKey)
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return 0, err.Error()
+	}
+	defer func() { _ = response.Body.Close() }()
+	answer, err := io.ReadAll(response.Body)
+	if err != nil {
+		return 0, err.Error()
+	}
+	return response.StatusCode, string(answer)
+}
+
 func whole(answer string) bool {
 	return strings.HasSuffix(answer, "data: [DONE]\n\n")
 }
--- a/cmd/processtest/process_test.go
+++ b/cmd/processtest/process_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"net/http"
+	"net/http/httptest"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -15,6 +17,7 @@
 
 	"almondbay.example/standin/enginestandin"
 	"almondbay.example/standin/platformstandin"
+	"almondbay.example/standin/servicestandin"
 )
 
 // text returns the words of a streamed chat answer.
@@ -258,3 +261,37 @@
 	}
 	c.awaitReady(t, "1")
 }
+
+// TestNodeKilledBetweenDispatchAndRecord has a node killed when the plain
+// service has run a booking and not answered yet. The repeat at another node
+// must not run it again, nor be told that it was not run.
+func TestNodeKilledBetweenDispatchAndRecord(t *testing.T) {
+	t.Parallel()
+	c := newCluster(t, 2, time.Millisecond)
+	service := servicestandin.New("service-1")
+	listener := httptest.NewServer(service)
+	t.Cleanup(listener.Close)
+	c.control(t, platformstandin.PathControlVM, fmt.Sprintf(
+		`{"id": "service-1", "address": %q, "failureDomain": "a", "role": "service", "service": "booking", "state": "live"}`,
+		listener.Listener.Addr()))
+	for i := range c.nodes {
+		poll(t, "the node knows the service", func() bool {
+			status, _ := c.book(t, i, fmt.Sprint("warm-up ", i), "warm-up")
+			return status == http.StatusOK
+		}, func() string { return "" })
+	}
+	service.BeforeAnswer(func() {
+		_ = c.nodes[0].Process.Kill()
+		_ = c.nodes[0].Wait()
+	})
+	if status, answer := c.book(t, 0, "k", "seat 7"); status != 0 {
+		t.Errorf("the killed node answered %d, %s", status, answer)
+	}
+	service.BeforeAnswer(nil)
+	if status, answer := c.book(t, 1, "k", "seat 7"); status != http.StatusConflict || !strings.Contains(answer, `"outcome":"unknown"`) {
+		t.Errorf("the repeat: %d, %s", status, answer)
+	}
+	if runs := service.Runs("seat 7"); runs != 1 {
+		t.Errorf("the booking ran %d times", runs)
+	}
+}
