Publish what the directory could not publish before

Cause: a change was counted as taken before it was published. When a row could not be decoded, the first read said so, and every later one found nothing new and said nothing: the view stayed behind until some other row changed.

Change: the directory remembers that the view lacks something and tries again. Seen failing first by TestDirectoryPublishesAfterFailure (the second read returned no error).

--- a/pkg/serving/node/directory.go
+++ b/pkg/serving/node/directory.go
@@ -40,6 +40,9 @@
 	config directoryConfig
 	source *feed.Source
 	copy   *feed.Copy
+	// unpublished is set while the copy holds changes that the view lacks. It
+	// belongs to read and heard, which one goroutine calls.
+	unpublished bool
 
 	mu sync.Mutex
 	// readAt is when the platform was read for what is known; zero before that.
@@ -101,21 +104,31 @@
 	d.source.Replace(groupPrefix, tableRows(groups))
 	d.source.Replace(drain.RowPrefix, tableRows(drains))
 	d.setLastRead(now)
-	if !d.copy.Apply(d.source.Since(d.copy.Position())) {
-		return nil
-	}
-	return d.publish()
+	return d.publishIf(d.copy.Apply(d.source.Since(d.copy.Position())))
 }
 
 // heard takes what a peer has told, for which the platform was read at readAt.
 func (d *directory) heard(delta feed.Delta, readAt time.Time) error {
 	changed := d.copy.Apply(delta)
 	d.setLastRead(readAt)
-	if !changed {
+	if changed {
+		d.source.Replace("", d.copy.Rows(""))
+	}
+	return d.publishIf(changed)
+}
+
+// publishIf brings the view up to the copy if the copy has changed, now or at
+// an earlier time when it could not be published.
+func (d *directory) publishIf(changed bool) error {
+	d.unpublished = d.unpublished || changed
+	if !d.unpublished {
 		return nil
 	}
-	d.source.Replace("", d.copy.Rows(""))
-	return d.publish()
+	if err := d.publish(); err != nil {
+		return err
+	}
+	d.unpublished = false
+	return nil
 }
 
 // publish brings the view up to the copy.
--- a/pkg/serving/node/directory_test.go
+++ b/pkg/serving/node/directory_test.go
@@ -99,6 +99,29 @@
 	}
 }
 
+// TestDirectoryPublishesAfterFailure reads a row that can't be decoded: each
+// read must say so until the row is put right, not only the first.
+func TestDirectoryPublishesAfterFailure(t *testing.T) {
+	ctx := t.Context()
+	clock := clockwork.NewFakeClock()
+	memory := platform.NewMemory()
+	key := control.GroupPrefix("e") + "m-0"
+	commit(t, memory, key, []byte("no row"))
+	d := newTestDirectory("d", memory, memory, clock)
+	for range 2 {
+		if err := d.read(ctx); err == nil {
+			t.Error("a row that can't be decoded went unnoticed")
+		}
+	}
+	commit(t, memory, key, control.EncodeGroup(group.Row{ID: "m-0", Model: "m", Epoch: 1}))
+	if err := d.read(ctx); err != nil {
+		t.Error(err)
+	}
+	if _, rows := known(d); len(rows) != 1 {
+		t.Errorf("rows once they can be decoded: %+v", rows)
+	}
+}
+
 func commit(t *testing.T, table platform.Table, key string, value []byte) {
 	t.Helper()
 	row, err := table.Read(t.Context(), key)
