--- a/pkg/serving/caller/picker.go
+++ b/pkg/serving/caller/picker.go
@@ -5,8 +5,6 @@
 	"slices"
 	"time"
 
-	"github.com/jonboulle/clockwork"
-
 	"almondbay.example/core/fleet"
 	"almondbay.example/serving/view"
 )
@@ -73,37 +71,6 @@
 	Pick(ctx context.Context, q Query) (Choice, error)
 }
 
-// LeastInFlight picks the replica group with the fewest attempts in flight.
-type LeastInFlight struct {
-	view     *view.View
-	clock    clockwork.Clock
-	inFlight *counts
-}
-
-var _ Picker = (*LeastInFlight)(nil)
-
-// NewLeastInFlight returns a picker over the replica groups in v.
-func NewLeastInFlight(v *view.View, clock clockwork.Clock) *LeastInFlight {
-	return &LeastInFlight{view: v, clock: clock, inFlight: newCounts()}
-}
-
-// Pick implements Picker.
-func (p *LeastInFlight) Pick(_ context.Context, q Query) (Choice, error) {
-	all := p.view.Targets(q.Model, p.clock.Now())
-	targets := Allowed(all, q)
-
-	if len(targets) == 0 {
-		return Choice{}, &UnavailableError{Model: q.Model}
-	}
-	ids := make([]string, 0, len(targets))
-	for _, t := range targets {
-		ids = append(ids, t.Group.ID)
-	}
-	best, slot := p.inFlight.takeFewest(ids)
-	target := targets[best]
-	return ChoiceOf(target, Site(all, target), slot), nil
-}
-
 // ChoiceOf returns the choice of a target.
 func ChoiceOf(t view.Target, site string, s Slot) Choice {
 	return Choice{
