--- a/cmd/almondbay/commands.go
+++ b/cmd/almondbay/commands.go
@@ -63,6 +63,12 @@
 			example: "almondbay serve settings.jsonc",
 			command: &serveCommand{session: s},
 		},
+		{
+			name: "entry", summary: "run a node on an entry VM of the platform",
+			text:    "Runs a node on an entry VM. Its settings are in the file that the environment variable ALMONDBAY_BOOT names; what it serves comes from the platform's store. At SIGTERM it takes no new connections and waits for all requests in flight, at SIGHUP it reads its settings again.",
+			example: "ALMONDBAY_BOOT=/etc/almondbay/boot.json almondbay entry",
+			command: &entryCommand{session: s},
+		},
 		{
 			name: "dev", summary: "run a node with an embedded platform and engines",
 			text:    "Runs a node, an in-memory platform and engines that stand in for real ones, all in one process. Once they serve, which takes a few seconds, it prints a curl line that streams an answer.",
--- /dev/null
+++ b/cmd/almondbay/entry.go
@@ -0,0 +1,128 @@
+package main
+
+import (
+	"context"
+	"net"
+	"os"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zapcore"
+	"golang.org/x/sys/unix"
+
+	"almondbay.example/internal/node/clock"
+	"almondbay.example/internal/node/deployment"
+	"almondbay.example/internal/node/entry"
+	"almondbay.example/internal/node/logsink"
+	"almondbay.example/platform"
+	"almondbay.example/serving/event"
+	"almondbay.example/serving/node"
+)
+
+const (
+	// storeTimeout bounds one call of the platform's store that does not wait
+	// for a change.
+	storeTimeout = 1500 * time.Millisecond
+	// unacknowledgedTimeout ends a connection whose peer acknowledges nothing:
+	// three retransmissions within a region.
+	unacknowledgedTimeout = 2 * time.Second
+	// keepAliveIdle and keepAliveInterval find a silent peer of a connection
+	// that sends nothing.
+	keepAliveIdle     = 2 * time.Second
+	keepAliveInterval = time.Second
+	keepAliveCount    = 2
+	// memoryShare is the part of the VM's memory, in hundredths, that the
+	// runtime collects garbage to stay under.
+	memoryShare = 60
+	readyPath   = "/-/readyz"
+)
+
+type entryCommand struct {
+	session *session
+}
+
+// Execute implements flags.Commander.
+func (c *entryCommand) Execute([]string) error {
+	load := func() (deployment.Settings, error) {
+		return platform.LoadSettings(os.Getenv(platform.SettingsVariable))
+	}
+	s, err := load()
+	if err != nil {
+		return err
+	}
+	debug.SetMemoryLimit(s.MemoryBytes * memoryShare / 100)
+	sink := logsink.New(os.Stdout)
+	logger := newLogger(sink)
+	event.NodeStarted.Log(logger, zap.String("node", s.Node), zap.String("failureDomain", s.FailureDomain),
+		zap.String("version", node.Version))
+	n, err := entry.New(entryConfig(s, logger, sink, load))
+	if err != nil {
+		event.NodeFailed.Log(logger, zap.Error(err))
+		return err
+	}
+	var g run.Group
+	g.Add(sink.Run, func(error) { sink.Stop() })
+	g.Add(func() error {
+		if err := n.Run(c.session.ctx); err != nil {
+			event.NodeFailed.Log(logger, zap.Error(err))
+			return err
+		}
+		event.NodeStopped.Log(logger)
+		return nil
+	}, func(error) {})
+	return g.Run()
+}
+
+// newLogger returns a logger that never blocks.
+func newLogger(sink *logsink.Sink) *zap.Logger {
+	encoding := zap.NewProductionEncoderConfig()
+	encoding.EncodeDuration = zapcore.StringDurationEncoder
+	return zap.New(zapcore.NewCore(zapcore.NewJSONEncoder(encoding), sink, zapcore.InfoLevel))
+}
+
+func entryConfig(s deployment.Settings, logger *zap.Logger, sink *logsink.Sink, load func() (deployment.Settings, error)) entry.Config {
+	dial := dialer().DialContext
+	return entry.Config{
+		Settings: s,
+		Clock:    clock.New(),
+		Logger:   logger,
+		Store:    platform.NewStore(platform.StoreConfig{Address: s.Platform, Timeout: storeTimeout, Dial: dial}),
+		Orders:   platform.NewOrders(platform.OrdersConfig{Dial: dial}),
+		Dialect:  platform.Dialect{},
+		Codec: entry.Codec{
+			ServersTable:        platform.ServersTable,
+			ConfigurationTable:  platform.ConfigurationTable,
+			ConfigurationKey:    platform.ConfigurationKey,
+			DecodeServer:        platform.DecodeServer,
+			DecodeConfiguration: platform.DecodeConfiguration,
+			Unwrap:              platform.Unwrap,
+		},
+		Dial:      dial,
+		Reload:    load,
+		Dropped:   sink.Dropped,
+		ReadyPath: readyPath,
+	}
+}
+
+// dialer returns a dialer whose connections notice a peer that went silent.
+func dialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: storeTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable: true, Idle: keepAliveIdle, Interval: keepAliveInterval, Count: keepAliveCount,
+		},
+		ControlContext: func(_ context.Context, _, _ string, c syscall.RawConn) error {
+			var failed error
+			err := c.Control(func(fd uintptr) {
+				failed = unix.SetsockoptInt(int(fd), unix.IPPROTO_TCP, unix.TCP_USER_TIMEOUT, int(unacknowledgedTimeout.Milliseconds()))
+			})
+			if err != nil {
+				return err
+			}
+			return failed
+		},
+	}
+}
--- /dev/null
+++ b/internal/fleet/control/controller.go
@@ -0,0 +1,136 @@
+// Package control keeps the replica groups of each failure domain at their
+// plan. One node at a time acts for a failure domain: the holder of its lease.
+// The plan and the lease are rows of one part of the platform's store, and a
+// plan is written only on condition that the lease has not changed.
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"almondbay.example/core/lease"
+	"almondbay.example/internal/fleet/formation"
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/routing/routes"
+	"almondbay.example/serving/platform"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("control")
+
+// Table is what the controller needs of the store.
+type Table interface {
+	platform.Table
+	platform.Committer
+}
+
+// Orders gives orders to backend servers.
+type Orders interface {
+	// Give gives one order and returns the status of its answer. The order is
+	// conditional on the number of orders that the server had accepted. An
+	// order whose answer is lost may still be carried out.
+	Give(ctx context.Context, o formation.Order, term uint64) (status int, err error)
+	// Reach asks a server for its state. It returns false when the server does
+	// not answer, or another one does.
+	Reach(ctx context.Context, s registry.Server) (registry.Server, bool)
+}
+
+// Config configures a Controller.
+type Config struct {
+	// Clock goes on while the VM is suspended: leases hang on it.
+	Clock         clockwork.Clock
+	Logger        *zap.Logger
+	Table         Table
+	Orders        Orders
+	Book          *registry.Book
+	Configuration func() *routes.Configuration
+	// Rank returns the place of this node among those that may act for a failure
+	// domain; negative if it may not.
+	Rank func(failureDomain string) int
+	// Weights returns the part of the engines that each model should have.
+	Weights func(e *routes.Engine) map[string]float64
+	// Holder is unique to this start of this node.
+	Holder         string
+	FailureDomains []string
+	// LoadWindow and LoadsPerWindow bound the loads from the weight store that
+	// one failure domain begins in any such span, relative to a rate of one load
+	// a second.
+	LoadWindow  time.Duration
+	LoadOverrun float64
+	// Grace is how long a missing registration may return after an outage.
+	Grace time.Duration
+	// QuietAfter is how long a head without a registration must have been out of
+	// reach before its group counts as broken; above the time after which a
+	// group whose head stands still breaks by itself.
+	QuietAfter time.Duration
+	Jitter     func(limit time.Duration) time.Duration
+}
+
+const (
+	// leaseDuration bounds how long a failure domain is without a controller;
+	// two renewals may fail in it.
+	leaseDuration = 4 * time.Second
+	// leaseMargin covers the drift of clocks and the time between the check of
+	// the lease and the order that hangs on it.
+	leaseMargin = 600 * time.Millisecond
+	// leaseInterval makes three renewals of a lease.
+	leaseInterval = 1200 * time.Millisecond
+	// orderTimeout bounds one order; an answer takes one round trip.
+	orderTimeout = time.Second
+	// orderRepeat is when an order that had no visible effect is given again:
+	// the order's timeout and two changes of the registration.
+	orderRepeat = 1500 * time.Millisecond
+	// closeTimeout is how long a closing head may finish its requests: a
+	// member that leaves stays for as long as ten seconds.
+	closeTimeout = 6 * time.Second
+)
+
+// Controller acts for the failure domains whose leases it holds.
+type Controller struct {
+	config  Config
+	domains []*domain
+}
+
+// New returns a controller.
+func New(c Config) *Controller {
+	controller := &Controller{config: c}
+	for _, d := range c.FailureDomains {
+		controller.domains = append(controller.domains, &domain{
+			config: c,
+			name:   d,
+			candidate: lease.New(lease.Config{
+				FabricDomain: d,
+				Holder:       c.Holder,
+				Duration:     leaseDuration,
+				Margin:       leaseMargin,
+				Interval:     leaseInterval,
+				Jitter:       c.Jitter,
+			}),
+			versions: map[uint64]uint64{},
+			given:    map[orderKey]givenOrder{},
+			missing:  map[string]missingHead{},
+		})
+	}
+	return controller
+}
+
+// Domains returns a step function for each failure domain, to be called
+// several times a second and not concurrently with itself.
+func (c *Controller) Domains() []func(context.Context) error {
+	steps := make([]func(context.Context) error, 0, len(c.domains))
+	for _, d := range c.domains {
+		steps = append(steps, d.step)
+	}
+	return steps
+}
+
+// Release hands all leases on. The step functions must go on until it is done.
+func (c *Controller) Release() {
+	for _, d := range c.domains {
+		d.releasing.Store(true)
+	}
+}
--- /dev/null
+++ b/internal/fleet/control/domain.go
@@ -0,0 +1,289 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondbay.example/core/lease"
+	"almondbay.example/internal/fleet/formation"
+	"almondbay.example/internal/routing/routes"
+	"almondbay.example/serving/event"
+	"almondbay.example/serving/platform"
+)
+
+// domain acts for one failure domain.
+type domain struct {
+	config    Config
+	name      string
+	candidate *lease.Candidate
+	// releasing is set once the node stops.
+	releasing atomic.Bool
+	// versions maps the sequence of the lease row to its version in the store;
+	// it holds the newest only.
+	versions map[uint64]uint64
+	sequence uint64
+
+	// term is the term that plan was read under; zero when plan is not known.
+	term        uint64
+	plan        formation.Plan
+	planVersion uint64
+	planCount   uint64
+	// loads holds when loads from the weight store began.
+	loads []time.Time
+	// loadsBlockedUntil covers the loads of an earlier holder.
+	loadsBlockedUntil time.Time
+	given             map[orderKey]givenOrder
+	missing           map[string]missingHead
+}
+
+func (d *domain) leaseKey() string { return "lease/" + d.name + "/holder" }
+
+func (d *domain) planKey() string { return "plan/" + d.name + "/groups" }
+
+// step renews the lease and acts under it.
+func (d *domain) step(ctx context.Context) error {
+	if d.releasing.Load() {
+		d.candidate.Release()
+	}
+	now := d.config.Clock.Now()
+	rank := d.config.Rank(d.name)
+	if rank < 0 && !d.candidate.Holds(now) {
+		return nil
+	}
+	d.candidate.SetRank(max(rank, 0))
+	if err := d.renew(ctx, now); err != nil {
+		return err
+	}
+	if !d.candidate.Holds(d.config.Clock.Now()) {
+		d.lapse()
+		return nil
+	}
+	if d.term != d.candidate.Term() {
+		if err := d.readPlan(ctx); err != nil {
+			return err
+		}
+	}
+	return d.act(ctx)
+}
+
+func (d *domain) lapse() {
+	if d.term != 0 {
+		event.LeaseEnded.Log(d.config.Logger, zap.String("fabricDomain", d.name))
+	}
+	d.term = 0
+}
+
+// renew takes the lease's next step.
+func (d *domain) renew(ctx context.Context, now time.Time) error {
+	command := d.candidate.Next(now)
+	switch command.Action {
+	case lease.ActionRead:
+		return d.readLease(ctx)
+	case lease.ActionWrite:
+		return d.writeLease(ctx, command)
+	default:
+		return nil
+	}
+}
+
+func (d *domain) readLease(ctx context.Context) error {
+	row, err := d.config.Table.Read(ctx, d.leaseKey())
+	now := d.config.Clock.Now()
+	if err != nil {
+		d.candidate.ReadFailed(now)
+		return Error.Wrap(err)
+	}
+	seen := lease.Versioned{Row: lease.Row{FabricDomain: d.name}, Operation: row.Operation}
+	if row.Version > 0 {
+		seen.Row, err = decodeLease(d.name, row.Value)
+		if err != nil {
+			d.candidate.ReadFailed(now)
+			return err
+		}
+	}
+	seen.Version = seen.Sequence
+	d.noteVersion(seen.Sequence, row.Version)
+	d.candidate.Saw(seen, now)
+	return nil
+}
+
+// noteVersion keeps the version of the newest lease row. The lease counts its
+// own writes, the store all transactions.
+func (d *domain) noteVersion(sequence, version uint64) {
+	if sequence < d.sequence {
+		return
+	}
+	d.sequence = sequence
+	clear(d.versions)
+	d.versions[sequence] = version
+}
+
+func (d *domain) writeLease(ctx context.Context, c lease.Command) error {
+	value, err := encodeLease(c.Row)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	version, err := d.config.Table.CommitAt(ctx, platform.Transaction{
+		Operation:  c.Operation,
+		Conditions: []platform.Condition{{Key: d.leaseKey(), Version: d.versions[c.Version]}},
+		Writes:     []platform.Write{{Key: d.leaseKey(), Value: value}},
+	})
+	now := d.config.Clock.Now()
+	outcome := outcomeOf(err)
+	if outcome == lease.OutcomeApplied {
+		d.noteVersion(c.Row.Sequence, version)
+	}
+	d.candidate.Wrote(outcome, now)
+	if outcome == lease.OutcomeConflict {
+		return nil
+	}
+	return Error.Wrap(err)
+}
+
+func outcomeOf(err error) lease.Outcome {
+	var conflict *platform.ConflictError
+	var refused *platform.RefusedError
+	switch {
+	case err == nil:
+		return lease.OutcomeApplied
+	case errors.As(err, &conflict):
+		return lease.OutcomeConflict
+	case errors.As(err, &refused):
+		return lease.OutcomeRefused
+	default:
+		return lease.OutcomeUnknown
+	}
+}
+
+// readPlan reads the plan under a new term, or after a write of it whose
+// outcome is not known.
+func (d *domain) readPlan(ctx context.Context) error {
+	row, err := d.config.Table.Read(ctx, d.planKey())
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	plan := formation.Plan{}
+	if row.Version > 0 {
+		if plan, err = decodePlan(row.Value); err != nil {
+			return err
+		}
+	}
+	d.plan = plan
+	d.planVersion = row.Version
+	if term := d.candidate.Term(); term != d.term {
+		d.term = term
+		d.given = map[orderKey]givenOrder{}
+		if row.Version > 0 {
+			d.loadsBlockedUntil = d.config.Clock.Now().Add(d.config.LoadWindow)
+		}
+		event.LeaseTaken.Log(d.config.Logger, zap.String("fabricDomain", d.name), zap.Uint64("term", term))
+	}
+	return nil
+}
+
+// act brings the servers closer to the plan, and the plan to the servers.
+func (d *domain) act(ctx context.Context) error {
+	c := d.config.Configuration()
+	if c == nil {
+		return nil
+	}
+	now := d.config.Clock.Now()
+	view := d.config.Book.View(now)
+	if view.ReadAt.IsZero() {
+		return nil
+	}
+	for _, s := range c.Services {
+		if s.Engine == nil {
+			continue
+		}
+		decision := formation.Decide(formation.View{
+			Now:           now,
+			Servers:       view,
+			Service:       s.Name,
+			FailureDomain: d.name,
+			Models:        s.Engine.Models,
+			Weights:       d.config.Weights(s.Engine),
+			Plan:          d.plan,
+			Loads:         d.loadsLeft(s.Engine, now),
+			Grace:         d.config.Grace,
+			Quiet:         d.quiet,
+			CloseTimeout:  closeTimeout,
+		})
+		if decision.Changed {
+			if err := d.writePlan(ctx, decision); err != nil {
+				return err
+			}
+		}
+		d.ask(ctx, decision.Suspects, now)
+		d.give(ctx, decision.Orders)
+	}
+	return nil
+}
+
+// loadsLeft returns the number of loads that may begin now.
+func (d *domain) loadsLeft(e *routes.Engine, now time.Time) int {
+	if now.Before(d.loadsBlockedUntil) {
+		return 0
+	}
+	kept := d.loads[:0]
+	for _, at := range d.loads {
+		if now.Sub(at) < d.config.LoadWindow {
+			kept = append(kept, at)
+		}
+	}
+	d.loads = kept
+	share := e.LoadsPerSecond * d.config.LoadWindow.Seconds() * d.config.LoadOverrun / float64(len(d.config.FailureDomains))
+	return int(share) - len(d.loads)
+}
+
+// writePlan writes a plan on condition that neither it nor the lease has
+// changed.
+func (d *domain) writePlan(ctx context.Context, decision formation.Decision) error {
+	value, err := encodePlan(decision.Plan)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if !d.candidate.Holds(d.config.Clock.Now()) {
+		return nil
+	}
+	d.planCount++
+	version, err := d.config.Table.CommitAt(ctx, platform.Transaction{
+		Operation: fmt.Sprintf("plan/%s/%s/%d", d.name, d.config.Holder, d.planCount),
+		Conditions: []platform.Condition{
+			{Key: d.leaseKey(), Version: d.versions[d.sequence]},
+			{Key: d.planKey(), Version: d.planVersion},
+		},
+		Writes: []platform.Write{{Key: d.planKey(), Value: value}},
+	})
+	if err != nil {
+		// Whether it was written shows when it is read again.
+		d.term = 0
+		return Error.Wrap(err)
+	}
+	d.plan = decision.Plan
+	d.planVersion = version
+	d.logPlan(decision)
+	return nil
+}
+
+func (d *domain) logPlan(decision formation.Decision) {
+	for _, r := range decision.Released {
+		event.GroupReleased.Log(d.config.Logger, zap.String("group", r.Group.Name), zap.Uint64("epoch", r.Group.Epoch),
+			zap.String("model", r.Group.Model), zap.String("reason", r.Reason), zap.Uint64("term", d.term))
+	}
+	for _, g := range decision.Formed {
+		ids := make([]string, 0, len(g.Members))
+		for _, m := range g.Members {
+			ids = append(ids, m.ID)
+		}
+		event.GroupPlanned.Log(d.config.Logger, zap.String("group", g.Name), zap.Uint64("epoch", g.Epoch),
+			zap.String("model", g.Model), zap.String("fabricDomain", g.FabricDomain),
+			zap.String("members", strings.Join(ids, ",")), zap.Uint64("term", d.term))
+	}
+}
--- /dev/null
+++ b/internal/fleet/control/wire.go
@@ -0,0 +1,81 @@
+package control
+
+import (
+	"encoding/json"
+	"time"
+
+	"almondbay.example/core/lease"
+	"almondbay.example/internal/fleet/formation"
+)
+
+type leaseWire struct {
+	Holder     string `json:"holder"`
+	Term       uint64 `json:"term"`
+	Sequence   uint64 `json:"sequence"`
+	DurationMs int64  `json:"durationMs"`
+}
+
+type planWire struct {
+	LastEpoch uint64      `json:"lastEpoch"`
+	Groups    []groupWire `json:"groups"`
+}
+
+type groupWire struct {
+	Name         string       `json:"name"`
+	FabricDomain string       `json:"fabricDomain"`
+	Model        string       `json:"model"`
+	Epoch        uint64       `json:"epoch"`
+	Members      []memberWire `json:"members"`
+	Dissolving   bool         `json:"dissolving,omitempty"`
+}
+
+type memberWire struct {
+	ID   string `json:"id"`
+	Born int64  `json:"born"`
+}
+
+func encodeLease(r lease.Row) ([]byte, error) {
+	return json.Marshal(leaseWire{Holder: r.Holder, Term: r.Term, Sequence: r.Sequence, DurationMs: r.Duration.Milliseconds()})
+}
+
+func decodeLease(failureDomain string, value []byte) (lease.Row, error) {
+	var w leaseWire
+	if err := json.Unmarshal(value, &w); err != nil {
+		return lease.Row{}, Error.New("lease of %q: %w", failureDomain, err)
+	}
+	return lease.Row{
+		FabricDomain: failureDomain,
+		Holder:       w.Holder,
+		Term:         w.Term,
+		Sequence:     w.Sequence,
+		Duration:     time.Duration(w.DurationMs) * time.Millisecond,
+	}, nil
+}
+
+func encodePlan(p formation.Plan) ([]byte, error) {
+	w := planWire{LastEpoch: p.LastEpoch, Groups: make([]groupWire, 0, len(p.Groups))}
+	for _, g := range p.Groups {
+		next := groupWire{Name: g.Name, FabricDomain: g.FabricDomain, Model: g.Model, Epoch: g.Epoch, Dissolving: g.Dissolving}
+		for _, m := range g.Members {
+			next.Members = append(next.Members, memberWire{ID: m.ID, Born: m.Born})
+		}
+		w.Groups = append(w.Groups, next)
+	}
+	return json.Marshal(w)
+}
+
+func decodePlan(value []byte) (formation.Plan, error) {
+	var w planWire
+	if err := json.Unmarshal(value, &w); err != nil {
+		return formation.Plan{}, Error.New("plan: %w", err)
+	}
+	p := formation.Plan{LastEpoch: w.LastEpoch}
+	for _, g := range w.Groups {
+		next := formation.Group{Name: g.Name, FabricDomain: g.FabricDomain, Model: g.Model, Epoch: g.Epoch, Dissolving: g.Dissolving}
+		for _, m := range g.Members {
+			next.Members = append(next.Members, formation.Member{ID: m.ID, Born: m.Born})
+		}
+		p.Groups = append(p.Groups, next)
+	}
+	return p, nil
+}
--- /dev/null
+++ b/internal/fleet/formation/plan.go
@@ -0,0 +1,359 @@
+// Package formation decides which backend servers form which replica groups.
+//
+// Decide compares the plan, which is kept in the platform's store, with what
+// the servers report, and returns the next plan and the orders that are safe
+// now. It depends on no earlier step, so whoever takes a failure domain over
+// goes on from the plan and the registrations alone.
+//
+// Two things must never happen: a head that serves while a member never was
+// ready, and a member that joins another group while the head of its own may
+// still serve. A head is therefore opened only once every member reports ready
+// under the group's name and epoch, and members are free only once the head is
+// known to be out of the group.
+package formation
+
+import (
+	"time"
+
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/routing/routes"
+)
+
+// Member is one life of a backend server.
+type Member struct {
+	ID   string
+	Born int64
+}
+
+// Group is a replica group of the plan.
+type Group struct {
+	// Name is unique to the group and its epoch.
+	Name         string
+	FabricDomain string
+	Model        string
+	// Epoch is above that of every earlier group of the failure domain.
+	Epoch uint64
+	// Members is not empty; the first is the head.
+	Members []Member
+	// Dissolving is set once the group is to be taken apart though it could
+	// serve.
+	Dissolving bool
+}
+
+// Plan holds the groups of one failure domain. A server is in one group at most.
+type Plan struct {
+	Groups []Group
+	// LastEpoch is the highest epoch that was ever given out.
+	LastEpoch uint64
+}
+
+// Operation is what a server is ordered to do.
+type Operation string
+
+// Operations.
+const (
+	// OperationJoin makes a server a member of a group.
+	OperationJoin Operation = "join"
+	// OperationOpen makes a head serve.
+	OperationOpen Operation = "open"
+	// OperationClose makes a head finish what it has and take nothing new.
+	OperationClose Operation = "close"
+	// OperationLeave takes a server out of its group at once.
+	OperationLeave Operation = "leave"
+	// OperationStage loads a model's weights onto the host.
+	OperationStage Operation = "stage"
+)
+
+// Order is one order to one server. It is conditional on the number of orders
+// that the server had accepted.
+type Order struct {
+	Server    registry.Server
+	Operation Operation
+	Group     string
+	Epoch     uint64
+	Model     string
+	// Members is set for OperationJoin.
+	Members []string
+	// Loads is set when the order begins a load from the weight store.
+	Loads bool
+	// Reason tells what the order is for.
+	Reason string
+}
+
+// View is what Decide depends on.
+type View struct {
+	Now     time.Time
+	Servers registry.View
+	// Service and FailureDomain select the servers that may be used.
+	Service       string
+	FailureDomain string
+	Models        []routes.Model
+	// Weights holds the part of the engines that each model should have; they
+	// add up to one.
+	Weights map[string]float64
+	Plan    Plan
+	// Loads is the number of loads from the weight store that may begin now.
+	Loads int
+	// Grace is how long a missing registration may still return while the store
+	// is in trouble.
+	Grace time.Duration
+	// Quiet reports whether a head without a registration is known not to serve.
+	Quiet func(id string) bool
+	// CloseTimeout is how long a closing head may take to finish its requests.
+	CloseTimeout time.Duration
+}
+
+// Release is a group that left the plan, and why.
+type Release struct {
+	Group  Group
+	Reason string
+}
+
+// Decision is the outcome of Decide.
+type Decision struct {
+	Plan Plan
+	// Changed is set when Plan must be written before Orders may be sent.
+	Changed  bool
+	Formed   []Group
+	Released []Release
+	Orders   []Order
+	// Suspects lists heads without a registration that must be asked whether
+	// they still serve.
+	Suspects []registry.Server
+}
+
+// planner works out one decision.
+type planner struct {
+	View
+	records map[string]registry.Record
+	models  map[string]routes.Model
+	// bound holds the servers of groups that stay in the plan.
+	bound    map[string]bool
+	decision Decision
+}
+
+// Decide returns the next plan and the orders of one failure domain.
+func Decide(v View) Decision {
+	p := &planner{
+		View:    v,
+		records: map[string]registry.Record{},
+		models:  map[string]routes.Model{},
+		bound:   map[string]bool{},
+	}
+	for _, r := range v.Servers.Servers {
+		if r.Service == v.Service && r.FailureDomain == v.FailureDomain {
+			p.records[r.ID] = r
+		}
+	}
+	for _, m := range v.Models {
+		p.models[m.Name] = m
+	}
+	p.decision.Plan.LastEpoch = v.Plan.LastEpoch
+	for _, g := range v.Plan.Groups {
+		p.keepOrRelease(g)
+	}
+	p.formGroups()
+	p.order()
+	if p.decision.Changed {
+		// The plan is in force once it is written; until then only orders that
+		// the old plan calls for as well may be sent.
+		p.decision.Orders = keepOrders(p.decision.Orders, v.Plan)
+	}
+	return p.decision
+}
+
+// keepOrders returns the orders that concern groups of a plan that is written.
+func keepOrders(orders []Order, written Plan) []Order {
+	known := map[uint64]bool{}
+	for _, g := range written.Groups {
+		known[g.Epoch] = true
+	}
+	var kept []Order
+	for _, o := range orders {
+		if known[o.Epoch] {
+			kept = append(kept, o)
+		}
+	}
+	return kept
+}
+
+// alive reports whether the server's registration stands.
+func (p *planner) alive(r registry.Record) bool {
+	return r.ID != "" && !p.Servers.Missing(r, p.Now, p.Grace)
+}
+
+// member returns the record of a member and whether it is the same life.
+func (p *planner) member(m Member) (registry.Record, bool) {
+	r, ok := p.records[m.ID]
+	return r, ok && p.alive(r) && r.Born == m.Born
+}
+
+// condition sorts the members of a group.
+type condition struct {
+	lost    []string
+	leaving []string
+	// ready is the number of members that are ready under the epoch.
+	ready int
+	// broken is set when a member reports the group as broken.
+	broken bool
+	// strayed is set when a member that was in the group reports another one.
+	strayed bool
+}
+
+func (p *planner) inspect(g Group) condition {
+	var c condition
+	for _, m := range g.Members {
+		r, ok := p.member(m)
+		switch {
+		case !ok:
+			c.lost = append(c.lost, m.ID)
+		case r.Draining:
+			c.leaving = append(c.leaving, m.ID)
+		case r.Group.Epoch > g.Epoch:
+			c.strayed = true
+		case r.In(g.Name, g.Epoch) && r.Group.State == registry.StateBroken:
+			c.broken = true
+		case r.In(g.Name, g.Epoch) && r.Group.State != registry.StateJoining:
+			c.ready++
+		}
+	}
+	return c
+}
+
+// keepOrRelease keeps a group that can serve, and takes apart one that can't.
+func (p *planner) keepOrRelease(g Group) {
+	c := p.inspect(g)
+	_, known := p.models[g.Model]
+	var reason string
+	switch {
+	case !known:
+		reason = "model is no longer configured"
+	case g.Dissolving:
+		reason = "dissolved"
+	case len(c.lost) > 0:
+		reason = "member lost"
+	case c.strayed:
+		reason = "member in another group"
+	case c.broken:
+		reason = "group broken"
+	case len(c.leaving) > 0:
+		reason = "member leaving"
+	default:
+		p.keep(g)
+		return
+	}
+	if p.headOut(g) {
+		p.decision.Released = append(p.decision.Released, Release{Group: g, Reason: reason})
+		p.decision.Changed = true
+		return
+	}
+	p.keep(g)
+	p.takeApart(g, reason, len(c.lost) == 0 && !c.broken && !c.strayed)
+}
+
+func (p *planner) keep(g Group) {
+	p.decision.Plan.Groups = append(p.decision.Plan.Groups, g)
+	for _, m := range g.Members {
+		p.bound[m.ID] = true
+	}
+}
+
+// headOut reports whether the head of a group is known not to serve it.
+func (p *planner) headOut(g Group) bool {
+	m := g.Members[0]
+	r, ok := p.records[m.ID]
+	switch {
+	case !ok || !p.alive(r):
+		if p.Quiet(m.ID) {
+			return true
+		}
+		if ok {
+			p.decision.Suspects = append(p.decision.Suspects, r.Server)
+		}
+		return false
+	case r.Born != m.Born, !r.In(g.Name, g.Epoch):
+		return true
+	default:
+		return r.Group.State == registry.StateBroken || r.Group.State == registry.StateJoining
+	}
+}
+
+// takeApart orders the head out of its group: at once when nothing moves
+// there any more, else after it has finished its requests.
+func (p *planner) takeApart(g Group, reason string, finish bool) {
+	r, ok := p.member(g.Members[0])
+	if !ok {
+		return
+	}
+	operation := OperationLeave
+	if finish {
+		switch r.Group.State {
+		case registry.StateOpen:
+			operation = OperationClose
+		case registry.StateClosing:
+			if p.Now.Sub(r.ChangedAt) < p.CloseTimeout {
+				return
+			}
+		}
+	}
+	p.decision.Orders = append(p.decision.Orders, Order{
+		Server: r.Server, Operation: operation, Group: g.Name, Epoch: g.Epoch, Model: g.Model, Reason: reason,
+	})
+}
+
+// order adds the orders that bring the servers to the plan.
+func (p *planner) order() {
+	for _, g := range p.decision.Plan.Groups {
+		c := p.inspect(g)
+		if g.Dissolving || len(c.lost)+len(c.leaving) > 0 || c.broken || c.strayed {
+			continue
+		}
+		if c.ready == len(g.Members) {
+			p.open(g)
+			continue
+		}
+		p.join(g)
+	}
+}
+
+// open opens the head of a group whose members are all ready.
+func (p *planner) open(g Group) {
+	r, _ := p.member(g.Members[0])
+	if r.Group.State != registry.StateReady {
+		return
+	}
+	p.decision.Orders = append(p.decision.Orders, Order{
+		Server: r.Server, Operation: OperationOpen, Group: g.Name, Epoch: g.Epoch, Model: g.Model, Reason: "all members ready",
+	})
+}
+
+// join orders the members that are not in the group yet to join it.
+func (p *planner) join(g Group) {
+	ids := make([]string, 0, len(g.Members))
+	for _, m := range g.Members {
+		ids = append(ids, m.ID)
+	}
+	for _, m := range g.Members {
+		r, _ := p.member(m)
+		if r.In(g.Name, g.Epoch) {
+			continue
+		}
+		loads := needsLoad(r.Server, g.Model)
+		if loads {
+			if p.Loads <= 0 {
+				continue
+			}
+			p.Loads--
+		}
+		p.decision.Orders = append(p.decision.Orders, Order{
+			Server: r.Server, Operation: OperationJoin, Group: g.Name, Epoch: g.Epoch, Model: g.Model,
+			Members: ids, Loads: loads, Reason: "planned",
+		})
+	}
+}
+
+// needsLoad reports whether joining a group of the model takes a load from the
+// weight store.
+func needsLoad(s registry.Server, model string) bool {
+	return s.Model != model && !s.HasStaged(model)
+}
--- /dev/null
+++ b/internal/fleet/registry/book.go
@@ -0,0 +1,195 @@
+package registry
+
+import (
+	"cmp"
+	"slices"
+	"sync"
+	"time"
+)
+
+// BookConfig configures a Book.
+type BookConfig struct {
+	// ReturnGrace is how long after the end of an outage of the store a missing
+	// row still stands for a server that may register again.
+	ReturnGrace time.Duration
+	// Remember is how long the record of a server that is gone is kept, so that
+	// the head of a group can be asked whether it still serves.
+	Remember time.Duration
+}
+
+// Update is one change of a registration. Server is nil when the row is gone
+// or names no usable server.
+type Update struct {
+	ID      string
+	Version uint64
+	Server  *Server
+}
+
+// Book holds all registrations. It is safe for use by several goroutines.
+type Book struct {
+	config BookConfig
+
+	mu      sync.Mutex
+	records map[string]Record
+	version uint64
+	// readAt is when the store last answered.
+	readAt time.Time
+	// troubledAt is when a call to the store last failed.
+	troubledAt time.Time
+	// generation grows with every change that routing could depend on.
+	generation uint64
+}
+
+// NewBook returns an empty book.
+func NewBook(c BookConfig) *Book {
+	return &Book{config: c, records: map[string]Record{}}
+}
+
+// Replace takes in a whole list: servers that it does not name are gone.
+func (b *Book) Replace(updates []Update, version uint64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	listed := make(map[string]bool, len(updates))
+	for _, u := range updates {
+		listed[u.ID] = true
+		b.apply(u, now)
+	}
+	for id, r := range b.records {
+		if !listed[id] && r.LapsedAt.IsZero() {
+			b.apply(Update{ID: id, Version: version}, now)
+		}
+	}
+	b.read(version, now)
+}
+
+// Apply takes in changes in their order.
+func (b *Book) Apply(updates []Update, version uint64, now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	for _, u := range updates {
+		b.apply(u, now)
+	}
+	b.read(version, now)
+}
+
+// Failed notes that the store did not answer.
+func (b *Book) Failed(now time.Time) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	b.troubledAt = now
+}
+
+func (b *Book) read(version uint64, now time.Time) {
+	b.version = max(b.version, version)
+	b.readAt = now
+	for id, r := range b.records {
+		if !r.LapsedAt.IsZero() && now.Sub(r.LapsedAt) > b.config.Remember {
+			delete(b.records, id)
+		}
+	}
+}
+
+func (b *Book) apply(u Update, now time.Time) {
+	old, known := b.records[u.ID]
+	if known && u.Version < old.Version {
+		return
+	}
+	if u.Server == nil {
+		if known && old.LapsedAt.IsZero() {
+			old.LapsedAt = now
+			old.Version = u.Version
+			b.records[u.ID] = old
+			b.generation++
+		}
+		return
+	}
+	if known && u.Version == old.Version {
+		return
+	}
+	if !known || changed(old, *u.Server) {
+		b.generation++
+	}
+	b.records[u.ID] = Record{Server: *u.Server, Version: u.Version, ChangedAt: now}
+}
+
+// changed reports whether a registration differs in more than its heartbeat.
+func changed(old Record, next Server) bool {
+	s := old.Server
+	return !old.LapsedAt.IsZero() || s.Address != next.Address || s.Draining != next.Draining ||
+		s.Group != next.Group || s.Born != next.Born || s.Service != next.Service || s.Model != next.Model ||
+		s.Slots != next.Slots
+}
+
+// View is a book at one moment.
+type View struct {
+	// Servers is ordered by ID.
+	Servers []Record
+	// Version is the version of the store that the view is as of.
+	Version uint64
+	// ReadAt is when the store last answered; zero before the first answer.
+	ReadAt time.Time
+	// Steady is set when missing rows may be believed: the store has answered
+	// without failure for longer than ReturnGrace.
+	Steady bool
+	// Generation is equal for two views that route alike.
+	Generation uint64
+}
+
+// View returns the book as of now.
+func (b *Book) View(now time.Time) View {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	v := View{
+		Servers:    make([]Record, 0, len(b.records)),
+		Version:    b.version,
+		ReadAt:     b.readAt,
+		Steady:     b.steady(now),
+		Generation: b.generation,
+	}
+	for _, r := range b.records {
+		v.Servers = append(v.Servers, r)
+	}
+	slices.SortFunc(v.Servers, func(x, y Record) int { return cmp.Compare(x.ID, y.ID) })
+	return v
+}
+
+// Generation returns a number that changes whenever routing may.
+func (b *Book) Generation() uint64 {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.generation
+}
+
+// ReadAt returns when the store last answered; zero before the first answer.
+func (b *Book) ReadAt() time.Time {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.readAt
+}
+
+// Steady reports whether missing rows may be believed.
+func (b *Book) Steady(now time.Time) bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+
+	return b.steady(now)
+}
+
+func (b *Book) steady(now time.Time) bool {
+	return !b.readAt.IsZero() && now.Sub(b.troubledAt) > b.config.ReturnGrace
+}
+
+// Missing reports whether the server has left for good: its row is gone and
+// the store could have been believed ever since.
+func (v View) Missing(r Record, now time.Time, grace time.Duration) bool {
+	if r.LapsedAt.IsZero() {
+		return false
+	}
+	return v.Steady || now.Sub(r.LapsedAt) > grace
+}
--- /dev/null
+++ b/internal/fleet/store/follower.go
@@ -0,0 +1,115 @@
+// Package store follows tables of the platform's store.
+package store
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"almondbay.example/serving/platform"
+)
+
+// FollowerConfig configures a Follower.
+type FollowerConfig struct {
+	Clock clockwork.Clock
+	Feed  platform.Feed
+	Table string
+	// Wait is how long a call may wait for a change.
+	Wait time.Duration
+	// Interval is the least time between two calls.
+	Interval time.Duration
+	// RetryFirst is the wait after a failure; it doubles with each failure in a
+	// row up to RetryMax.
+	RetryFirst time.Duration
+	RetryMax   time.Duration
+	// Replace takes in a whole table, Apply changes of it.
+	Replace func(c platform.Changes)
+	Apply   func(c platform.Changes)
+	// Failed is told of each call that failed, and how many failed in a row.
+	Failed func(err error, failures int)
+}
+
+// Follower keeps a table up to date.
+type Follower struct {
+	config   FollowerConfig
+	version  uint64
+	known    bool
+	failures int
+}
+
+// NewFollower returns a follower.
+func NewFollower(c FollowerConfig) *Follower {
+	return &Follower{config: c}
+}
+
+// Run follows the table until ctx is done.
+func (f *Follower) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		begun := f.config.Clock.Now()
+		err := f.step(ctx)
+		wait := f.config.Interval - f.config.Clock.Since(begun)
+		var lost *platform.HistoryLostError
+		switch {
+		case errors.As(err, &lost):
+			f.known = false
+			wait = 0
+		case err != nil && ctx.Err() == nil:
+			f.failures++
+			f.config.Failed(err, f.failures)
+			wait = f.backOff()
+		default:
+			f.failures = 0
+		}
+		if !f.pause(ctx, wait) {
+			return
+		}
+	}
+}
+
+// backOff returns a wait that grows with the failures in a row and differs
+// between nodes.
+func (f *Follower) backOff() time.Duration {
+	wait := f.config.RetryFirst << min(f.failures-1, maxDoublings)
+	wait = min(wait, f.config.RetryMax)
+	return wait/2 + rand.N(wait/2+1)
+}
+
+// maxDoublings keeps the shift from overflowing.
+const maxDoublings = 8
+
+func (f *Follower) pause(ctx context.Context, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := f.config.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+		return true
+	}
+}
+
+func (f *Follower) step(ctx context.Context) error {
+	if !f.known {
+		changes, err := f.config.Feed.Scan(ctx, f.config.Table)
+		if err != nil {
+			return err
+		}
+		f.version = changes.Version
+		f.known = true
+		f.config.Replace(changes)
+		return nil
+	}
+	changes, err := f.config.Feed.Changes(ctx, f.config.Table, f.version, f.config.Wait)
+	if err != nil {
+		return err
+	}
+	f.version = max(f.version, changes.Version)
+	f.config.Apply(changes)
+	return nil
+}
--- /dev/null
+++ b/internal/node/clock/clock.go
@@ -0,0 +1,43 @@
+// Package clock is the clock of a node. It goes on while the VM is suspended
+// and does not jump with the time of day, so that a lease never outlives its
+// duration.
+package clock
+
+import (
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"golang.org/x/sys/unix"
+)
+
+// Boot is the time since the VM's boot, suspensions included. Its timers are
+// those of the Go runtime, which stand still while the VM is suspended.
+type Boot struct {
+	clockwork.Clock
+}
+
+// New returns the clock.
+func New() Boot {
+	return Boot{Clock: clockwork.NewRealClock()}
+}
+
+// Now implements clockwork.Clock. The times that it returns are for comparison
+// only; they are no time of day.
+func (b Boot) Now() time.Time {
+	var now unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_BOOTTIME, &now); err != nil {
+		// Every Linux since 2.6.39 has the clock.
+		panic("clock: CLOCK_BOOTTIME: " + err.Error())
+	}
+	return time.Unix(now.Unix())
+}
+
+// Since implements clockwork.Clock.
+func (b Boot) Since(t time.Time) time.Duration {
+	return b.Now().Sub(t)
+}
+
+// Until implements clockwork.Clock.
+func (b Boot) Until(t time.Time) time.Duration {
+	return t.Sub(b.Now())
+}
--- /dev/null
+++ b/internal/node/entry/node.go
@@ -0,0 +1,311 @@
+// Package entry assembles a node on an entry VM: callers' requests, what is
+// known of backend servers and of the other nodes, and the control of replica
+// groups.
+package entry
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"slices"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"github.com/zeebo/errs"
+	"go.uber.org/zap"
+
+	"almondbay.example/core/relay"
+	"almondbay.example/internal/fleet/control"
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/node/deployment"
+	"almondbay.example/internal/peer/gossip"
+	"almondbay.example/internal/routing/backend"
+	"almondbay.example/internal/routing/balance"
+	"almondbay.example/internal/routing/exchange"
+	"almondbay.example/internal/routing/ingress"
+	"almondbay.example/internal/routing/retry"
+	"almondbay.example/internal/routing/routes"
+	"almondbay.example/serving/platform"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("entry")
+
+// Store is what a node needs of the platform's store.
+type Store interface {
+	platform.Table
+	platform.Committer
+	platform.Feed
+}
+
+// Codec translates what others write into the store.
+type Codec struct {
+	ServersTable        string
+	ConfigurationTable  string
+	ConfigurationKey    string
+	DecodeServer        func(id string, value []byte) *registry.Server
+	DecodeConfiguration func(value []byte) (*routes.Configuration, error)
+	// Unwrap returns the value of a row that this system wrote.
+	Unwrap func(body []byte) (operation string, value []byte, err error)
+}
+
+// Config configures a Node.
+type Config struct {
+	Settings deployment.Settings
+	Clock    clockwork.Clock
+	Logger   *zap.Logger
+	Store    Store
+	Orders   control.Orders
+	Dialect  exchange.Dialect
+	Codec    Codec
+	Dial     func(ctx context.Context, network, address string) (net.Conn, error)
+	// Reload reads the settings again.
+	Reload func() (deployment.Settings, error)
+	// Dropped returns the number of log lines dropped since the last call.
+	Dropped func() uint64
+	// ReadyPath is what the balancer asks for.
+	ReadyPath string
+}
+
+// Node is one node.
+type Node struct {
+	config     Config
+	board      *balance.Board
+	book       *registry.Book
+	members    *gossip.Members
+	budget     *retry.Budget
+	socket     *gossip.Socket
+	handler    *ingress.Handler
+	controller *control.Controller
+	journal    *journal
+	incarnation int64
+	startedAt  time.Time
+
+	configuration atomic.Pointer[routes.Configuration]
+	stopping      atomic.Bool
+	wasReady      atomic.Bool
+
+	mu sync.Mutex
+	// generation and version are what the heads were last made from.
+	generation uint64
+	version    uint64
+	headsAt    time.Time
+	heads      map[balance.Key]int
+}
+
+const (
+	// returnGrace is how long after an outage of the store a registration may
+	// still return; the platform promises about two seconds.
+	returnGrace = 2200 * time.Millisecond
+	// rememberGone covers the time until a lost head's group is given up.
+	rememberGone = time.Minute
+	// connectTimeout allows for two lost packets within a region.
+	connectTimeout = 450 * time.Millisecond
+	// idleConnection is below the idle timeouts of backend servers.
+	idleConnection = 2500 * time.Millisecond
+	// maxIdle is about what one node has in flight to one head at a crest.
+	maxIdle = 16
+	// maxTries bounds the heads that a request is offered to: two refusals for
+	// want of room are enough to tell that there is none.
+	maxTries = 3
+	// stallAfter is above the longest pass of an engine that reads a long prompt.
+	stallAfter = 450 * time.Millisecond
+	// silentAfter is when a single stream among others that move is given up;
+	// below the two seconds after which callers give up.
+	silentAfter = 1400 * time.Millisecond
+	// budgetUse leaves part of the retry budget to nodes that have restarted.
+	budgetUse = 0.7
+	// quietMargin is added to the time after which a group with a lost member
+	// breaks by itself, before its members may join another.
+	quietMargin = 2 * time.Second
+	// loadMargin widens the window of loads by what orders take to arrive.
+	loadMargin = 500 * time.Millisecond
+)
+
+// New assembles a node.
+func New(c Config) (*Node, error) {
+	s := c.Settings
+	n := &Node{
+		config:      c,
+		incarnation: time.Now().UnixNano(),
+		startedAt:   c.Clock.Now(),
+		board: balance.NewBoard(balance.Policy{
+			FailureDomain: s.FailureDomain,
+			RemotePenalty: 0.35,
+			QueueShare:    0.5,
+			SuspendFirst:  300 * time.Millisecond,
+			SuspendMax:    3 * time.Second,
+			FullFor:       100 * time.Millisecond,
+			StalledFor:    600 * time.Millisecond,
+			UsualService:  500 * time.Millisecond,
+		}),
+		book: registry.NewBook(registry.BookConfig{ReturnGrace: returnGrace, Remember: rememberGone}),
+		members: gossip.NewMembers(gossip.Config{
+			Self:           gossip.Peer{Node: s.Node, FailureDomain: s.FailureDomain, Address: s.Address.String()},
+			Interval:       40 * time.Millisecond,
+			PerPeer:        4 * time.Millisecond,
+			RemoteInterval: 500 * time.Millisecond,
+			DeadAfter:      1500 * time.Millisecond,
+		}),
+		budget: retry.NewBudget(retry.Config{
+			Ratio:  s.Bounds.RetryRatio,
+			Slack:  s.Bounds.RetrySlack,
+			Window: s.Bounds.RetryWindow,
+			Use:    budgetUse,
+		}),
+		heads: map[balance.Key]int{},
+	}
+	n.journal = newJournal(c.Logger, c.Clock, c.Dropped)
+	var err error
+	n.socket, err = gossip.Listen(gossip.SocketConfig{
+		Clock:       c.Clock,
+		Listen:      netip.AddrPortFrom(s.Address, uint16(s.PeerPort)),
+		Incarnation: n.incarnation,
+		Received:    n.received,
+		Failed:      n.journal.datagramFailed,
+	})
+	if err != nil {
+		return nil, err
+	}
+	n.handler = ingress.NewHandler(ingress.Config{
+		Clock:         c.Clock,
+		Logger:        c.Logger,
+		Dialect:       c.Dialect,
+		Board:         n.board,
+		Backend:       backend.NewClient(backend.Config{Clock: c.Clock, ConnectTimeout: connectTimeout, IdleTimeout: idleConnection, MaxIdle: maxIdle, Dial: c.Dial}),
+		Budget:        n.budget,
+		Configuration: n.configuration.Load,
+		Observe:       n.observe,
+		MaxTries:      maxTries,
+		StallAfter:    stallAfter,
+		SilentAfter:   silentAfter,
+	})
+	n.controller = control.New(control.Config{
+		Clock:          c.Clock,
+		Logger:         c.Logger,
+		Table:          c.Store,
+		Orders:         c.Orders,
+		Book:           n.book,
+		Configuration:  n.configuration.Load,
+		Rank:           n.rank,
+		Weights:        n.weights,
+		Holder:         fmt.Sprintf("%s/%d", s.Node, n.incarnation),
+		FailureDomains: s.FailureDomains,
+		LoadWindow:     s.Bounds.LoadWindow + loadMargin,
+		LoadOverrun:    s.Bounds.LoadOverrun,
+		Grace:          returnGrace,
+		QuietAfter:     s.Bounds.Stall + quietMargin,
+		Jitter:         func(limit time.Duration) time.Duration { return rand.N(limit + 1) },
+	})
+	return n, nil
+}
+
+// foreignAfter is how long a node waits after its start before it acts for a
+// failure domain without live nodes: until it has heard of the others.
+const foreignAfter = 6 * time.Second
+
+// maxRank bounds the nodes that watch a lease.
+const maxRank = 2
+
+// rank returns the place of this node among those that may act for a failure
+// domain, by rendezvous hashing. Nodes of the failure domain itself come first,
+// since they reach its servers when it is cut off.
+func (n *Node) rank(failureDomain string) int {
+	s := n.config.Settings
+	now := n.config.Clock.Now()
+	var names []string
+	for _, p := range n.members.Alive(failureDomain, now) {
+		names = append(names, p.Node)
+	}
+	switch {
+	case failureDomain == s.FailureDomain:
+		names = append(names, s.Node)
+	case len(names) > 0 || now.Sub(n.startedAt) < foreignAfter:
+		return -1
+	default:
+		for _, p := range n.members.Alive("", now) {
+			names = append(names, p.Node)
+		}
+		names = append(names, s.Node)
+	}
+	for rank := range maxRank {
+		owner := relay.Owner(failureDomain, names)
+		if owner == s.Node {
+			return rank
+		}
+		names = slices.DeleteFunc(names, func(name string) bool { return name == owner })
+	}
+	return -1
+}
+
+// weights returns the part of the engines that each model should have.
+func (n *Node) weights(e *routes.Engine) map[string]float64 {
+	total := 0.0
+	for _, m := range e.Models {
+		total += m.Share
+	}
+	weights := make(map[string]float64, len(e.Models))
+	for _, m := range e.Models {
+		if total <= 0 {
+			weights[m.Name] = 1 / float64(len(e.Models))
+			continue
+		}
+		weights[m.Name] = m.Share / total
+	}
+	return weights
+}
+
+// received takes in a message of another node.
+func (n *Node) received(m gossip.Message) {
+	now := n.config.Clock.Now()
+	if !n.members.Heard(m, now) {
+		return
+	}
+	if m.DomainLoads != nil {
+		n.board.Report("domain/"+m.FailureDomain, m.DomainLoads, m.Stalled, now)
+		return
+	}
+	n.board.Report("node/"+m.Node, m.Loads, m.Stalled, now)
+}
+
+// tell sends what this node has in flight to its failure domain.
+func (n *Node) tell(context.Context) error {
+	now := n.config.Clock.Now()
+	loads, stalled := n.board.Own(now)
+	s := n.config.Settings
+	n.socket.Send(gossip.Message{
+		Node:          s.Node,
+		FailureDomain: s.FailureDomain,
+		Loads:         loads,
+		Stalled:       stalled,
+		Leaving:       n.stopping.Load(),
+	}, n.members.Known(s.FailureDomain))
+	return nil
+}
+
+// tellRemote sends what the failure domain has in flight to the others, if
+// this node speaks for it.
+func (n *Node) tellRemote(context.Context) error {
+	now := n.config.Clock.Now()
+	if !n.members.Reports(now) {
+		return nil
+	}
+	s := n.config.Settings
+	var sources []string
+	for _, p := range n.members.Alive(s.FailureDomain, now) {
+		sources = append(sources, "node/"+p.Node)
+	}
+	_, stalled := n.board.Own(now)
+	n.socket.Send(gossip.Message{
+		Node:          s.Node,
+		FailureDomain: s.FailureDomain,
+		DomainLoads:   n.board.Domain(sources, now),
+		Stalled:       stalled,
+		Leaving:       n.stopping.Load(),
+	}, n.members.Remote())
+	return nil
+}
--- /dev/null
+++ b/internal/node/entry/peer_wire.go
@@ -0,0 +1,33 @@
+package entry
+
+import (
+	"encoding/json"
+	"strconv"
+
+	"almondbay.example/internal/peer/gossip"
+)
+
+// peerWire is the row of a node.
+type peerWire struct {
+	Node          string `json:"node"`
+	FailureDomain string `json:"failureDomain"`
+	Address       string `json:"address"`
+}
+
+func encodePeer(p gossip.Peer) ([]byte, error) {
+	body, err := json.Marshal(peerWire{Node: p.Node, FailureDomain: p.FailureDomain, Address: p.Address})
+	return body, Error.Wrap(err)
+}
+
+func decodePeer(value []byte) (gossip.Peer, error) {
+	var w peerWire
+	if err := json.Unmarshal(value, &w); err != nil {
+		return gossip.Peer{}, Error.New("row of a node: %w", err)
+	}
+	return gossip.Peer{Node: w.Node, FailureDomain: w.FailureDomain, Address: w.Address}, nil
+}
+
+// operation returns an ID for a write of this start of the node.
+func (n *Node) operation(what string) string {
+	return what + "/" + n.config.Settings.Node + "/" + strconv.FormatInt(n.incarnation, 10)
+}
--- /dev/null
+++ b/internal/node/entry/refresh.go
@@ -0,0 +1,195 @@
+package entry
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/fleet/store"
+	"almondbay.example/internal/peer/gossip"
+	"almondbay.example/internal/routing/balance"
+	"almondbay.example/serving/event"
+	"almondbay.example/serving/platform"
+)
+
+const (
+	// nodesTable is the table in which nodes find each other.
+	nodesTable = "nodes"
+
+	// serversInterval is the least time between two reads of registrations: a
+	// fraction of the time in which a leaving server must be left alone.
+	serversInterval = 350 * time.Millisecond
+	// serversWait bounds the wait for a registration to change.
+	serversWait = time.Second
+	// configurationWait bounds the wait for a new configuration. A connection
+	// that went silent costs as much, which must be within the bound on
+	// configuration.
+	configurationWait = 2500 * time.Millisecond
+	// nodesWait bounds the wait for a node to come.
+	nodesWait = 10 * time.Second
+
+	retryFirst = 150 * time.Millisecond
+	retryMax   = time.Second
+)
+
+// followers returns the followers of the store's tables.
+func (n *Node) followers() []*store.Follower {
+	base := store.FollowerConfig{
+		Clock:      n.config.Clock,
+		Feed:       n.config.Store,
+		RetryFirst: retryFirst,
+		RetryMax:   retryMax,
+	}
+	servers := base
+	servers.Table = n.config.Codec.ServersTable
+	servers.Wait = serversWait
+	servers.Interval = serversInterval
+	servers.Replace = func(c platform.Changes) { n.takeServers(c, true) }
+	servers.Apply = func(c platform.Changes) { n.takeServers(c, false) }
+	servers.Failed = func(err error, failures int) {
+		n.book.Failed(n.config.Clock.Now())
+		n.journal.stepFailed(err, failures)
+	}
+	configuration := base
+	configuration.Table = n.config.Codec.ConfigurationTable
+	configuration.Wait = configurationWait
+	configuration.Replace = n.takeConfiguration
+	configuration.Apply = n.takeConfiguration
+	configuration.Failed = n.journal.stepFailed
+	nodes := base
+	nodes.Table = nodesTable
+	nodes.Wait = nodesWait
+	nodes.Interval = time.Second
+	known := map[string]gossip.Peer{}
+	nodes.Replace = func(c platform.Changes) { clear(known); n.takeNodes(known, c) }
+	nodes.Apply = func(c platform.Changes) { n.takeNodes(known, c) }
+	nodes.Failed = n.journal.stepFailed
+	return []*store.Follower{store.NewFollower(servers), store.NewFollower(configuration), store.NewFollower(nodes)}
+}
+
+// takeServers takes in registrations.
+func (n *Node) takeServers(c platform.Changes, whole bool) {
+	now := n.config.Clock.Now()
+	updates := make([]registry.Update, 0, len(c.Rows))
+	for _, row := range c.Rows {
+		u := registry.Update{ID: row.Key, Version: row.Version}
+		if !row.Deleted {
+			u.Server = n.config.Codec.DecodeServer(row.Key, row.Value)
+		}
+		updates = append(updates, u)
+	}
+	if whole {
+		n.book.Replace(updates, c.Version, now)
+	} else {
+		n.book.Apply(updates, c.Version, now)
+	}
+	n.refreshHeads()
+}
+
+// headsMaxAge is when heads are made anew though no registration changed:
+// missing ones come to be believed with time.
+const headsMaxAge = 500 * time.Millisecond
+
+// refreshHeads makes the heads from what is known.
+func (n *Node) refreshHeads() {
+	c := n.configuration.Load()
+	if c == nil {
+		return
+	}
+	n.mu.Lock()
+	defer n.mu.Unlock()
+
+	now := n.config.Clock.Now()
+	generation := n.book.Generation()
+	if generation == n.generation && c.Version == n.version && now.Sub(n.headsAt) < headsMaxAge {
+		return
+	}
+	n.generation, n.version, n.headsAt = generation, c.Version, now
+	view := n.book.View(now)
+	heads := registry.Heads(view, c.Sizes(), now, returnGrace)
+	n.board.SetHeads(heads)
+	n.logHeads(heads, view)
+}
+
+// logHeads logs how many heads each service and model has, when that changes.
+func (n *Node) logHeads(heads []registry.Head, view registry.View) {
+	counts := map[balance.Key]int{}
+	for k := range n.heads {
+		counts[k] = 0
+	}
+	for _, h := range heads {
+		counts[balance.Key{Service: h.Service, Model: h.Model}]++
+	}
+	for k, count := range counts {
+		if n.heads[k] == count {
+			continue
+		}
+		event.HeadsChanged.Log(n.config.Logger, zap.String("service", k.Service), zap.String("model", k.Model),
+			zap.Int("heads", count), zap.Uint64("registryVersion", view.Version), zap.Bool("steady", view.Steady))
+	}
+	n.heads = counts
+}
+
+// takeConfiguration takes in a configuration. It never goes back to an older
+// one.
+func (n *Node) takeConfiguration(c platform.Changes) {
+	for _, row := range c.Rows {
+		if row.Key != n.config.Codec.ConfigurationKey || row.Deleted {
+			continue
+		}
+		next, err := n.config.Codec.DecodeConfiguration(row.Value)
+		if err != nil {
+			event.ConfigurationUnreadable.Log(n.config.Logger, zap.Error(err))
+			continue
+		}
+		var previous uint64
+		if current := n.configuration.Load(); current != nil {
+			previous = current.Version
+		}
+		if next.Version <= previous {
+			continue
+		}
+		n.configuration.Store(next)
+		event.ConfigurationInForce.Log(n.config.Logger, zap.Uint64("version", next.Version), zap.Uint64("previous", previous),
+			zap.Int("routes", len(next.Routes)), zap.Int("keys", len(next.Workspaces)))
+	}
+	n.refreshHeads()
+}
+
+// takeNodes takes in the rows of other nodes.
+func (n *Node) takeNodes(known map[string]gossip.Peer, c platform.Changes) {
+	for _, row := range c.Rows {
+		if row.Deleted {
+			delete(known, row.Key)
+			continue
+		}
+		_, value, err := n.config.Codec.Unwrap(row.Value)
+		if err == nil {
+			known[row.Key], err = decodePeer(value)
+		}
+		if err != nil {
+			n.journal.stepFailed(err, 1)
+		}
+	}
+	peers := make([]gossip.Peer, 0, len(known))
+	for _, p := range known {
+		peers = append(peers, p)
+	}
+	n.members.SetPeers(peers)
+	n.budget.SetNodes(n.members.Count())
+}
+
+// announce writes this node's row until the store has it.
+func (n *Node) announce(ctx context.Context) error {
+	s := n.config.Settings
+	value, err := encodePeer(gossip.Peer{Node: s.Node, FailureDomain: s.FailureDomain, Address: s.Address.String()})
+	if err != nil {
+		return err
+	}
+	return n.config.Store.Commit(ctx, platform.Transaction{
+		Operation: n.operation("announce"),
+		Writes:    []platform.Write{{Key: nodesTable + "//" + s.Node, Value: value}},
+	})
+}
--- /dev/null
+++ b/internal/node/entry/run.go
@@ -0,0 +1,249 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/oklog/run"
+	"go.uber.org/zap"
+
+	"almondbay.example/internal/routing/ingress"
+	"almondbay.example/serving/event"
+)
+
+const (
+	// checkInterval is the time between two looks at all attempts.
+	checkInterval = 50 * time.Millisecond
+	// controlInterval is the time between two steps of control.
+	controlInterval = 200 * time.Millisecond
+	// refreshInterval is the time between two sums of others' loads.
+	refreshInterval = 40 * time.Millisecond
+	// unreadyFor is how long connections are still taken after SIGTERM: the
+	// balancer notices after two questions, a second apart.
+	unreadyFor = 2300 * time.Millisecond
+	// cutMargin is how long before SIGKILL what is left is cut.
+	cutMargin = 300 * time.Millisecond
+	// readHeaderTimeout bounds the reading of a request's head.
+	readHeaderTimeout = 5 * time.Second
+	// idleCallerTimeout is above the idle time that any configuration names, so
+	// that it is callers who close.
+	idleCallerTimeout = time.Minute
+	// maxHeaderBytes bounds the head of a request.
+	maxHeaderBytes = 64 << 10
+)
+
+// Run serves until ctx is done, then ends gracefully.
+func (n *Node) Run(ctx context.Context) error {
+	callers, err := net.Listen("tcp", n.config.Settings.Callers)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	readiness, err := net.Listen("tcp", n.config.Settings.Readiness)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	event.NodeListening.Log(n.config.Logger, zap.String("listener", "callers"), zap.String("address", callers.Addr().String()))
+	event.NodeListening.Log(n.config.Logger, zap.String("listener", "readiness"), zap.String("address", readiness.Addr().String()))
+
+	var g run.Group
+	server := &http.Server{
+		Handler:           n.handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleCallerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(zap.NewNop()),
+	}
+	n.addCallers(ctx, &g, server, callers)
+	n.addReadiness(&g, readiness)
+	g.Add(n.socket.Run, func(error) { _ = n.socket.Close() })
+	for _, f := range n.followers() {
+		n.addContext(&g, f.Run)
+	}
+	n.addLoop(&g, func() time.Duration { return checkInterval }, func(context.Context) error {
+		n.handler.Check(n.config.Clock.Now())
+		return nil
+	})
+	n.addLoop(&g, func() time.Duration { return refreshInterval }, func(context.Context) error {
+		n.board.Refresh(n.config.Clock.Now())
+		n.refreshHeads()
+		return nil
+	})
+	n.addLoop(&g, n.members.Interval, n.tell)
+	n.addLoop(&g, func() time.Duration { return 500 * time.Millisecond }, n.tellRemote)
+	n.addLoop(&g, func() time.Duration { return countInterval }, func(context.Context) error {
+		n.journal.flush()
+		return nil
+	})
+	for _, step := range n.controller.Domains() {
+		n.addLoop(&g, func() time.Duration { return controlInterval }, step)
+	}
+	n.addAnnounce(&g)
+	n.addReload(&g)
+	return g.Run()
+}
+
+// addCallers serves callers until ctx is done and all requests have ended.
+func (n *Node) addCallers(ctx context.Context, g *run.Group, server *http.Server, l net.Listener) {
+	ended := make(chan struct{})
+	g.Add(func() error {
+		err := server.Serve(l)
+		if !errors.Is(err, http.ErrServerClosed) {
+			return Error.Wrap(err)
+		}
+		<-ended
+		return nil
+	}, func(error) { _ = server.Close() })
+	stop, cancel := context.WithCancel(ctx)
+	g.Add(func() error {
+		<-stop.Done()
+		n.drain(server)
+		close(ended)
+		return nil
+	}, func(error) { cancel() })
+}
+
+// drain ends gracefully within the grace period.
+func (n *Node) drain(server *http.Server) {
+	begun := n.config.Clock.Now()
+	event.NodeDraining.Log(n.config.Logger)
+	n.stopping.Store(true)
+	n.logReadiness()
+	n.controller.Release()
+	server.SetKeepAlivesEnabled(false)
+	n.config.Clock.Sleep(unreadyFor)
+	left := n.config.Settings.Bounds.Grace - cutMargin - n.config.Clock.Since(begun)
+	ctx, cancel := context.WithTimeout(context.Background(), left)
+	defer cancel()
+	if err := server.Shutdown(ctx); err != nil {
+		event.StepFailed.Log(n.config.Logger, zap.String("error", "requests cut at the end of the grace period: "+err.Error()), zap.Int("failures", 1))
+	}
+}
+
+// ready reports whether the node can serve, and if not why.
+func (n *Node) ready() (bool, string) {
+	switch {
+	case n.stopping.Load():
+		return false, "stopping"
+	case n.configuration.Load() == nil:
+		return false, "no configuration known"
+	case n.book.ReadAt().IsZero():
+		return false, "no registrations known"
+	default:
+		return true, ""
+	}
+}
+
+// logReadiness logs a change of readiness and returns it.
+func (n *Node) logReadiness() bool {
+	ready, cause := n.ready()
+	if n.wasReady.Swap(ready) != ready {
+		event.ReadinessChanged.Log(n.config.Logger, zap.Bool("ready", ready), zap.String("cause", cause))
+	}
+	return ready
+}
+
+func (n *Node) addReadiness(g *run.Group, l net.Listener) {
+	e := echo.New()
+	e.GET(n.config.ReadyPath, func(c echo.Context) error {
+		if !n.logReadiness() {
+			return c.NoContent(http.StatusServiceUnavailable)
+		}
+		return c.NoContent(http.StatusOK)
+	})
+	server := &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
+	g.Add(func() error { return Error.Wrap(server.Serve(l)) }, func(error) { _ = server.Close() })
+}
+
+// addContext runs f until the group ends.
+func (n *Node) addContext(g *run.Group, f func(context.Context)) {
+	ctx, cancel := context.WithCancel(context.Background())
+	g.Add(func() error {
+		f(ctx)
+		return nil
+	}, func(error) { cancel() })
+}
+
+// addLoop runs step at once and then at each interval, until the group ends.
+func (n *Node) addLoop(g *run.Group, interval func() time.Duration, step func(context.Context) error) {
+	n.addContext(g, func(ctx context.Context) {
+		failures := 0
+		for {
+			err := step(ctx)
+			switch {
+			case err == nil:
+				failures = 0
+			case ctx.Err() == nil:
+				failures++
+				n.journal.stepFailed(err, failures)
+			}
+			if !n.pause(ctx, interval()) {
+				return
+			}
+		}
+	})
+}
+
+func (n *Node) pause(ctx context.Context, wait time.Duration) bool {
+	timer := n.config.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+		return true
+	}
+}
+
+// addAnnounce writes this node's row, again until it is written.
+func (n *Node) addAnnounce(g *run.Group) {
+	n.addContext(g, func(ctx context.Context) {
+		for failures := 1; ; failures++ {
+			err := n.announce(ctx)
+			if err != nil {
+				n.journal.stepFailed(err, failures)
+			}
+			wait := retryMax
+			if err == nil {
+				wait = announceInterval
+			}
+			if !n.pause(ctx, wait) {
+				return
+			}
+		}
+	})
+}
+
+// announceInterval is when a node writes its row again, in case somebody
+// removed it.
+const announceInterval = 10 * time.Minute
+
+// addReload reads the settings again at SIGHUP.
+func (n *Node) addReload(g *run.Group) {
+	hangups := make(chan os.Signal, 1)
+	signal.Notify(hangups, syscall.SIGHUP)
+	n.addContext(g, func(ctx context.Context) {
+		defer signal.Stop(hangups)
+		for {
+			select {
+			case <-ctx.Done():
+				return
+			case <-hangups:
+				_, err := n.config.Reload()
+				event.SettingsReloaded.Log(n.config.Logger, zap.Error(err))
+			}
+		}
+	})
+}
+
+// observe takes in a request that has ended.
+func (n *Node) observe(r ingress.Result) {
+	now := n.config.Clock.Now()
+	n.journal.request(r, now.Sub(n.book.ReadAt()))
+}
--- /dev/null
+++ b/internal/peer/gossip/message_wire.go
@@ -0,0 +1,73 @@
+package gossip
+
+import (
+	"encoding/json"
+	"time"
+)
+
+// messageWire is a datagram between two nodes.
+type messageWire struct {
+	Node          string             `json:"node"`
+	FailureDomain string             `json:"failureDomain"`
+	Incarnation   int64              `json:"incarnation"`
+	Sequence      uint64             `json:"sequence"`
+	Loads         map[string]int     `json:"loads,omitempty"`
+	DomainLoads   map[string]int     `json:"domainLoads,omitempty"`
+	Stalled       []string           `json:"stalled,omitempty"`
+	Demand        map[string]float64 `json:"demand,omitempty"`
+	Leaving       bool               `json:"leaving,omitempty"`
+	Poison        []poisonWire       `json:"poison,omitempty"`
+	Registry      uint64             `json:"registry,omitempty"`
+	Revision      uint64             `json:"revision,omitempty"`
+}
+
+// poisonWire tells of the crashes under one request.
+type poisonWire struct {
+	Fingerprint []byte   `json:"fingerprint"`
+	Servers     []string `json:"servers"`
+	AgeMs       int64    `json:"ageMs"`
+}
+
+func encode(m Message) ([]byte, error) {
+	w := messageWire{
+		Node:          m.Node,
+		FailureDomain: m.FailureDomain,
+		Incarnation:   m.Incarnation,
+		Sequence:      m.Sequence,
+		Loads:         m.Loads,
+		DomainLoads:   m.DomainLoads,
+		Stalled:       m.Stalled,
+		Demand:        m.Demand,
+		Leaving:       m.Leaving,
+		Registry:      m.Registry,
+		Revision:      m.Revision,
+	}
+	for _, p := range m.Poison {
+		w.Poison = append(w.Poison, poisonWire{Fingerprint: p.Fingerprint, Servers: p.Servers, AgeMs: p.Age.Milliseconds()})
+	}
+	return json.Marshal(w)
+}
+
+func decode(body []byte) (Message, error) {
+	var w messageWire
+	if err := json.Unmarshal(body, &w); err != nil {
+		return Message{}, Error.Wrap(err)
+	}
+	m := Message{
+		Node:          w.Node,
+		FailureDomain: w.FailureDomain,
+		Incarnation:   w.Incarnation,
+		Sequence:      w.Sequence,
+		Loads:         w.Loads,
+		DomainLoads:   w.DomainLoads,
+		Stalled:       w.Stalled,
+		Demand:        w.Demand,
+		Leaving:       w.Leaving,
+		Registry:      w.Registry,
+		Revision:      w.Revision,
+	}
+	for _, p := range w.Poison {
+		m.Poison = append(m.Poison, Poison{Fingerprint: p.Fingerprint, Servers: p.Servers, Age: time.Duration(p.AgeMs) * time.Millisecond})
+	}
+	return m, nil
+}
--- /dev/null
+++ b/internal/peer/gossip/socket.go
@@ -0,0 +1,86 @@
+package gossip
+
+import (
+	"net"
+	"net/netip"
+	"sync/atomic"
+
+	"github.com/jonboulle/clockwork"
+)
+
+// SocketConfig configures a Socket.
+type SocketConfig struct {
+	Clock clockwork.Clock
+	// Listen is the address and port of this node; all nodes use the same port.
+	Listen      netip.AddrPort
+	Incarnation int64
+	// Received is called for each message that could be decoded.
+	Received func(Message)
+	// Failed is told of datagrams that can't be sent or decoded.
+	Failed func(error)
+}
+
+// Socket sends and receives datagrams.
+type Socket struct {
+	config   SocketConfig
+	conn     *net.UDPConn
+	sequence atomic.Uint64
+}
+
+// maxDatagram bounds a message; larger ones are not sent.
+const maxDatagram = 60 << 10
+
+// Listen opens the socket.
+func Listen(c SocketConfig) (*Socket, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(c.Listen))
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	return &Socket{config: c, conn: conn}, nil
+}
+
+// Run receives until the socket is closed.
+func (s *Socket) Run() error {
+	buffer := make([]byte, maxDatagram)
+	for {
+		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		m, err := decode(buffer[:n])
+		if err != nil {
+			s.config.Failed(err)
+			continue
+		}
+		s.config.Received(m)
+	}
+}
+
+// Close ends Run.
+func (s *Socket) Close() error {
+	return Error.Wrap(s.conn.Close())
+}
+
+// Send sends one message to each of the peers.
+func (s *Socket) Send(m Message, peers []Peer) {
+	m.Incarnation = s.config.Incarnation
+	m.Sequence = s.sequence.Add(1)
+	body, err := encode(m)
+	if err == nil && len(body) > maxDatagram {
+		err = Error.New("message of %d bytes is too large", len(body))
+	}
+	if err != nil {
+		s.config.Failed(err)
+		return
+	}
+	for _, p := range peers {
+		address, err := netip.ParseAddr(p.Address)
+		if err != nil {
+			s.config.Failed(Error.New("address %q of node %q: %w", p.Address, p.Node, err))
+			continue
+		}
+		if _, err := s.conn.WriteToUDPAddrPort(body, netip.AddrPortFrom(address, s.config.Listen.Port())); err != nil {
+			s.config.Failed(Error.Wrap(err))
+		}
+	}
+}
--- /dev/null
+++ b/internal/routing/balance/board.go
@@ -0,0 +1,131 @@
+package balance
+
+import (
+	"sync"
+	"time"
+
+	"almondbay.example/internal/fleet/registry"
+)
+
+// Board holds the pools of all services and models.
+type Board struct {
+	policy Policy
+
+	mu    sync.RWMutex
+	pools map[Key]*Pool
+	// reports holds what other nodes last said, by node.
+	reports map[string]report
+}
+
+// report is what another node, or a whole failure domain, has in flight.
+type report struct {
+	loads map[string]int
+	at    time.Time
+}
+
+// reportTTL is how long another node's word on its requests in flight counts:
+// several times the longest interval between two reports.
+const reportTTL = 3 * time.Second
+
+// NewBoard returns a board without heads.
+func NewBoard(policy Policy) *Board {
+	return &Board{policy: policy, pools: map[Key]*Pool{}, reports: map[string]report{}}
+}
+
+// SetHeads replaces all heads.
+func (b *Board) SetHeads(heads []registry.Head) {
+	byKey := map[Key][]registry.Head{}
+	for _, h := range heads {
+		k := Key{Service: h.Service, Model: h.Model}
+		byKey[k] = append(byKey[k], h)
+	}
+	b.mu.Lock()
+	for k := range byKey {
+		if b.pools[k] == nil {
+			b.pools[k] = newPool(k, b.policy)
+		}
+	}
+	pools := make([]*Pool, 0, len(b.pools))
+	for _, p := range b.pools {
+		pools = append(pools, p)
+	}
+	b.mu.Unlock()
+	for _, p := range pools {
+		p.setHeads(byKey[p.key])
+	}
+}
+
+// Pool returns the pool of a service and model, or nil when it never had a head.
+func (b *Board) Pool(k Key) *Pool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+
+	return b.pools[k]
+}
+
+// Report takes in what a node, or a whole other failure domain, has in flight.
+func (b *Board) Report(from string, loads map[string]int, stalled []string, now time.Time) {
+	b.mu.Lock()
+	b.reports[from] = report{loads: loads, at: now}
+	pools := make([]*Pool, 0, len(b.pools))
+	for _, p := range b.pools {
+		pools = append(pools, p)
+	}
+	b.mu.Unlock()
+	for _, id := range stalled {
+		for _, p := range pools {
+			p.toldStalled(id, now)
+		}
+	}
+}
+
+// Refresh sums up the reports of other nodes.
+func (b *Board) Refresh(now time.Time) {
+	b.mu.Lock()
+	sums := map[string]int{}
+	for from, r := range b.reports {
+		if now.Sub(r.at) > reportTTL {
+			delete(b.reports, from)
+			continue
+		}
+		for id, n := range r.loads {
+			sums[id] += n
+		}
+	}
+	pools := make([]*Pool, 0, len(b.pools))
+	for _, p := range b.pools {
+		pools = append(pools, p)
+	}
+	b.mu.Unlock()
+	for _, p := range pools {
+		p.setOthers(sums)
+	}
+}
+
+// Own returns what this node has in flight by head, and the heads that it
+// knows to stand still.
+func (b *Board) Own(now time.Time) (loads map[string]int, stalled []string) {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+
+	loads = map[string]int{}
+	for _, p := range b.pools {
+		stalled = p.snapshot(loads, stalled, now)
+	}
+	return loads, stalled
+}
+
+// Domain returns what the failure domain has in flight: this node's requests
+// and those of the given nodes.
+func (b *Board) Domain(nodes []string, now time.Time) map[string]int {
+	loads, _ := b.Own(now)
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+
+	for _, n := range nodes {
+		for id, count := range b.reports[n].loads {
+			loads[id] += count
+		}
+	}
+	return loads
+}
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -179,6 +179,86 @@
 	}
 )
 
+// Events of requests on an entry VM.
+var (
+	RequestEnded = Definition{
+		Number: 901, Level: zapcore.InfoLevel, Message: "request ended",
+		Fields:  []string{"request", "route", "service", "model", "version", "outcome", "status", "cause", "tries", "retryAfter", "firstByte", "maxGap", "duration", "events", "registryAge"},
+		Meaning: "A caller's request is over. The field tries lists each head that it was offered to, the requests believed to be there, how long it took and why it gave no answer; version is the configuration in force and registryAge the age of what was known of backend servers.",
+		Action:  "See OPERATIONS.md, from a request's ID to its cause.",
+	}
+	RequestsCounted = Definition{
+		Number: 902, Level: zapcore.InfoLevel, Message: "requests counted",
+		Fields:  []string{"outcome", "count", "dropped"},
+		Meaning: "Requests whose own lines were left out to keep the log bounded, and lines lost to a full output.",
+		Action:  noAction,
+	}
+	ConfigurationInForce = Definition{
+		Number: 903, Level: zapcore.InfoLevel, Message: "configuration in force",
+		Fields:  []string{"version", "previous", "routes", "keys"},
+		Meaning: "The node decides by a newer configuration from now on.",
+		Action:  noAction,
+	}
+	ConfigurationUnreadable = Definition{
+		Number: 904, Level: zapcore.ErrorLevel, Message: "configuration unreadable",
+		Fields:  []string{"error"},
+		Meaning: "The newest configuration cannot be decoded; the node keeps the one it has.",
+		Action:  "Write the configuration again.",
+	}
+	SettingsReloaded = Definition{
+		Number: 905, Level: zapcore.InfoLevel, Message: "settings reloaded",
+		Fields:  []string{"error"},
+		Meaning: "The settings file was read again; with an error the node keeps the settings it has.",
+		Action:  "With an error, mend the file.",
+	}
+	ReadinessChanged = Definition{
+		Number: 906, Level: zapcore.InfoLevel, Message: "readiness changed",
+		Fields:  []string{"ready", "cause"},
+		Meaning: "The node tells the balancer that it takes connections, or that it doesn't.",
+		Action:  noAction,
+	}
+	DatagramFailed = Definition{
+		Number: 907, Level: zapcore.WarnLevel, Message: "datagram failed",
+		Fields:  []string{"error", "failures"},
+		Meaning: "A message to or from another node was lost; the next one makes up for it.",
+		Action:  noAction,
+	}
+)
+
+// Events of the backend servers and their groups as an entry VM sees them.
+var (
+	HeadsChanged = Definition{
+		Number: 951, Level: zapcore.InfoLevel, Message: "heads changed",
+		Fields:  []string{"service", "model", "heads", "registryVersion", "steady"},
+		Meaning: "The backend servers that requests of a service and model can be sent to are others from now on.",
+		Action:  "None, unless heads is zero for long; then look at the events of replica groups.",
+	}
+	GroupPlanned = Definition{
+		Number: 952, Level: zapcore.InfoLevel, Message: "replica group planned",
+		Fields:  []string{"group", "epoch", "model", "fabricDomain", "members", "term"},
+		Meaning: "The plan in the store has a new group; its members are ordered to join it.",
+		Action:  noAction,
+	}
+	GroupReleased = Definition{
+		Number: 953, Level: zapcore.InfoLevel, Message: "replica group released",
+		Fields:  []string{"group", "epoch", "model", "reason", "term"},
+		Meaning: "The plan in the store has lost a group; its members are free.",
+		Action:  noAction,
+	}
+	OrderGiven = Definition{
+		Number: 954, Level: zapcore.InfoLevel, Message: "order given",
+		Fields:  []string{"server", "operation", "group", "epoch", "model", "loads", "reason", "status", "error"},
+		Meaning: "A backend server was given an order and answered with the status, or not at all.",
+		Action:  noAction,
+	}
+	HeadAsked = Definition{
+		Number: 955, Level: zapcore.InfoLevel, Message: "head without a registration asked",
+		Fields:  []string{"server", "reached", "quiet", "missingFor"},
+		Meaning: "A head that is no longer registered was asked whether it still serves, before its members may join another group.",
+		Action:  noAction,
+	}
+)
+
 var areas = []area{
 	{"Node", []Definition{NodeStarted, NodeListening, NodeDraining, NodeStopped, NodeFailed, StepFailed}},
 	{"Certificates", []Definition{CertificateLoaded, CertificateRefused}},
@@ -189,4 +269,8 @@
 	{"Leases and replica groups", []Definition{LeaseTaken, LeaseEnded, LeasesKept, GroupChanged, VMChanged, OrderRefused}},
 	{"Operators and peers", []Definition{KeyRefused, DrainRequested}},
 	{"Scheduling", []Definition{OwnerUnreachable}},
+	{"Entry VMs", []Definition{
+		RequestEnded, RequestsCounted, ConfigurationInForce, ConfigurationUnreadable, SettingsReloaded, ReadinessChanged, DatagramFailed,
+	}},
+	{"Backend servers", []Definition{HeadsChanged, GroupPlanned, GroupReleased, OrderGiven, HeadAsked}},
 }
--- a/pkg/serving/event/event_test.go
+++ b/pkg/serving/event/event_test.go
@@ -144,7 +144,7 @@
 func sources(t *testing.T) []string {
 	t.Helper()
 	var paths []string
-	for _, module := range []string{"cmd", "pkg"} {
+	for _, module := range []string{"cmd", "internal", "pkg", "platform"} {
 		err := filepath.WalkDir(filepath.Join(root, module), func(path string, _ fs.DirEntry, err error) error {
 			if strings.HasSuffix(path, ".go") && !strings.HasSuffix(path, "_test.go") && !strings.Contains(path, "serving/event/") {
 				paths = append(paths, path)
