Count the orders that a server has accepted apart from its heartbeats

Cause: the field that conditions an order counts accepted orders only in a server's report; in its registration the same name counts heartbeats. Ruled out: an order in the wrong state (fresh servers refused as well).

--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -28,15 +28,23 @@
 	platform.Committer
 }
 
+// State is what a server says of itself when asked.
+type State struct {
+	// Accepted is the number of orders that this life of the server has accepted.
+	Accepted uint64
+	// Born is zero when the server doesn't say.
+	Born  int64
+	Group registry.Membership
+}
+
 // Orders gives orders to backend servers.
 type Orders interface {
-	// Give gives one order and returns the status of its answer. The order is
-	// conditional on the number of orders that the server had accepted. An
-	// order whose answer is lost may still be carried out.
-	Give(ctx context.Context, o formation.Order, term uint64) (status int, err error)
-	// Reach asks a server for its state. It returns false when the server does
-	// not answer, or another one does.
-	Reach(ctx context.Context, s registry.Server) (registry.Server, bool)
+	// Give gives one order and returns the status of its answer. The order takes
+	// effect only if the server has accepted exactly so many before. An order
+	// whose answer is lost may still be carried out.
+	Give(ctx context.Context, o formation.Order, accepted, term uint64) (status int, err error)
+	// Reach asks a server for its state.
+	Reach(ctx context.Context, s registry.Server) (State, error)
 }
 
 // Config configures a Controller.
@@ -111,8 +119,9 @@
 				Jitter:       c.Jitter,
 			}),
 			versions: map[uint64]uint64{},
-			given:    map[orderKey]givenOrder{},
+			given:    map[orderKey]time.Time{},
 			missing:  map[string]missingHead{},
+			accepted: map[string]acceptance{},
 		})
 	}
 	return controller
--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -38,8 +39,12 @@
 	loads []time.Time
 	// loadsBlockedUntil covers the loads of an earlier holder.
 	loadsBlockedUntil time.Time
-	given             map[orderKey]givenOrder
+	given             map[orderKey]time.Time
 	missing           map[string]missingHead
+
+	// countMu guards accepted.
+	countMu  sync.Mutex
+	accepted map[string]acceptance
 }
 
 func (d *domain) leaseKey() string { return "lease/" + d.name + "/holder" }
@@ -178,7 +183,8 @@
 	d.planVersion = row.Version
 	if term := d.candidate.Term(); term != d.term {
 		d.term = term
-		d.given = map[orderKey]givenOrder{}
+		d.given = map[orderKey]time.Time{}
+		d.forgetCounts()
 		if row.Version > 0 {
 			d.loadsBlockedUntil = d.config.Clock.Now().Add(d.config.LoadWindow)
 		}
--- a/internal/fleet/control/order.go
+++ b/internal/fleet/control/order.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/http"
 	"time"
 
 	"go.uber.org/zap"
@@ -19,11 +20,49 @@
 	epoch     uint64
 }
 
-// givenOrder is an order that was given.
-type givenOrder struct {
-	at time.Time
-	// orders is the number of orders that the server had accepted then.
-	orders uint64
+// acceptance is the number of orders that a life of a server has accepted.
+type acceptance struct {
+	born  int64
+	count uint64
+}
+
+// forgetCounts makes all counts be asked for again: an earlier holder of the
+// lease may have given orders.
+func (d *domain) forgetCounts() {
+	d.countMu.Lock()
+	defer d.countMu.Unlock()
+
+	clear(d.accepted)
+}
+
+// count returns the number of orders that a server has accepted, as counted
+// here or else as it says itself.
+func (d *domain) count(ctx context.Context, s registry.Server) (uint64, error) {
+	d.countMu.Lock()
+	known, ok := d.accepted[s.ID]
+	d.countMu.Unlock()
+	if ok && known.born == s.Born {
+		return known.count, nil
+	}
+	if s.Group.Name == "" && s.Model == "" && len(s.Staged) == 0 {
+		// Nothing was ever ordered of it; an order that is on its way makes this
+		// one fail.
+		return 0, nil
+	}
+	state, err := d.config.Orders.Reach(ctx, s)
+	return state.Accepted, err
+}
+
+// setCount keeps the number of orders that a server has accepted, or forgets it.
+func (d *domain) setCount(s registry.Server, count uint64, known bool) {
+	d.countMu.Lock()
+	defer d.countMu.Unlock()
+
+	if known {
+		d.accepted[s.ID] = acceptance{born: s.Born, count: count}
+		return
+	}
+	delete(d.accepted, s.ID)
 }
 
 // give gives the orders that were not given a moment ago, at the same time.
@@ -35,10 +74,10 @@
 			break
 		}
 		key := orderKey{server: o.Server.ID, operation: o.Operation, epoch: o.Epoch}
-		if last, ok := d.given[key]; ok && now.Sub(last.at) < orderRepeat && last.orders == o.Server.Orders {
+		if at, ok := d.given[key]; ok && now.Sub(at) < orderRepeat {
 			continue
 		}
-		d.given[key] = givenOrder{at: now, orders: o.Server.Orders}
+		d.given[key] = now
 		if o.Loads {
 			d.loads = append(d.loads, now)
 		}
@@ -51,13 +90,28 @@
 	_ = group.Wait()
 }
 
-func (d *domain) giveOne(ctx context.Context, o formation.Order) {
+// giveOne gives one order and returns whether the server took it.
+func (d *domain) giveOne(ctx context.Context, o formation.Order) bool {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	status, err := d.config.Orders.Give(ctx, o, d.term)
+	status := 0
+	accepted, err := d.count(ctx, o.Server)
+	if err == nil {
+		status, err = d.config.Orders.Give(ctx, o, accepted, d.term)
+	}
+	switch status {
+	case http.StatusAccepted:
+		d.setCount(o.Server, accepted+1, true)
+	case http.StatusOK:
+		d.setCount(o.Server, accepted, true)
+	default:
+		d.setCount(o.Server, 0, false)
+	}
 	event.OrderGiven.Log(d.config.Logger, zap.String("server", o.Server.ID), zap.String("operation", string(o.Operation)),
 		zap.String("group", o.Group), zap.Uint64("epoch", o.Epoch), zap.String("model", o.Model),
-		zap.Bool("loads", o.Loads), zap.String("reason", o.Reason), zap.Int("status", status), zap.Error(err))
+		zap.Bool("loads", o.Loads), zap.Uint64("accepted", accepted), zap.String("reason", o.Reason),
+		zap.Int("status", status), zap.Error(err))
+	return status == http.StatusAccepted || status == http.StatusOK
 }
 
 // missingHead is a head whose registration is gone.
@@ -111,22 +165,30 @@
 }
 
 func (d *domain) askOne(ctx context.Context, s registry.Server, m missingHead) missingHead {
-	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
+	asking, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
-	current, reached := d.config.Orders.Reach(ctx, s)
+	state, err := d.config.Orders.Reach(asking, s)
 	m.askedAt = d.config.Clock.Now()
-	if reached {
+	if err == nil {
 		m.reachedAt = m.askedAt
-		m.left = current.Group.Name != s.Group.Name || current.Group.Epoch != s.Group.Epoch ||
-			current.Group.State == registry.StateBroken
+		m.left = !serves(s, state)
 		if !m.left && d.candidate.Holds(m.askedAt) {
-			d.giveOne(ctx, formation.Order{
-				Server: current, Operation: formation.OperationLeave, Group: s.Group.Name, Epoch: s.Group.Epoch,
+			d.setCount(s, state.Accepted, true)
+			m.left = d.giveOne(ctx, formation.Order{
+				Server: s, Operation: formation.OperationLeave, Group: s.Group.Name, Epoch: s.Group.Epoch,
 				Model: s.Model, Reason: "registration gone, head still serves",
 			})
 		}
 	}
-	event.HeadAsked.Log(d.config.Logger, zap.String("server", s.ID), zap.Bool("reached", reached),
+	event.HeadAsked.Log(d.config.Logger, zap.String("server", s.ID), zap.Bool("reached", err == nil),
 		zap.Bool("quiet", m.left), zap.Duration("missingFor", m.askedAt.Sub(m.since)))
 	return m
 }
+
+// serves reports whether a head still is in the group that it was registered
+// with.
+func serves(s registry.Server, state State) bool {
+	sameLife := state.Born == 0 || state.Born == s.Born
+	return sameLife && state.Group.Name == s.Group.Name && state.Group.Epoch == s.Group.Epoch &&
+		state.Group.State != registry.StateBroken
+}
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -64,8 +64,7 @@
 	OperationStage Operation = "stage"
 )
 
-// Order is one order to one server. It is conditional on the number of orders
-// that the server had accepted.
+// Order is one order to one server.
 type Order struct {
 	Server    registry.Server
 	Operation Operation
--- a/internal/fleet/registry/server.go
+++ b/internal/fleet/registry/server.go
@@ -38,8 +38,6 @@
 	Slots int
 	// Draining is set once it has announced that it leaves.
 	Draining bool
-	// Orders is the number of orders that this life has accepted.
-	Orders uint64
 	// Born tells two lives under the same ID apart; zero when not stated.
 	Born int64
 	// FabricDomain is empty for plain services.
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -247,7 +247,7 @@
 	}
 	OrderGiven = Definition{
 		Number: 954, Level: zapcore.InfoLevel, Message: "order given",
-		Fields:  []string{"server", "operation", "group", "epoch", "model", "loads", "reason", "status", "error"},
+		Fields:  []string{"server", "operation", "group", "epoch", "model", "loads", "accepted", "reason", "status", "error"},
 		Meaning: "A backend server was given an order and answered with the status, or not at all.",
 		Action:  noAction,
 	}
