Keep a hot standby for each model and read the store once a failure domain

Cause: loads of weights take 12 to 16 s once traffic flows and seven run at full speed, so that 18 lost members in 34 s left 8 of 21 groups; orders and questions to dead servers held up the steps of control for a second each; each node read the store itself.

--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -47,13 +47,24 @@
 	Reach(ctx context.Context, s registry.Server) (State, error)
 }
 
+// Vantage is what several nodes found when they asked a server for its state.
+type Vantage struct {
+	// Asked is the number of nodes that tried, this one included.
+	Asked int
+	// Reached is set when any of them got an answer, which State holds.
+	Reached bool
+	State   State
+}
+
 // Config configures a Controller.
 type Config struct {
 	// Clock goes on while the VM is suspended: leases hang on it.
-	Clock         clockwork.Clock
-	Logger        *zap.Logger
-	Table         Table
-	Orders        Orders
+	Clock  clockwork.Clock
+	Logger *zap.Logger
+	Table  Table
+	Orders Orders
+	// Look has several nodes ask a server for its state.
+	Look          func(ctx context.Context, s registry.Server) Vantage
 	Book          *registry.Book
 	Configuration func() *routes.Configuration
 	// Rank returns the place of this node among those that may act for a failure
@@ -61,17 +72,25 @@
 	Rank func(failureDomain string) int
 	// Weights returns the part of the engines that each model should have.
 	Weights func(e *routes.Engine) map[string]float64
+	// Serving reports whether callers' requests have begun. Loads are short
+	// before that.
+	Serving func() bool
 	// Holder is unique to this start of this node.
 	Holder         string
 	FailureDomains []string
-	// LoadWindow and LoadsPerWindow bound the loads from the weight store that
-	// one failure domain begins in any such span, relative to a rate of one load
-	// a second.
+	// In any LoadSpan all failure domains together may begin LoadSlack loads from
+	// the weight store, and LoadOverrun times those that the rate of the weight
+	// store gives. LoadWindow is LoadSpan with a margin for orders on their way.
+	LoadSpan    time.Duration
 	LoadWindow  time.Duration
 	LoadOverrun float64
+	LoadSlack   float64
 	// Grace is how long a missing registration may return after an outage.
 	Grace time.Duration
-	// QuietAfter is how long a head without a registration must have been out of
+	// VantagePoints is the number of nodes that must have asked a head without a
+	// registration in vain, twice, before its group counts as broken.
+	VantagePoints int
+	// QuietAfter is, with fewer nodes to ask, how long a head without a registration must have been out of
 	// reach before its group counts as broken; above the time after which a
 	// group whose head stands still breaks by itself.
 	QuietAfter time.Duration
@@ -81,17 +100,22 @@
 const (
 	// leaseDuration bounds how long a failure domain is without a controller;
 	// two renewals may fail in it.
-	leaseDuration = 4 * time.Second
+	leaseDuration = 3 * time.Second
 	// leaseMargin covers the drift of clocks and the time between the check of
 	// the lease and the order that hangs on it.
 	leaseMargin = 600 * time.Millisecond
 	// leaseInterval makes three renewals of a lease.
-	leaseInterval = 1200 * time.Millisecond
+	leaseInterval = 900 * time.Millisecond
+	// maxTasks bounds the orders and questions of a failure domain that are under
+	// way at once.
+	maxTasks = 64
 	// orderTimeout bounds one order; an answer takes one round trip.
 	orderTimeout = time.Second
 	// orderRepeat is when an order that had no visible effect is given again:
 	// the order's timeout and two changes of the registration.
 	orderRepeat = 1500 * time.Millisecond
+	// stageRepeat is above the longest load from a weight store that is shared.
+	stageRepeat = time.Minute
 	// closeTimeout is how long a closing head may finish its requests: a
 	// member that leaves stays for as long as ten seconds.
 	closeTimeout = 6 * time.Second
@@ -107,7 +131,7 @@
 func New(c Config) *Controller {
 	controller := &Controller{config: c}
 	for _, d := range c.FailureDomains {
-		controller.domains = append(controller.domains, &domain{
+		next := &domain{
 			config: c,
 			name:   d,
 			candidate: lease.New(lease.Config{
@@ -120,9 +144,12 @@
 			}),
 			versions: map[uint64]uint64{},
 			given:    map[orderKey]time.Time{},
+			loading:  map[string]load{},
 			missing:  map[string]missingHead{},
 			accepted: map[string]acceptance{},
-		})
+		}
+		next.tasks.SetLimit(maxTasks)
+		controller.domains = append(controller.domains, next)
 	}
 	return controller
 }
--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -4,15 +4,18 @@
 	"context"
 	"errors"
 	"fmt"
+	"math"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"almondbay.example/core/lease"
 	"almondbay.example/internal/fleet/formation"
+	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/routing/routes"
 	"almondbay.example/serving/event"
 	"almondbay.example/serving/platform"
@@ -37,14 +40,19 @@
 	planCount   uint64
 	// loads holds when loads from the weight store began.
 	loads []time.Time
+	// loading holds the loads under way by server.
+	loading map[string]load
 	// loadsBlockedUntil covers the loads of an earlier holder.
 	loadsBlockedUntil time.Time
 	given             map[orderKey]time.Time
-	missing           map[string]missingHead
 
-	// countMu guards accepted.
+	// tasks runs orders and questions, which no step waits for.
+	tasks errgroup.Group
+
+	// countMu guards accepted and missing.
 	countMu  sync.Mutex
 	accepted map[string]acceptance
+	missing  map[string]missingHead
 }
 
 func (d *domain) leaseKey() string { return "lease/" + d.name + "/holder" }
@@ -216,7 +224,7 @@
 			Models:        s.Engine.Models,
 			Weights:       d.config.Weights(s.Engine),
 			Plan:          d.plan,
-			Loads:         d.loadsLeft(s.Engine, now),
+			Loads:         d.loadsLeft(s.Engine, view, now),
 			Grace:         d.config.Grace,
 			Quiet:         d.quiet,
 			CloseTimeout:  closeTimeout,
@@ -233,7 +241,7 @@
 }
 
 // loadsLeft returns the number of loads that may begin now.
-func (d *domain) loadsLeft(e *routes.Engine, now time.Time) int {
+func (d *domain) loadsLeft(e *routes.Engine, view registry.View, now time.Time) int {
 	if now.Before(d.loadsBlockedUntil) {
 		return 0
 	}
@@ -244,8 +252,37 @@
 		}
 	}
 	d.loads = kept
-	share := e.LoadsPerSecond * d.config.LoadWindow.Seconds() * d.config.LoadOverrun / float64(len(d.config.FailureDomains))
-	return int(share) - len(d.loads)
+	domains := float64(len(d.config.FailureDomains))
+	share := (e.LoadsPerSecond*d.config.LoadSpan.Seconds()*d.config.LoadOverrun + d.config.LoadSlack) / domains
+	left := int(share) - len(d.loads)
+	if !d.config.Serving() {
+		return left
+	}
+	// More loads at once make each of them slower, and the first one late.
+	atOnce := int(math.Ceil(float64(e.LoadsAtOnce) / domains))
+	return min(left, atOnce-d.loadsUnderWay(view, now))
+}
+
+// load is a load from the weight store that was ordered.
+type load struct {
+	model string
+	born  int64
+	at    time.Time
+}
+
+// loadsUnderWay returns the number of ordered loads that have not ended.
+func (d *domain) loadsUnderWay(view registry.View, now time.Time) int {
+	records := make(map[string]registry.Record, len(view.Servers))
+	for _, r := range view.Servers {
+		records[r.ID] = r
+	}
+	for id, l := range d.loading {
+		r, ok := records[id]
+		if !ok || !r.LapsedAt.IsZero() || r.Born != l.born || r.HasStaged(l.model) || now.Sub(l.at) > stageRepeat {
+			delete(d.loading, id)
+		}
+	}
+	return len(d.loading)
 }
 
 // writePlan writes a plan on condition that neither it nor the lease has
--- a/internal/fleet/control/order.go
+++ b/internal/fleet/control/order.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"go.uber.org/zap"
-	"golang.org/x/sync/errgroup"
 
 	"almondbay.example/internal/fleet/formation"
 	"almondbay.example/internal/fleet/registry"
@@ -65,46 +64,56 @@
 	delete(d.accepted, s.ID)
 }
 
-// give gives the orders that were not given a moment ago, at the same time.
+// give gives the orders that were not given a moment ago. It does not wait for
+// their answers: a server that doesn't answer must not hold up the others.
 func (d *domain) give(ctx context.Context, orders []formation.Order) {
-	var group errgroup.Group
 	for _, o := range orders {
 		now := d.config.Clock.Now()
 		if !d.candidate.Holds(now) {
-			break
+			return
 		}
 		key := orderKey{server: o.Server.ID, operation: o.Operation, epoch: o.Epoch}
-		if at, ok := d.given[key]; ok && now.Sub(at) < orderRepeat {
+		if at, ok := d.given[key]; ok && now.Sub(at) < repeatAfter(o.Operation) {
 			continue
 		}
+		term := d.term
+		begun := d.tasks.TryGo(func() error {
+			d.giveOne(ctx, o, term)
+			return nil
+		})
+		if !begun {
+			return
+		}
 		d.given[key] = now
 		if o.Loads {
 			d.loads = append(d.loads, now)
+			d.loading[o.Server.ID] = load{model: o.Model, born: o.Server.Born, at: now}
 		}
-		group.Go(func() error {
-			d.giveOne(ctx, o)
-			return nil
-		})
 	}
-	// Orders report their failures by themselves.
-	_ = group.Wait()
+}
+
+// repeatAfter returns when an order that had no visible effect is given again.
+func repeatAfter(o formation.Operation) time.Duration {
+	if o == formation.OperationStage {
+		return stageRepeat
+	}
+	return orderRepeat
 }
 
 // giveOne gives one order and returns whether the server took it.
-func (d *domain) giveOne(ctx context.Context, o formation.Order) bool {
+func (d *domain) giveOne(ctx context.Context, o formation.Order, term uint64) bool {
 	ctx, cancel := context.WithTimeout(ctx, orderTimeout)
 	defer cancel()
 	status := 0
 	accepted, err := d.count(ctx, o.Server)
 	if err == nil {
-		status, err = d.config.Orders.Give(ctx, o, accepted, d.term)
+		status, err = d.config.Orders.Give(ctx, o, accepted, term)
 	}
 	switch status {
 	case http.StatusAccepted:
 		d.setCount(o.Server, accepted+1, true)
-	case http.StatusOK:
-		d.setCount(o.Server, accepted, true)
 	default:
+		// An order that is done at once may have counted or not.
 		d.setCount(o.Server, 0, false)
 	}
 	event.OrderGiven.Log(d.config.Logger, zap.String("server", o.Server.ID), zap.String("operation", string(o.Operation)),
@@ -121,16 +130,28 @@
 	askedAt time.Time
 	// reachedAt is when it last answered; zero if never.
 	reachedAt time.Time
-	// left is set once it has accepted to leave its group.
+	// vain counts the questions in a row that enough nodes asked in vain.
+	vain int
+	// left is set once it is known to be out of its group.
 	left bool
+	// asking is set while a question is under way.
+	asking bool
 }
 
-// askInterval is the time between two questions to a head without a
-// registration.
-const askInterval = time.Second
+const (
+	// askInterval is the time between two questions to a head without a
+	// registration.
+	askInterval = 700 * time.Millisecond
+	// vainQuestions is the number of questions in vain that a head counts as
+	// gone after.
+	vainQuestions = 2
+)
 
 // quiet reports whether a head without a registration is known not to serve.
 func (d *domain) quiet(id string) bool {
+	d.countMu.Lock()
+	defer d.countMu.Unlock()
+
 	m, ok := d.missing[id]
 	if !ok {
 		return false
@@ -139,7 +160,7 @@
 	if m.reachedAt.After(last) {
 		last = m.reachedAt
 	}
-	return m.left || m.askedAt.Sub(last) >= d.config.QuietAfter
+	return m.left || m.vain >= vainQuestions || m.askedAt.Sub(last) >= d.config.QuietAfter
 }
 
 // ask asks heads without a registration whether they still serve, and orders
@@ -148,41 +169,69 @@
 	listed := map[string]bool{}
 	for _, s := range suspects {
 		listed[s.ID] = true
-		m, ok := d.missing[s.ID]
-		if !ok {
-			m.since = now
-		}
-		if now.Sub(m.askedAt) >= askInterval {
-			m = d.askOne(ctx, s, m)
+		if d.beginAsking(s.ID, now) {
+			term := d.term
+			d.tasks.Go(func() error {
+				d.askOne(ctx, s, term)
+				return nil
+			})
 		}
-		d.missing[s.ID] = m
 	}
+	d.countMu.Lock()
+	defer d.countMu.Unlock()
+
 	for id, m := range d.missing {
-		if !listed[id] && now.Sub(m.askedAt) > leaseDuration {
+		if !listed[id] && !m.asking && now.Sub(m.askedAt) > leaseDuration {
 			delete(d.missing, id)
 		}
 	}
 }
 
-func (d *domain) askOne(ctx context.Context, s registry.Server, m missingHead) missingHead {
+// beginAsking reports whether a head should be asked now.
+func (d *domain) beginAsking(id string, now time.Time) bool {
+	d.countMu.Lock()
+	defer d.countMu.Unlock()
+
+	m, ok := d.missing[id]
+	if !ok {
+		m.since = now
+	}
+	ask := !m.asking && now.Sub(m.askedAt) >= askInterval
+	m.asking = m.asking || ask
+	d.missing[id] = m
+	return ask
+}
+
+func (d *domain) askOne(ctx context.Context, s registry.Server, term uint64) {
 	asking, cancel := context.WithTimeout(ctx, orderTimeout)
-	defer cancel()
-	state, err := d.config.Orders.Reach(asking, s)
-	m.askedAt = d.config.Clock.Now()
-	if err == nil {
-		m.reachedAt = m.askedAt
-		m.left = !serves(s, state)
-		if !m.left && d.candidate.Holds(m.askedAt) {
-			d.setCount(s, state.Accepted, true)
-			m.left = d.giveOne(ctx, formation.Order{
-				Server: s, Operation: formation.OperationLeave, Group: s.Group.Name, Epoch: s.Group.Epoch,
-				Model: s.Model, Reason: "registration gone, head still serves",
-			})
-		}
+	v := d.config.Look(asking, s)
+	cancel()
+	now := d.config.Clock.Now()
+	left := v.Reached && !serves(s, v.State)
+	if v.Reached && !left {
+		d.setCount(s, v.State.Accepted, true)
+		left = d.giveOne(ctx, formation.Order{
+			Server: s, Operation: formation.OperationLeave, Group: s.Group.Name, Epoch: s.Group.Epoch,
+			Model: s.Model, Reason: "registration gone, head still serves",
+		}, term)
+	}
+	d.countMu.Lock()
+	defer d.countMu.Unlock()
+
+	m := d.missing[s.ID]
+	m.asking = false
+	m.askedAt = now
+	m.left = left
+	switch {
+	case v.Reached:
+		m.reachedAt = now
+		m.vain = 0
+	case v.Asked >= d.config.VantagePoints:
+		m.vain++
 	}
-	event.HeadAsked.Log(d.config.Logger, zap.String("server", s.ID), zap.Bool("reached", err == nil),
-		zap.Bool("quiet", m.left), zap.Duration("missingFor", m.askedAt.Sub(m.since)))
-	return m
+	d.missing[s.ID] = m
+	event.HeadAsked.Log(d.config.Logger, zap.String("server", s.ID), zap.Int("asked", v.Asked), zap.Bool("reached", v.Reached),
+		zap.Bool("left", left), zap.Duration("missingFor", now.Sub(m.since)))
 }
 
 // serves reports whether a head still is in the group that it was registered
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -169,7 +169,7 @@
 	}
 	var kept []Order
 	for _, o := range orders {
-		if known[o.Epoch] {
+		if known[o.Epoch] || o.Operation == OperationStage {
 			kept = append(kept, o)
 		}
 	}
--- a/internal/fleet/registry/book.go
+++ b/internal/fleet/registry/book.go
@@ -112,15 +112,24 @@
 	if !known || changed(old, *u.Server) {
 		b.generation++
 	}
-	b.records[u.ID] = Record{Server: *u.Server, Version: u.Version, ChangedAt: now}
+	seenAt := now
+	if known && old.Born == u.Server.Born {
+		seenAt = old.SeenAt
+	}
+	b.records[u.ID] = Record{Server: *u.Server, Version: u.Version, SeenAt: seenAt, ChangedAt: now}
 }
 
 // changed reports whether a registration differs in more than its heartbeat.
 func changed(old Record, next Server) bool {
-	s := old.Server
-	return !old.LapsedAt.IsZero() || s.Address != next.Address || s.Draining != next.Draining ||
-		s.Group != next.Group || s.Born != next.Born || s.Service != next.Service || s.Model != next.Model ||
-		s.Slots != next.Slots
+	return !old.LapsedAt.IsZero() || Differs(old.Server, next)
+}
+
+// Differs reports whether two registrations differ in anything that a decision
+// could depend on.
+func Differs(a, b Server) bool {
+	return a.Address != b.Address || a.Draining != b.Draining || a.Group != b.Group || a.Born != b.Born ||
+		a.Service != b.Service || a.Model != b.Model || a.Slots != b.Slots || a.FailureDomain != b.FailureDomain ||
+		a.FabricDomain != b.FabricDomain || !slices.Equal(a.Staged, b.Staged)
 }
 
 // View is a book at one moment.
--- a/internal/fleet/registry/server.go
+++ b/internal/fleet/registry/server.go
@@ -69,6 +69,8 @@
 	Server
 	// Version is the version of the row that it was read from.
 	Version uint64
+	// SeenAt is when this node first learned of this life of the server.
+	SeenAt time.Time
 	// ChangedAt is when this node learned of the version.
 	ChangedAt time.Time
 	// LapsedAt is when this node learned that the row is gone; zero while it is
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -23,6 +23,7 @@
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/node/deployment"
 	"almondbay.example/internal/peer/gossip"
+	peerrelay "almondbay.example/internal/peer/relay"
 	"almondbay.example/internal/routing/backend"
 	"almondbay.example/internal/routing/balance"
 	"almondbay.example/internal/routing/exchange"
@@ -73,21 +74,26 @@
 
 // Node is one node.
 type Node struct {
-	config     Config
-	board      *balance.Board
-	book       *registry.Book
-	members    *gossip.Members
-	budget     *retry.Budget
-	socket     *gossip.Socket
-	handler    *ingress.Handler
-	controller *control.Controller
-	journal    *journal
+	config      Config
+	board       *balance.Board
+	book        *registry.Book
+	members     *gossip.Members
+	budget      *retry.Budget
+	socket      *gossip.Socket
+	handler     *ingress.Handler
+	controller  *control.Controller
+	journal     *journal
+	logs        map[string]*peerrelay.Log
+	feed        *peerrelay.Feed
+	peers       *peerrelay.Client
 	incarnation int64
-	startedAt  time.Time
+	startedAt   time.Time
 
 	configuration atomic.Pointer[routes.Configuration]
 	stopping      atomic.Bool
 	wasReady      atomic.Bool
+	// serving is set once any node has had a request in flight.
+	serving atomic.Bool
 
 	mu sync.Mutex
 	// generation and version are what the heads were last made from.
@@ -122,6 +128,9 @@
 	// quietMargin is added to the time after which a group with a lost member
 	// breaks by itself, before its members may join another.
 	quietMargin = 2 * time.Second
+	// loadSlack is the number of loads by which the platform's bound on any span
+	// lies above its rate.
+	loadSlack = 3
 	// loadMargin widens the window of loads by what orders take to arrive.
 	loadMargin = 500 * time.Millisecond
 )
@@ -184,18 +193,24 @@
 		StallAfter:    stallAfter,
 		SilentAfter:   silentAfter,
 	})
+	n.addFeed()
 	n.controller = control.New(control.Config{
 		Clock:          c.Clock,
 		Logger:         c.Logger,
 		Table:          c.Store,
 		Orders:         c.Orders,
+		Look:           n.look,
+		VantagePoints:  vantagePoints,
 		Book:           n.book,
 		Configuration:  n.configuration.Load,
 		Rank:           n.rank,
 		Weights:        n.weights,
+		Serving:        n.serving.Load,
 		Holder:         fmt.Sprintf("%s/%d", s.Node, n.incarnation),
 		FailureDomains: s.FailureDomains,
+		LoadSpan:       s.Bounds.LoadWindow,
 		LoadWindow:     s.Bounds.LoadWindow + loadMargin,
+		LoadSlack:      loadSlack,
 		LoadOverrun:    s.Bounds.LoadOverrun,
 		Grace:          returnGrace,
 		QuietAfter:     s.Bounds.Stall + quietMargin,
@@ -265,6 +280,9 @@
 	if !n.members.Heard(m, now) {
 		return
 	}
+	if len(m.Loads)+len(m.DomainLoads) > 0 {
+		n.serving.Store(true)
+	}
 	if m.DomainLoads != nil {
 		n.board.Report("domain/"+m.FailureDomain, m.DomainLoads, m.Stalled, now)
 		return
--- /dev/null
+++ b/internal/node/entry/peers.go
@@ -0,0 +1,135 @@
+package entry
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"almondbay.example/core/relay"
+	"almondbay.example/internal/fleet/control"
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/peer/gossip"
+	peerrelay "almondbay.example/internal/peer/relay"
+)
+
+const (
+	// sourceMaxAge is how old the reading of the node that this one hears from
+	// may be, beyond the wait of its own reading.
+	sourceMaxAge = 900 * time.Millisecond
+	// sourceMaxWait and sourceMargin bound an answer of that node, so that a
+	// configuration is in force in time though the node has stopped.
+	sourceMaxWait = 600 * time.Millisecond
+	sourceMargin  = 300 * time.Millisecond
+	// directFor is how long the store is read directly after that node failed:
+	// until it no longer counts as alive.
+	directFor = 2 * time.Second
+	// vantagePoints is the number of nodes that must ask a server in vain.
+	vantagePoints = 4
+	// lookers is the number of nodes that are asked to.
+	lookers = 5
+)
+
+// addFeed assembles how tables are read: by one node of the failure domain,
+// from which the others hear.
+func (n *Node) addFeed() {
+	c := n.config
+	n.logs = map[string]*peerrelay.Log{
+		c.Codec.ServersTable:       peerrelay.NewLog(n.serverDiffers),
+		c.Codec.ConfigurationTable: peerrelay.NewLog(nil),
+		nodesTable:                 peerrelay.NewLog(nil),
+	}
+	n.peers = peerrelay.NewClient(peerrelay.ClientConfig{Port: c.Settings.PeerPort, Dial: c.Dial})
+	n.feed = peerrelay.NewFeed(peerrelay.FeedConfig{
+		Clock:     c.Clock,
+		Store:     c.Store,
+		Client:    n.peers,
+		Logs:      n.logs,
+		Source:    n.source,
+		MaxAge:    sourceMaxAge,
+		MaxWait:   sourceMaxWait,
+		Margin:    sourceMargin,
+		DirectFor: directFor,
+	})
+}
+
+// serverDiffers reports whether two registrations differ in more than their
+// heartbeat.
+func (n *Node) serverDiffers(old, next []byte) bool {
+	a, b := n.config.Codec.DecodeServer("", old), n.config.Codec.DecodeServer("", next)
+	if a == nil || b == nil {
+		return true
+	}
+	return registry.Differs(*a, *b)
+}
+
+// source returns the address of the node that reads the store for the failure
+// domain; empty if that is this one.
+func (n *Node) source() string {
+	s := n.config.Settings
+	addresses := map[string]string{}
+	names := []string{s.Node}
+	for _, p := range n.members.Alive(s.FailureDomain, n.config.Clock.Now()) {
+		names = append(names, p.Node)
+		addresses[p.Node] = p.Address
+	}
+	return addresses[relay.Owner("source/"+s.FailureDomain, names)]
+}
+
+// look has nodes of all failure domains ask a server for its state.
+func (n *Node) look(ctx context.Context, s registry.Server) control.Vantage {
+	var mu sync.Mutex
+	var v control.Vantage
+	note := func(state control.State, reached bool) {
+		mu.Lock()
+		defer mu.Unlock()
+
+		v.Asked++
+		if reached {
+			v.Reached = true
+			v.State = state
+		}
+	}
+	var group errgroup.Group
+	group.Go(func() error {
+		state, err := n.config.Orders.Reach(ctx, s)
+		note(state, err == nil)
+		return nil
+	})
+	for _, p := range n.lookers() {
+		group.Go(func() error {
+			state, reached, err := n.peers.Reach(ctx, p.Address, s)
+			if err != nil {
+				// A node that can't be asked tells nothing.
+				n.journal.stepFailed(err, 1)
+				return nil
+			}
+			note(state, reached)
+			return nil
+		})
+	}
+	// Questions report their failures by themselves.
+	_ = group.Wait()
+	return v
+}
+
+// lookers returns a few live nodes at random, of as many failure domains as
+// there are.
+func (n *Node) lookers() []gossip.Peer {
+	alive := n.members.Alive("", n.config.Clock.Now())
+	rand.Shuffle(len(alive), func(i, j int) { alive[i], alive[j] = alive[j], alive[i] })
+	var chosen, rest []gossip.Peer
+	seen := map[string]bool{}
+	for _, p := range alive {
+		if seen[p.FailureDomain] {
+			rest = append(rest, p)
+			continue
+		}
+		seen[p.FailureDomain] = true
+		chosen = append(chosen, p)
+	}
+	chosen = append(chosen, rest...)
+	return chosen[:min(lookers, len(chosen))]
+}
--- a/internal/node/entry/refresh.go
+++ b/internal/node/entry/refresh.go
@@ -38,7 +38,7 @@
 func (n *Node) followers() []*store.Follower {
 	base := store.FollowerConfig{
 		Clock:      n.config.Clock,
-		Feed:       n.config.Store,
+		Feed:       n.feed,
 		RetryFirst: retryFirst,
 		RetryMax:   retryMax,
 	}
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"os/signal"
+	"strconv"
 	"syscall"
 	"time"
 
@@ -14,6 +15,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	peerrelay "almondbay.example/internal/peer/relay"
 	"almondbay.example/internal/routing/ingress"
 	"almondbay.example/serving/event"
 )
@@ -49,6 +51,11 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
+	peers, err := net.Listen("tcp", net.JoinHostPort(n.config.Settings.Address.String(), strconv.Itoa(n.config.Settings.PeerPort)))
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	event.NodeListening.Log(n.config.Logger, zap.String("listener", "peers"), zap.String("address", peers.Addr().String()))
 	event.NodeListening.Log(n.config.Logger, zap.String("listener", "callers"), zap.String("address", callers.Addr().String()))
 	event.NodeListening.Log(n.config.Logger, zap.String("listener", "readiness"), zap.String("address", readiness.Addr().String()))
 
@@ -62,6 +69,11 @@
 	}
 	n.addCallers(ctx, &g, server, callers)
 	n.addReadiness(&g, readiness)
+	n.addServer(&g, peers, peerrelay.NewServer(peerrelay.ServerConfig{
+		Clock: n.config.Clock,
+		Logs:  n.logs,
+		Reach: n.config.Orders.Reach,
+	}))
 	g.Add(n.socket.Run, func(error) { _ = n.socket.Close() })
 	for _, f := range n.followers() {
 		n.addContext(&g, f.Run)
@@ -157,7 +169,12 @@
 		}
 		return c.NoContent(http.StatusOK)
 	})
-	server := &http.Server{Handler: e, ReadHeaderTimeout: readHeaderTimeout}
+	n.addServer(g, l, e)
+}
+
+// addServer serves h until the group ends.
+func (n *Node) addServer(g *run.Group, l net.Listener, h http.Handler) {
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
 	g.Add(func() error { return Error.Wrap(server.Serve(l)) }, func(error) { _ = server.Close() })
 }
 
@@ -244,6 +261,7 @@
 
 // observe takes in a request that has ended.
 func (n *Node) observe(r ingress.Result) {
+	n.serving.Store(true)
 	now := n.config.Clock.Now()
 	n.journal.request(r, now.Sub(n.book.ReadAt()))
 }
--- /dev/null
+++ b/internal/peer/relay/feed.go
@@ -0,0 +1,126 @@
+package relay
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"almondbay.example/serving/platform"
+)
+
+// FeedConfig configures a Feed.
+type FeedConfig struct {
+	Clock  clockwork.Clock
+	Store  platform.Feed
+	Client *Client
+	// Logs holds the tables that are passed on by name.
+	Logs map[string]*Log
+	// Source returns the address of the node to hear from; empty when this node
+	// reads the store for the others.
+	Source func() string
+	// MaxAge is how old a source's reading of the store may be.
+	MaxAge time.Duration
+	// MaxWait bounds the wait for a source's answer; a source that has stopped
+	// costs as much.
+	MaxWait time.Duration
+	// Margin is added to the wait for an answer to arrive.
+	Margin time.Duration
+	// DirectFor is how long this node reads the store itself after its source
+	// has failed.
+	DirectFor time.Duration
+}
+
+// Feed reads tables from another node of the failure domain, or from the store
+// when there is none that knows better. It implements platform.Feed.
+type Feed struct {
+	config FeedConfig
+
+	mu sync.Mutex
+	// directUntil is until when the store is read directly.
+	directUntil time.Time
+}
+
+var _ platform.Feed = (*Feed)(nil)
+
+// NewFeed returns a feed.
+func NewFeed(c FeedConfig) *Feed {
+	return &Feed{config: c}
+}
+
+// source returns the node to hear from, or an empty address.
+func (f *Feed) source() string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.config.Clock.Now().Before(f.directUntil) {
+		return ""
+	}
+	return f.config.Source()
+}
+
+func (f *Feed) goDirect() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.directUntil = f.config.Clock.Now().Add(f.config.DirectFor)
+}
+
+// Scan implements platform.Feed.
+func (f *Feed) Scan(ctx context.Context, table string) (platform.Changes, error) {
+	if address := f.source(); address != "" {
+		calling, cancel := context.WithTimeout(ctx, f.config.Margin)
+		c, age, err := f.config.Client.Whole(calling, address, table)
+		cancel()
+		if err == nil && age <= f.config.MaxAge {
+			f.keep(table, c, true)
+			return c, nil
+		}
+		f.goDirect()
+	}
+	c, err := f.config.Store.Scan(ctx, table)
+	if err == nil {
+		f.keep(table, c, true)
+	}
+	return c, err
+}
+
+// Changes implements platform.Feed.
+func (f *Feed) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+	if address := f.source(); address != "" {
+		waited := min(wait, f.config.MaxWait)
+		calling, cancel := context.WithTimeout(ctx, waited+f.config.Margin)
+		c, age, err := f.config.Client.Changes(calling, address, table, after, waited)
+		cancel()
+		var lost *platform.HistoryLostError
+		switch {
+		case err == nil && age <= f.config.MaxAge+wait:
+			f.keep(table, c, false)
+			return c, nil
+		case errors.As(err, &lost):
+			return platform.Changes{}, err
+		}
+		f.goDirect()
+	}
+	c, err := f.config.Store.Changes(ctx, table, after, wait)
+	if err == nil {
+		f.keep(table, c, false)
+	}
+	return c, err
+}
+
+// keep notes what was read, for the nodes that hear from this one.
+func (f *Feed) keep(table string, c platform.Changes, whole bool) {
+	log, ok := f.config.Logs[table]
+	if !ok {
+		return
+	}
+	now := f.config.Clock.Now()
+	if whole {
+		log.Replace(c, now)
+		return
+	}
+	log.Apply(c, now)
+}
--- /dev/null
+++ b/internal/peer/relay/wire.go
@@ -0,0 +1,65 @@
+package relay
+
+import (
+	"time"
+
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/serving/platform"
+)
+
+// Paths of the calls between nodes.
+const (
+	pathFeed  = "/feed"
+	pathReach = "/reach"
+)
+
+type changeWire struct {
+	Key     string `json:"key"`
+	Version uint64 `json:"version"`
+	Value   []byte `json:"value,omitempty"`
+	Deleted bool   `json:"deleted,omitempty"`
+}
+
+type feedWire struct {
+	Rows    []changeWire `json:"rows"`
+	Version uint64       `json:"version"`
+	AgeMs   int64        `json:"ageMs"`
+}
+
+func fromAnswer(a Answer) feedWire {
+	w := feedWire{Rows: make([]changeWire, 0, len(a.Rows)), Version: a.Version, AgeMs: a.Age.Milliseconds()}
+	for _, c := range a.Rows {
+		w.Rows = append(w.Rows, changeWire{Key: c.Key, Version: c.Version, Value: c.Value, Deleted: c.Deleted})
+	}
+	return w
+}
+
+func toChanges(w feedWire) (platform.Changes, time.Duration) {
+	c := platform.Changes{Version: w.Version}
+	for _, r := range w.Rows {
+		c.Rows = append(c.Rows, platform.Change{Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted})
+	}
+	return c, time.Duration(w.AgeMs) * time.Millisecond
+}
+
+// reachWire asks a node to ask a backend server for its state.
+type reachWire struct {
+	Server  string `json:"server"`
+	Address string `json:"address"`
+	Born    int64  `json:"born"`
+}
+
+func (w reachWire) server() registry.Server {
+	return registry.Server{ID: w.Server, Address: w.Address, Born: w.Born}
+}
+
+// reachedWire is the state that the server answered with.
+type reachedWire struct {
+	Reached  bool   `json:"reached"`
+	Accepted uint64 `json:"accepted"`
+	Born     int64  `json:"born"`
+	Group    string `json:"group"`
+	Epoch    uint64 `json:"epoch"`
+	Rank     int    `json:"rank"`
+	State    string `json:"state"`
+}
--- a/internal/routing/routes/configuration.go
+++ b/internal/routing/routes/configuration.go
@@ -83,7 +83,9 @@
 	Stride int
 	// LoadsPerSecond bounds the loads from the weight store of all engines.
 	LoadsPerSecond float64
-	Models         []Model
+	// LoadsAtOnce is the number of loads beyond which each one takes longer.
+	LoadsAtOnce int
+	Models      []Model
 	// UsualPrompt and UsualAnswer are mean token counts.
 	UsualPrompt float64
 	UsualAnswer float64
