--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -216,30 +216,45 @@
 		if s.Engine == nil {
 			continue
 		}
-		decision := formation.Decide(formation.View{
-			Now:           now,
-			Servers:       view,
-			Service:       s.Name,
-			FailureDomain: d.name,
-			Models:        s.Engine.Models,
-			Weights:       d.config.Weights(s.Engine),
-			Plan:          d.plan,
-			Loads:         d.loadsLeft(s.Engine, view, now),
-			Grace:         d.config.Grace,
-			Quiet:         d.quiet,
-			CloseTimeout:  closeTimeout,
-		})
-		if decision.Changed {
-			if err := d.writePlan(ctx, decision); err != nil {
-				return err
-			}
+		if err := d.actFor(ctx, s, view); err != nil {
+			return err
 		}
-		d.ask(ctx, decision.Suspects, now)
-		d.give(ctx, decision.Orders)
 	}
 	return nil
 }
 
+// actFor acts for the engines of one service.
+func (d *domain) actFor(ctx context.Context, s routes.Service, view registry.View) error {
+	decision := d.decide(s, view)
+	if decision.Changed {
+		if err := d.writePlan(ctx, decision); err != nil {
+			return err
+		}
+		// The plan that is now written allows more orders.
+		decision = d.decide(s, view)
+	}
+	d.ask(ctx, decision.Suspects, d.config.Clock.Now())
+	d.give(ctx, decision.Orders)
+	return nil
+}
+
+func (d *domain) decide(s routes.Service, view registry.View) formation.Decision {
+	now := d.config.Clock.Now()
+	return formation.Decide(formation.View{
+		Now:           now,
+		Servers:       view,
+		Service:       s.Name,
+		FailureDomain: d.name,
+		Models:        s.Engine.Models,
+		Weights:       d.config.Weights(s.Engine),
+		Plan:          d.plan,
+		Loads:         d.loadsLeft(s.Engine, view, now),
+		Grace:         d.config.Grace,
+		Quiet:         d.quiet,
+		CloseTimeout:  closeTimeout,
+	})
+}
+
 // loadsLeft returns the number of loads that may begin now.
 func (d *domain) loadsLeft(e *routes.Engine, view registry.View, now time.Time) int {
 	if now.Before(d.loadsBlockedUntil) {
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -94,7 +94,9 @@
 	}
 	var group errgroup.Group
 	group.Go(func() error {
-		state, err := n.config.Orders.Reach(ctx, s)
+		asking, cancel := context.WithTimeout(ctx, peerrelay.ReachTimeout)
+		defer cancel()
+		state, err := n.config.Orders.Reach(asking, s)
 		note(state, err == nil)
 		return nil
 	})
--- a/internal/peer/relay/server.go
+++ b/internal/peer/relay/server.go
@@ -94,12 +94,18 @@
 	}
 }
 
+// ReachTimeout bounds a question to a backend server: two lost packets within a
+// region.
+const ReachTimeout = 450 * time.Millisecond
+
 func (s *Server) reach(c echo.Context) error {
 	var w reachWire
 	if err := c.Bind(&w); err != nil {
 		return c.NoContent(http.StatusBadRequest)
 	}
-	state, err := s.config.Reach(c.Request().Context(), w.server())
+	ctx, cancel := context.WithTimeout(c.Request().Context(), ReachTimeout)
+	defer cancel()
+	state, err := s.config.Reach(ctx, w.server())
 	return c.JSON(http.StatusOK, reachedWire{
 		Reached:  err == nil,
 		Accepted: state.Accepted,
