Believe a head gone only when its own failure domain asked in vain

Cause: while a failure domain was cut off, the nodes of the others found the head of one of its groups out of reach, though it served on, and gave its members to another group. Ruled out: a late order (the head had taken none).

--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -51,6 +51,9 @@
 type Vantage struct {
 	// Asked is the number of nodes that tried, this one included.
 	Asked int
+	// Near is the number of those in the server's own failure domain. Nodes of
+	// others may be cut off from it as a whole.
+	Near int
 	// Reached is set when any of them got an answer, which State holds.
 	Reached bool
 	State   State
@@ -90,9 +93,9 @@
 	// VantagePoints is the number of nodes that must have asked a head without a
 	// registration in vain, twice, before its group counts as broken.
 	VantagePoints int
-	// QuietAfter is, with fewer nodes to ask, how long a head without a registration must have been out of
-	// reach before its group counts as broken; above the time after which a
-	// group whose head stands still breaks by itself.
+	// QuietAfter is how long a head without a registration must have been out of
+	// reach before its group counts as broken though fewer nodes, or none of its
+	// own failure domain, could be asked.
 	QuietAfter time.Duration
 	Jitter     func(limit time.Duration) time.Duration
 }
--- a/internal/fleet/control/order.go
+++ b/internal/fleet/control/order.go
@@ -226,11 +226,11 @@
 	case v.Reached:
 		m.reachedAt = now
 		m.vain = 0
-	case v.Asked >= d.config.VantagePoints:
+	case v.Asked >= d.config.VantagePoints && v.Near > 0:
 		m.vain++
 	}
 	d.missing[s.ID] = m
-	event.HeadAsked.Log(d.config.Logger, zap.String("server", s.ID), zap.Int("asked", v.Asked), zap.Bool("reached", v.Reached),
+	event.HeadAsked.Log(d.config.Logger, zap.String("server", s.ID), zap.Int("asked", v.Asked), zap.Int("near", v.Near), zap.Bool("reached", v.Reached),
 		zap.Bool("left", left), zap.Duration("missingFor", now.Sub(m.since)))
 }
 
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -125,9 +125,11 @@
 	silentAfter = 1400 * time.Millisecond
 	// budgetUse leaves part of the retry budget to nodes that have restarted.
 	budgetUse = 0.7
-	// quietMargin is added to the time after which a group with a lost member
-	// breaks by itself, before its members may join another.
-	quietMargin = 2 * time.Second
+	// quietAfter is how long a head that no node of its failure domain could ask
+	// must be missing before its members may join another group. It covers a
+	// failure domain that is cut off, whose heads serve on; a failure domain
+	// without any node is without service anyway.
+	quietAfter = 2 * time.Minute
 	// loadSlack is the number of loads by which the platform's bound on any span
 	// lies above its rate.
 	loadSlack = 3
@@ -213,7 +215,7 @@
 		LoadSlack:      loadSlack,
 		LoadOverrun:    s.Bounds.LoadOverrun,
 		Grace:          returnGrace,
-		QuietAfter:     s.Bounds.Stall + quietMargin,
+		QuietAfter:     quietAfter,
 		Jitter:         func(limit time.Duration) time.Duration { return rand.N(limit + 1) },
 	})
 	return n, nil
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -82,11 +82,14 @@
 func (n *Node) look(ctx context.Context, s registry.Server) control.Vantage {
 	var mu sync.Mutex
 	var v control.Vantage
-	note := func(state control.State, reached bool) {
+	note := func(failureDomain string, state control.State, reached bool) {
 		mu.Lock()
 		defer mu.Unlock()
 
 		v.Asked++
+		if failureDomain == s.FailureDomain {
+			v.Near++
+		}
 		if reached {
 			v.Reached = true
 			v.State = state
@@ -97,7 +100,7 @@
 		asking, cancel := context.WithTimeout(ctx, peerrelay.ReachTimeout)
 		defer cancel()
 		state, err := n.config.Orders.Reach(asking, s)
-		note(state, err == nil)
+		note(n.config.Settings.FailureDomain, state, err == nil)
 		return nil
 	})
 	for _, p := range n.lookers() {
@@ -108,7 +111,7 @@
 				n.journal.stepFailed(err, 1)
 				return nil
 			}
-			note(state, reached)
+			note(p.FailureDomain, state, reached)
 			return nil
 		})
 	}
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -253,7 +253,7 @@
 	}
 	HeadAsked = Definition{
 		Number: 955, Level: zapcore.InfoLevel, Message: "head without a registration asked",
-		Fields:  []string{"server", "asked", "reached", "left", "missingFor"},
+		Fields:  []string{"server", "asked", "near", "reached", "left", "missingFor"},
 		Meaning: "A head that is no longer registered was asked by several nodes whether it still serves, before its members may join another group.",
 		Action:  noAction,
 	}
