--- /dev/null
+++ b/internal/node/entry/counted.go
@@ -0,0 +1,122 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"almondbay.example/internal/fleet/control"
+	"almondbay.example/internal/fleet/formation"
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/serving/metric"
+	"almondbay.example/serving/platform"
+)
+
+// countedStore counts the calls to the store.
+type countedStore struct {
+	store   Store
+	clock   clockwork.Clock
+	metrics *metric.Entry
+}
+
+var _ Store = (*countedStore)(nil)
+
+// count notes a call that began at a time.
+func (s *countedStore) count(call string, begun time.Time, err error) {
+	s.metrics.StoreCall(call, resultOf(err), s.clock.Since(begun))
+}
+
+// resultOf names the outcome of a call to the store.
+func resultOf(err error) string {
+	var conflict *platform.ConflictError
+	var refused *platform.RefusedError
+	var unknown *platform.UnknownError
+	var lost *platform.HistoryLostError
+	switch {
+	case err == nil:
+		return "ok"
+	case errors.As(err, &conflict):
+		return "conflict"
+	case errors.As(err, &refused):
+		return "refused"
+	case errors.As(err, &unknown):
+		return "unknown"
+	case errors.As(err, &lost):
+		return "historyLost"
+	default:
+		return "failed"
+	}
+}
+
+// Read implements platform.Table.
+func (s *countedStore) Read(ctx context.Context, key string) (platform.Row, error) {
+	begun := s.clock.Now()
+	row, err := s.store.Read(ctx, key)
+	s.count("read", begun, err)
+	return row, err
+}
+
+// Range implements platform.Table.
+func (s *countedStore) Range(ctx context.Context, prefix string) ([]platform.Row, error) {
+	begun := s.clock.Now()
+	rows, err := s.store.Range(ctx, prefix)
+	s.count("range", begun, err)
+	return rows, err
+}
+
+// Commit implements platform.Table.
+func (s *countedStore) Commit(ctx context.Context, t platform.Transaction) error {
+	_, err := s.CommitAt(ctx, t)
+	return err
+}
+
+// CommitAt implements platform.Committer.
+func (s *countedStore) CommitAt(ctx context.Context, t platform.Transaction) (uint64, error) {
+	begun := s.clock.Now()
+	version, err := s.store.CommitAt(ctx, t)
+	s.count("commit", begun, err)
+	return version, err
+}
+
+// Scan implements platform.Feed.
+func (s *countedStore) Scan(ctx context.Context, table string) (platform.Changes, error) {
+	begun := s.clock.Now()
+	c, err := s.store.Scan(ctx, table)
+	s.count("scan/"+table, begun, err)
+	return c, err
+}
+
+// Changes implements platform.Feed.
+func (s *countedStore) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
+	begun := s.clock.Now()
+	c, err := s.store.Changes(ctx, table, after, wait)
+	s.count("changes/"+table, begun, err)
+	return c, err
+}
+
+// countedOrders counts the orders to backend servers.
+type countedOrders struct {
+	control.Orders
+	metrics *metric.Entry
+}
+
+// Give implements control.Orders.
+func (o *countedOrders) Give(ctx context.Context, order formation.Order, accepted, term uint64) (int, error) {
+	status, err := o.Orders.Give(ctx, order, accepted, term)
+	o.metrics.Orders.WithLabelValues(string(order.Operation), strconv.Itoa(status)).Inc()
+	return status, err
+}
+
+// Reach implements control.Orders.
+func (o *countedOrders) Reach(ctx context.Context, s registry.Server) (control.State, error) {
+	state, err := o.Orders.Reach(ctx, s)
+	status := "200"
+	if err != nil {
+		status = "0"
+	}
+	o.metrics.Orders.WithLabelValues("report", status).Inc()
+	return state, err
+}
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -30,6 +30,7 @@
 	"almondbay.example/internal/routing/ingress"
 	"almondbay.example/internal/routing/retry"
 	"almondbay.example/internal/routing/routes"
+	"almondbay.example/serving/metric"
 	"almondbay.example/serving/platform"
 )
 
@@ -83,6 +84,7 @@
 	handler     *ingress.Handler
 	controller  *control.Controller
 	journal     *journal
+	metrics     *metric.Entry
 	logs        map[string]*peerrelay.Log
 	feed        *peerrelay.Feed
 	peers       *peerrelay.Client
@@ -170,6 +172,10 @@
 		}),
 		heads: map[balance.Key]int{},
 	}
+	n.metrics = metric.NewEntry()
+	n.config.Store = &countedStore{store: c.Store, clock: c.Clock, metrics: n.metrics}
+	n.config.Orders = &countedOrders{Orders: c.Orders, metrics: n.metrics}
+	c = n.config
 	n.journal = newJournal(c.Logger, c.Clock, c.Dropped)
 	var err error
 	n.socket, err = gossip.Listen(gossip.SocketConfig{
--- a/internal/node/entry/refresh.go
+++ b/internal/node/entry/refresh.go
@@ -127,6 +127,7 @@
 		if n.heads[k] == count {
 			continue
 		}
+		n.metrics.Heads.WithLabelValues(k.Service, k.Model).Set(float64(count))
 		event.HeadsChanged.Log(n.config.Logger, zap.String("service", k.Service), zap.String("model", k.Model),
 			zap.Int("heads", count), zap.Uint64("registryVersion", view.Version), zap.Bool("steady", view.Steady))
 	}
@@ -153,6 +154,7 @@
 			continue
 		}
 		n.configuration.Store(next)
+		n.metrics.Version.Set(float64(next.Version))
 		event.ConfigurationInForce.Log(n.config.Logger, zap.Uint64("version", next.Version), zap.Uint64("previous", previous),
 			zap.Int("routes", len(next.Routes)), zap.Int("keys", len(next.Workspaces)))
 	}
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -69,6 +69,9 @@
 	}
 	n.addCallers(ctx, &g, server, callers)
 	n.addReadiness(&g, readiness)
+	if err := n.addMetrics(&g); err != nil {
+		return err
+	}
 	n.addServer(&g, peers, peerrelay.NewServer(peerrelay.ServerConfig{
 		Clock: n.config.Clock,
 		Logs:  n.logs,
@@ -156,11 +159,20 @@
 func (n *Node) logReadiness() bool {
 	ready, cause := n.ready()
 	if n.wasReady.Swap(ready) != ready {
+		n.metrics.Ready.Set(number(ready))
 		event.ReadinessChanged.Log(n.config.Logger, zap.Bool("ready", ready), zap.String("cause", cause))
 	}
 	return ready
 }
 
+// number returns 1 for true.
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
 func (n *Node) addReadiness(g *run.Group, l net.Listener) {
 	e := echo.New()
 	e.GET(n.config.ReadyPath, func(c echo.Context) error {
@@ -172,6 +184,20 @@
 	n.addServer(g, l, e)
 }
 
+// addMetrics serves the metrics.
+func (n *Node) addMetrics(g *run.Group) error {
+	address := net.JoinHostPort(n.config.Settings.Address.String(), strconv.Itoa(n.config.Settings.MetricsPort))
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	event.NodeListening.Log(n.config.Logger, zap.String("listener", "metrics"), zap.String("address", address))
+	e := echo.New()
+	e.GET("/metrics", echo.WrapHandler(n.metrics.Handler()))
+	n.addServer(g, l, e)
+	return nil
+}
+
 // addServer serves h until the group ends.
 func (n *Node) addServer(g *run.Group, l net.Listener, h http.Handler) {
 	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
@@ -262,6 +288,26 @@
 // observe takes in a request that has ended.
 func (n *Node) observe(r ingress.Result) {
 	n.serving.Store(true)
+	n.measure(r)
 	now := n.config.Clock.Now()
 	n.journal.request(r, now.Sub(n.book.ReadAt()))
 }
+
+// measure counts a request that has ended.
+func (n *Node) measure(r ingress.Result) {
+	if c := n.configuration.Load(); c == nil || !c.HasModel(r.Model) {
+		// Callers may name any model.
+		r.Model = ""
+	}
+	n.metrics.Requests.WithLabelValues(r.Service, r.Model, string(r.Outcome), strconv.Itoa(r.Status)).Inc()
+	n.metrics.Duration.WithLabelValues(r.Service, r.Model, string(r.Outcome)).Observe(r.Duration.Seconds())
+	if r.FirstByte > 0 {
+		n.metrics.FirstByte.WithLabelValues(r.Service, r.Model).Observe(r.FirstByte.Seconds())
+	}
+	if r.Events > 1 {
+		n.metrics.Gap.WithLabelValues(r.Service, r.Model).Observe(r.MaxGap.Seconds())
+	}
+	for _, t := range r.Tries {
+		n.metrics.Tries.WithLabelValues(r.Service, r.Model, string(t.End)).Inc()
+	}
+}
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -36,7 +36,7 @@
 }
 
 // relayWhole returns an answer once it is known to be whole.
-func (q *request) relayWhole(ctx context.Context, a *attempt, response *http.Response, answer exchange.Answer) (ending, string) {
+func (q *request) relayWhole(ctx context.Context, a *attempt, response *http.Response, answer exchange.Answer) (TryEnd, string) {
 	body, err := io.ReadAll(response.Body)
 	now := q.handler.config.Clock.Now()
 	if err != nil {
@@ -52,18 +52,18 @@
 		if !answer.Signed || promisesNotRun(response.StatusCode) {
 			// Only the server's own word could make such a promise, and it
 			// didn't give it.
-			return endingFailed, "backend server failed: " + strconv.Itoa(response.StatusCode)
+			return TryFailed, "backend server failed: " + strconv.Itoa(response.StatusCode)
 		}
 		if q.route.Repeatable() && q.ran+1 < q.route.MaxAttempts {
 			q.spent = h
-			return endingFailed, "backend server failed: " + strconv.Itoa(response.StatusCode)
+			return TryFailed, "backend server failed: " + strconv.Itoa(response.StatusCode)
 		}
 	case promisesNotRun(response.StatusCode):
-		return endingFailed, "backend server refused without a promise: " + strconv.Itoa(response.StatusCode)
+		return TryFailed, "backend server refused without a promise: " + strconv.Itoa(response.StatusCode)
 	}
 	q.result.FirstByte = now.Sub(q.started)
 	h.write(q)
-	return endingDelivered, ""
+	return TryAnswered, ""
 }
 
 // promisesNotRun reports whether a status tells a caller that its request has
@@ -78,17 +78,17 @@
 }
 
 // brokenOff handles an answer that ended before it was whole.
-func (q *request) brokenOff(ctx context.Context, a *attempt, err error) (ending, string) {
+func (q *request) brokenOff(ctx context.Context, a *attempt, err error) (TryEnd, string) {
 	cause := context.Cause(ctx)
 	if cause != nil {
-		return endingFailed, cause.Error()
+		return TryFailed, cause.Error()
 	}
 	a.pool.Failed(a.head, q.handler.config.Clock.Now())
-	return endingFailed, "answer broken off: " + err.Error()
+	return TryFailed, "answer broken off: " + err.Error()
 }
 
 // relayStream returns a stream event by event.
-func (q *request) relayStream(ctx context.Context, a *attempt, response *http.Response) (ending, string) {
+func (q *request) relayStream(ctx context.Context, a *attempt, response *http.Response) (TryEnd, string) {
 	reader := stream.NewReader(response.Body)
 	sentAt := q.handler.config.Clock.Now()
 	resumedAfter := q.lastEvent
@@ -113,7 +113,7 @@
 			q.result.Outcome = OutcomeLeft
 			q.result.Cause = "stream not taken: " + err.Error()
 			q.abort = true
-			return endingDelivered, q.result.Cause
+			return TryAnswered, q.result.Cause
 		}
 	}
 }
@@ -165,9 +165,9 @@
 }
 
 // endStream ends a stream that came to its end.
-func (q *request) endStream(a *attempt, response *http.Response, took time.Duration) (ending, string) {
+func (q *request) endStream(a *attempt, response *http.Response, took time.Duration) (TryEnd, string) {
 	q.sendHead(response, q.handler.config.Clock.Now())
 	a.pool.Answered(a.head, took)
 	q.result.Outcome = OutcomeAnswered
-	return endingDelivered, ""
+	return TryAnswered, ""
 }
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -19,10 +19,26 @@
 	// InFlight is the number of requests believed to be there.
 	InFlight int
 	Took     time.Duration
+	End      TryEnd
 	// Cause is empty when the try gave the answer.
 	Cause string
 }
 
+// TryEnd is how a try ended.
+type TryEnd string
+
+// Ends of tries.
+const (
+	// TryAnswered means that the answer came from this try.
+	TryAnswered TryEnd = "answered"
+	// TryNotSent means that no byte of the request was sent.
+	TryNotSent TryEnd = "notSent"
+	// TryNotRun means that the head refused the request before it ran.
+	TryNotRun TryEnd = "notRun"
+	// TryFailed means that the request may have run.
+	TryFailed TryEnd = "failed"
+)
+
 // Result is what became of a request.
 type Result struct {
 	ID      string
@@ -76,20 +92,6 @@
 	spent *held
 }
 
-// ending is how a try ended.
-type ending int
-
-const (
-	// endingDelivered means that the request is over.
-	endingDelivered ending = iota
-	// endingNotSent means that no byte of the request was sent.
-	endingNotSent
-	// endingNotRun means that the head refused the request before it ran.
-	endingNotRun
-	// endingFailed means that the request may have run.
-	endingFailed
-)
-
 // run offers the request to heads until it is answered or nothing is left to
 // try.
 func (q *request) run(ctx context.Context) {
@@ -112,7 +114,7 @@
 			return
 		}
 		end := q.try(ctx, pool, choice)
-		if end == endingDelivered {
+		if end == TryAnswered {
 			return
 		}
 		if !q.mayTryAgain(ctx, end) {
@@ -152,15 +154,15 @@
 const returnShare = 95
 
 // mayTryAgain reports whether another try is allowed after one that ended so.
-func (q *request) mayTryAgain(ctx context.Context, end ending) bool {
+func (q *request) mayTryAgain(ctx context.Context, end TryEnd) bool {
 	if ctx.Err() != nil {
 		return false
 	}
 	now := q.handler.config.Clock.Now()
 	switch end {
-	case endingNotSent:
+	case TryNotSent:
 		return true
-	case endingNotRun:
+	case TryNotRun:
 		return q.handler.config.Budget.Take(q.service, now)
 	default:
 		return q.route.Repeatable() && q.ran < q.route.MaxAttempts && q.handler.config.Budget.Take(q.service, now)
@@ -202,7 +204,7 @@
 }
 
 // try makes one attempt at one head.
-func (q *request) try(ctx context.Context, pool *balance.Pool, choice balance.Choice) ending {
+func (q *request) try(ctx context.Context, pool *balance.Pool, choice balance.Choice) TryEnd {
 	c := q.handler.config
 	sentAt := c.Clock.Now()
 	defer pool.Done(choice.Head.ID)
@@ -218,10 +220,11 @@
 	t := &q.result.Tries[c0]
 	t.Took = now.Sub(sentAt)
 	t.Cause = cause
-	if end == endingFailed {
+	t.End = end
+	if end == TryFailed {
 		q.ran++
 	}
-	if end != endingDelivered {
+	if end != TryAnswered {
 		q.exclude = append(q.exclude, choice.Head.ID)
 	}
 	return end
@@ -243,7 +246,7 @@
 
 // attempt sends the request to a head and handles its answer. It returns the
 // cause of anything but a good answer.
-func (q *request) attempt(ctx context.Context, a *attempt, head registry.Head) (ending, string) {
+func (q *request) attempt(ctx context.Context, a *attempt, head registry.Head) (TryEnd, string) {
 	c := q.handler.config
 	response, err := c.Backend.Attempt(ctx, backend.Request{
 		Address: head.Address,
@@ -262,13 +265,13 @@
 	switch {
 	case answer.NotExecuted:
 		q.refusedBy(a, answer, response.StatusCode, now)
-		return endingNotRun, "refused by backend server: " + http.StatusText(response.StatusCode)
+		return TryNotRun, "refused by backend server: " + http.StatusText(response.StatusCode)
 	case answer.ID != q.call.ID:
 		a.pool.Erred(a.head)
-		return endingFailed, "answer belongs to another request"
+		return TryFailed, "answer belongs to another request"
 	case answer.Encoded || !answer.Signed && success(response.StatusCode):
 		a.pool.Erred(a.head)
-		return endingFailed, "answer is not the backend server's own"
+		return TryFailed, "answer is not the backend server's own"
 	case q.route.Kind == routes.KindStreaming && success(response.StatusCode):
 		return q.relayStream(ctx, a, response)
 	default:
@@ -303,7 +306,7 @@
 }
 
 // unanswered handles a try without an answer.
-func (q *request) unanswered(ctx context.Context, a *attempt, err error) (ending, string) {
+func (q *request) unanswered(ctx context.Context, a *attempt, err error) (TryEnd, string) {
 	now := q.handler.config.Clock.Now()
 	cause := context.Cause(ctx)
 	var notSent *backend.NotSentError
@@ -311,11 +314,11 @@
 		if cause == nil {
 			a.pool.Failed(a.head, now)
 		}
-		return endingNotSent, err.Error()
+		return TryNotSent, err.Error()
 	}
 	if cause == nil {
 		a.pool.Failed(a.head, now)
-		return endingFailed, err.Error()
+		return TryFailed, err.Error()
 	}
-	return endingFailed, cause.Error()
+	return TryFailed, cause.Error()
 }
--- a/internal/routing/routes/configuration.go
+++ b/internal/routing/routes/configuration.go
@@ -115,11 +115,16 @@
 	Keyed  bool
 	Limits Limits
 
-	hosts map[string][]*Route
+	hosts  map[string][]*Route
+	models map[string]bool
 }
 
 // Index prepares the configuration for Match. It is called once, before use.
 func (c *Configuration) Index() {
+	c.models = map[string]bool{}
+	for model := range c.Sizes() {
+		c.models[model] = true
+	}
 	c.hosts = map[string][]*Route{}
 	for i := range c.Routes {
 		r := &c.Routes[i]
@@ -142,6 +147,11 @@
 	return best
 }
 
+// HasModel reports whether a service has the model.
+func (c *Configuration) HasModel(name string) bool {
+	return c.models[name]
+}
+
 // Pick returns the target for a point in [0, 1).
 func (r *Route) Pick(point float64) string {
 	total := 0.0
--- a/pkg/serving/metric/catalogue.go
+++ b/pkg/serving/metric/catalogue.go
@@ -112,5 +112,5 @@
 
 // All returns the catalogue.
 func All() []Definition {
-	return slices.Concat([]Definition{requestsTotal, objectiveTotal, firstToken, betweenToken}, snapshotDefinitions)
+	return slices.Concat([]Definition{requestsTotal, objectiveTotal, firstToken, betweenToken}, snapshotDefinitions, entryDefinitions)
 }
--- a/pkg/serving/metric/metric.go
+++ b/pkg/serving/metric/metric.go
@@ -185,8 +185,10 @@
 const pageHead = `# Metrics
 
 A node serves these on its admin address under ` + "`/metrics`" + `, to operators' keys
-alone, beside the usual metrics of its process. The page is written from the
-catalogue in pkg/serving/metric; a test fails when they differ.
+alone, beside the usual metrics of its process. Those whose names begin with
+almondbay_entry_ are served by nodes on entry VMs, on the second of their internal
+ports. The page is written from the catalogue in pkg/serving/metric; a test fails
+when they differ.
 
 | Metric | Type | Labels | Meaning |
 |---|---|---|---|
