Follow demand with the mix of groups and keep late requests behind others

Cause: under load heads had three and more requests waiting, so that 64 in 100 of those that joined them were late; the mix of groups kept to the stated share while one model was asked for more; loads stayed unused while staging waited for joins. Ruled out: engine speed (first event 170 to 200 ms at any load up to the slots). Change: a queue as long as the objective leaves, late requests in free slots only and behind others, weights by demand, loads for the group that lacks the fewest.

--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -42,6 +43,8 @@
 	loads []time.Time
 	// loading holds the loads under way by server.
 	loading map[string]load
+	// summedAt is when the last line on what the servers do was logged.
+	summedAt time.Time
 	// loadsBlockedUntil covers the loads of an earlier holder.
 	loadsBlockedUntil time.Time
 	given             map[orderKey]time.Time
@@ -233,6 +236,7 @@
 		// The plan that is now written allows more orders.
 		decision = d.decide(s, view)
 	}
+	d.logSummary(s.Name, decision.Summary)
 	d.ask(ctx, decision.Suspects, d.config.Clock.Now())
 	d.give(ctx, decision.Orders)
 	return nil
@@ -330,6 +334,35 @@
 	return nil
 }
 
+// summaryInterval is the time between two lines on what the servers do.
+const summaryInterval = 3 * time.Second
+
+func (d *domain) logSummary(service string, s formation.Summary) {
+	now := d.config.Clock.Now()
+	if now.Sub(d.summedAt) < summaryInterval {
+		return
+	}
+	d.summedAt = now
+	groups := make([]string, 0, len(s.Whole)+len(s.Partial))
+	for model, n := range s.Whole {
+		groups = append(groups, fmt.Sprintf("%s whole=%d partial=%d", model, n, s.Partial[model]))
+	}
+	for model, n := range s.Partial {
+		if s.Whole[model] == 0 {
+			groups = append(groups, fmt.Sprintf("%s whole=0 partial=%d", model, n))
+		}
+	}
+	idle := []string{fmt.Sprintf("cold=%d", s.Cold)}
+	for model, n := range s.Hot {
+		idle = append(idle, fmt.Sprintf("%s=%d", model, n))
+	}
+	slices.Sort(groups)
+	slices.Sort(idle)
+	event.FleetCounted.Log(d.config.Logger, zap.String("fabricDomain", d.name), zap.String("service", service),
+		zap.Int("servers", s.Servers), zap.Int("leaving", s.Leaving), zap.String("groups", strings.Join(groups, "; ")),
+		zap.String("idle", strings.Join(idle, "; ")), zap.Int("loading", len(d.loading)), zap.Uint64("term", d.term))
+}
+
 func (d *domain) logPlan(decision formation.Decision) {
 	for _, r := range decision.Released {
 		event.GroupReleased.Log(d.config.Logger, zap.String("group", r.Group.Name), zap.Uint64("epoch", r.Group.Epoch),
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -10,38 +10,41 @@
 	"almondbay.example/internal/routing/routes"
 )
 
-// formGroups plans new groups from the free servers of each fabric domain, and
-// prepares what is left.
+// formGroups plans new groups from the free servers of each fabric domain.
 func (p *planner) formGroups() {
-	free := map[string][]registry.Server{}
+	for _, d := range p.fabricDomains() {
+		for {
+			m, ok := p.next(d, p.idle[d])
+			if !ok {
+				break
+			}
+			p.idle[d] = p.form(d, m, p.idle[d])
+		}
+	}
+	p.borrow()
+}
+
+// fabricDomains finds the free servers of each fabric domain and returns the
+// fabric domains in order.
+func (p *planner) fabricDomains() []string {
 	for _, r := range p.records {
 		if r.FabricDomain == "" {
 			continue
 		}
-		servers := free[r.FabricDomain]
+		servers := p.idle[r.FabricDomain]
 		if p.free(r) {
 			servers = append(servers, r.Server)
 		}
-		free[r.FabricDomain] = servers
+		p.idle[r.FabricDomain] = servers
 	}
-	domains := make([]string, 0, len(free))
-	for d := range free {
+	domains := make([]string, 0, len(p.idle))
+	for d, servers := range p.idle {
 		domains = append(domains, d)
-	}
-	slices.Sort(domains)
-	for _, d := range domains {
-		servers := free[d]
 		slices.SortFunc(servers, func(a, b registry.Server) int { return cmp.Compare(a.ID, b.ID) })
-		for {
-			m, ok := p.next(d, servers)
-			if !ok {
-				break
-			}
-			servers = p.form(d, m, servers)
-		}
-		p.borrow(d, servers)
-		p.stage(d, servers)
 	}
+	slices.Sort(domains)
+	p.domains = domains
+	return domains
 }
 
 // free reports whether a server may be put into a group.
@@ -133,10 +136,10 @@
 	}
 	if !p.settled(domain) {
 		first := !p.anyGroup(domain)
-		return most, n >= most.Size+p.standbys() || (first && n >= most.Size)
+		return most, n >= most.Size+p.standbys(domain, most) || (first && n >= most.Size)
 	}
 	return p.neediest(func(m routes.Model) bool {
-		return n >= m.Size+p.standbys() && !p.completes(servers, m)
+		return n >= m.Size+p.standbys(domain, m) && !p.completes(servers, m)
 	})
 }
 
@@ -152,9 +155,16 @@
 	return false
 }
 
-// standbys is the number of servers that a fabric domain keeps out of groups.
-func (p *planner) standbys() int {
-	return len(p.Models)
+// standbys is the number of servers that a fabric domain keeps out of groups
+// once it has a group of m: one for each model that it serves.
+func (p *planner) standbys(domain string, m routes.Model) int {
+	n := 1
+	for _, other := range p.Models {
+		if other.Name != m.Name && p.serves(domain, other.Name) {
+			n++
+		}
+	}
+	return n
 }
 
 func (p *planner) anyGroup(domain string) bool {
@@ -201,49 +211,76 @@
 	}
 }
 
-// borrow dissolves a group of a model with enough others when its servers
-// complete a group of the model that lacks the most.
-func (p *planner) borrow(domain string, left []registry.Server) {
-	if len(left) == 0 {
+// minShortage is the shortage, in groups, from which groups of another model
+// are taken apart.
+const minShortage = 0.4
+
+// short returns the model that lacks the most servers if it lacks enough of
+// them for a group.
+func (p *planner) short() (routes.Model, bool) {
+	m, ok := p.neediest(func(routes.Model) bool { return true })
+	return m, ok && p.shortage(m) >= float64(m.Size)*minShortage
+}
+
+// borrow dissolves groups of models with enough others when their servers,
+// which need no load, complete a group of the model that lacks the most.
+func (p *planner) borrow() {
+	m, ok := p.short()
+	if !ok || p.anyDissolving() {
 		return
 	}
-	want, ok := p.neediest(func(routes.Model) bool { return true })
-	if !ok || p.shortage(want) < float64(want.Size)*minShortage || want.Size <= len(left) {
-		return
+	for _, d := range p.domains {
+		have := p.hot(p.idle[d], m.Name)
+		donors := p.donors(d, m)
+		for n := range donors {
+			have += p.hotMembers(p.decision.Plan.Groups[donors[n]], m.Name)
+			if have >= m.Size {
+				p.dissolve(donors[:n+1])
+				return
+			}
+		}
 	}
-	ready := p.hot(left, want.Name)
-	best := -1
+}
+
+// donors returns the indexes of groups in a fabric domain that may be given up
+// for a model, those with the most servers that need no load for it first. The
+// models that give are never left shorter than the one that takes.
+func (p *planner) donors(domain string, m routes.Model) []int {
+	given := map[string]float64{}
+	var donors []int
 	for i, g := range p.decision.Plan.Groups {
-		donor := p.models[g.Model]
-		if g.FabricDomain != domain || g.Model == want.Name || len(g.Members)+len(left) < want.Size {
+		if g.FabricDomain != domain || g.Model == m.Name || p.inspect(g).ready != len(g.Members) {
 			continue
 		}
-		if g.Dissolving {
-			// Its servers are on their way.
-			return
-		}
-		if p.shortage(donor)+float64(donor.Size) >= p.shortage(want) {
-			continue
-		}
-		if c := p.inspect(g); c.ready != len(g.Members) {
+		donor := p.models[g.Model]
+		if p.shortage(donor)+given[g.Model]+float64(donor.Size) >= p.shortage(m) {
 			continue
 		}
-		if best < 0 || p.hotMembers(g, want.Name) > p.hotMembers(p.decision.Plan.Groups[best], want.Name) {
-			best = i
+		given[g.Model] += float64(donor.Size)
+		donors = append(donors, i)
+	}
+	slices.SortStableFunc(donors, func(a, b int) int {
+		return cmp.Compare(p.hotMembers(p.decision.Plan.Groups[b], m.Name), p.hotMembers(p.decision.Plan.Groups[a], m.Name))
+	})
+	return donors
+}
+
+func (p *planner) anyDissolving() bool {
+	for _, g := range p.decision.Plan.Groups {
+		if g.Dissolving {
+			return true
 		}
 	}
-	if best < 0 || ready+p.hotMembers(p.decision.Plan.Groups[best], want.Name) < want.Size {
-		// Its servers would serve nobody while the weights are loaded.
-		return
+	return false
+}
+
+func (p *planner) dissolve(groups []int) {
+	for _, i := range groups {
+		p.decision.Plan.Groups[i].Dissolving = true
 	}
-	p.decision.Plan.Groups[best].Dissolving = true
 	p.decision.Changed = true
 }
 
-// minShortage is the shortage, in groups, from which a group of another model
-// is taken apart.
-const minShortage = 0.4
-
 // hot returns the number of servers that need no load to serve a model.
 func (p *planner) hot(servers []registry.Server, model string) int {
 	n := 0
@@ -256,35 +293,89 @@
 }
 
 func (p *planner) hotMembers(g Group, model string) int {
+	return p.hot(p.servers(g), model)
+}
+
+// servers returns the members of a group.
+func (p *planner) servers(g Group) []registry.Server {
 	servers := make([]registry.Server, 0, len(g.Members))
 	for _, m := range g.Members {
 		servers = append(servers, p.records[m.ID].Server)
 	}
-	return p.hot(servers, model)
+	return servers
+}
+
+// prepare has servers hold the weights that groups will need, with the loads
+// that the planned groups leave: first for a group of a model that is short,
+// then one standby for each model and fabric domain.
+func (p *planner) prepare() {
+	taken := map[string]bool{}
+	if m, ok := p.short(); ok {
+		p.prepareGroup(m, taken)
+	}
+	for _, d := range p.domains {
+		if p.settled(d) {
+			p.prepareStandbys(d, taken)
+		}
+	}
+}
+
+// prepareGroup stages a model on the servers of the fabric domain where the
+// fewest are missing for a group of it.
+func (p *planner) prepareGroup(m routes.Model, taken map[string]bool) {
+	var best []registry.Server
+	missing := 0
+	for _, d := range p.domains {
+		if !p.settled(d) {
+			continue
+		}
+		servers := slices.Clone(p.idle[d])
+		for _, i := range p.donors(d, m) {
+			servers = append(servers, p.servers(p.decision.Plan.Groups[i])...)
+		}
+		lacks := m.Size - p.hot(servers, m.Name)
+		if len(servers) >= m.Size && lacks > 0 && (best == nil || lacks < missing) {
+			best, missing = servers, lacks
+		}
+	}
+	for _, s := range best {
+		if missing == 0 {
+			return
+		}
+		if needsLoad(s, m.Name) && !taken[s.ID] {
+			p.stage(s, m, taken, "group of a model that is short")
+			missing--
+		}
+	}
 }
 
-// stage has idle servers of the fabric domain hold the weights that a group
-// will need when it loses a member. Where none is idle, a member of another
-// model's group holds them beside what it serves.
-func (p *planner) stage(domain string, idle []registry.Server) {
-	if !p.settled(domain) || p.joining() {
+// stage orders a server to hold the weights of a model, if a load is left.
+func (p *planner) stage(s registry.Server, m routes.Model, taken map[string]bool, reason string) {
+	taken[s.ID] = true
+	if p.Loads <= 0 {
 		return
 	}
-	taken := map[string]bool{}
+	p.Loads--
+	p.decision.Orders = append(p.decision.Orders, Order{
+		Server: s, Operation: OperationStage, Model: m.Name, Loads: true, Reason: reason,
+	})
+}
+
+// prepareStandbys has idle servers of a fabric domain hold the weights that a
+// group will need when it loses a member. Where none is idle, a member of
+// another model's group holds them beside what it serves.
+func (p *planner) prepareStandbys(domain string, taken map[string]bool) {
+	idle := p.idle[domain]
 	for _, m := range p.bySize() {
 		if !p.serves(domain, m.Name) && p.hot(idle, m.Name) == 0 {
 			continue
 		}
 		for range p.missingStandbys(idle, m) {
 			s, ok := p.stagingServer(domain, m, idle, taken)
-			if !ok || p.Loads <= 0 {
+			if !ok {
 				break
 			}
-			taken[s.ID] = true
-			p.Loads--
-			p.decision.Orders = append(p.decision.Orders, Order{
-				Server: s, Operation: OperationStage, Model: m.Name, Loads: true, Reason: "standby",
-			})
+			p.stage(s, m, taken, "standby")
 		}
 	}
 }
@@ -306,18 +397,7 @@
 	return max(0, 1-hot)
 }
 
-// joining reports whether a group still waits for members to be ordered.
-func (p *planner) joining() bool {
-	for _, g := range p.decision.Plan.Groups {
-		for _, m := range g.Members {
-			if r, ok := p.member(m); ok && !r.In(g.Name, g.Epoch) {
-				return true
-			}
-		}
-	}
-	return false
-}
-
+// serves reports whether a fabric domain has a group of a model.
 func (p *planner) serves(domain, model string) bool {
 	for _, g := range p.decision.Plan.Groups {
 		if g.FabricDomain == domain && g.Model == model {
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -116,18 +116,34 @@
 	Formed   []Group
 	Released []Release
 	Orders   []Order
+	Summary  Summary
 	// Suspects lists heads without a registration that must be asked whether
 	// they still serve.
 	Suspects []registry.Server
 }
 
+// Summary counts what the servers do.
+type Summary struct {
+	Servers int
+	Leaving int
+	// Whole and Partial count the planned groups by model.
+	Whole, Partial map[string]int
+	// Hot counts the servers outside groups that need no load for a model; Cold
+	// those that need one for any.
+	Hot  map[string]int
+	Cold int
+}
+
 // planner works out one decision.
 type planner struct {
 	View
 	records map[string]registry.Record
 	models  map[string]routes.Model
 	// bound holds the servers of groups that stay in the plan.
-	bound    map[string]bool
+	bound map[string]bool
+	// idle holds the free servers by fabric domain; domains lists those.
+	idle     map[string][]registry.Server
+	domains  []string
 	decision Decision
 }
 
@@ -138,6 +154,7 @@
 		records: map[string]registry.Record{},
 		models:  map[string]routes.Model{},
 		bound:   map[string]bool{},
+		idle:    map[string][]registry.Server{},
 	}
 	for _, r := range v.Servers.Servers {
 		if r.Service == v.Service && r.FailureDomain == v.FailureDomain {
@@ -153,6 +170,8 @@
 	}
 	p.formGroups()
 	p.order()
+	p.prepare()
+	p.summarise()
 	if p.decision.Changed {
 		// The plan is in force once it is written; until then only orders that
 		// the old plan calls for as well may be sent.
@@ -161,6 +180,44 @@
 	return p.decision
 }
 
+func (p *planner) summarise() {
+	s := Summary{Whole: map[string]int{}, Partial: map[string]int{}, Hot: map[string]int{}}
+	for _, g := range p.decision.Plan.Groups {
+		if c := p.inspect(g); c.ready == len(g.Members) {
+			s.Whole[g.Model]++
+		} else {
+			s.Partial[g.Model]++
+		}
+	}
+	for _, r := range p.records {
+		if !p.alive(r) || r.FabricDomain == "" {
+			continue
+		}
+		s.Servers++
+		if r.Draining {
+			s.Leaving++
+			continue
+		}
+		if !p.bound[r.ID] {
+			p.countIdle(&s, r.Server)
+		}
+	}
+	p.decision.Summary = s
+}
+
+func (p *planner) countIdle(s *Summary, server registry.Server) {
+	cold := true
+	for _, m := range p.Models {
+		if !needsLoad(server, m.Name) {
+			s.Hot[m.Name]++
+			cold = false
+		}
+	}
+	if cold {
+		s.Cold++
+	}
+}
+
 // keepOrders returns the orders that concern groups of a plan that is written.
 func keepOrders(orders []Order, written Plan) []Order {
 	known := map[uint64]bool{}
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -84,6 +84,7 @@
 	handler     *ingress.Handler
 	controller  *control.Controller
 	journal     *journal
+	demand      *demand
 	metrics     *metric.Entry
 	logs        map[string]*peerrelay.Log
 	feed        *peerrelay.Feed
@@ -149,7 +150,7 @@
 		board: balance.NewBoard(balance.Policy{
 			FailureDomain: s.FailureDomain,
 			RemotePenalty: 0.35,
-			QueueShare:    0.5,
+			QueueShare:    0.8,
 			SuspendFirst:  300 * time.Millisecond,
 			SuspendMax:    3 * time.Second,
 			FullFor:       100 * time.Millisecond,
@@ -201,6 +202,7 @@
 		StallAfter:    stallAfter,
 		SilentAfter:   silentAfter,
 	})
+	n.demand = newDemand()
 	n.addFeed()
 	n.controller = control.New(control.Config{
 		Clock:          c.Clock,
@@ -265,23 +267,6 @@
 	return -1
 }
 
-// weights returns the part of the engines that each model should have.
-func (n *Node) weights(e *routes.Engine) map[string]float64 {
-	total := 0.0
-	for _, m := range e.Models {
-		total += m.Share
-	}
-	weights := make(map[string]float64, len(e.Models))
-	for _, m := range e.Models {
-		if total <= 0 {
-			weights[m.Name] = 1 / float64(len(e.Models))
-			continue
-		}
-		weights[m.Name] = m.Share / total
-	}
-	return weights
-}
-
 // received takes in a message of another node.
 func (n *Node) received(m gossip.Message) {
 	now := n.config.Clock.Now()
@@ -292,6 +277,7 @@
 		n.serving.Store(true)
 	}
 	if m.DomainLoads != nil {
+		n.demand.Remote(m.FailureDomain, m.DomainDemand, now)
 		n.board.Report("domain/"+m.FailureDomain, m.DomainLoads, m.Stalled, now)
 		return
 	}
@@ -308,6 +294,7 @@
 		FailureDomain: s.FailureDomain,
 		Loads:         loads,
 		Stalled:       stalled,
+		Demand:        n.demand.Own(),
 		Leaving:       n.stopping.Load(),
 		Blind:         n.blind(),
 	}, n.members.Known(s.FailureDomain))
@@ -332,6 +319,7 @@
 		FailureDomain: s.FailureDomain,
 		DomainLoads:   n.board.Domain(sources, now),
 		Stalled:       stalled,
+		DomainDemand:  n.demand.Sum(n.members.Demand(s.FailureDomain, now)),
 		Leaving:       n.stopping.Load(),
 		Blind:         n.blind(),
 	}, n.members.Remote())
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -90,6 +90,7 @@
 		n.refreshHeads()
 		return nil
 	})
+	n.addLoop(&g, func() time.Duration { return demandInterval }, n.measureDemand)
 	n.addLoop(&g, n.members.Interval, n.tell)
 	n.addLoop(&g, func() time.Duration { return 500 * time.Millisecond }, n.tellRemote)
 	n.addLoop(&g, func() time.Duration { return countInterval }, func(context.Context) error {
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -53,8 +53,10 @@
 	DomainLoads map[string]int
 	// Stalled lists heads that this node saw stand still.
 	Stalled []string
-	// Demand holds the rate of work by model, in requests a second.
-	Demand map[string]float64
+	// Demand holds this node's demand for each model, in slots; DomainDemand
+	// that of the whole failure domain, between failure domains.
+	Demand       map[string]float64
+	DomainDemand map[string]float64
 	// Leaving is set once the node is stopping.
 	Leaving bool
 	// Blind is set while the node can't read the store.
@@ -137,7 +139,9 @@
 	p.heardAt = now
 	p.leaving = m.Leaving
 	p.Blind = m.Blind
-	p.demand = m.Demand
+	if m.DomainLoads == nil {
+		p.demand = m.Demand
+	}
 	return true
 }
 
@@ -168,14 +172,15 @@
 	return len(s.members) + 1
 }
 
-// Demand adds up what all live peers say of the demand for each model.
-func (s *Members) Demand(now time.Time) map[string]float64 {
+// Demand adds up what the live peers of a failure domain say of the demand for
+// each model.
+func (s *Members) Demand(failureDomain string, now time.Time) map[string]float64 {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	sum := map[string]float64{}
 	for _, m := range s.members {
-		if now.Sub(m.heardAt) > s.deadAfter() {
+		if m.FailureDomain != failureDomain || now.Sub(m.heardAt) > s.deadAfter() {
 			continue
 		}
 		for model, rate := range m.demand {
--- a/internal/peer/gossip/message_wire.go
+++ b/internal/peer/gossip/message_wire.go
@@ -15,6 +15,7 @@
 	DomainLoads   map[string]int     `json:"domainLoads,omitempty"`
 	Stalled       []string           `json:"stalled,omitempty"`
 	Demand        map[string]float64 `json:"demand,omitempty"`
+	DomainDemand  map[string]float64 `json:"domainDemand,omitempty"`
 	Leaving       bool               `json:"leaving,omitempty"`
 	Poison        []poisonWire       `json:"poison,omitempty"`
 	Blind         bool               `json:"blind,omitempty"`
@@ -37,6 +38,7 @@
 		DomainLoads:   m.DomainLoads,
 		Stalled:       m.Stalled,
 		Demand:        m.Demand,
+		DomainDemand:  m.DomainDemand,
 		Leaving:       m.Leaving,
 		Blind:         m.Blind,
 	}
@@ -60,6 +62,7 @@
 		DomainLoads:   w.DomainLoads,
 		Stalled:       w.Stalled,
 		Demand:        w.Demand,
+		DomainDemand:  w.DomainDemand,
 		Leaving:       w.Leaving,
 		Blind:         w.Blind,
 	}
--- a/internal/routing/balance/board.go
+++ b/internal/routing/balance/board.go
@@ -129,3 +129,18 @@
 	}
 	return loads
 }
+
+// Demand returns this node's demand for each model, in slots, over the time
+// since the last call.
+func (b *Board) Demand(elapsed time.Duration) map[string]float64 {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+
+	demand := map[string]float64{}
+	for k, p := range b.pools {
+		if k.Model != "" {
+			demand[k.Model] += p.Demand(elapsed)
+		}
+	}
+	return demand
+}
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -75,6 +75,11 @@
 	heads map[string]*head
 	// service is the moving mean of the duration of a request.
 	service time.Duration
+	// first is the moving mean of the time to the first byte of requests that
+	// found a free slot.
+	first time.Duration
+	// refused is the number of requests refused since it was last taken.
+	refused int
 }
 
 func newPool(key Key, policy Policy) *Pool {
@@ -117,8 +122,10 @@
 type Request struct {
 	// Objective is the time to the first byte that the caller hopes for.
 	Objective time.Duration
-	// Patient requests are late already: they may wait longer.
+	// Patient requests can't meet their objective any more.
 	Patient bool
+	// Failed requests have run in vain at another head.
+	Failed bool
 	// Exclude names servers that the request must not go to again.
 	Exclude []string
 }
@@ -163,12 +170,14 @@
 		}
 	}
 	if best == nil {
+		p.refused++
 		c.RetryAfter = p.untilUnblocked(soonest, now)
 		return c
 	}
 	c.InFlight = best.own + best.others
 	if c.InFlight >= best.Slots+p.queueAllowance(best, r) {
 		c.RetryAfter = p.untilRoom()
+		p.refused++
 		return c
 	}
 	best.own++
@@ -200,19 +209,29 @@
 }
 
 // queueAllowance is the number of requests that may wait at a head so that r
-// is still likely to meet its objective.
+// is still likely to meet its objective. Those that can't meet theirs any more
+// take free slots only; those that a backend server has failed may wait longer,
+// since no answer is worth less than a late one.
 func (p *Pool) queueAllowance(h *head, r Request) int {
-	wait := float64(r.Objective) * p.policy.QueueShare
-	if r.Patient {
-		wait = float64(r.Objective)
+	switch {
+	case r.Failed:
+		return h.Slots / failedShare
+	case r.Patient:
+		return 0
 	}
-	return int(wait / float64(max(p.service, time.Millisecond)) * float64(h.Slots))
+	wait := float64(max(0, r.Objective-p.first)) * p.policy.QueueShare
+	return int(math.Round(wait / float64(max(p.service, time.Millisecond)) * float64(h.Slots)))
 }
 
-// untilRoom estimates when there is room for one more request: the time in
-// which half of the requests that run now have ended.
+// failedShare is the part of its slots, one in so many, that a head may have
+// waiting when it takes over a request that failed elsewhere.
+const failedShare = 3
+
+// untilRoom estimates when there is room for one more request: when those that
+// run now have ended. It is spread so that callers don't come back at once.
 func (p *Pool) untilRoom() time.Duration {
-	return max(p.service/2, minRetryAfter)
+	spread := 0.8 + 0.8*rand.Float64()
+	return max(time.Duration(float64(p.service)*spread), minRetryAfter)
 }
 
 // minRetryAfter keeps refused callers from coming back before anything can have
@@ -258,6 +277,39 @@
 // serviceWindow is the number of answers over which durations are averaged.
 const serviceWindow = 32
 
+// Began notes the time to the first byte of a request that found so many others
+// in flight.
+func (p *Pool) Began(id string, inFlight int, took time.Duration) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	h, ok := p.heads[id]
+	if !ok || inFlight >= h.Slots {
+		return
+	}
+	if p.first == 0 {
+		p.first = took
+	}
+	p.first += (took - p.first) / serviceWindow
+}
+
+// Demand returns the slots that are in use or were asked for in vain since the
+// last call, which was so long ago.
+func (p *Pool) Demand(elapsed time.Duration) float64 {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	demand := 0.0
+	for _, h := range p.heads {
+		demand += float64(h.own)
+	}
+	if elapsed > 0 {
+		demand += float64(p.refused) * float64(p.service) / float64(elapsed)
+	}
+	p.refused = 0
+	return demand
+}
+
 // Moved notes that an answer of the head made progress.
 func (p *Pool) Moved(id string, now time.Time) {
 	p.mu.Lock()
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -107,6 +107,7 @@
 		choice := pool.Choose(balance.Request{
 			Objective: q.route.Objective,
 			Patient:   q.patient(now),
+			Failed:    q.ran > 0,
 			Exclude:   q.exclude,
 		}, now)
 		if !choice.OK {
@@ -209,7 +210,10 @@
 	sentAt := c.Clock.Now()
 	defer pool.Done(choice.Head.ID)
 	ctx, cancel := context.WithCancelCause(ctx)
-	a := &attempt{pool: pool, head: choice.Head.ID, cancel: cancel, movedAt: sentAt, patience: q.patience()}
+	a := &attempt{
+		pool: pool, head: choice.Head.ID, inFlight: choice.InFlight, cancel: cancel,
+		sentAt: sentAt, movedAt: sentAt, patience: q.patience(),
+	}
 	c0 := len(q.result.Tries)
 	q.result.Tries = append(q.result.Tries, Try{Head: choice.Head.ID, InFlight: choice.InFlight})
 	q.handler.watch.add(a)
@@ -292,9 +296,16 @@
 	if q.call.Deadline == 0 {
 		f.Deadline = 0
 	}
+	if q.patient(q.handler.config.Clock.Now()) {
+		f.Priority, f.HasPriority = latePriority, true
+	}
 	return q.handler.config.Dialect.Forward(q.http.Header, f)
 }
 
+// latePriority is the priority at a head of requests that can't meet their
+// objective any more: behind those without one, which have 5.
+const latePriority = 8
+
 // refusedBy notes that a head refused the request before it ran.
 func (q *request) refusedBy(a *attempt, answer exchange.Answer, status int, now time.Time) {
 	switch {
--- a/internal/routing/ingress/watch.go
+++ b/internal/routing/ingress/watch.go
@@ -29,9 +29,12 @@
 
 // attempt is one request at one head while it runs.
 type attempt struct {
-	pool   *balance.Pool
-	head   string
-	cancel context.CancelCauseFunc
+	pool *balance.Pool
+	head string
+	// inFlight is the number of requests that were believed to be at the head.
+	inFlight int
+	sentAt   time.Time
+	cancel   context.CancelCauseFunc
 	// patience is zero for attempts that nothing could replace.
 	patience Patience
 
@@ -47,9 +50,13 @@
 // moved notes an event.
 func (a *attempt) moved(now time.Time) {
 	a.mu.Lock()
+	first := !a.begun
 	a.movedAt = now
 	a.begun = true
 	a.mu.Unlock()
+	if first {
+		a.pool.Began(a.head, a.inFlight, now.Sub(a.sentAt))
+	}
 	a.pool.Moved(a.head, now)
 }
 
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -259,6 +259,14 @@
 	}
 )
 
+// FleetCounted is logged by the node that controls a failure domain.
+var FleetCounted = Definition{
+	Number: 956, Level: zapcore.InfoLevel, Message: "fleet counted",
+	Fields:  []string{"fabricDomain", "service", "servers", "leaving", "groups", "idle", "loading", "term"},
+	Meaning: "What the backend servers of a failure domain do: groups lists each model's groups that are whole and that are not, idle each model's servers that need no load to join and those that do.",
+	Action:  "None, unless servers stay idle while groups lack members; then look at the orders given.",
+}
+
 var areas = []area{
 	{"Node", []Definition{NodeStarted, NodeListening, NodeDraining, NodeStopped, NodeFailed, StepFailed}},
 	{"Certificates", []Definition{CertificateLoaded, CertificateRefused}},
@@ -272,5 +280,5 @@
 	{"Entry VMs", []Definition{
 		RequestEnded, RequestsCounted, ConfigurationInForce, ConfigurationUnreadable, SettingsReloaded, ReadinessChanged, DatagramFailed,
 	}},
-	{"Backend servers", []Definition{HeadsChanged, GroupPlanned, GroupReleased, OrderGiven, HeadAsked}},
+	{"Backend servers", []Definition{HeadsChanged, GroupPlanned, GroupReleased, OrderGiven, HeadAsked, FleetCounted}},
 }
