Tell which heads move, pay for a retry before breaking a try off, read in a tree

Cause: at 123 nodes a node has few streams at a head, so that a wait in the queue looked like a head that stands still; the try was broken off and the retry budget then refused another. One reader with 40 listeners was too slow, and they read the store themselves.

--- a/internal/node/deployment/settings.go
+++ b/internal/node/deployment/settings.go
@@ -29,6 +29,8 @@
 	// FirstStart is set only when the whole system starts for the first time.
 	FirstStart  bool
 	MemoryBytes int64
+	// Cores is the share of a processor that the node may use.
+	Cores float64
 	// Heartbeat is the interval at which backend servers renew their
 	// registration.
 	Heartbeat time.Duration
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -75,15 +75,17 @@
 
 // Node is one node.
 type Node struct {
-	config      Config
-	board       *balance.Board
-	book        *registry.Book
-	members     *gossip.Members
-	budget      *retry.Budget
-	socket      *gossip.Socket
-	handler     *ingress.Handler
-	controller  *control.Controller
-	journal     *journal
+	config     Config
+	board      *balance.Board
+	book       *registry.Book
+	members    *gossip.Members
+	budget     *retry.Budget
+	socket     *gossip.Socket
+	handler    *ingress.Handler
+	controller *control.Controller
+	journal    *journal
+	// toldAt is when this node last told of what it saw.
+	toldAt      time.Time
 	demand      *demand
 	metrics     *metric.Entry
 	logs        map[string]*peerrelay.Log
@@ -158,13 +160,6 @@
 			UsualService:  500 * time.Millisecond,
 		}),
 		book: registry.NewBook(registry.BookConfig{ReturnGrace: returnGrace, Remember: rememberGone}),
-		members: gossip.NewMembers(gossip.Config{
-			Self:           gossip.Peer{Node: s.Node, FailureDomain: s.FailureDomain, Address: s.Address.String()},
-			Interval:       40 * time.Millisecond,
-			PerPeer:        4 * time.Millisecond,
-			RemoteInterval: 500 * time.Millisecond,
-			DeadAfter:      1500 * time.Millisecond,
-		}),
 		budget: retry.NewBudget(retry.Config{
 			Ratio:  s.Bounds.RetryRatio,
 			Slack:  s.Bounds.RetrySlack,
@@ -173,6 +168,12 @@
 		}),
 		heads: map[balance.Key]int{},
 	}
+	n.members = gossip.NewMembers(gossip.Config{
+		Self:      n.self(),
+		Interval:  40 * time.Millisecond,
+		PerPeer:   3 * time.Millisecond,
+		DeadAfter: 1500 * time.Millisecond,
+	})
 	n.metrics = metric.NewEntry()
 	n.config.Store = &countedStore{store: c.Store, clock: c.Clock, metrics: n.metrics}
 	n.config.Orders = &countedOrders{Orders: c.Orders, metrics: n.metrics}
@@ -229,6 +230,12 @@
 	return n, nil
 }
 
+// self returns this node as others know it.
+func (n *Node) self() gossip.Peer {
+	s := n.config.Settings
+	return gossip.Peer{Node: s.Node, FailureDomain: s.FailureDomain, Address: s.Address.String(), Capacity: s.Cores}
+}
+
 // foreignAfter is how long a node waits after its start before it acts for a
 // failure domain without live nodes: until it has heard of the others.
 const foreignAfter = 6 * time.Second
@@ -276,29 +283,36 @@
 	if len(m.Loads)+len(m.DomainLoads) > 0 {
 		n.serving.Store(true)
 	}
+	report := balance.Report{Loads: m.Loads, Moved: m.Moved, Stalled: m.Stalled}
+	from := "node/" + m.Node
 	if m.DomainLoads != nil {
 		n.demand.Remote(m.FailureDomain, m.DomainDemand, now)
-		n.board.Report("domain/"+m.FailureDomain, m.DomainLoads, m.Stalled, now)
-		return
+		report.Loads = m.DomainLoads
+		from = "domain/" + m.FailureDomain
 	}
-	n.board.Report("node/"+m.Node, m.Loads, m.Stalled, now)
+	n.board.Report(from, report, now)
 }
 
 // tell sends what this node has in flight to its failure domain.
 func (n *Node) tell(context.Context) error {
 	now := n.config.Clock.Now()
-	loads, stalled := n.board.Own(now)
-	s := n.config.Settings
-	n.socket.Send(gossip.Message{
-		Node:          s.Node,
-		FailureDomain: s.FailureDomain,
-		Loads:         loads,
-		Stalled:       stalled,
-		Demand:        n.demand.Own(),
+	report := n.board.Own(n.toldAt, now)
+	n.toldAt = now
+	m := n.message()
+	m.Loads, m.Moved, m.Stalled = report.Loads, report.Moved, report.Stalled
+	m.Demand = n.demand.Own()
+	n.socket.Send(m, n.members.Known(n.config.Settings.FailureDomain))
+	return nil
+}
+
+// message returns a message that tells of the node itself only.
+func (n *Node) message() gossip.Message {
+	return gossip.Message{
+		Node:          n.config.Settings.Node,
+		FailureDomain: n.config.Settings.FailureDomain,
 		Leaving:       n.stopping.Load(),
 		Blind:         n.blind(),
-	}, n.members.Known(s.FailureDomain))
-	return nil
+	}
 }
 
 // tellRemote sends what the failure domain has in flight to the others, if
@@ -313,15 +327,9 @@
 	for _, p := range n.members.Alive(s.FailureDomain, now) {
 		sources = append(sources, "node/"+p.Node)
 	}
-	_, stalled := n.board.Own(now)
-	n.socket.Send(gossip.Message{
-		Node:          s.Node,
-		FailureDomain: s.FailureDomain,
-		DomainLoads:   n.board.Domain(sources, now),
-		Stalled:       stalled,
-		DomainDemand:  n.demand.Sum(n.members.Demand(s.FailureDomain, now)),
-		Leaving:       n.stopping.Load(),
-		Blind:         n.blind(),
-	}, n.members.Remote())
+	m := n.message()
+	m.DomainLoads = n.board.Domain(sources, now).Loads
+	m.DomainDemand = n.demand.Sum(n.members.Demand(s.FailureDomain, now))
+	n.socket.Send(m, n.members.Remote())
 	return nil
 }
--- a/internal/node/entry/peer_wire.go
+++ b/internal/node/entry/peer_wire.go
@@ -9,13 +9,14 @@
 
 // peerWire is the row of a node.
 type peerWire struct {
-	Node          string `json:"node"`
-	FailureDomain string `json:"failureDomain"`
-	Address       string `json:"address"`
+	Node          string  `json:"node"`
+	FailureDomain string  `json:"failureDomain"`
+	Address       string  `json:"address"`
+	Cores         float64 `json:"cores"`
 }
 
 func encodePeer(p gossip.Peer) ([]byte, error) {
-	body, err := json.Marshal(peerWire{Node: p.Node, FailureDomain: p.FailureDomain, Address: p.Address})
+	body, err := json.Marshal(peerWire{Node: p.Node, FailureDomain: p.FailureDomain, Address: p.Address, Cores: p.Capacity})
 	return body, Error.Wrap(err)
 }
 
@@ -24,7 +25,7 @@
 	if err := json.Unmarshal(value, &w); err != nil {
 		return gossip.Peer{}, Error.New("row of a node: %w", err)
 	}
-	return gossip.Peer{Node: w.Node, FailureDomain: w.FailureDomain, Address: w.Address}, nil
+	return gossip.Peer{Node: w.Node, FailureDomain: w.FailureDomain, Address: w.Address, Capacity: w.Cores}, nil
 }
 
 // operation returns an ID for a write of this start of the node.
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -1,14 +1,16 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"golang.org/x/sync/errgroup"
 
-	"almondbay.example/core/relay"
 	"almondbay.example/internal/fleet/control"
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/peer/gossip"
@@ -65,22 +67,38 @@
 	return registry.Differs(*a, *b)
 }
 
-// source returns the address of the node that reads the store for the failure
-// domain; empty if that is this one.
+// relayDegree is the number of nodes that hear from one node directly: a root
+// and two levels below it are the nodes of a large failure domain.
+const relayDegree = 6
+
+// source returns the address of the node that this one hears from; empty if it
+// reads the store for the failure domain. The nodes form a tree with the
+// strongest at its root.
 func (n *Node) source() string {
 	s := n.config.Settings
-	addresses := map[string]string{}
-	var names []string
+	tree := n.members.Alive(s.FailureDomain, n.config.Clock.Now())
+	tree = slices.DeleteFunc(tree, func(p gossip.Peer) bool { return p.Blind })
 	if !n.blind() {
-		names = append(names, s.Node)
+		tree = append(tree, n.self())
 	}
-	for _, p := range n.members.Alive(s.FailureDomain, n.config.Clock.Now()) {
-		if !p.Blind {
-			names = append(names, p.Node)
-			addresses[p.Node] = p.Address
-		}
+	slices.SortFunc(tree, func(a, b gossip.Peer) int {
+		return cmp.Or(-cmp.Compare(a.Capacity, b.Capacity), cmp.Compare(rank(a), rank(b)))
+	})
+	place := slices.IndexFunc(tree, func(p gossip.Peer) bool { return p.Node == s.Node })
+	switch {
+	case len(tree) == 0 || place == 0:
+		return ""
+	case place < 0:
+		// A node that can't read the store hears from any that can.
+		return tree[int(rank(n.self())%uint64(len(tree)))].Address
+	default:
+		return tree[(place-1)/relayDegree].Address
 	}
-	return addresses[relay.Owner("source/"+s.FailureDomain, names)]
+}
+
+// rank spreads nodes of equal strength over the places of the tree.
+func rank(p gossip.Peer) uint64 {
+	return xxhash.Sum64String("source/" + p.Node)
 }
 
 // blind reports whether this node can't read the store at the moment.
--- a/internal/node/entry/refresh.go
+++ b/internal/node/entry/refresh.go
@@ -187,7 +187,7 @@
 // announce writes this node's row until the store has it.
 func (n *Node) announce(ctx context.Context) error {
 	s := n.config.Settings
-	value, err := encodePeer(gossip.Peer{Node: s.Node, FailureDomain: s.FailureDomain, Address: s.Address.String()})
+	value, err := encodePeer(n.self())
 	if err != nil {
 		return err
 	}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -25,6 +25,8 @@
 	FailureDomain string
 	// Address is the peer's IP address.
 	Address string
+	// Capacity is the peer's processor share, in cores.
+	Capacity float64
 	// Blind is set while the peer says that it can't read the store.
 	Blind bool
 }
@@ -51,6 +53,8 @@
 	// DomainLoads holds those of the whole failure domain; set only in messages
 	// between failure domains.
 	DomainLoads map[string]int
+	// Moved lists heads whose answers this node saw move since its last message.
+	Moved []string
 	// Stalled lists heads that this node saw stand still.
 	Stalled []string
 	// Demand holds this node's demand for each model, in slots; DomainDemand
@@ -73,8 +77,6 @@
 	// PerPeer is added to the interval for each peer, so that the messages of a
 	// node do not grow with their number.
 	PerPeer time.Duration
-	// RemoteInterval is the time between two messages to other failure domains.
-	RemoteInterval time.Duration
 	// DeadAfter is the silence after which a peer no longer counts as alive; a
 	// multiple of its interval at least.
 	DeadAfter time.Duration
@@ -210,7 +212,13 @@
 }
 
 func (s *Members) interval() time.Duration {
-	return s.config.Interval + time.Duration(len(s.members))*s.config.PerPeer
+	near := 0
+	for _, m := range s.members {
+		if m.FailureDomain == s.config.Self.FailureDomain {
+			near++
+		}
+	}
+	return s.config.Interval + time.Duration(near)*s.config.PerPeer
 }
 
 // Interval returns the time between two messages to the own failure domain.
--- a/internal/peer/gossip/message_wire.go
+++ b/internal/peer/gossip/message_wire.go
@@ -13,6 +13,7 @@
 	Sequence      uint64             `json:"sequence"`
 	Loads         map[string]int     `json:"loads,omitempty"`
 	DomainLoads   map[string]int     `json:"domainLoads,omitempty"`
+	Moved         []string           `json:"moved,omitempty"`
 	Stalled       []string           `json:"stalled,omitempty"`
 	Demand        map[string]float64 `json:"demand,omitempty"`
 	DomainDemand  map[string]float64 `json:"domainDemand,omitempty"`
@@ -37,6 +38,7 @@
 		Loads:         m.Loads,
 		DomainLoads:   m.DomainLoads,
 		Stalled:       m.Stalled,
+		Moved:         m.Moved,
 		Demand:        m.Demand,
 		DomainDemand:  m.DomainDemand,
 		Leaving:       m.Leaving,
@@ -61,6 +63,7 @@
 		Loads:         w.Loads,
 		DomainLoads:   w.DomainLoads,
 		Stalled:       w.Stalled,
+		Moved:         w.Moved,
 		Demand:        w.Demand,
 		DomainDemand:  w.DomainDemand,
 		Leaving:       w.Leaving,
--- a/internal/peer/relay/feed.go
+++ b/internal/peer/relay/feed.go
@@ -76,7 +76,7 @@
 		c, age, err := f.config.Client.Whole(calling, address, table)
 		cancel()
 		if err == nil && age <= f.config.MaxWait+f.config.Slack {
-			f.keep(table, c, true)
+			f.keep(table, c, true, age)
 			return c, nil
 		}
 		f.goDirect()
@@ -86,7 +86,7 @@
 		f.fail(table)
 		return c, err
 	}
-	f.keep(table, c, true)
+	f.keep(table, c, true, 0)
 	return c, nil
 }
 
@@ -100,7 +100,7 @@
 		var lost *platform.HistoryLostError
 		switch {
 		case err == nil && age <= wait+f.config.Slack:
-			f.keep(table, c, false)
+			f.keep(table, c, false, age)
 			return c, nil
 		case errors.As(err, &lost):
 			return platform.Changes{}, err
@@ -111,7 +111,7 @@
 	var lost *platform.HistoryLostError
 	switch {
 	case err == nil:
-		f.keep(table, c, false)
+		f.keep(table, c, false, 0)
 	case !errors.As(err, &lost):
 		f.fail(table)
 	}
@@ -124,13 +124,14 @@
 	}
 }
 
-// keep notes what was read, for the nodes that hear from this one.
-func (f *Feed) keep(table string, c platform.Changes, whole bool) {
+// keep notes what was read from the store so long ago, for the nodes that hear
+// from this one.
+func (f *Feed) keep(table string, c platform.Changes, whole bool, age time.Duration) {
 	log, ok := f.config.Logs[table]
 	if !ok {
 		return
 	}
-	now := f.config.Clock.Now()
+	now := f.config.Clock.Now().Add(-age)
 	if whole {
 		log.Replace(c, now)
 		return
--- a/internal/routing/balance/board.go
+++ b/internal/routing/balance/board.go
@@ -17,7 +17,17 @@
 	reports map[string]report
 }
 
-// report is what another node, or a whole failure domain, has in flight.
+// Report is what a node, or a whole failure domain, has in flight and has seen.
+type Report struct {
+	// Loads holds the requests in flight by head.
+	Loads map[string]int
+	// Moved and Stalled list heads whose answers moved lately, and those that
+	// stand still.
+	Moved   []string
+	Stalled []string
+}
+
+// report is what another node last said.
 type report struct {
 	loads map[string]int
 	at    time.Time
@@ -64,16 +74,19 @@
 }
 
 // Report takes in what a node, or a whole other failure domain, has in flight.
-func (b *Board) Report(from string, loads map[string]int, stalled []string, now time.Time) {
+func (b *Board) Report(from string, r Report, now time.Time) {
 	b.mu.Lock()
-	b.reports[from] = report{loads: loads, at: now}
+	b.reports[from] = report{loads: r.Loads, at: now}
 	pools := make([]*Pool, 0, len(b.pools))
 	for _, p := range b.pools {
 		pools = append(pools, p)
 	}
 	b.mu.Unlock()
-	for _, id := range stalled {
-		for _, p := range pools {
+	for _, p := range pools {
+		for _, id := range r.Moved {
+			p.toldMoved(id, now)
+		}
+		for _, id := range r.Stalled {
 			p.toldStalled(id, now)
 		}
 	}
@@ -102,32 +115,32 @@
 	}
 }
 
-// Own returns what this node has in flight by head, and the heads that it
-// knows to stand still.
-func (b *Board) Own(now time.Time) (loads map[string]int, stalled []string) {
+// Own returns what this node has in flight and has seen since a time.
+func (b *Board) Own(since, now time.Time) Report {
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 
-	loads = map[string]int{}
+	r := Report{Loads: map[string]int{}}
 	for _, p := range b.pools {
-		stalled = p.snapshot(loads, stalled, now)
+		p.snapshot(&r, since, now)
 	}
-	return loads, stalled
+	return r
 }
 
 // Domain returns what the failure domain has in flight: this node's requests
-// and those of the given nodes.
-func (b *Board) Domain(nodes []string, now time.Time) map[string]int {
-	loads, _ := b.Own(now)
+// and those of the given nodes. It says nothing of what moves.
+func (b *Board) Domain(nodes []string, now time.Time) Report {
+	r := b.Own(now, now)
+	r.Stalled = nil
 	b.mu.RLock()
 	defer b.mu.RUnlock()
 
 	for _, n := range nodes {
 		for id, count := range b.reports[n].loads {
-			loads[id] += count
+			r.Loads[id] += count
 		}
 	}
-	return loads
+	return r
 }
 
 // Demand returns this node's demand for each model, in slots, over the time
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -60,7 +60,9 @@
 	// of other nodes.
 	stalledUntil     time.Time
 	toldStalledUntil time.Time
-	// progressAt is when any answer of the head last moved.
+	// movedAt is when an answer of the head last moved at this node, progressAt
+	// at any node of the failure domain.
+	movedAt    time.Time
 	progressAt time.Time
 	// errorRate is the recent share of answers that failed, in [0, 1].
 	errorRate float64
@@ -316,6 +318,7 @@
 	defer p.mu.Unlock()
 
 	if h, ok := p.heads[id]; ok {
+		h.movedAt = now
 		h.progressAt = now
 		h.failures = 0
 		h.suspendedUntil = time.Time{}
@@ -384,6 +387,18 @@
 	}
 }
 
+// toldMoved notes that another node saw the head's answers move.
+func (p *Pool) toldMoved(id string, now time.Time) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	if h, ok := p.heads[id]; ok {
+		h.progressAt = now
+		h.stalledUntil = time.Time{}
+		h.toldStalledUntil = time.Time{}
+	}
+}
+
 // toldStalled notes that another node saw a head stand still. It counts only
 // while the head's answers don't move here.
 func (p *Pool) toldStalled(id string, now time.Time) {
@@ -395,20 +410,23 @@
 	}
 }
 
-// snapshot adds this node's loads and the heads that stand still.
-func (p *Pool) snapshot(loads map[string]int, stalled []string, now time.Time) []string {
+// snapshot adds this node's loads, the heads that it saw move since a time, and
+// those that it saw stand still.
+func (p *Pool) snapshot(r *Report, since, now time.Time) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 
 	for id, h := range p.heads {
 		if h.own > 0 {
-			loads[id] = h.own
+			r.Loads[id] = h.own
+		}
+		if h.movedAt.After(since) {
+			r.Moved = append(r.Moved, id)
 		}
 		if now.Before(h.stalledUntil) {
-			stalled = append(stalled, id)
+			r.Stalled = append(r.Stalled, id)
 		}
 	}
-	return stalled
 }
 
 func excluded(list []string, id string) bool {
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"almondbay.example/internal/fleet/registry"
@@ -85,6 +86,8 @@
 	lastEvent string
 	// movedAt is when the last event came.
 	movedAt time.Time
+	// paid is set once another try was paid for.
+	paid atomic.Bool
 	// abort is set when the connection must be cut.
 	abort bool
 	// spent holds an answer with an error status that is returned when no other
@@ -166,10 +169,23 @@
 	case TryNotRun:
 		return q.handler.config.Budget.Take(q.service, now)
 	default:
-		return q.route.Repeatable() && q.ran < q.route.MaxAttempts && q.handler.config.Budget.Take(q.service, now)
+		return q.route.Repeatable() && q.ran < q.route.MaxAttempts &&
+			(q.paid.Swap(false) || q.handler.config.Budget.Take(q.service, now))
 	}
 }
 
+// payAhead takes the budget for another try before this one is broken off.
+func (q *request) payAhead() bool {
+	if q.paid.Load() {
+		return true
+	}
+	taken := q.handler.config.Budget.Take(q.service, q.handler.config.Clock.Now())
+	if taken {
+		q.paid.Store(true)
+	}
+	return taken
+}
+
 func (q *request) lastCause() string {
 	if n := len(q.result.Tries); n > 0 {
 		return q.result.Tries[n-1].Cause
@@ -212,7 +228,7 @@
 	ctx, cancel := context.WithCancelCause(ctx)
 	a := &attempt{
 		pool: pool, head: choice.Head.ID, inFlight: choice.InFlight, cancel: cancel,
-		sentAt: sentAt, movedAt: sentAt, patience: q.patience(),
+		sentAt: sentAt, movedAt: sentAt, patience: q.patience(), allow: q.payAhead,
 	}
 	c0 := len(q.result.Tries)
 	q.result.Tries = append(q.result.Tries, Try{Head: choice.Head.ID, InFlight: choice.InFlight})
--- a/internal/routing/ingress/watch.go
+++ b/internal/routing/ingress/watch.go
@@ -37,6 +37,8 @@
 	cancel   context.CancelCauseFunc
 	// patience is zero for attempts that nothing could replace.
 	patience Patience
+	// allow pays for another attempt; without it this one is waited for.
+	allow func() bool
 
 	mu sync.Mutex
 	// movedAt is when the attempt last moved; its sending at first.
@@ -131,6 +133,8 @@
 		if errors.Is(cause, errStalled) {
 			a.pool.Stalled(a.head, now)
 		}
-		a.cancel(cause)
+		if a.allow() {
+			a.cancel(cause)
+		}
 	}
 }
