--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -167,6 +167,34 @@
 	return steps
 }
 
+// HeldLease is a lease row with its version in the store.
+type HeldLease struct {
+	lease.Row
+	Version uint64
+}
+
+// Held returns the leases that this node holds, to be told to the others.
+func (c *Controller) Held() []HeldLease {
+	var held []HeldLease
+	for _, d := range c.domains {
+		if l := d.held.Load(); l != nil {
+			held = append(held, *l)
+		}
+	}
+	return held
+}
+
+// Told takes in a lease as its holder tells of it. It saves the nodes that wait
+// for the lease from reading the store while the holder lives; it never makes a
+// lease look free.
+func (c *Controller) Told(l HeldLease) {
+	for _, d := range c.domains {
+		if d.name == l.FabricDomain {
+			d.told.Store(&l)
+		}
+	}
+}
+
 // Release hands all leases on. The step functions must go on until it is done.
 func (c *Controller) Release() {
 	for _, d := range c.domains {
--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -29,6 +29,10 @@
 	candidate *lease.Candidate
 	// releasing is set once the node stops.
 	releasing atomic.Bool
+	// held is the lease while this node holds it, told what another node last
+	// said of it.
+	held atomic.Pointer[HeldLease]
+	told atomic.Pointer[HeldLease]
 	// versions maps the sequence of the lease row to its version in the store;
 	// it holds the newest only.
 	versions map[uint64]uint64
@@ -73,6 +77,11 @@
 		return nil
 	}
 	d.candidate.SetRank(max(rank, 0))
+	if l := d.told.Swap(nil); l != nil && l.Sequence > d.sequence {
+		d.noteVersion(l.Sequence, l.Version)
+		d.candidate.Saw(lease.Versioned{Row: l.Row, Version: l.Sequence}, now)
+	}
+	defer d.noteHeld()
 	if err := d.renew(ctx, now); err != nil {
 		return err
 	}
@@ -88,6 +97,17 @@
 	return d.act(ctx)
 }
 
+// noteHeld keeps the lease for the others to hear of.
+func (d *domain) noteHeld() {
+	row, ok := d.candidate.Row()
+	if !ok || !d.candidate.Holds(d.config.Clock.Now()) {
+		d.held.Store(nil)
+		return
+	}
+	row.FabricDomain = d.name
+	d.held.Store(&HeldLease{Row: row, Version: d.versions[d.sequence]})
+}
+
 func (d *domain) lapse() {
 	if d.term != 0 {
 		event.LeaseEnded.Log(d.config.Logger, zap.String("fabricDomain", d.name))
--- a/internal/fleet/store/follower.go
+++ b/internal/fleet/store/follower.go
@@ -19,8 +19,8 @@
 	Table string
 	// Wait is how long a call may wait for a change.
 	Wait time.Duration
-	// Interval is the least time between two calls.
-	Interval time.Duration
+	// Interval returns the least time between two calls.
+	Interval func() time.Duration
 	// RetryFirst is the wait after a failure; it doubles with each failure in a
 	// row up to RetryMax.
 	RetryFirst time.Duration
@@ -50,7 +50,7 @@
 	for ctx.Err() == nil {
 		begun := f.config.Clock.Now()
 		err := f.step(ctx)
-		wait := f.config.Interval - f.config.Clock.Since(begun)
+		wait := f.config.Interval() - f.config.Clock.Since(begun)
 		var lost *platform.HistoryLostError
 		switch {
 		case errors.As(err, &lost):
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -18,6 +18,7 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"almondbay.example/core/lease"
 	"almondbay.example/core/relay"
 	"almondbay.example/internal/fleet/control"
 	"almondbay.example/internal/fleet/registry"
@@ -283,6 +284,14 @@
 	if len(m.Loads)+len(m.DomainLoads) > 0 {
 		n.serving.Store(true)
 	}
+	for _, l := range m.Leases {
+		n.controller.Told(control.HeldLease{
+			Row: lease.Row{
+				FabricDomain: l.FailureDomain, Holder: l.Holder, Term: l.Term, Sequence: l.Sequence, Duration: l.Duration,
+			},
+			Version: l.Version,
+		})
+	}
 	report := balance.Report{Loads: m.Loads, Moved: m.Moved, Stalled: m.Stalled}
 	from := "node/" + m.Node
 	if m.DomainLoads != nil {
@@ -301,6 +310,12 @@
 	m := n.message()
 	m.Loads, m.Moved, m.Stalled = report.Loads, report.Moved, report.Stalled
 	m.Demand = n.demand.Own()
+	for _, l := range n.controller.Held() {
+		m.Leases = append(m.Leases, gossip.Lease{
+			FailureDomain: l.FabricDomain, Holder: l.Holder, Term: l.Term,
+			Sequence: l.Sequence, Duration: l.Duration, Version: l.Version,
+		})
+	}
 	n.socket.Send(m, n.members.Known(n.config.Settings.FailureDomain))
 	return nil
 }
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -68,13 +68,13 @@
 }
 
 // relayDegree is the number of nodes that hear from one node directly: a root
-// and two levels below it are the nodes of a large failure domain.
-const relayDegree = 6
+// and two levels below it are 73 nodes.
+const relayDegree = 8
 
-// source returns the address of the node that this one hears from; empty if it
-// reads the store for the failure domain. The nodes form a tree with the
-// strongest at its root.
-func (n *Node) source() string {
+// source returns the address of the node that this one hears from and the
+// number of hops to the store; the address is empty if this node reads the store
+// for the failure domain. The nodes form a tree with the strongest at its root.
+func (n *Node) source() (address string, hops int) {
 	s := n.config.Settings
 	tree := n.members.Alive(s.FailureDomain, n.config.Clock.Now())
 	tree = slices.DeleteFunc(tree, func(p gossip.Peer) bool { return p.Blind })
@@ -87,15 +87,25 @@
 	place := slices.IndexFunc(tree, func(p gossip.Peer) bool { return p.Node == s.Node })
 	switch {
 	case len(tree) == 0 || place == 0:
-		return ""
+		return "", 0
 	case place < 0:
 		// A node that can't read the store hears from any that can.
-		return tree[int(rank(n.self())%uint64(len(tree)))].Address
+		parent := int(rank(n.self()) % uint64(len(tree)))
+		return tree[parent].Address, depth(parent) + 1
 	default:
-		return tree[(place-1)/relayDegree].Address
+		return tree[(place-1)/relayDegree].Address, depth(place)
 	}
 }
 
+// depth returns the number of hops from a place of the tree to its root.
+func depth(place int) int {
+	hops := 0
+	for ; place > 0; hops++ {
+		place = (place - 1) / relayDegree
+	}
+	return hops
+}
+
 // rank spreads nodes of equal strength over the places of the tree.
 func rank(p gossip.Peer) uint64 {
 	return xxhash.Sum64String("source/" + p.Node)
--- a/internal/node/entry/refresh.go
+++ b/internal/node/entry/refresh.go
@@ -21,6 +21,11 @@
 	// serversInterval is the least time between two reads of registrations: a
 	// fraction of the time in which a leaving server must be left alone.
 	serversInterval = 350 * time.Millisecond
+	// heardInterval is the least time between two reads at another node; it
+	// gathers changes that come close together.
+	heardInterval = 60 * time.Millisecond
+	// gatherInterval gathers versions, and nodes, that come in quick succession.
+	gatherInterval = 40 * time.Millisecond
 	// serversWait bounds the wait for a registration to change.
 	serversWait = 500 * time.Millisecond
 	// configurationWait bounds the wait for a new configuration. A node that
@@ -46,7 +51,7 @@
 	servers := base
 	servers.Table = n.config.Codec.ServersTable
 	servers.Wait = serversWait
-	servers.Interval = serversInterval
+	servers.Interval = n.readInterval(servers.Table, serversInterval)
 	servers.Replace = func(c platform.Changes) { n.takeServers(c, true) }
 	servers.Apply = func(c platform.Changes) { n.takeServers(c, false) }
 	servers.Failed = func(err error, failures int) {
@@ -56,13 +61,14 @@
 	configuration := base
 	configuration.Table = n.config.Codec.ConfigurationTable
 	configuration.Wait = configurationWait
+	configuration.Interval = n.readInterval(configuration.Table, gatherInterval)
 	configuration.Replace = n.takeConfiguration
 	configuration.Apply = n.takeConfiguration
 	configuration.Failed = n.journal.stepFailed
 	nodes := base
 	nodes.Table = nodesTable
 	nodes.Wait = nodesWait
-	nodes.Interval = time.Second
+	nodes.Interval = n.readInterval(nodesTable, gatherInterval)
 	known := map[string]gossip.Peer{}
 	nodes.Replace = func(c platform.Changes) { clear(known); n.takeNodes(known, c) }
 	nodes.Apply = func(c platform.Changes) { n.takeNodes(known, c) }
@@ -70,6 +76,17 @@
 	return []*store.Follower{store.NewFollower(servers), store.NewFollower(configuration), store.NewFollower(nodes)}
 }
 
+// readInterval returns the least time between two reads: the given one at the
+// store, whose calls are few for all, and a short one at another node.
+func (n *Node) readInterval(table string, direct time.Duration) func() time.Duration {
+	return func() time.Duration {
+		if n.feed.Direct(table) {
+			return direct
+		}
+		return min(direct, heardInterval)
+	}
+}
+
 // takeServers takes in registrations.
 func (n *Node) takeServers(c platform.Changes, whole bool) {
 	now := n.config.Clock.Now()
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -40,6 +40,18 @@
 	Age time.Duration
 }
 
+// Lease is the row of a lease as its holder last wrote it.
+type Lease struct {
+	FailureDomain string
+	Holder        string
+	Term          uint64
+	// Sequence grows with each write of the row.
+	Sequence uint64
+	Duration time.Duration
+	// Version is the version of the row in the store.
+	Version uint64
+}
+
 // Message is what one node tells another.
 type Message struct {
 	Node          string
@@ -61,6 +73,9 @@
 	// that of the whole failure domain, between failure domains.
 	Demand       map[string]float64
 	DomainDemand map[string]float64
+	// Leases holds the leases that the node holds, so that those that wait for
+	// them needn't read the store.
+	Leases []Lease
 	// Leaving is set once the node is stopping.
 	Leaving bool
 	// Blind is set while the node can't read the store.
--- a/internal/peer/gossip/message_wire.go
+++ b/internal/peer/gossip/message_wire.go
@@ -17,11 +17,22 @@
 	Stalled       []string           `json:"stalled,omitempty"`
 	Demand        map[string]float64 `json:"demand,omitempty"`
 	DomainDemand  map[string]float64 `json:"domainDemand,omitempty"`
+	Leases        []leaseWire        `json:"leases,omitempty"`
 	Leaving       bool               `json:"leaving,omitempty"`
 	Poison        []poisonWire       `json:"poison,omitempty"`
 	Blind         bool               `json:"blind,omitempty"`
 }
 
+// leaseWire is the row of a lease.
+type leaseWire struct {
+	FailureDomain string `json:"failureDomain"`
+	Holder        string `json:"holder"`
+	Term          uint64 `json:"term"`
+	Sequence      uint64 `json:"sequence"`
+	DurationMs    int64  `json:"durationMs"`
+	Version       uint64 `json:"version"`
+}
+
 // poisonWire tells of the crashes under one request.
 type poisonWire struct {
 	Fingerprint []byte   `json:"fingerprint"`
@@ -47,6 +58,12 @@
 	for _, p := range m.Poison {
 		w.Poison = append(w.Poison, poisonWire{Fingerprint: p.Fingerprint, Servers: p.Servers, AgeMs: p.Age.Milliseconds()})
 	}
+	for _, l := range m.Leases {
+		w.Leases = append(w.Leases, leaseWire{
+			FailureDomain: l.FailureDomain, Holder: l.Holder, Term: l.Term,
+			Sequence: l.Sequence, DurationMs: l.Duration.Milliseconds(), Version: l.Version,
+		})
+	}
 	return json.Marshal(w)
 }
 
@@ -72,5 +89,11 @@
 	for _, p := range w.Poison {
 		m.Poison = append(m.Poison, Poison{Fingerprint: p.Fingerprint, Servers: p.Servers, Age: time.Duration(p.AgeMs) * time.Millisecond})
 	}
+	for _, l := range w.Leases {
+		m.Leases = append(m.Leases, Lease{
+			FailureDomain: l.FailureDomain, Holder: l.Holder, Term: l.Term,
+			Sequence: l.Sequence, Duration: time.Duration(l.DurationMs) * time.Millisecond, Version: l.Version,
+		})
+	}
 	return m, nil
 }
--- a/internal/peer/relay/feed.go
+++ b/internal/peer/relay/feed.go
@@ -18,11 +18,12 @@
 	Client *Client
 	// Logs holds the tables that are passed on by name.
 	Logs map[string]*Log
-	// Source returns the address of the node to hear from; empty when this node
-	// reads the store for the others.
-	Source func() string
-	// Slack is how much older than the wait for a change a source's reading of
-	// the store may be.
+	// Source returns the address of the node to hear from, and the number of
+	// nodes between the store and this one; empty when this node reads the store
+	// for the others.
+	Source func() (address string, hops int)
+	// Slack is how much older than the wait for a change a source's reading may
+	// be, for each hop.
 	Slack time.Duration
 	// MaxWait bounds the wait for a source's answer; a source that has stopped
 	// costs as much.
@@ -40,46 +41,57 @@
 	config FeedConfig
 
 	mu sync.Mutex
-	// directUntil is until when the store is read directly.
-	directUntil time.Time
+	// directUntil is until when a table is read from the store directly.
+	directUntil map[string]time.Time
 }
 
 var _ platform.Feed = (*Feed)(nil)
 
 // NewFeed returns a feed.
 func NewFeed(c FeedConfig) *Feed {
-	return &Feed{config: c}
+	return &Feed{config: c, directUntil: map[string]time.Time{}}
 }
 
 // source returns the node to hear from, or an empty address.
-func (f *Feed) source() string {
+func (f *Feed) source(table string) (string, int) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	if f.config.Clock.Now().Before(f.directUntil) {
-		return ""
+	if f.config.Clock.Now().Before(f.directUntil[table]) {
+		return "", 0
 	}
 	return f.config.Source()
 }
 
-func (f *Feed) goDirect() {
+// Direct reports whether the next call for a table goes to the store.
+func (f *Feed) Direct(table string) bool {
+	address, _ := f.source(table)
+	return address == ""
+}
+
+// oldest returns how old a source's reading of the store may be.
+func (f *Feed) oldest(wait time.Duration, hops int) time.Duration {
+	return wait + f.config.Slack + time.Duration(hops-1)*(f.config.MaxWait+f.config.Slack)
+}
+
+func (f *Feed) goDirect(table string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.directUntil = f.config.Clock.Now().Add(f.config.DirectFor)
+	f.directUntil[table] = f.config.Clock.Now().Add(f.config.DirectFor)
 }
 
 // Scan implements platform.Feed.
 func (f *Feed) Scan(ctx context.Context, table string) (platform.Changes, error) {
-	if address := f.source(); address != "" {
+	if address, hops := f.source(table); address != "" {
 		calling, cancel := context.WithTimeout(ctx, f.config.Margin)
 		c, age, err := f.config.Client.Whole(calling, address, table)
 		cancel()
-		if err == nil && age <= f.config.MaxWait+f.config.Slack {
+		if err == nil && age <= f.oldest(f.config.MaxWait, hops) {
 			f.keep(table, c, true, age)
 			return c, nil
 		}
-		f.goDirect()
+		f.goDirect(table)
 	}
 	c, err := f.config.Store.Scan(ctx, table)
 	if err != nil {
@@ -92,20 +104,20 @@
 
 // Changes implements platform.Feed.
 func (f *Feed) Changes(ctx context.Context, table string, after uint64, wait time.Duration) (platform.Changes, error) {
-	if address := f.source(); address != "" {
+	if address, hops := f.source(table); address != "" {
 		waited := min(wait, f.config.MaxWait)
 		calling, cancel := context.WithTimeout(ctx, waited+f.config.Margin)
 		c, age, err := f.config.Client.Changes(calling, address, table, after, waited)
 		cancel()
 		var lost *platform.HistoryLostError
 		switch {
-		case err == nil && age <= wait+f.config.Slack:
+		case err == nil && age <= f.oldest(wait, hops):
 			f.keep(table, c, false, age)
 			return c, nil
 		case errors.As(err, &lost):
 			return platform.Changes{}, err
 		}
-		f.goDirect()
+		f.goDirect(table)
 	}
 	c, err := f.config.Store.Changes(ctx, table, after, wait)
 	var lost *platform.HistoryLostError
