--- a/internal/node/entry/counted.go
+++ b/internal/node/entry/counted.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"strconv"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -20,15 +21,42 @@
 	store   Store
 	clock   clockwork.Clock
 	metrics *metric.Entry
+	// troubledAt is when a call last got no answer, in Unix nanoseconds of the
+	// clock; zero since one was answered.
+	troubledAt atomic.Int64
 }
 
 var _ Store = (*countedStore)(nil)
 
+// troubled reports whether the last call got no answer, and that lately: a node
+// that rarely calls must try again.
+func (s *countedStore) troubled() bool {
+	at := s.troubledAt.Load()
+	return at != 0 && s.clock.Now().UnixNano()-at < int64(troubledFor)
+}
+
+// troubledFor is how long a node counts as cut off from the store after a call
+// without an answer: the time in which another one takes its place.
+const troubledFor = 3 * time.Second
+
 // count notes a call that began at a time.
 func (s *countedStore) count(call string, begun time.Time, err error) {
-	s.metrics.StoreCall(call, resultOf(err), s.clock.Since(begun))
+	result := resultOf(err)
+	s.metrics.StoreCall(call, result, s.clock.Since(begun))
+	switch result {
+	case resultRefused, resultUnknown:
+		s.troubledAt.Store(s.clock.Now().UnixNano())
+	default:
+		s.troubledAt.Store(0)
+	}
 }
 
+// Results of calls that the store did not answer.
+const (
+	resultRefused = "refused"
+	resultUnknown = "unknown"
+)
+
 // resultOf names the outcome of a call to the store.
 func resultOf(err error) string {
 	var conflict *platform.ConflictError
@@ -41,9 +69,9 @@
 	case errors.As(err, &conflict):
 		return "conflict"
 	case errors.As(err, &refused):
-		return "refused"
+		return resultRefused
 	case errors.As(err, &unknown):
-		return "unknown"
+		return resultUnknown
 	case errors.As(err, &lost):
 		return "historyLost"
 	default:
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -85,6 +85,7 @@
 	handler    *ingress.Handler
 	controller *control.Controller
 	journal    *journal
+	store      *countedStore
 	// toldAt is when this node last told of what it saw.
 	toldAt      time.Time
 	demand      *demand
@@ -176,7 +177,8 @@
 		DeadAfter: 1500 * time.Millisecond,
 	})
 	n.metrics = metric.NewEntry()
-	n.config.Store = &countedStore{store: c.Store, clock: c.Clock, metrics: n.metrics}
+	n.store = &countedStore{store: c.Store, clock: c.Clock, metrics: n.metrics}
+	n.config.Store = n.store
 	n.config.Orders = &countedOrders{Orders: c.Orders, metrics: n.metrics}
 	c = n.config
 	n.journal = newJournal(c.Logger, c.Clock, c.Dropped)
@@ -250,20 +252,17 @@
 func (n *Node) rank(failureDomain string) int {
 	s := n.config.Settings
 	now := n.config.Clock.Now()
-	var names []string
-	for _, p := range n.members.Alive(failureDomain, now) {
-		names = append(names, p.Node)
+	if n.blind() {
+		return -1
 	}
+	names := sighted(n.members.Alive(failureDomain, now))
 	switch {
 	case failureDomain == s.FailureDomain:
 		names = append(names, s.Node)
 	case len(names) > 0 || now.Sub(n.startedAt) < foreignAfter:
 		return -1
 	default:
-		for _, p := range n.members.Alive("", now) {
-			names = append(names, p.Node)
-		}
-		names = append(names, s.Node)
+		names = append(sighted(n.members.Alive("", now)), s.Node)
 	}
 	for rank := range maxRank {
 		owner := relay.Owner(failureDomain, names)
@@ -275,6 +274,17 @@
 	return -1
 }
 
+// sighted returns the names of the peers that can reach the store.
+func sighted(peers []gossip.Peer) []string {
+	var names []string
+	for _, p := range peers {
+		if !p.Blind {
+			names = append(names, p.Node)
+		}
+	}
+	return names
+}
+
 // received takes in a message of another node.
 func (n *Node) received(m gossip.Message) {
 	now := n.config.Clock.Now()
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -111,8 +111,11 @@
 	return xxhash.Sum64String("source/" + p.Node)
 }
 
-// blind reports whether this node can't read the store at the moment.
+// blind reports whether this node can't reach the store at the moment.
 func (n *Node) blind() bool {
+	if n.store.troubled() {
+		return true
+	}
 	for _, log := range n.logs {
 		if log.Failing() {
 			return true
