--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -219,12 +219,17 @@
 	case r.Failed:
 		return h.Slots / failedShare
 	case r.Patient:
-		return 0
+		return h.Slots / patientShare
 	}
 	wait := float64(max(0, r.Objective-p.first)) * p.policy.QueueShare
 	return int(math.Round(wait / float64(max(p.service, time.Millisecond)) * float64(h.Slots)))
 }
 
+// patientShare is the part of its slots, one in so many, that a head may have
+// waiting when it takes a request that can't meet its objective. Such requests
+// wait behind all others there.
+const patientShare = 6
+
 // failedShare is the part of its slots, one in so many, that a head may have
 // waiting when it takes over a request that failed elsewhere.
 const failedShare = 3
