Split the assembly of a node and name its figures

No behaviour changes but one: the incarnation comes from the clock of the node, and a lower one is heard once its node was silent, since a VM that was off may count anew.

--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -144,48 +144,70 @@
 	loadMargin = 500 * time.Millisecond
 )
 
+// Figures of the balance between heads.
+const (
+	// remotePenalty outweighs a third of a head's slots: bytes between failure
+	// domains are dear.
+	remotePenalty = 0.35
+	// queueShare leaves the rest of an objective's slack to the spread of
+	// durations.
+	queueShare = 0.8
+	// suspendFirst is about the time in which a process is back; suspendMax keeps
+	// a trial request within the callers' patience.
+	suspendFirst = 300 * time.Millisecond
+	suspendMax   = 3 * time.Second
+	// fullFor is the time in which a few of a head's requests end.
+	fullFor = 100 * time.Millisecond
+	// stalledFor is above the time between two words of other nodes.
+	stalledFor = 600 * time.Millisecond
+	// usualService stands until a duration was measured.
+	usualService = 500 * time.Millisecond
+)
+
+// Figures of the messages between nodes.
+const (
+	// tellInterval and tellPerPeer make at most 25 messages a second to each peer
+	// and 330 in all.
+	tellInterval = 40 * time.Millisecond
+	tellPerPeer  = 3 * time.Millisecond
+	// remoteInterval is for messages between failure domains, which are dear.
+	remoteInterval = 500 * time.Millisecond
+	// deadAfter covers a few lost datagrams.
+	deadAfter = 1500 * time.Millisecond
+)
+
 // New assembles a node.
 func New(c Config) (*Node, error) {
-	s := c.Settings
 	n := &Node{
 		config:      c,
-		incarnation: time.Now().UnixNano(),
+		incarnation: c.Clock.Now().UnixNano(),
 		startedAt:   c.Clock.Now(),
 		board: balance.NewBoard(balance.Policy{
-			FailureDomain: s.FailureDomain,
-			RemotePenalty: 0.35,
-			QueueShare:    0.8,
-			SuspendFirst:  300 * time.Millisecond,
-			SuspendMax:    3 * time.Second,
-			FullFor:       100 * time.Millisecond,
-			StalledFor:    600 * time.Millisecond,
-			UsualService:  500 * time.Millisecond,
-		}),
-		book: registry.NewBook(registry.BookConfig{ReturnGrace: returnGrace, Remember: rememberGone}),
-		budget: retry.NewBudget(retry.Config{
-			Ratio:  s.Bounds.RetryRatio,
-			Slack:  s.Bounds.RetrySlack,
-			Window: s.Bounds.RetryWindow,
-			Use:    budgetUse,
+			FailureDomain: c.Settings.FailureDomain,
+			RemotePenalty: remotePenalty,
+			QueueShare:    queueShare,
+			SuspendFirst:  suspendFirst,
+			SuspendMax:    suspendMax,
+			FullFor:       fullFor,
+			StalledFor:    stalledFor,
+			UsualService:  usualService,
 		}),
-		heads: map[balance.Key]int{},
+		book:    registry.NewBook(registry.BookConfig{ReturnGrace: returnGrace, Remember: rememberGone}),
+		heads:   map[balance.Key]int{},
+		metrics: metric.NewEntry(),
+		demand:  newDemand(),
+		journal: newJournal(c.Logger, c.Clock, c.Dropped),
 	}
 	n.members = gossip.NewMembers(gossip.Config{
-		Self:      n.self(),
-		Interval:  40 * time.Millisecond,
-		PerPeer:   3 * time.Millisecond,
-		DeadAfter: 1500 * time.Millisecond,
+		Self: n.self(), Interval: tellInterval, PerPeer: tellPerPeer, DeadAfter: deadAfter,
 	})
-	n.metrics = metric.NewEntry()
 	n.store = &countedStore{store: c.Store, clock: c.Clock, metrics: n.metrics}
 	n.config.Store = n.store
 	n.config.Orders = &countedOrders{Orders: c.Orders, metrics: n.metrics}
-	c = n.config
-	n.journal = newJournal(c.Logger, c.Clock, c.Dropped)
 	var err error
 	n.socket, err = gossip.Listen(gossip.SocketConfig{
 		Clock:       c.Clock,
-		Listen:      netip.AddrPortFrom(s.Address, uint16(s.PeerPort)),
+		Listen:      netip.AddrPortFrom(c.Settings.Address, uint16(c.Settings.PeerPort)),
 		Incarnation: n.incarnation,
 		Received:    n.received,
 		Failed:      n.journal.datagramFailed,
@@ -193,12 +215,27 @@
 	if err != nil {
 		return nil, err
 	}
+	n.addHandler()
+	n.addFeed()
+	n.addController()
+	return n, nil
+}
+
+// addHandler assembles what serves callers.
+func (n *Node) addHandler() {
+	c := n.config
+	bounds := c.Settings.Bounds
+	n.budget = retry.NewBudget(retry.Config{
+		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow, Use: budgetUse,
+	})
 	n.handler = ingress.NewHandler(ingress.Config{
-		Clock:         c.Clock,
-		Logger:        c.Logger,
-		Dialect:       c.Dialect,
-		Board:         n.board,
-		Backend:       backend.NewClient(backend.Config{Clock: c.Clock, ConnectTimeout: connectTimeout, IdleTimeout: idleConnection, MaxIdle: maxIdle, Dial: c.Dial}),
+		Clock:   c.Clock,
+		Logger:  c.Logger,
+		Dialect: c.Dialect,
+		Board:   n.board,
+		Backend: backend.NewClient(backend.Config{
+			Clock: c.Clock, ConnectTimeout: connectTimeout, IdleTimeout: idleConnection, MaxIdle: maxIdle, Dial: c.Dial,
+		}),
 		Budget:        n.budget,
 		Configuration: n.configuration.Load,
 		Observe:       n.observe,
@@ -206,8 +243,11 @@
 		StallAfter:    stallAfter,
 		SilentAfter:   silentAfter,
 	})
-	n.demand = newDemand()
-	n.addFeed()
+}
+
+// addController assembles what controls replica groups.
+func (n *Node) addController() {
+	c := n.config
 	n.controller = control.New(control.Config{
 		Clock:          c.Clock,
 		Logger:         c.Logger,
@@ -220,17 +260,16 @@
 		Rank:           n.rank,
 		Weights:        n.weights,
 		Serving:        n.serving.Load,
-		Holder:         fmt.Sprintf("%s/%d", s.Node, n.incarnation),
-		FailureDomains: s.FailureDomains,
-		LoadSpan:       s.Bounds.LoadWindow,
-		LoadWindow:     s.Bounds.LoadWindow + loadMargin,
+		Holder:         fmt.Sprintf("%s/%d", c.Settings.Node, n.incarnation),
+		FailureDomains: c.Settings.FailureDomains,
+		LoadSpan:       c.Settings.Bounds.LoadWindow,
+		LoadWindow:     c.Settings.Bounds.LoadWindow + loadMargin,
 		LoadSlack:      loadSlack,
-		LoadOverrun:    s.Bounds.LoadOverrun,
+		LoadOverrun:    c.Settings.Bounds.LoadOverrun,
 		Grace:          returnGrace,
 		QuietAfter:     quietAfter,
 		Jitter:         func(limit time.Duration) time.Duration { return rand.N(limit + 1) },
 	})
-	return n, nil
 }
 
 // self returns this node as others know it.
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -43,70 +43,85 @@
 
 // Run serves until ctx is done, then ends gracefully.
 func (n *Node) Run(ctx context.Context) error {
-	callers, err := net.Listen("tcp", n.config.Settings.Callers)
+	s := n.config.Settings
+	callers, err := n.listen("callers", s.Callers)
 	if err != nil {
-		return Error.Wrap(err)
+		return err
 	}
-	readiness, err := net.Listen("tcp", n.config.Settings.Readiness)
+	readiness, err := n.listen("readiness", s.Readiness)
 	if err != nil {
-		return Error.Wrap(err)
+		return err
 	}
-	peers, err := net.Listen("tcp", net.JoinHostPort(n.config.Settings.Address.String(), strconv.Itoa(n.config.Settings.PeerPort)))
+	peers, err := n.listen("peers", net.JoinHostPort(s.Address.String(), strconv.Itoa(s.PeerPort)))
 	if err != nil {
-		return Error.Wrap(err)
-	}
-	event.NodeListening.Log(n.config.Logger, zap.String("listener", "peers"), zap.String("address", peers.Addr().String()))
-	event.NodeListening.Log(n.config.Logger, zap.String("listener", "callers"), zap.String("address", callers.Addr().String()))
-	event.NodeListening.Log(n.config.Logger, zap.String("listener", "readiness"), zap.String("address", readiness.Addr().String()))
-
-	var g run.Group
-	server := &http.Server{
-		Handler:           n.handler,
-		ReadHeaderTimeout: readHeaderTimeout,
-		IdleTimeout:       idleCallerTimeout,
-		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          zap.NewStdLog(zap.NewNop()),
+		return err
 	}
-	n.addCallers(ctx, &g, server, callers)
-	n.addReadiness(&g, readiness)
-	if err := n.addMetrics(&g); err != nil {
+	metrics, err := n.listen("metrics", net.JoinHostPort(s.Address.String(), strconv.Itoa(s.MetricsPort)))
+	if err != nil {
 		return err
 	}
+	var g run.Group
+	n.addCallers(ctx, &g, callers)
+	n.addReadiness(&g, readiness)
+	n.addMetrics(&g, metrics)
 	n.addServer(&g, peers, peerrelay.NewServer(peerrelay.ServerConfig{
 		Clock: n.config.Clock,
 		Logs:  n.logs,
 		Reach: n.config.Orders.Reach,
 	}))
 	g.Add(n.socket.Run, func(error) { _ = n.socket.Close() })
+	n.addLoops(&g)
+	n.addAnnounce(&g)
+	n.addReload(&g)
+	return g.Run()
+}
+
+// listen opens a listener.
+func (n *Node) listen(name, address string) (net.Listener, error) {
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	event.NodeListening.Log(n.config.Logger, zap.String("listener", name), zap.String("address", l.Addr().String()))
+	return l, nil
+}
+
+// addLoops adds what runs at intervals and what follows the store.
+func (n *Node) addLoops(g *run.Group) {
 	for _, f := range n.followers() {
-		n.addContext(&g, f.Run)
+		n.addContext(g, f.Run)
 	}
-	n.addLoop(&g, func() time.Duration { return checkInterval }, func(context.Context) error {
+	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
+	n.addLoop(g, every(checkInterval), func(context.Context) error {
 		n.handler.Check(n.config.Clock.Now())
 		return nil
 	})
-	n.addLoop(&g, func() time.Duration { return refreshInterval }, func(context.Context) error {
+	n.addLoop(g, every(refreshInterval), func(context.Context) error {
 		n.board.Refresh(n.config.Clock.Now())
 		n.refreshHeads()
 		return nil
 	})
-	n.addLoop(&g, func() time.Duration { return demandInterval }, n.measureDemand)
-	n.addLoop(&g, n.members.Interval, n.tell)
-	n.addLoop(&g, func() time.Duration { return 500 * time.Millisecond }, n.tellRemote)
-	n.addLoop(&g, func() time.Duration { return countInterval }, func(context.Context) error {
+	n.addLoop(g, every(demandInterval), n.measureDemand)
+	n.addLoop(g, n.members.Interval, n.tell)
+	n.addLoop(g, every(remoteInterval), n.tellRemote)
+	n.addLoop(g, every(countInterval), func(context.Context) error {
 		n.journal.flush()
 		return nil
 	})
 	for _, step := range n.controller.Domains() {
-		n.addLoop(&g, func() time.Duration { return controlInterval }, step)
+		n.addLoop(g, every(controlInterval), step)
 	}
-	n.addAnnounce(&g)
-	n.addReload(&g)
-	return g.Run()
 }
 
 // addCallers serves callers until ctx is done and all requests have ended.
-func (n *Node) addCallers(ctx context.Context, g *run.Group, server *http.Server, l net.Listener) {
+func (n *Node) addCallers(ctx context.Context, g *run.Group, l net.Listener) {
+	server := &http.Server{
+		Handler:           n.handler,
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleCallerTimeout,
+		MaxHeaderBytes:    maxHeaderBytes,
+		ErrorLog:          zap.NewStdLog(zap.NewNop()),
+	}
 	ended := make(chan struct{})
 	g.Add(func() error {
 		err := server.Serve(l)
@@ -186,17 +201,10 @@
 }
 
 // addMetrics serves the metrics.
-func (n *Node) addMetrics(g *run.Group) error {
-	address := net.JoinHostPort(n.config.Settings.Address.String(), strconv.Itoa(n.config.Settings.MetricsPort))
-	l, err := net.Listen("tcp", address)
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	event.NodeListening.Log(n.config.Logger, zap.String("listener", "metrics"), zap.String("address", address))
+func (n *Node) addMetrics(g *run.Group, l net.Listener) {
 	e := echo.New()
 	e.GET("/metrics", echo.WrapHandler(n.metrics.Handler()))
 	n.addServer(g, l, e)
-	return nil
 }
 
 // addServer serves h until the group ends.
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -138,7 +138,11 @@
 	defer s.mu.Unlock()
 
 	p, ok := s.members[m.Node]
-	if !ok || m.Incarnation < p.incarnation || (m.Incarnation == p.incarnation && m.Sequence <= p.sequence) {
+	if !ok || (m.Incarnation == p.incarnation && m.Sequence <= p.sequence) {
+		return false
+	}
+	// A VM that was off may count its incarnations anew.
+	if m.Incarnation < p.incarnation && now.Sub(p.heardAt) <= s.deadAfter() {
 		return false
 	}
 	p.incarnation = m.Incarnation
