Bound the messages of a node and its calls of the store

A trace of the calls showed 815 of them in the first two seconds and 6,000 in and after the outage from 31 to 35 s: every node asks for the store by itself, and a node whose source fails reads the store for two seconds.

Change: at most 100 messages a second are taken in, however many peers there are, and news of a head that stands still or of the store goes out at once; a node first meets its failure domain, then reads; a source that fails costs one call, the next goes to another source; while nobody reaches the store two nodes look out for it. A node learns its peers from their messages when the table of nodes can't be read. The wait for nodes is 2 s, as a silent store holds a call for that long and more.

--- a/internal/fleet/store/follower.go
+++ b/internal/fleet/store/follower.go
@@ -25,6 +25,11 @@
 	// row up to RetryMax.
 	RetryFirst time.Duration
 	RetryMax   time.Duration
+	// Hold reports whether others look out for the store's return on behalf of
+	// this node; after a failure it then waits for them, for HoldMax at most.
+	// May be nil.
+	Hold    func() bool
+	HoldMax time.Duration
 	// Replace takes in a whole table, Apply changes of it.
 	Replace func(c platform.Changes)
 	Apply   func(c platform.Changes)
@@ -60,6 +65,9 @@
 			f.failures++
 			f.config.Failed(err, f.failures)
 			wait = f.backOff()
+			if !f.hold(ctx) {
+				return
+			}
 		default:
 			f.failures = 0
 		}
@@ -77,6 +85,24 @@
 	return wait/2 + rand.N(wait/2+1)
 }
 
+// holdInterval is the time between two looks at whether the store is back.
+const holdInterval = 100 * time.Millisecond
+
+// hold waits while others look out for the store. It returns false once ctx is
+// done.
+func (f *Follower) hold(ctx context.Context) bool {
+	if f.config.Hold == nil {
+		return true
+	}
+	begun := f.config.Clock.Now()
+	for f.config.Hold() && f.config.Clock.Since(begun) < f.config.HoldMax {
+		if !f.pause(ctx, holdInterval) {
+			return false
+		}
+	}
+	return true
+}
+
 // maxDoublings keeps the shift from overflowing.
 const maxDoublings = 8
 
--- a/internal/node/entry/counted.go
+++ b/internal/node/entry/counted.go
@@ -36,8 +36,9 @@
 }
 
 // troubledFor is how long a node counts as cut off from the store after a call
-// without an answer: the time in which another one takes its place.
-const troubledFor = 3 * time.Second
+// without an answer: longer than the time from one call to the end of the next
+// while it leaves looking out for the store to others.
+const troubledFor = 5 * time.Second
 
 // count notes a call that began at a time.
 func (s *countedStore) count(call string, begun time.Time, err error) {
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -86,8 +86,8 @@
 	controller *control.Controller
 	journal    *journal
 	store      *countedStore
-	// toldAt is when this node last told of what it saw.
-	toldAt      time.Time
+	// told belongs to the loop that tells the others.
+	told        told
 	demand      *demand
 	metrics     *metric.Entry
 	logs        map[string]*peerrelay.Log
@@ -166,10 +166,11 @@
 
 // Figures of the messages between nodes.
 const (
-	// tellInterval and tellPerPeer make at most 25 messages a second to each peer
-	// and 330 in all.
-	tellInterval = 40 * time.Millisecond
-	tellPerPeer  = 3 * time.Millisecond
+	// tellInterval is a fraction of the time in which a head fills at a crest.
+	tellInterval = 50 * time.Millisecond
+	// tellPerPeer bounds what a node takes in to 100 messages a second, which
+	// take about a hundredth of a core.
+	tellPerPeer = 10 * time.Millisecond
 	// remoteInterval is for messages between failure domains, which are dear.
 	remoteInterval = 500 * time.Millisecond
 	// deadAfter covers a few lost datagrams.
@@ -327,9 +328,14 @@
 // received takes in a message of another node.
 func (n *Node) received(m gossip.Message) {
 	now := n.config.Clock.Now()
+	met := n.members.Met(m.Node, now)
 	if !n.members.Heard(m, now) {
 		return
 	}
+	if !met && !m.Leaving && m.FailureDomain == n.config.Settings.FailureDomain {
+		// A node that has just started needn't wait for the next round.
+		n.socket.Send(n.report(n.board.Own(now, now)), []gossip.Peer{{Node: m.Node, Address: m.Address}})
+	}
 	if len(m.Loads)+len(m.DomainLoads) > 0 {
 		n.serving.Store(true)
 	}
@@ -351,13 +357,36 @@
 	n.board.Report(from, report, now)
 }
 
-// tell sends what this node has in flight to its failure domain.
+// tell sends what this node has in flight to its failure domain when it is time
+// to, and at once when a head stands still or the store is lost or back.
 func (n *Node) tell(context.Context) error {
 	now := n.config.Clock.Now()
-	report := n.board.Own(n.toldAt, now)
-	n.toldAt = now
+	report := n.board.Own(n.told.at, now)
+	blind := n.blind()
+	due := now.Sub(n.told.at) >= n.members.Interval()-tellInterval/2
+	news := blind != n.told.blind || slices.ContainsFunc(report.Stalled, func(head string) bool {
+		return !slices.Contains(n.told.stalled, head)
+	})
+	if !due && !news {
+		return nil
+	}
+	n.told = told{at: now, blind: blind, stalled: report.Stalled}
+	n.socket.Send(n.report(report), n.members.Known(n.config.Settings.FailureDomain))
+	return nil
+}
+
+// told is what this node last told its failure domain.
+type told struct {
+	at time.Time
+	// blind is set when it did not reach the store.
+	blind   bool
+	stalled []string
+}
+
+// report returns the message of this node to its failure domain.
+func (n *Node) report(r balance.Report) gossip.Message {
 	m := n.message()
-	m.Loads, m.Moved, m.Stalled = report.Loads, report.Moved, report.Stalled
+	m.Loads, m.Moved, m.Stalled = r.Loads, r.Moved, r.Stalled
 	m.Demand = n.demand.Own()
 	held := n.controller.Held()
 	n.metrics.Leases.Set(float64(len(held)))
@@ -367,8 +396,7 @@
 			Sequence: l.Sequence, Duration: l.Duration, Version: l.Version,
 		})
 	}
-	n.socket.Send(m, n.members.Known(n.config.Settings.FailureDomain))
-	return nil
+	return m
 }
 
 // message returns a message that tells of the node itself only.
@@ -376,6 +404,7 @@
 	return gossip.Message{
 		Node:          n.config.Settings.Node,
 		FailureDomain: n.config.Settings.FailureDomain,
+		Capacity:      n.config.Settings.Cores,
 		Leaving:       n.stopping.Load(),
 		Blind:         n.blind(),
 	}
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -25,9 +25,9 @@
 	// configuration is in force in time though the node has stopped.
 	sourceMaxWait = 500 * time.Millisecond
 	sourceMargin  = 300 * time.Millisecond
-	// directFor is how long the store is read directly after that node failed:
-	// until it no longer counts as alive.
-	directFor = 2 * time.Second
+	// avoidFor is how long that node is not asked after it failed: until it no
+	// longer counts as alive.
+	avoidFor = 2 * time.Second
 	// vantagePoints is the number of nodes that must ask a server in vain.
 	vantagePoints = 4
 	// lookers is the number of nodes that are asked to.
@@ -45,15 +45,15 @@
 	}
 	n.peers = peerrelay.NewClient(peerrelay.ClientConfig{Port: c.Settings.PeerPort, Dial: c.Dial})
 	n.feed = peerrelay.NewFeed(peerrelay.FeedConfig{
-		Clock:     c.Clock,
-		Store:     c.Store,
-		Client:    n.peers,
-		Logs:      n.logs,
-		Source:    n.source,
-		Slack:     sourceSlack,
-		MaxWait:   sourceMaxWait,
-		Margin:    sourceMargin,
-		DirectFor: directFor,
+		Clock:    c.Clock,
+		Store:    c.Store,
+		Client:   n.peers,
+		Logs:     n.logs,
+		Source:   n.source,
+		Slack:    sourceSlack,
+		MaxWait:  sourceMaxWait,
+		Margin:   sourceMargin,
+		AvoidFor: avoidFor,
 	})
 }
 
@@ -74,17 +74,9 @@
 // source returns the address of the node that this one hears from and the
 // number of hops to the store; the address is empty if this node reads the store
 // for the failure domain. The nodes form a tree with the strongest at its root.
-func (n *Node) source() (address string, hops int) {
-	s := n.config.Settings
-	tree := n.members.Alive(s.FailureDomain, n.config.Clock.Now())
-	tree = slices.DeleteFunc(tree, func(p gossip.Peer) bool { return p.Blind })
-	if !n.blind() {
-		tree = append(tree, n.self())
-	}
-	slices.SortFunc(tree, func(a, b gossip.Peer) int {
-		return cmp.Or(-cmp.Compare(a.Capacity, b.Capacity), cmp.Compare(rank(a), rank(b)))
-	})
-	place := slices.IndexFunc(tree, func(p gossip.Peer) bool { return p.Node == s.Node })
+func (n *Node) source(avoid func(address string) bool) (address string, hops int) {
+	tree := slices.DeleteFunc(n.ranked(), func(p gossip.Peer) bool { return p.Blind || avoid(p.Address) })
+	place := n.place(tree)
 	switch {
 	case len(tree) == 0 || place == 0:
 		return "", 0
@@ -97,6 +89,39 @@
 	}
 }
 
+// lookouts is the number of nodes of a failure domain that go on asking for the
+// store while none of them reaches it: one, and one in case it dies.
+const lookouts = 2
+
+// hold reports whether this node may leave it to others to find the store again:
+// no node of its failure domain reaches it, and others look out.
+func (n *Node) hold() bool {
+	ranked := n.ranked()
+	sighted := slices.ContainsFunc(ranked, func(p gossip.Peer) bool { return !p.Blind })
+	return !sighted && n.place(ranked) >= lookouts
+}
+
+// ranked returns the live nodes of this failure domain, the strongest first.
+func (n *Node) ranked() []gossip.Peer {
+	peers := n.members.Alive(n.config.Settings.FailureDomain, n.config.Clock.Now())
+	self := n.self()
+	self.Blind = n.blind()
+	peers = append(peers, self)
+	ranks := make(map[string]uint64, len(peers))
+	for _, p := range peers {
+		ranks[p.Node] = rank(p)
+	}
+	slices.SortFunc(peers, func(a, b gossip.Peer) int {
+		return cmp.Or(-cmp.Compare(a.Capacity, b.Capacity), cmp.Compare(ranks[a.Node], ranks[b.Node]))
+	})
+	return peers
+}
+
+// place returns the place of this node in a list, or a negative number.
+func (n *Node) place(peers []gossip.Peer) int {
+	return slices.IndexFunc(peers, func(p gossip.Peer) bool { return p.Node == n.config.Settings.Node })
+}
+
 // depth returns the number of hops from a place of the tree to its root.
 func depth(place int) int {
 	hops := 0
@@ -111,17 +136,10 @@
 	return xxhash.Sum64String("source/" + p.Node)
 }
 
-// blind reports whether this node can't reach the store at the moment.
+// blind reports whether this node can't reach the store at the moment, as far as
+// it knows.
 func (n *Node) blind() bool {
-	if n.store.troubled() {
-		return true
-	}
-	for _, log := range n.logs {
-		if log.Failing() {
-			return true
-		}
-	}
-	return false
+	return n.store.troubled()
 }
 
 // look has nodes of all failure domains ask a server for its state.
--- a/internal/node/entry/refresh.go
+++ b/internal/node/entry/refresh.go
@@ -24,8 +24,10 @@
 	// heardInterval is the least time between two reads at another node; it
 	// gathers changes that come close together.
 	heardInterval = 60 * time.Millisecond
-	// gatherInterval gathers versions, and nodes, that come in quick succession.
+	// gatherInterval gathers versions that come in quick succession.
 	gatherInterval = 40 * time.Millisecond
+	// nodesInterval gathers nodes that start together.
+	nodesInterval = 400 * time.Millisecond
 	// serversWait bounds the wait for a registration to change.
 	serversWait = 500 * time.Millisecond
 	// configurationWait bounds the wait for a new configuration. A node that
@@ -33,20 +35,28 @@
 	// other has lost the store, which together must be within the bound on
 	// configuration.
 	configurationWait = 700 * time.Millisecond
-	// nodesWait bounds the wait for a node to come.
-	nodesWait = 5 * time.Second
+	// nodesWait bounds the wait for a node to come, and how long a call to a
+	// store that has gone silent lasts.
+	nodesWait = 2 * time.Second
 
 	retryFirst = 150 * time.Millisecond
 	retryMax   = time.Second
+	// holdMax is how long a node leaves looking out for the store to others. With
+	// a call that gets no answer before it and one after it, a configuration must
+	// be in force in time though the others never reach the store.
+	holdMax = 1500 * time.Millisecond
 )
 
-// followers returns the followers of the store's tables.
-func (n *Node) followers() []*store.Follower {
+// followers returns the follower of the table of nodes, and those of the other
+// tables.
+func (n *Node) followers() (*store.Follower, []*store.Follower) {
 	base := store.FollowerConfig{
 		Clock:      n.config.Clock,
 		Feed:       n.feed,
 		RetryFirst: retryFirst,
 		RetryMax:   retryMax,
+		Hold:       n.hold,
+		HoldMax:    holdMax,
 	}
 	servers := base
 	servers.Table = n.config.Codec.ServersTable
@@ -68,12 +78,12 @@
 	nodes := base
 	nodes.Table = nodesTable
 	nodes.Wait = nodesWait
-	nodes.Interval = n.readInterval(nodesTable, gatherInterval)
+	nodes.Interval = n.readInterval(nodesTable, nodesInterval)
 	known := map[string]gossip.Peer{}
 	nodes.Replace = func(c platform.Changes) { clear(known); n.takeNodes(known, c) }
 	nodes.Apply = func(c platform.Changes) { n.takeNodes(known, c) }
 	nodes.Failed = n.journal.stepFailed
-	return []*store.Follower{store.NewFollower(servers), store.NewFollower(configuration), store.NewFollower(nodes)}
+	return store.NewFollower(nodes), []*store.Follower{store.NewFollower(servers), store.NewFollower(configuration)}
 }
 
 // readInterval returns the least time between two reads: the given one at the
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -88,8 +88,14 @@
 
 // addLoops adds what runs at intervals and what follows the store.
 func (n *Node) addLoops(g *run.Group) {
-	for _, f := range n.followers() {
-		n.addContext(g, f.Run)
+	nodes, others := n.followers()
+	n.addContext(g, nodes.Run)
+	for _, f := range others {
+		n.addContext(g, func(ctx context.Context) {
+			if n.meet(ctx) {
+				f.Run(ctx)
+			}
+		})
 	}
 	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 	n.addLoop(g, every(checkInterval), func(context.Context) error {
@@ -102,14 +108,42 @@
 		return nil
 	})
 	n.addLoop(g, every(demandInterval), n.measureDemand)
-	n.addLoop(g, n.members.Interval, n.tell)
+	n.addLoop(g, every(tellInterval), n.tell)
 	n.addLoop(g, every(remoteInterval), n.tellRemote)
 	n.addLoop(g, every(countInterval), func(context.Context) error {
 		n.journal.flush()
 		return nil
 	})
 	for _, step := range n.controller.Domains() {
-		n.addLoop(g, every(controlInterval), step)
+		n.addLoop(g, every(controlInterval), func(ctx context.Context) error {
+			if !n.meet(ctx) {
+				return nil
+			}
+			return step(ctx)
+		})
+	}
+}
+
+const (
+	// meetTimeout is how long a node that has just started waits for another of
+	// its failure domain, from which it would rather read than from the store:
+	// two reads of the table of nodes and an answer.
+	meetTimeout = 1200 * time.Millisecond
+	// meetInterval is the time between two looks.
+	meetInterval = 40 * time.Millisecond
+)
+
+// meet waits until another node of the failure domain was heard of, for a
+// limited time after the start. It returns false once ctx is done.
+func (n *Node) meet(ctx context.Context) bool {
+	for {
+		now := n.config.Clock.Now()
+		if now.Sub(n.startedAt) >= meetTimeout || len(n.members.Alive(n.config.Settings.FailureDomain, now)) > 0 {
+			return true
+		}
+		if !n.pause(ctx, meetInterval) {
+			return false
+		}
 	}
 }
 
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -47,6 +47,10 @@
 type Message struct {
 	Node          string
 	FailureDomain string
+	// Address is where the message came from; it is not sent.
+	Address string
+	// Capacity is the node's processor share, in cores.
+	Capacity float64
 	// Incarnation tells two starts of the same node apart.
 	Incarnation int64
 	// Sequence grows with each message of an incarnation.
@@ -76,11 +80,11 @@
 // Config configures Members.
 type Config struct {
 	Self Peer
-	// Interval is the time between two messages to each peer of the failure
-	// domain while there are few.
+	// Interval is the least time between two messages to each peer of the
+	// failure domain.
 	Interval time.Duration
-	// PerPeer is added to the interval for each peer, so that the messages of a
-	// node do not grow with their number.
+	// PerPeer is the least interval for each peer, so that the messages that a
+	// node takes in do not grow with the number of peers.
 	PerPeer time.Duration
 	// DeadAfter is the silence after which a peer no longer counts as alive; a
 	// multiple of its interval at least.
@@ -132,13 +136,21 @@
 }
 
 // Heard takes in a message. It returns false for one that is older than
-// another of the same node, or from a node that is not known.
+// another of the same node. A node that is not known yet counts as a peer until
+// the platform's table is read again, so that a node that starts while the store
+// is away finds the others; without an address it is ignored.
 func (s *Members) Heard(m Message, now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	p, ok := s.members[m.Node]
-	if !ok || (m.Incarnation == p.incarnation && m.Sequence <= p.sequence) {
+	switch {
+	case !ok && (m.Address == "" || m.Node == s.config.Self.Node):
+		return false
+	case !ok:
+		p = &member{Peer: Peer{Node: m.Node, FailureDomain: m.FailureDomain, Address: m.Address, Capacity: m.Capacity}}
+		s.members[m.Node] = p
+	case m.Incarnation == p.incarnation && m.Sequence <= p.sequence:
 		return false
 	}
 	// A VM that was off may count its incarnations anew.
@@ -165,6 +177,15 @@
 	})
 }
 
+// Met reports whether a node was heard of lately.
+func (s *Members) Met(node string, now time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	m, ok := s.members[node]
+	return ok && now.Sub(m.heardAt) <= s.deadAfter()
+}
+
 // Known returns all peers of a failure domain, by name.
 func (s *Members) Known(failureDomain string) []Peer {
 	return s.list(func(m *member) bool { return m.FailureDomain == failureDomain })
@@ -227,7 +248,7 @@
 			near++
 		}
 	}
-	return s.config.Interval + time.Duration(near)*s.config.PerPeer
+	return max(s.config.Interval, time.Duration(near)*s.config.PerPeer)
 }
 
 // Interval returns the time between two messages to the own failure domain.
--- a/internal/peer/gossip/gossip_test.go
+++ b/internal/peer/gossip/gossip_test.go
@@ -1,6 +1,7 @@
 package gossip
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -11,7 +12,7 @@
 
 func TestMessageRoundTrip(t *testing.T) {
 	m := Message{
-		Node: "n", FailureDomain: "a", Incarnation: 7, Sequence: 9,
+		Node: "n", FailureDomain: "a", Capacity: 0.5, Incarnation: 7, Sequence: 9,
 		Loads: map[string]int{"s": 3}, DomainLoads: map[string]int{"s": 5}, Moved: []string{"s"}, Stalled: []string{"t"},
 		Demand: map[string]float64{"m": 1.5}, DomainDemand: map[string]float64{"m": 4},
 		Leases:  []Lease{{FailureDomain: "a", Holder: "n/7", Term: 2, Sequence: 11, Duration: 3 * time.Second, Version: 99}},
@@ -55,6 +56,52 @@
 	}
 }
 
+// TestStartWhileTheStoreIsAway answers the patterns platform_down and herd_kill
+// together: a node that can't read the table of nodes learns of the others from
+// what they send it, until the table says otherwise.
+func TestStartWhileTheStoreIsAway(t *testing.T) {
+	s := gossipStart()
+	m := Message{Node: "near", FailureDomain: "a", Address: "10.0.0.2", Capacity: 0.5, Incarnation: 1, Sequence: 1}
+	if s.Met("near", noon) || !s.Heard(m, noon) || !s.Met("near", noon) {
+		t.Error("a node that sends messages is not met")
+	}
+	want := []Peer{{Node: "near", FailureDomain: "a", Address: "10.0.0.2", Capacity: 0.5}}
+	if diff := cmp.Diff(want, s.Alive("a", noon)); diff != "" {
+		t.Error(diff)
+	}
+	if s.Heard(Message{Node: "self", FailureDomain: "a", Address: "10.0.0.1", Incarnation: 1, Sequence: 1}, noon) {
+		t.Error("a node is its own peer")
+	}
+	s.SetPeers([]Peer{{Node: "other", FailureDomain: "a"}})
+	if s.Met("near", noon) {
+		t.Error("a node that has left the table is a peer")
+	}
+}
+
+// gossipStart returns the set of a node that has read no table yet.
+func gossipStart() *Members {
+	return NewMembers(Config{Self: Peer{Node: "self", FailureDomain: "a"}, Interval: 40 * time.Millisecond, DeadAfter: time.Second})
+}
+
+// TestMessagesTakenInAreBounded answers grown deployments: a node takes in no
+// more messages with many peers than with some.
+func TestMessagesTakenInAreBounded(t *testing.T) {
+	const perPeer = 10 * time.Millisecond
+	for _, peers := range []int{1, 5, 40, 400} {
+		s := NewMembers(Config{
+			Self: Peer{Node: "self", FailureDomain: "a"}, Interval: 50 * time.Millisecond, PerPeer: perPeer, DeadAfter: time.Second,
+		})
+		var table []Peer
+		for i := range peers {
+			table = append(table, Peer{Node: fmt.Sprintf("n%d", i), FailureDomain: "a"})
+		}
+		s.SetPeers(table)
+		if rate := float64(peers) / s.Interval().Seconds(); rate > 1/perPeer.Seconds()+1e-9 {
+			t.Errorf("%d peers: %.0f messages a second", peers, rate)
+		}
+	}
+}
+
 func TestAlive(t *testing.T) {
 	s := newMembers()
 	s.Heard(Message{Node: "near", FailureDomain: "a", Incarnation: 1, Sequence: 1, Blind: true}, noon)
--- a/internal/peer/gossip/message_wire.go
+++ b/internal/peer/gossip/message_wire.go
@@ -9,6 +9,7 @@
 type messageWire struct {
 	Node          string             `json:"node"`
 	FailureDomain string             `json:"failureDomain"`
+	Capacity      float64            `json:"capacity,omitempty"`
 	Incarnation   int64              `json:"incarnation"`
 	Sequence      uint64             `json:"sequence"`
 	Loads         map[string]int     `json:"loads,omitempty"`
@@ -36,6 +37,7 @@
 	w := messageWire{
 		Node:          m.Node,
 		FailureDomain: m.FailureDomain,
+		Capacity:      m.Capacity,
 		Incarnation:   m.Incarnation,
 		Sequence:      m.Sequence,
 		Loads:         m.Loads,
@@ -64,6 +66,7 @@
 	m := Message{
 		Node:          w.Node,
 		FailureDomain: w.FailureDomain,
+		Capacity:      w.Capacity,
 		Incarnation:   w.Incarnation,
 		Sequence:      w.Sequence,
 		Loads:         w.Loads,
--- a/internal/peer/gossip/socket.go
+++ b/internal/peer/gossip/socket.go
@@ -43,7 +43,7 @@
 func (s *Socket) Run() error {
 	buffer := make([]byte, maxDatagram)
 	for {
-		n, _, err := s.conn.ReadFromUDPAddrPort(buffer)
+		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return Error.Wrap(err)
 		}
@@ -52,6 +52,7 @@
 			s.config.Failed(err)
 			continue
 		}
+		m.Address = from.Addr().Unmap().String()
 		s.config.Received(m)
 	}
 }
--- a/internal/peer/relay/feed.go
+++ b/internal/peer/relay/feed.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"maps"
 	"sync"
 	"time"
 
@@ -18,10 +19,10 @@
 	Client *Client
 	// Logs holds the tables that are passed on by name.
 	Logs map[string]*Log
-	// Source returns the address of the node to hear from, and the number of
-	// nodes between the store and this one; empty when this node reads the store
-	// for the others.
-	Source func() (address string, hops int)
+	// Source returns the address of the node to hear from among those that need
+	// not be avoided, and the number of nodes between the store and this one;
+	// empty when this node reads the store for the others.
+	Source func(avoid func(address string) bool) (address string, hops int)
 	// Slack is how much older than the wait for a change a source's reading may
 	// be, for each hop.
 	Slack time.Duration
@@ -30,26 +31,30 @@
 	MaxWait time.Duration
 	// Margin is added to the wait for an answer to arrive.
 	Margin time.Duration
-	// DirectFor is how long this node reads the store itself after its source
-	// has failed.
-	DirectFor time.Duration
+	// AvoidFor is how long a source is avoided after it has failed.
+	AvoidFor time.Duration
 }
 
 // Feed reads tables from another node of the failure domain, or from the store
-// when there is none that knows better. It implements platform.Feed.
+// when there is none that knows better. A source that fails costs one call of
+// the store; the next goes to another source. It implements platform.Feed.
 type Feed struct {
 	config FeedConfig
 
 	mu sync.Mutex
-	// directUntil is until when a table is read from the store directly.
-	directUntil map[string]time.Time
+	// avoided is until when a source is not asked for a table.
+	avoided map[sourceKey]time.Time
+}
+
+type sourceKey struct {
+	table, address string
 }
 
 var _ platform.Feed = (*Feed)(nil)
 
 // NewFeed returns a feed.
 func NewFeed(c FeedConfig) *Feed {
-	return &Feed{config: c, directUntil: map[string]time.Time{}}
+	return &Feed{config: c, avoided: map[sourceKey]time.Time{}}
 }
 
 // source returns the node to hear from, or an empty address.
@@ -57,10 +62,13 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	if f.config.Clock.Now().Before(f.directUntil[table]) {
+	now := f.config.Clock.Now()
+	avoid := func(address string) bool { return now.Before(f.avoided[sourceKey{table, address}]) }
+	address, hops := f.config.Source(avoid)
+	if avoid(address) {
 		return "", 0
 	}
-	return f.config.Source()
+	return address, hops
 }
 
 // Direct reports whether the next call for a table goes to the store.
@@ -74,11 +82,14 @@
 	return wait + f.config.Slack + time.Duration(hops-1)*(f.config.MaxWait+f.config.Slack)
 }
 
-func (f *Feed) goDirect(table string) {
+// avoid has the next calls for a table go elsewhere.
+func (f *Feed) avoid(table, address string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 
-	f.directUntil[table] = f.config.Clock.Now().Add(f.config.DirectFor)
+	now := f.config.Clock.Now()
+	maps.DeleteFunc(f.avoided, func(_ sourceKey, until time.Time) bool { return !now.Before(until) })
+	f.avoided[sourceKey{table, address}] = now.Add(f.config.AvoidFor)
 }
 
 // Scan implements platform.Feed.
@@ -91,7 +102,7 @@
 			f.keep(table, c, true, age)
 			return c, nil
 		}
-		f.goDirect(table)
+		f.avoid(table, address)
 	}
 	c, err := f.config.Store.Scan(ctx, table)
 	if err != nil {
@@ -117,7 +128,7 @@
 		case errors.As(err, &lost):
 			return platform.Changes{}, err
 		}
-		f.goDirect(table)
+		f.avoid(table, address)
 	}
 	c, err := f.config.Store.Changes(ctx, table, after, wait)
 	var lost *platform.HistoryLostError
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net"
+	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
@@ -103,6 +104,57 @@
 	}
 }
 
+// TestAnotherSourceTakesOver answers the pattern node_kill at the root of the
+// tree: a source that fails costs its listeners one call of the store each, not
+// one for each read until the next root is known.
+func TestAnotherSourceTakesOver(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(noon)
+	failing, sound := relay.NewLog(nil), relay.NewLog(nil)
+	for _, l := range []*relay.Log{failing, sound} {
+		l.Replace(platform.Changes{Rows: []platform.Change{change("a", 1, "x")}, Version: 1}, noon)
+		l.Apply(platform.Changes{Rows: []platform.Change{change("a", 2, "y")}, Version: 2}, noon)
+	}
+	failing.Fail()
+	first := nodeWith(clock, failing)
+	server := httptest.NewServer(first)
+	defer server.Close()
+	_, port, err := net.SplitHostPort(server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	listener, err := net.Listen("tcp", net.JoinHostPort("127.0.0.2", port))
+	if err != nil {
+		t.Fatal(err)
+	}
+	next := &httptest.Server{Listener: listener, Config: &http.Server{Handler: nodeWith(clock, sound)}}
+	next.Start()
+	defer next.Close()
+	store := &storeFeed{changes: platform.Changes{Version: 9}}
+	feed := relay.NewFeed(relay.FeedConfig{
+		Clock: clock, Store: store, Client: client(t, server.URL), Logs: map[string]*relay.Log{table: relay.NewLog(nil)},
+		Source: func(avoid func(string) bool) (string, int) {
+			if avoid("127.0.0.1") {
+				return "127.0.0.2", 1
+			}
+			return "127.0.0.1", 1
+		},
+		Slack: time.Second, MaxWait: time.Second, Margin: 10 * time.Second, AvoidFor: time.Minute,
+	})
+	for range 5 {
+		if _, err := feed.Changes(context.Background(), table, 1, time.Second); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if store.calls != 1 {
+		t.Errorf("%d calls of the store", store.calls)
+	}
+}
+
+// nodeWith returns what a node with the log answers others.
+func nodeWith(clock clockwork.Clock, log *relay.Log) *relay.Server {
+	return relay.NewServer(relay.ServerConfig{Clock: clock, Logs: map[string]*relay.Log{table: log}})
+}
+
 // newFeed returns the feed of a node that hears from another one with the log.
 func newFeed(t *testing.T, clock clockwork.Clock, source *relay.Log) (*relay.Feed, *storeFeed) {
 	t.Helper()
@@ -117,8 +169,8 @@
 	store := &storeFeed{changes: platform.Changes{Version: 9}}
 	return relay.NewFeed(relay.FeedConfig{
 		Clock: clock, Store: store, Client: client(t, server.URL), Logs: map[string]*relay.Log{table: relay.NewLog(nil)},
-		Source: func() (string, int) { return "127.0.0.1", 1 },
-		Slack:  time.Second, MaxWait: time.Second, Margin: 10 * time.Second, DirectFor: time.Minute,
+		Source: func(func(string) bool) (string, int) { return "127.0.0.1", 1 },
+		Slack:  time.Second, MaxWait: time.Second, Margin: 10 * time.Second, AvoidFor: time.Minute,
 	}), store
 }
 
@@ -140,7 +192,7 @@
 	store := &storeFeed{err: errors.New("out of service")}
 	feed := relay.NewFeed(relay.FeedConfig{
 		Clock: clockwork.NewFakeClockAt(noon), Store: store, Logs: map[string]*relay.Log{table: log},
-		Source: func() (string, int) { return "", 0 },
+		Source: func(func(string) bool) (string, int) { return "", 0 },
 	})
 	if _, err := feed.Scan(context.Background(), table); err == nil || !log.Failing() {
 		t.Errorf("error %v, failing %v", err, log.Failing())
