Let lost orders hold up no loads, and keep fabric domains to one model

A load that a server had refused, or never answered for, counted as under way for a minute, and the order that would have repeated it waited for its own place. A stage in flight took a second place in each decision. A server that carried an order out late was taken to have accepted none, so that six orders in a row got 409. In two failure domains five servers were hot for the large model, in two fabric domains with too few for a group in either.

Change: the planner knows what is loading and what was ordered a moment ago; refused loads leave at once, unanswered ones after 5 s; a server whose answer is missing is asked for its count; loads go first to the model with the least supply and to the group that lacks the fewest; a fabric domain goes on with the model that it serves, and waits for its servers before its second group; idle servers that are hot for nothing are made hot for that model; before traffic a third of the window bounds loads, so that standbys are hot when it begins.

--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -117,8 +117,6 @@
 	// orderRepeat is when an order that had no visible effect is given again:
 	// the order's timeout and two changes of the registration.
 	orderRepeat = 1500 * time.Millisecond
-	// stageRepeat is above the longest load from a weight store that is shared.
-	stageRepeat = time.Minute
 	// closeTimeout is how long a closing head may finish its requests: a
 	// member that leaves stays for as long as ten seconds.
 	closeTimeout = 6 * time.Second
--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"math"
+	"net/http"
 	"slices"
 	"strings"
 	"sync"
@@ -45,8 +46,6 @@
 	planCount   uint64
 	// loads holds when loads from the weight store began.
 	loads []time.Time
-	// loading holds the loads under way by server.
-	loading map[string]load
 	// summedAt is when the last line on what the servers do was logged.
 	summedAt time.Time
 	// loadsBlockedUntil covers the loads of an earlier holder.
@@ -56,8 +55,10 @@
 	// tasks runs orders and questions, which no step waits for.
 	tasks errgroup.Group
 
-	// countMu guards accepted and missing.
-	countMu  sync.Mutex
+	// countMu guards accepted, missing and loading.
+	countMu sync.Mutex
+	// loading holds the loads that were ordered and may be under way, by server.
+	loading  map[string]load
 	accepted map[string]acceptance
 	missing  map[string]missingHead
 }
@@ -264,6 +265,8 @@
 
 func (d *domain) decide(s routes.Service, view registry.View) formation.Decision {
 	now := d.config.Clock.Now()
+	loading := d.loadsUnderWay(s.Engine, view, now)
+	inWindow := d.loadsInWindow(s.Engine, now)
 	return formation.Decide(formation.View{
 		Now:           now,
 		Servers:       view,
@@ -272,15 +275,19 @@
 		Models:        s.Engine.Models,
 		Weights:       d.config.Weights(s.Engine),
 		Plan:          d.plan,
-		Loads:         d.loadsLeft(s.Engine, view, now),
+		Loads:         d.loadsLeft(s.Engine, inWindow, len(loading)),
+		Repeats:       inWindow,
+		Loading:       loading,
+		GivenLately:   d.givenLately,
 		Grace:         d.config.Grace,
 		Quiet:         d.quiet,
 		CloseTimeout:  closeTimeout,
 	})
 }
 
-// loadsLeft returns the number of loads that may begin now.
-func (d *domain) loadsLeft(e *routes.Engine, view registry.View, now time.Time) int {
+// loadsInWindow returns the number of loads that the bound on any span allows
+// to begin now.
+func (d *domain) loadsInWindow(e *routes.Engine, now time.Time) int {
 	if now.Before(d.loadsBlockedUntil) {
 		return 0
 	}
@@ -291,15 +298,33 @@
 		}
 	}
 	d.loads = kept
-	domains := float64(len(d.config.FailureDomains))
-	share := (e.LoadsPerSecond*d.config.LoadSpan.Seconds()*d.config.LoadOverrun + d.config.LoadSlack) / domains
-	left := int(share) - len(d.loads)
+	begun := len(kept)
 	if !d.config.Serving() {
-		return left
+		begun = 0
+		for _, at := range kept {
+			if now.Sub(at) < d.config.LoadWindow/quietShare {
+				begun++
+			}
+		}
+	}
+	share := (e.LoadsPerSecond*d.config.LoadSpan.Seconds()*d.config.LoadOverrun + d.config.LoadSlack) / float64(len(d.config.FailureDomains))
+	return int(share) - begun
+}
+
+// quietShare is the part of the window of loads, one in so many, that counts
+// before callers' requests begin. The bound doesn't hold until then; what this
+// node orders while it hears of the first request late must stay within it.
+const quietShare = 3
+
+// loadsLeft returns the number of loads that may begin now beside those under
+// way.
+func (d *domain) loadsLeft(e *routes.Engine, inWindow, underWay int) int {
+	if !d.config.Serving() {
+		return inWindow
 	}
 	// More loads at once make each of them slower, and the first one late.
-	atOnce := int(math.Ceil(float64(e.LoadsAtOnce) / domains))
-	return min(left, atOnce-d.loadsUnderWay(view, now))
+	atOnce := int(math.Ceil(float64(e.LoadsAtOnce) / float64(len(d.config.FailureDomains))))
+	return min(inWindow, atOnce-underWay)
 }
 
 // load is a load from the weight store that was ordered.
@@ -307,20 +332,70 @@
 	model string
 	born  int64
 	at    time.Time
+	// accepted is set once the server has said that it loads.
+	accepted bool
 }
 
-// loadsUnderWay returns the number of ordered loads that have not ended.
-func (d *domain) loadsUnderWay(view registry.View, now time.Time) int {
+const (
+	// loadPatience is how long, in times of its usual duration, a load that a
+	// server has accepted counts as under way: others may share its bandwidth.
+	loadPatience = 2
+	// lateOrder is how long an order without an answer may still begin a load.
+	lateOrder = 5 * time.Second
+)
+
+// loadsUnderWay returns the models that servers may be loading.
+func (d *domain) loadsUnderWay(e *routes.Engine, view registry.View, now time.Time) map[string]string {
 	records := make(map[string]registry.Record, len(view.Servers))
 	for _, r := range view.Servers {
 		records[r.ID] = r
 	}
+	usual := map[string]time.Duration{}
+	for _, m := range e.Models {
+		usual[m.Name] = m.Load
+	}
+	d.countMu.Lock()
+	defer d.countMu.Unlock()
+
+	models := make(map[string]string, len(d.loading))
 	for id, l := range d.loading {
 		r, ok := records[id]
-		if !ok || !r.LapsedAt.IsZero() || r.Born != l.born || r.HasStaged(l.model) || now.Sub(l.at) > stageRepeat {
+		longest := lateOrder
+		if l.accepted {
+			longest = loadPatience * usual[l.model]
+		}
+		if !ok || !r.LapsedAt.IsZero() || r.Born != l.born || r.HasStaged(l.model) || now.Sub(l.at) > longest {
 			delete(d.loading, id)
+			continue
 		}
+		models[id] = l.model
+	}
+	return models
+}
+
+// loadAnswered notes what a server said to an order to load: one that it
+// refused is not under way.
+func (d *domain) loadAnswered(o formation.Order, status int) {
+	d.countMu.Lock()
+	defer d.countMu.Unlock()
+
+	l, ok := d.loading[o.Server.ID]
+	switch {
+	case !ok || l.model != o.Model || l.born != o.Server.Born || status == 0:
+		return
+	case status == http.StatusAccepted:
+		l.accepted = true
+		d.loading[o.Server.ID] = l
+	case !l.accepted:
+		delete(d.loading, o.Server.ID)
 	}
+}
+
+// loadsCount returns the number of loads that may be under way.
+func (d *domain) loadsCount() int {
+	d.countMu.Lock()
+	defer d.countMu.Unlock()
+
 	return len(d.loading)
 }
 
@@ -380,7 +455,7 @@
 	slices.Sort(idle)
 	event.FleetCounted.Log(d.config.Logger, zap.String("fabricDomain", d.name), zap.String("service", service),
 		zap.Int("servers", s.Servers), zap.Int("leaving", s.Leaving), zap.String("groups", strings.Join(groups, "; ")),
-		zap.String("idle", strings.Join(idle, "; ")), zap.Int("loading", len(d.loading)), zap.Uint64("term", d.term))
+		zap.String("idle", strings.Join(idle, "; ")), zap.Int("loading", d.loadsCount()), zap.Uint64("term", d.term))
 }
 
 func (d *domain) logPlan(decision formation.Decision) {
--- a/internal/fleet/control/domain_test.go
+++ b/internal/fleet/control/domain_test.go
@@ -1,6 +1,7 @@
 package control_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"sync"
@@ -94,6 +95,20 @@
 }
 
 func newRig(t *testing.T, holder string, shared *rig) *rig {
+	t.Helper()
+	return newRigWith(t, holder, shared, rigOptions{})
+}
+
+// rigOptions change what a rig stands on.
+type rigOptions struct {
+	// orders are those of the rig itself unless set.
+	orders  control.Orders
+	serving bool
+	// loadsAtOnce is seven unless set.
+	loadsAtOnce int
+}
+
+func newRigWith(t *testing.T, holder string, shared *rig, o rigOptions) *rig {
 	t.Helper()
 	r := &rig{
 		clock:  clockwork.NewFakeClock(),
@@ -104,19 +119,22 @@
 	if shared != nil {
 		r.clock, r.table = shared.clock, shared.table
 	}
+	if o.orders == nil {
+		o.orders = r.orders
+	}
 	configuration := &routes.Configuration{Version: 1, Services: map[string]routes.Service{
 		"llm": {Name: "llm", Engine: &routes.Engine{
-			Slots: 17, LoadsPerSecond: 5, LoadsAtOnce: 7, Models: []routes.Model{{Name: "small", Size: 2, Share: 1}},
+			Slots: 17, LoadsPerSecond: 5, LoadsAtOnce: cmp.Or(o.loadsAtOnce, 7), Models: []routes.Model{{Name: "small", Size: 2, Share: 1, Load: 12 * time.Second}},
 		}},
 	}}
 	configuration.Index()
 	r.node = control.New(control.Config{
-		Clock: r.clock, Logger: zap.NewNop(), Table: r.table, Orders: r.orders, Book: r.book,
+		Clock: r.clock, Logger: zap.NewNop(), Table: r.table, Orders: o.orders, Book: r.book,
 		Look:           func(context.Context, registry.Server) control.Vantage { return control.Vantage{} },
 		Configuration:  func() *routes.Configuration { return configuration },
 		Rank:           func(string) int { return 0 },
 		Weights:        func(*routes.Engine) map[string]float64 { return map[string]float64{"small": 1} },
-		Serving:        func() bool { return false },
+		Serving:        func() bool { return o.serving },
 		Holder:         holder,
 		FailureDomains: []string{domain},
 		LoadSpan:       5 * time.Second, LoadWindow: 5 * time.Second, LoadOverrun: 1,
@@ -133,6 +151,7 @@
 			t.Logf("step: %v", err)
 		}
 	}
+	r.node.WaitForTasks()
 }
 
 // run takes steps for a time.
--- a/internal/fleet/control/order.go
+++ b/internal/fleet/control/order.go
@@ -17,12 +17,16 @@
 	server    string
 	operation formation.Operation
 	epoch     uint64
+	model     string
 }
 
 // acceptance is the number of orders that a life of a server has accepted.
 type acceptance struct {
 	born  int64
 	count uint64
+	// known is false once an order had no answer, or one that doesn't tell
+	// whether it counted.
+	known bool
 }
 
 // forgetCounts makes all counts be asked for again: an earlier holder of the
@@ -38,12 +42,13 @@
 // here or else as it says itself.
 func (d *domain) count(ctx context.Context, s registry.Server) (uint64, error) {
 	d.countMu.Lock()
-	known, ok := d.accepted[s.ID]
+	a, ordered := d.accepted[s.ID]
 	d.countMu.Unlock()
-	if ok && known.born == s.Born {
-		return known.count, nil
+	ordered = ordered && a.born == s.Born
+	if ordered && a.known {
+		return a.count, nil
 	}
-	if s.Group.Name == "" && s.Model == "" && len(s.Staged) == 0 {
+	if !ordered && s.Group.Name == "" && s.Model == "" && len(s.Staged) == 0 {
 		// Nothing was ever ordered of it; an order that is on its way makes this
 		// one fail.
 		return 0, nil
@@ -52,31 +57,26 @@
 	return state.Accepted, err
 }
 
-// setCount keeps the number of orders that a server has accepted, or forgets it.
+// setCount keeps the number of orders that a server has accepted, or that it
+// must be asked for it.
 func (d *domain) setCount(s registry.Server, count uint64, known bool) {
 	d.countMu.Lock()
 	defer d.countMu.Unlock()
 
-	if known {
-		d.accepted[s.ID] = acceptance{born: s.Born, count: count}
-		return
-	}
-	delete(d.accepted, s.ID)
+	d.accepted[s.ID] = acceptance{born: s.Born, count: count, known: known}
 }
 
-// give gives the orders that were not given a moment ago. It does not wait for
-// their answers: a server that doesn't answer must not hold up the others.
+// give gives the orders. It does not wait for their answers: a server that doesn't answer must not hold up the others.
 func (d *domain) give(ctx context.Context, orders []formation.Order) {
 	for _, o := range orders {
 		now := d.config.Clock.Now()
 		if !d.candidate.Holds(now) {
 			return
 		}
-		key := orderKey{server: o.Server.ID, operation: o.Operation, epoch: o.Epoch}
-		if at, ok := d.given[key]; ok && now.Sub(at) < repeatAfter(o.Operation) {
-			continue
-		}
 		term := d.term
+		if o.Loads {
+			d.noteLoad(o, now)
+		}
 		begun := d.tasks.TryGo(func() error {
 			d.giveOne(ctx, o, term)
 			return nil
@@ -84,20 +84,33 @@
 		if !begun {
 			return
 		}
-		d.given[key] = now
-		if o.Loads {
-			d.loads = append(d.loads, now)
-			d.loading[o.Server.ID] = load{model: o.Model, born: o.Server.Born, at: now}
-		}
+		d.given[keyOf(o)] = now
 	}
 }
 
-// repeatAfter returns when an order that had no visible effect is given again.
-func repeatAfter(o formation.Operation) time.Duration {
-	if o == formation.OperationStage {
-		return stageRepeat
+// givenLately reports whether an order was given so recently that its effect
+// may not show yet.
+func (d *domain) givenLately(o formation.Order) bool {
+	at, ok := d.given[keyOf(o)]
+	return ok && d.config.Clock.Since(at) < orderRepeat
+}
+
+func keyOf(o formation.Order) orderKey {
+	return orderKey{server: o.Server.ID, operation: o.Operation, epoch: o.Epoch, model: o.Model}
+}
+
+// noteLoad notes a load that is about to be ordered, before an answer can come.
+func (d *domain) noteLoad(o formation.Order, now time.Time) {
+	d.loads = append(d.loads, now)
+	d.countMu.Lock()
+	defer d.countMu.Unlock()
+
+	l, ok := d.loading[o.Server.ID]
+	if ok && l.accepted && l.model == o.Model && l.born == o.Server.Born {
+		// The order is given again though the load goes on.
+		return
 	}
-	return orderRepeat
+	d.loading[o.Server.ID] = load{model: o.Model, born: o.Server.Born, at: now}
 }
 
 // giveOne gives one order and returns whether the server took it.
@@ -116,6 +129,9 @@
 		// An order that is done at once may have counted or not.
 		d.setCount(o.Server, 0, false)
 	}
+	if o.Loads {
+		d.loadAnswered(o, status)
+	}
 	event.OrderGiven.Log(d.config.Logger, zap.String("server", o.Server.ID), zap.String("operation", string(o.Operation)),
 		zap.String("group", o.Group), zap.Uint64("epoch", o.Epoch), zap.String("model", o.Model),
 		zap.Bool("loads", o.Loads), zap.Uint64("accepted", accepted), zap.String("reason", o.Reason),
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -54,7 +54,7 @@
 	}
 	if r.Group.Name != "" && r.Group.Rank == 0 && (r.Group.State == registry.StateOpen || r.Group.State == registry.StateClosing) {
 		// The head of a group that is in no plan must stop first.
-		p.decision.Orders = append(p.decision.Orders, Order{
+		p.give(Order{
 			Server: r.Server, Operation: OperationLeave, Group: r.Group.Name, Epoch: r.Group.Epoch, Model: r.Model,
 			Reason: "group is not planned",
 		})
@@ -130,25 +130,64 @@
 		return m, true
 	}
 	n := len(servers)
-	most, ok := p.neediest(func(routes.Model) bool { return true })
-	if !ok {
-		return most, false
-	}
 	if !p.settled(domain) {
-		first := !p.anyGroup(domain)
-		return most, n >= most.Size+p.standbys(domain, most) || (first && n >= most.Size)
+		// What else comes decides what the fabric domain is best for, but its
+		// first group needn't wait.
+		if p.anyGroup(domain) {
+			return routes.Model{}, false
+		}
+		return p.neediest(func(m routes.Model) bool { return n >= m.Size })
 	}
-	return p.neediest(func(m routes.Model) bool {
+	return p.preferred(domain, func(m routes.Model) bool {
 		return n >= m.Size+p.standbys(domain, m) && !p.completes(servers, m)
 	})
 }
 
+// preferred returns the model that a group of a fabric domain should be of: its
+// resident while that is short, else the neediest that is. Servers that are hot for the
+// same model are worth more in one fabric domain than in several, since what is
+// left of two broken groups then makes one.
+func (p *planner) preferred(domain string, fits func(routes.Model) bool) (routes.Model, bool) {
+	if m, ok := p.resident(domain); ok && fits(m) && p.isShort(m) {
+		return m, true
+	}
+	return p.neediest(func(m routes.Model) bool { return p.isShort(m) && fits(m) })
+}
+
+// isShort reports whether a model lacks enough servers for a group.
+func (p *planner) isShort(m routes.Model) bool {
+	return p.shortage(m) >= float64(m.Size)*minShortage
+}
+
+// resident returns the model that most servers of a fabric domain serve, are hot
+// for or load.
+func (p *planner) resident(domain string) (routes.Model, bool) {
+	var best routes.Model
+	most := 0
+	for _, m := range p.Models {
+		n := 0
+		for _, g := range p.decision.Plan.Groups {
+			if g.FabricDomain == domain && g.Model == m.Name {
+				n += len(g.Members)
+			}
+		}
+		for _, s := range p.idle[domain] {
+			if !needsLoad(s, m.Name) || p.Loading[s.ID] == m.Name {
+				n++
+			}
+		}
+		if n > most {
+			best, most = m, n
+		}
+	}
+	return best, most > 0
+}
+
 // completes reports whether most of another model's group is among the servers,
 // so that they had better wait for the rest of it than be loaded anew.
 func (p *planner) completes(servers []registry.Server, other routes.Model) bool {
 	for _, m := range p.Models {
-		if m.Name != other.Name && m.Size > other.Size && p.hot(servers, m.Name) > m.Size/2 &&
-			p.shortage(m) >= float64(m.Size)*minShortage {
+		if m.Name != other.Name && m.Size > other.Size && p.hot(servers, m.Name) > m.Size/2 && p.isShort(m) {
 			return true
 		}
 	}
@@ -179,7 +218,7 @@
 // form plans a group and returns the servers that are left.
 func (p *planner) form(domain string, m routes.Model, servers []registry.Server) []registry.Server {
 	slices.SortStableFunc(servers, func(a, b registry.Server) int {
-		return cmp.Compare(effort(a, m.Name), effort(b, m.Name))
+		return cmp.Compare(p.effort(a, m.Name), p.effort(b, m.Name))
 	})
 	p.decision.Plan.LastEpoch++
 	g := Group{
@@ -198,16 +237,18 @@
 }
 
 // effort orders servers by what it takes to have them serve a model.
-func effort(s registry.Server, model string) int {
+func (p *planner) effort(s registry.Server, model string) int {
 	switch {
 	case s.Model == model:
 		return 0
 	case s.HasStaged(model):
 		return 1
-	case s.Model == "" && len(s.Staged) == 0:
+	case p.Loading[s.ID] == model:
 		return 2
-	default:
+	case s.Model == "" && len(s.Staged) == 0:
 		return 3
+	default:
+		return 4
 	}
 }
 
@@ -219,7 +260,7 @@
 // them for a group.
 func (p *planner) short() (routes.Model, bool) {
 	m, ok := p.neediest(func(routes.Model) bool { return true })
-	return m, ok && p.shortage(m) >= float64(m.Size)*minShortage
+	return m, ok && p.isShort(m)
 }
 
 // borrow dissolves groups of models with enough others when their servers,
@@ -338,29 +379,38 @@
 			best, missing = servers, lacks
 		}
 	}
+	slices.SortStableFunc(best, func(a, b registry.Server) int {
+		return cmp.Compare(p.effort(a, m.Name), p.effort(b, m.Name))
+	})
 	for _, s := range best {
 		if missing == 0 {
 			return
 		}
-		if needsLoad(s, m.Name) && !taken[s.ID] {
+		if needsLoad(s, m.Name) && !taken[s.ID] && !p.loadsOther(s, m.Name) {
 			p.stage(s, m, taken, "group of a model that is short")
 			missing--
 		}
 	}
 }
 
-// stage orders a server to hold the weights of a model, if a load is left.
+// stage orders a server to hold the weights of a model, if a load is left. One
+// that loads them already is waited for.
 func (p *planner) stage(s registry.Server, m routes.Model, taken map[string]bool, reason string) {
 	taken[s.ID] = true
-	if p.Loads <= 0 {
+	if p.Loading[s.ID] == m.Name {
 		return
 	}
-	p.Loads--
-	p.decision.Orders = append(p.decision.Orders, Order{
+	p.give(Order{
 		Server: s, Operation: OperationStage, Model: m.Name, Loads: true, Reason: reason,
 	})
 }
 
+// loadsOther reports whether a server is loading another model.
+func (p *planner) loadsOther(s registry.Server, model string) bool {
+	loading, ok := p.Loading[s.ID]
+	return ok && loading != model
+}
+
 // prepareStandbys has idle servers of a fabric domain hold the weights that a
 // group will need when it loses a member. Where none is idle, a member of
 // another model's group holds them beside what it serves.
@@ -378,6 +428,26 @@
 			p.stage(s, m, taken, "standby")
 		}
 	}
+	p.prepareRest(domain, taken)
+}
+
+// prepareRest has the idle servers of a fabric domain that are hot for nothing
+// hold the weights of its resident: they repair a group at once then.
+func (p *planner) prepareRest(domain string, taken map[string]bool) {
+	m, ok := p.resident(domain)
+	if !ok {
+		return
+	}
+	for _, s := range p.idle[domain] {
+		if p.cold(s) && !taken[s.ID] && !p.loadsOther(s, m.Name) {
+			p.stage(s, m, taken, "standby")
+		}
+	}
+}
+
+// cold reports whether a server needs a load to serve any model.
+func (p *planner) cold(s registry.Server) bool {
+	return !slices.ContainsFunc(p.Models, func(m routes.Model) bool { return !needsLoad(s, m.Name) })
 }
 
 // bySize returns the models, those with the largest groups first.
@@ -412,7 +482,12 @@
 // or else a member of another model's group that is not its head.
 func (p *planner) stagingServer(domain string, m routes.Model, idle []registry.Server, taken map[string]bool) (registry.Server, bool) {
 	for _, s := range idle {
-		if !taken[s.ID] && needsLoad(s, m.Name) && !p.onlyStandby(s, idle) {
+		if !taken[s.ID] && p.Loading[s.ID] == m.Name && needsLoad(s, m.Name) {
+			return s, true
+		}
+	}
+	for _, s := range idle {
+		if !taken[s.ID] && p.Loading[s.ID] == "" && needsLoad(s, m.Name) && !p.onlyStandby(s, idle) {
 			return s, true
 		}
 	}
@@ -422,7 +497,7 @@
 		}
 		last := g.Members[len(g.Members)-1]
 		r, ok := p.member(last)
-		if !ok || r.Draining || taken[r.ID] {
+		if !ok || r.Draining || taken[r.ID] || p.loadsOther(r.Server, m.Name) {
 			continue
 		}
 		if r.HasStaged(m.Name) {
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -13,6 +13,8 @@
 package formation
 
 import (
+	"cmp"
+	"slices"
 	"time"
 
 	"almondbay.example/internal/fleet/registry"
@@ -93,6 +95,15 @@
 	Plan    Plan
 	// Loads is the number of loads from the weight store that may begin now.
 	Loads int
+	// Repeats is the number of orders to load that may be given again now, in
+	// case the first one was lost.
+	Repeats int
+	// Loading holds the model that each server was ordered to load and may still
+	// be loading, by server ID. Such loads don't count in Loads any more.
+	Loading map[string]string
+	// GivenLately reports whether an order was given so recently that it needn't
+	// be given again.
+	GivenLately func(o Order) bool
 	// Grace is how long a missing registration may still return while the store
 	// is in trouble.
 	Grace time.Duration
@@ -352,33 +363,63 @@
 			}
 		}
 	}
-	p.decision.Orders = append(p.decision.Orders, Order{
+	p.give(Order{
 		Server: r.Server, Operation: operation, Group: g.Name, Epoch: g.Epoch, Model: g.Model, Reason: reason,
 	})
 }
 
-// order adds the orders that bring the servers to the plan.
+// order adds the orders that bring the servers to the plan. Loads go to the
+// groups that are worth most for one.
 func (p *planner) order() {
+	var joining []Group
+	whole := map[string]int{}
 	for _, g := range p.decision.Plan.Groups {
 		c := p.inspect(g)
 		if g.Dissolving || len(c.lost)+len(c.leaving) > 0 || c.broken || c.strayed {
 			continue
 		}
 		if c.ready == len(g.Members) {
+			whole[g.Model] += len(g.Members)
 			p.open(g)
 			continue
 		}
+		joining = append(joining, g)
+	}
+	slices.SortStableFunc(joining, func(a, b Group) int {
+		return cmp.Or(
+			cmp.Compare(p.supply(a.Model, whole), p.supply(b.Model, whole)),
+			cmp.Compare(p.loadsOf(a), p.loadsOf(b)),
+		)
+	})
+	for _, g := range joining {
 		p.join(g)
 	}
 }
 
+// supply returns the part of the servers that a model should have which is in
+// whole groups of it.
+func (p *planner) supply(model string, whole map[string]int) float64 {
+	return float64(whole[model]) / max(1, p.Weights[model]*float64(p.usable()))
+}
+
+// loadsOf returns the number of loads that a group still needs.
+func (p *planner) loadsOf(g Group) int {
+	n := 0
+	for _, m := range g.Members {
+		if r, _ := p.member(m); !r.In(g.Name, g.Epoch) && needsLoad(r.Server, g.Model) {
+			n++
+		}
+	}
+	return n
+}
+
 // open opens the head of a group whose members are all ready.
 func (p *planner) open(g Group) {
 	r, _ := p.member(g.Members[0])
 	if r.Group.State != registry.StateReady {
 		return
 	}
-	p.decision.Orders = append(p.decision.Orders, Order{
+	p.give(Order{
 		Server: r.Server, Operation: OperationOpen, Group: g.Name, Epoch: g.Epoch, Model: g.Model, Reason: "all members ready",
 	})
 }
@@ -394,20 +435,35 @@
 		if r.In(g.Name, g.Epoch) {
 			continue
 		}
-		loads := needsLoad(r.Server, g.Model)
-		if loads {
-			if p.Loads <= 0 {
-				continue
-			}
-			p.Loads--
-		}
-		p.decision.Orders = append(p.decision.Orders, Order{
+		p.give(Order{
 			Server: r.Server, Operation: OperationJoin, Group: g.Name, Epoch: g.Epoch, Model: g.Model,
-			Members: ids, Loads: loads, Reason: "planned",
+			Members: ids, Loads: needsLoad(r.Server, g.Model), Reason: "planned",
 		})
 	}
 }
 
+// give adds an order unless it was given lately or needs a load that is not left.
+func (p *planner) give(o Order) {
+	if p.GivenLately(o) || (o.Loads && !p.takeLoad(o.Server, o.Model)) {
+		return
+	}
+	p.decision.Orders = append(p.decision.Orders, o)
+}
+
+// takeLoad takes a load for a server from what is left. A load that was ordered
+// already takes none, though its order may have to be repeated.
+func (p *planner) takeLoad(s registry.Server, model string) bool {
+	left := &p.Loads
+	if p.Loading[s.ID] == model {
+		left = &p.Repeats
+	}
+	if *left <= 0 {
+		return false
+	}
+	*left--
+	return true
+}
+
 // needsLoad reports whether joining a group of the model takes a load from the
 // weight store.
 func needsLoad(s registry.Server, model string) bool {
--- a/internal/fleet/formation/plan_test.go
+++ b/internal/fleet/formation/plan_test.go
@@ -71,6 +71,7 @@
 		Loads:         10,
 		Grace:         2 * time.Second,
 		Quiet:         func(string) bool { return false },
+		GivenLately:   func(formation.Order) bool { return false },
 		CloseTimeout:  6 * time.Second,
 	}
 }
