--- a/internal/fleet/store/follower.go
+++ b/internal/fleet/store/follower.go
@@ -9,6 +9,7 @@
 
 	"github.com/jonboulle/clockwork"
 
+	"almondbay.example/internal/node/clock"
 	"almondbay.example/serving/platform"
 )
 
@@ -71,7 +72,7 @@
 		default:
 			f.failures = 0
 		}
-		if !f.pause(ctx, wait) {
+		if !clock.Pause(ctx, f.config.Clock, wait) {
 			return
 		}
 	}
@@ -96,7 +97,7 @@
 	}
 	begun := f.config.Clock.Now()
 	for f.config.Hold() && f.config.Clock.Since(begun) < f.config.HoldMax {
-		if !f.pause(ctx, holdInterval) {
+		if !clock.Pause(ctx, f.config.Clock, holdInterval) {
 			return false
 		}
 	}
@@ -106,20 +107,6 @@
 // maxDoublings keeps the shift from overflowing.
 const maxDoublings = 8
 
-func (f *Follower) pause(ctx context.Context, wait time.Duration) bool {
-	if wait <= 0 {
-		return ctx.Err() == nil
-	}
-	timer := f.config.Clock.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.Chan():
-		return true
-	}
-}
-
 func (f *Follower) step(ctx context.Context) error {
 	if !f.known {
 		changes, err := f.config.Feed.Scan(ctx, f.config.Table)
--- a/internal/node/clock/clock.go
+++ b/internal/node/clock/clock.go
@@ -4,6 +4,7 @@
 package clock
 
 import (
+	"context"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -41,3 +42,18 @@
 func (b Boot) Until(t time.Time) time.Duration {
 	return t.Sub(b.Now())
 }
+
+// Pause waits. It returns false once ctx is done.
+func Pause(ctx context.Context, c clockwork.Clock, wait time.Duration) bool {
+	if wait <= 0 {
+		return ctx.Err() == nil
+	}
+	timer := c.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+		return true
+	}
+}
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 	"go.uber.org/zap"
 
+	"almondbay.example/internal/node/clock"
 	peerrelay "almondbay.example/internal/peer/relay"
 	"almondbay.example/internal/routing/ingress"
 	"almondbay.example/serving/event"
@@ -141,7 +142,7 @@
 		if now.Sub(n.startedAt) >= meetTimeout || len(n.members.Alive(n.config.Settings.FailureDomain, now)) > 0 {
 			return true
 		}
-		if !n.pause(ctx, meetInterval) {
+		if !clock.Pause(ctx, n.config.Clock, meetInterval) {
 			return false
 		}
 	}
@@ -269,24 +270,13 @@
 				failures++
 				n.journal.stepFailed(err, failures)
 			}
-			if !n.pause(ctx, interval()) {
+			if !clock.Pause(ctx, n.config.Clock, interval()) {
 				return
 			}
 		}
 	})
 }
 
-func (n *Node) pause(ctx context.Context, wait time.Duration) bool {
-	timer := n.config.Clock.NewTimer(wait)
-	defer timer.Stop()
-	select {
-	case <-ctx.Done():
-		return false
-	case <-timer.Chan():
-		return true
-	}
-}
-
 // addAnnounce writes this node's row, again until it is written.
 func (n *Node) addAnnounce(g *run.Group) {
 	n.addContext(g, func(ctx context.Context) {
@@ -299,7 +289,7 @@
 			if err == nil {
 				wait = announceInterval
 			}
-			if !n.pause(ctx, wait) {
+			if !clock.Pause(ctx, n.config.Clock, wait) {
 				return
 			}
 		}
