--- a/cmd/almondbay/commands.go
+++ b/cmd/almondbay/commands.go
@@ -4,6 +4,8 @@
 	"slices"
 
 	"github.com/jessevdk/go-flags"
+
+	"almondbay.example/platform"
 )
 
 // subcommand describes one command of the program.
@@ -65,8 +67,8 @@
 		},
 		{
 			name: "entry", summary: "run a node on an entry VM of the platform",
-			text:    "Runs a node on an entry VM. Its settings are in the file that the environment variable ALMONDBAY_BOOT names; what it serves comes from the platform's store. At SIGTERM it takes no new connections and waits for all requests in flight, at SIGHUP it reads its settings again.",
-			example: "ALMONDBAY_BOOT=/etc/almondbay/boot.json almondbay entry",
+			text:    "Runs a node on an entry VM. Its settings are in the file that the environment variable " + platform.SettingsVariable + " names; what it serves comes from the platform's store. At SIGTERM it takes no new connections and waits for all requests in flight, at SIGHUP it reads its settings again.",
+			example: platform.SettingsVariable + "=/etc/almondbay/boot.json almondbay entry",
 			command: &entryCommand{session: s},
 		},
 		{
