Tell from logs why a request ended: almondbay explain

Cause: the way from a request's ID to its cause was a page of grep. Change: a command that reads the logs of all nodes or standard input, finds the request, and prints a sentence on the cause with what nodes believed and decided about its heads at that time. Tests for each way in which a request can end, and for logs with prefixes and foreign lines.

--- a/cmd/almondbay/commands.go
+++ b/cmd/almondbay/commands.go
@@ -159,6 +159,12 @@
 			example: "source <(almondbay completion bash)",
 			command: &completionCommand{session: reading.session, parser: parser},
 		},
+		{
+			name: "explain", summary: "tell from logs why a request ended as it did",
+			text:    "Reads the logs of the nodes and prints what became of a request, why, and what the nodes believed and decided about the heads that it was offered to.",
+			example: "almondbay explain 66b7cae5464f87a1 logs/*.log",
+			command: &explainCommand{reader: reading},
+		},
 		{
 			name: "version", summary: "print the version",
 			text:    "Prints the version of the program.",
--- a/cmd/almondbay/lines_wire.go
+++ b/cmd/almondbay/lines_wire.go
@@ -1,6 +1,10 @@
 package main
 
-import "almondbay.example/serving/operator/operatorwire"
+import (
+	"time"
+
+	"almondbay.example/serving/operator/operatorwire"
+)
 
 // devLine tells a script how to reach the dev node.
 type devLine struct {
@@ -36,3 +40,23 @@
 	Kind   string               `json:"kind"`
 	Faults []operatorwire.Fault `json:"faults"`
 }
+
+type explainLine struct {
+	Findings []findingLine `json:"findings"`
+	// LinesLeft is the number of lines that were too many to be kept.
+	LinesLeft int `json:"linesLeft"`
+}
+
+type findingLine struct {
+	Cause  string       `json:"cause"`
+	Ended  loggedLine   `json:"ended"`
+	Around []loggedLine `json:"around"`
+}
+
+type loggedLine struct {
+	Origin  string            `json:"origin"`
+	At      time.Time         `json:"at"`
+	Event   int               `json:"event"`
+	Message string            `json:"message"`
+	Fields  map[string]string `json:"fields"`
+}
--- a/cmd/almondbay/main_test.go
+++ b/cmd/almondbay/main_test.go
@@ -205,6 +205,8 @@
 		{[]string{"completion", "fish"}, exitUsage},
 		{[]string{"completion", "bash"}, exitDone},
 		{[]string{"version"}, exitDone},
+		{[]string{"explain"}, exitUsage},
+		{[]string{"explain", "ID", "/nowhere/node.log"}, exitRefused},
 		{[]string{"--help"}, exitDone},
 		{[]string{"check", "/nowhere/document.jsonc"}, exitRefused},
 	}
@@ -268,3 +270,24 @@
 	t.Cleanup(server.Close)
 	return server.URL
 }
+
+// TestExplain finds a refused request in the log of a node.
+func TestExplain(t *testing.T) {
+	log := write(t, "edge-a-1.log", `{"ts":90.0,"msg":"heads changed","event":951,"service":"llm","model":"large","heads":2}
+{"ts":100.0,"msg":"request ended","event":901,"request":"ID","service":"llm","model":"large","outcome":"refused","status":503,"cause":"no room","tries":""}
+`)
+	for _, tt := range []struct {
+		args []string
+		want string
+	}{
+		{[]string{"explain", "ID", log}, "refused before it ran: no room; 2 heads"},
+		{[]string{"explain", "--json", "ID", log}, `"origin": "edge-a-1"`},
+	} {
+		if got := command(t, tt.args...); got.code != exitDone || !strings.Contains(got.out, tt.want) {
+			t.Errorf("%v got %+v, want %q", tt.args, got, tt.want)
+		}
+	}
+	if got := command(t, "explain", "another", log); got.code == exitDone {
+		t.Errorf("a request without a line got %+v", got)
+	}
+}
--- /dev/null
+++ b/internal/node/explain/explain_test.go
@@ -0,0 +1,89 @@
+package explain_test
+
+import (
+	"strings"
+	"testing"
+
+	"almondbay.example/internal/node/explain"
+)
+
+const requestLine = `{"level":"info","ts":100.0,"msg":"request ended","event":901,"request":"ID","service":"llm","model":"large","outcome":"OUTCOME","cause":"CAUSE","tries":"TRIES"}`
+
+func ended(outcome, cause, tries string) string {
+	return strings.NewReplacer("OUTCOME", outcome, "CAUSE", cause, "TRIES", tries).Replace(requestLine)
+}
+
+const (
+	planned  = `{"ts":50.0,"msg":"replica group planned","event":952,"group":"g-7","members":"head,b"}`
+	released = `{"ts":101.0,"msg":"replica group released","event":953,"group":"g-7","reason":"member lost"}`
+	other    = `{"ts":99.0,"msg":"replica group released","event":953,"group":"g-8","reason":"member leaving"}`
+	heads    = `{"ts":90.0,"msg":"heads changed","event":951,"service":"llm","model":"large","heads":2}`
+	old      = `{"ts":80.0,"msg":"heads changed","event":951,"service":"llm","model":"large","heads":5}`
+	later    = `{"ts":100.5,"msg":"heads changed","event":951,"service":"llm","model":"large","heads":0}`
+	asked    = `{"ts":104.0,"msg":"head without a registration asked","event":955,"server":"head","reached":false}`
+	small    = `{"ts":95.0,"msg":"heads changed","event":951,"service":"llm","model":"small","heads":9}`
+)
+
+// TestCauses finds the cause of requests that ended in different ways.
+func TestCauses(t *testing.T) {
+	tests := []struct {
+		name  string
+		lines []string
+		// cause is what the sentence must contain, around the number of lines.
+		cause  string
+		around int
+	}{
+		{
+			"late stream, member lost",
+			[]string{ended("broken", "no room", "head inFlight=3 took=2s cause=backend server stands still"), planned, released, other},
+			"group g-7 ended: member lost", 1,
+		},
+		{
+			"late stream, cause not logged",
+			[]string{ended("broken", "no room", "head inFlight=3 took=2s cause=backend server stands still"), other},
+			"no group of the heads was released", 0,
+		},
+		{
+			"late stream, head lost",
+			[]string{ended("broken", "no room", "head inFlight=3 took=2s cause=backend server stands still"), planned, asked},
+			"head head stood still; it lost its registration", 1,
+		},
+		{"refusal at a crest", []string{ended("refused", "no room", ""), old, heads, later, small}, `no room; 2 heads of model "large"`, 1},
+		{
+			"booking with unknown outcome",
+			[]string{ended("failed", "EOF", "head inFlight=1 took=4ms cause=may have run: EOF")},
+			"may have run: EOF", 0,
+		},
+		{"denied", []string{ended("denied", "no such route", "")}, "no such route", 0},
+		{"answered", []string{ended("answered", "", "head inFlight=9 took=2s"), heads}, "answered by the first head", 1},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			logs := explain.New("ID")
+			if err := logs.Read("node.log", strings.NewReader(strings.Join(tt.lines, "\n"))); err != nil {
+				t.Fatal(err)
+			}
+			findings := logs.Findings()
+			if len(findings) != 1 {
+				t.Fatalf("%d findings", len(findings))
+			}
+			if f := findings[0]; !strings.Contains(f.Cause, tt.cause) || len(f.Around) != tt.around {
+				t.Errorf("cause %q, around %+v", f.Cause, f.Around)
+			}
+		})
+	}
+}
+
+// TestLinesOfOtherPrograms reads a log with a prefix before each line and with
+// lines of something else.
+func TestLinesOfOtherPrograms(t *testing.T) {
+	logs := explain.New("ID")
+	text := "panic: something\n  1.5 edge-a-1 " + ended("refused", "no room", "") + "\nfoo {bar\n" + strings.ReplaceAll(requestLine, "ID", "other")
+	if err := logs.Read("all", strings.NewReader(text)); err != nil {
+		t.Fatal(err)
+	}
+	findings := logs.Findings()
+	if len(findings) != 1 || findings[0].Ended.Origin != "edge-a-1" {
+		t.Errorf("%+v", findings)
+	}
+}
--- /dev/null
+++ b/internal/node/explain/line_wire.go
@@ -0,0 +1,69 @@
+package explain
+
+import (
+	"bufio"
+	"encoding/json"
+	"fmt"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// headWire is what every line of a node's log has.
+type headWire struct {
+	TS    float64 `json:"ts"`
+	Event int     `json:"event"`
+	Msg   string  `json:"msg"`
+}
+
+// maxLineBytes bounds one line; a request with all its tries takes a few
+// thousand.
+const maxLineBytes = 1 << 20
+
+// Read reads the log of the name. Lines that are no JSON are left out; whatever
+// stands before a line's JSON counts as its origin.
+func (l *Logs) Read(name string, r io.Reader) error {
+	scanner := bufio.NewScanner(r)
+	scanner.Buffer(nil, maxLineBytes)
+	for scanner.Scan() {
+		prefix, _, found := strings.Cut(scanner.Text(), "{")
+		if !found {
+			continue
+		}
+		line, ok := decodeLine(scanner.Bytes()[len(prefix):])
+		if !ok {
+			continue
+		}
+		line.Origin = name
+		if words := strings.Fields(prefix); len(words) > 0 {
+			line.Origin = words[len(words)-1]
+		}
+		l.add(line)
+	}
+	if err := scanner.Err(); err != nil {
+		return Error.New("log %s: %w", name, err)
+	}
+	return nil
+}
+
+func decodeLine(body []byte) (Line, bool) {
+	var head headWire
+	if err := json.Unmarshal(body, &head); err != nil {
+		return Line{}, false
+	}
+	fields := map[string]any{}
+	if err := json.Unmarshal(body, &fields); err != nil {
+		return Line{}, false
+	}
+	line := Line{At: time.UnixMicro(int64(head.TS * 1e6)), Event: head.Event, Message: head.Msg}
+	for name, value := range fields {
+		switch name {
+		case "ts", "event", "msg", "level":
+		default:
+			line.Fields = append(line.Fields, Field{Name: name, Value: fmt.Sprint(value)})
+		}
+	}
+	slices.SortFunc(line.Fields, func(a, b Field) int { return strings.Compare(a.Name, b.Name) })
+	return line, true
+}
