Begin a fabric domain with the model that is short of most

Cause: since a fabric domain waits for its servers before its second group, its first one was of whatever model fitted the few servers that had come, so that every fabric domain began with the small model and groups were taken apart before traffic. Change: it waits until there are enough for the model that lacks the most. Test seen failing first.

Not taken: standbys kept back when a model lacks less than a group.

--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -136,7 +136,8 @@
 		if p.anyGroup(domain) {
 			return routes.Model{}, false
 		}
-		return p.neediest(func(m routes.Model) bool { return n >= m.Size })
+		m, ok := p.neediest(func(routes.Model) bool { return true })
+		return m, ok && n >= m.Size
 	}
 	return p.preferred(domain, func(m routes.Model) bool {
 		return n >= m.Size+p.standbys(domain, m) && !p.completes(servers, m)
--- a/internal/fleet/formation/loads_test.go
+++ b/internal/fleet/formation/loads_test.go
@@ -35,6 +35,21 @@
 	}
 }
 
+// TestFirstGroupIsOfTheNeediestModel answers the start of a deployment, whose
+// servers come one after the other: a fabric domain with too few of them for the
+// model that is short of most waits for more, and takes no other.
+func TestFirstGroupIsOfTheNeediestModel(t *testing.T) {
+	fresh := func(r *registry.Record) { r.SeenAt = noon }
+	var servers []registry.Record
+	for i, want := range []int{0, 0, 0, 1} {
+		servers = append(servers, server(fmt.Sprintf("s%d", i), fresh))
+		d := formation.Decide(view(formation.Plan{}, servers...))
+		if len(d.Formed) != want || want > 0 && d.Formed[0].Model != "large" {
+			t.Errorf("%d servers: formed %+v", i+1, d.Formed)
+		}
+	}
+}
+
 // TestLoadsGoWhereTheyAreWorthMost answers srv_crash with few loads: the model
 // with the smallest part of its servers in whole groups comes first, then the
 // group that lacks the fewest loads.
