--- a/internal/fleet/control/order.go
+++ b/internal/fleet/control/order.go
@@ -66,7 +66,8 @@
 	d.accepted[s.ID] = acceptance{born: s.Born, count: count, known: known}
 }
 
-// give gives the orders. It does not wait for their answers: a server that doesn't answer must not hold up the others.
+// give gives the orders. It does not wait for their answers: a server that
+// doesn't answer must not hold up the others.
 func (d *domain) give(ctx context.Context, orders []formation.Order) {
 	for _, o := range orders {
 		now := d.config.Clock.Now()
