Wait until a paused process really stands still in the process tests

The nodes' logs show no change of a group between the pause and the end, 60 s later, so the member was never missed: SIGSTOP takes effect once a thread of the process is scheduled, and until then its other threads answer that all groups are ready, so that the test woke it again at once.

Change: the test waits until every thread of the paused process has stopped, then goes on as before; nothing that it asks is less. That the old form fails for this reason was not shown by a run of its own.

--- a/cmd/processtest/cluster_test.go
+++ b/cmd/processtest/cluster_test.go
@@ -67,6 +67,39 @@
 	}
 }
 
+// pause stops a process and waits until none of its threads runs any more: under
+// load the signal takes effect only once a thread is scheduled, and the others
+// answer until then.
+func (p *process) pause(t *testing.T) {
+	t.Helper()
+	p.signal(t, syscall.SIGSTOP)
+	var states string
+	poll(t, "the process stands still", func() bool {
+		var err error
+		states, err = threadStates(p.Process.Pid)
+		return err == nil && states != "" && strings.Trim(states, "T") == ""
+	}, func() string { return states })
+}
+
+// threadStates returns the state of each thread of a process, a letter each.
+func threadStates(pid int) (string, error) {
+	files, err := filepath.Glob(fmt.Sprintf("/proc/%d/task/*/stat", pid))
+	if err != nil {
+		return "", err
+	}
+	var states strings.Builder
+	for _, file := range files {
+		text, err := os.ReadFile(file)
+		if err != nil {
+			return "", err
+		}
+		// The name before the state is in brackets and may hold spaces.
+		_, rest, _ := strings.Cut(string(text), ") ")
+		states.WriteString(rest[:min(1, len(rest))])
+	}
+	return states.String(), nil
+}
+
 // cluster is a platform, members and nodes.
 type cluster struct {
 	platform *process
--- a/cmd/processtest/process_test.go
+++ b/cmd/processtest/process_test.go
@@ -83,7 +83,7 @@
 	t.Parallel()
 	c := newCluster(t, 2, time.Millisecond)
 	victim := c.serving(t)
-	c.members[victim].signal(t, syscall.SIGSTOP)
+	c.members[victim].pause(t)
 	c.awaitReady(t, "1")
 	c.members[victim].signal(t, syscall.SIGCONT)
 	poll(t, "the woken member is released", func() bool {
@@ -208,7 +208,7 @@
 	t.Parallel()
 	c := newCluster(t, 3, time.Millisecond)
 	for _, n := range c.nodes[:2] {
-		n.signal(t, syscall.SIGSTOP)
+		n.pause(t)
 	}
 	c.members[c.serving(t)].signal(t, syscall.SIGKILL)
 	all := c.callers
