--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -143,7 +143,6 @@
 				Interval:     leaseInterval,
 				Jitter:       c.Jitter,
 			}),
-			versions: map[uint64]uint64{},
 			given:    map[orderKey]time.Time{},
 			loading:  map[string]load{},
 			missing:  map[string]missingHead{},
--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"math"
 	"net/http"
@@ -34,10 +33,11 @@
 	// said of it.
 	held atomic.Pointer[HeldLease]
 	told atomic.Pointer[HeldLease]
-	// versions maps the sequence of the lease row to its version in the store;
-	// it holds the newest only.
-	versions map[uint64]uint64
-	sequence uint64
+	// sequence is that of the newest lease row known, and leaseVersion the row's
+	// version in the store. The lease counts its own writes, the store all
+	// transactions.
+	sequence     uint64
+	leaseVersion uint64
 
 	// term is the term that plan was read under; zero when plan is not known.
 	term        uint64
@@ -106,7 +106,7 @@
 		return
 	}
 	row.FabricDomain = d.name
-	d.held.Store(&HeldLease{Row: row, Version: d.versions[d.sequence]})
+	d.held.Store(&HeldLease{Row: row, Version: d.leaseVersion})
 }
 
 func (d *domain) lapse() {
@@ -150,15 +150,22 @@
 	return nil
 }
 
-// noteVersion keeps the version of the newest lease row. The lease counts its
-// own writes, the store all transactions.
+// noteVersion keeps the version of the newest lease row.
 func (d *domain) noteVersion(sequence, version uint64) {
 	if sequence < d.sequence {
 		return
 	}
 	d.sequence = sequence
-	clear(d.versions)
-	d.versions[sequence] = version
+	d.leaseVersion = version
+}
+
+// versionAt returns the version of the lease row with a sequence. One that is no
+// longer the newest has none, so that a write on it fails.
+func (d *domain) versionAt(sequence uint64) uint64 {
+	if sequence != d.sequence {
+		return 0
+	}
+	return d.leaseVersion
 }
 
 func (d *domain) writeLease(ctx context.Context, c lease.Command) error {
@@ -168,11 +175,11 @@
 	}
 	version, err := d.config.Table.CommitAt(ctx, platform.Transaction{
 		Operation:  c.Operation,
-		Conditions: []platform.Condition{{Key: d.leaseKey(), Version: d.versions[c.Version]}},
+		Conditions: []platform.Condition{{Key: d.leaseKey(), Version: d.versionAt(c.Version)}},
 		Writes:     []platform.Write{{Key: d.leaseKey(), Value: value}},
 	})
 	now := d.config.Clock.Now()
-	outcome := outcomeOf(err)
+	outcome := platform.WriteOutcome(err)
 	if outcome == lease.OutcomeApplied {
 		d.noteVersion(c.Row.Sequence, version)
 	}
@@ -183,21 +190,6 @@
 	return Error.Wrap(err)
 }
 
-func outcomeOf(err error) lease.Outcome {
-	var conflict *platform.ConflictError
-	var refused *platform.RefusedError
-	switch {
-	case err == nil:
-		return lease.OutcomeApplied
-	case errors.As(err, &conflict):
-		return lease.OutcomeConflict
-	case errors.As(err, &refused):
-		return lease.OutcomeRefused
-	default:
-		return lease.OutcomeUnknown
-	}
-}
-
 // readPlan reads the plan under a new term, or after a write of it whose
 // outcome is not known.
 func (d *domain) readPlan(ctx context.Context) error {
@@ -413,7 +405,7 @@
 	version, err := d.config.Table.CommitAt(ctx, platform.Transaction{
 		Operation: fmt.Sprintf("plan/%s/%s/%d", d.name, d.config.Holder, d.planCount),
 		Conditions: []platform.Condition{
-			{Key: d.leaseKey(), Version: d.versions[d.sequence]},
+			{Key: d.leaseKey(), Version: d.leaseVersion},
 			{Key: d.planKey(), Version: d.planVersion},
 		},
 		Writes: []platform.Write{{Key: d.planKey(), Value: value}},
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -63,17 +63,22 @@
 	return true
 }
 
-// assigned returns the number of servers in planned groups of a model.
-func (p *planner) assigned(model string) int {
+// members returns the number of servers in the planned groups that match.
+func (p *planner) members(match func(Group) bool) int {
 	n := 0
 	for _, g := range p.decision.Plan.Groups {
-		if g.Model == model {
+		if match(g) {
 			n += len(g.Members)
 		}
 	}
 	return n
 }
 
+// assigned returns the number of servers in planned groups of a model.
+func (p *planner) assigned(model string) int {
+	return p.members(func(g Group) bool { return g.Model == model })
+}
+
 // usable returns the number of servers that are or may be put into groups.
 func (p *planner) usable() int {
 	n := 0
@@ -166,12 +171,7 @@
 	var best routes.Model
 	most := 0
 	for _, m := range p.Models {
-		n := 0
-		for _, g := range p.decision.Plan.Groups {
-			if g.FabricDomain == domain && g.Model == m.Name {
-				n += len(g.Members)
-			}
-		}
+		n := p.members(func(g Group) bool { return g.FabricDomain == domain && g.Model == m.Name })
 		for _, s := range p.idle[domain] {
 			if !needsLoad(s, m.Name) || p.Loading[s.ID] == m.Name {
 				n++
@@ -208,12 +208,7 @@
 }
 
 func (p *planner) anyGroup(domain string) bool {
-	for _, g := range p.decision.Plan.Groups {
-		if g.FabricDomain == domain {
-			return true
-		}
-	}
-	return false
+	return p.members(func(g Group) bool { return g.FabricDomain == domain }) > 0
 }
 
 // form plans a group and returns the servers that are left.
@@ -308,12 +303,7 @@
 }
 
 func (p *planner) anyDissolving() bool {
-	for _, g := range p.decision.Plan.Groups {
-		if g.Dissolving {
-			return true
-		}
-	}
-	return false
+	return p.members(func(g Group) bool { return g.Dissolving }) > 0
 }
 
 func (p *planner) dissolve(groups []int) {
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -217,14 +217,12 @@
 }
 
 func (p *planner) countIdle(s *Summary, server registry.Server) {
-	cold := true
 	for _, m := range p.Models {
 		if !needsLoad(server, m.Name) {
 			s.Hot[m.Name]++
-			cold = false
 		}
 	}
-	if cold {
+	if p.cold(server) {
 		s.Cold++
 	}
 }
--- a/internal/fleet/formation/standby.go
+++ b/internal/fleet/formation/standby.go
@@ -131,12 +131,7 @@
 
 // serves reports whether a fabric domain has a group of a model.
 func (p *planner) serves(domain, model string) bool {
-	for _, g := range p.decision.Plan.Groups {
-		if g.FabricDomain == domain && g.Model == model {
-			return true
-		}
-	}
-	return false
+	return p.members(func(g Group) bool { return g.FabricDomain == domain && g.Model == model }) > 0
 }
 
 // stagingServer returns the server that costs least to be made hot for a model:
--- a/internal/fleet/registry/server.go
+++ b/internal/fleet/registry/server.go
@@ -3,7 +3,10 @@
 // whole. It does no I/O; a follower of the platform's tables feeds it.
 package registry
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // GroupState is the state that a member reports of its replica group.
 type GroupState string
@@ -56,12 +59,7 @@
 
 // HasStaged reports whether the host holds the weights of model.
 func (s Server) HasStaged(model string) bool {
-	for _, m := range s.Staged {
-		if m == model {
-			return true
-		}
-	}
-	return false
+	return slices.Contains(s.Staged, model)
 }
 
 // Record is a registration together with how it is known.
--- a/internal/node/entry/journal.go
+++ b/internal/node/entry/journal.go
@@ -105,21 +105,21 @@
 	}
 }
 
-// stepFailed logs the first, second, fourth and so on of the failures in a row.
+// stepFailed logs a failure if it is due; failures is the number in a row.
 func (j *journal) stepFailed(err error, failures int) {
-	if failures&(failures-1) != 0 {
+	if !event.Due(failures) {
 		return
 	}
 	event.StepFailed.Log(j.logger, zap.String("error", err.Error()), zap.Int("failures", failures))
 }
 
-// datagramFailed logs the first, second, fourth and so on of the datagrams lost.
+// datagramFailed logs a datagram that was lost if that is due.
 func (j *journal) datagramFailed(err error) {
 	j.mu.Lock()
 	j.datagrams++
 	failures := j.datagrams
 	j.mu.Unlock()
-	if failures&(failures-1) == 0 {
+	if event.Due(failures) {
 		event.DatagramFailed.Log(j.logger, zap.String("error", err.Error()), zap.Int("failures", failures))
 	}
 }
--- a/internal/routing/balance/board.go
+++ b/internal/routing/balance/board.go
@@ -1,6 +1,8 @@
 package balance
 
 import (
+	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -55,10 +57,7 @@
 			b.pools[k] = newPool(k, b.policy)
 		}
 	}
-	pools := make([]*Pool, 0, len(b.pools))
-	for _, p := range b.pools {
-		pools = append(pools, p)
-	}
+	pools := slices.Collect(maps.Values(b.pools))
 	b.mu.Unlock()
 	for _, p := range pools {
 		p.setHeads(byKey[p.key])
@@ -77,10 +76,7 @@
 func (b *Board) Report(from string, r Report, now time.Time) {
 	b.mu.Lock()
 	b.reports[from] = report{loads: r.Loads, at: now}
-	pools := make([]*Pool, 0, len(b.pools))
-	for _, p := range b.pools {
-		pools = append(pools, p)
-	}
+	pools := slices.Collect(maps.Values(b.pools))
 	b.mu.Unlock()
 	for _, p := range pools {
 		for _, id := range r.Moved {
@@ -105,10 +101,7 @@
 			sums[id] += n
 		}
 	}
-	pools := make([]*Pool, 0, len(b.pools))
-	for _, p := range b.pools {
-		pools = append(pools, p)
-	}
+	pools := slices.Collect(maps.Values(b.pools))
 	b.mu.Unlock()
 	for _, p := range pools {
 		p.setOthers(sums)
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -9,6 +9,7 @@
 import (
 	"math"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -156,7 +157,7 @@
 	bestScore := math.Inf(1)
 	var soonest time.Time
 	for _, h := range p.heads {
-		if excluded(r.Exclude, h.ID) {
+		if slices.Contains(r.Exclude, h.ID) {
 			continue
 		}
 		if until := h.blockedUntil(); now.Before(until) {
@@ -433,12 +434,3 @@
 		}
 	}
 }
-
-func excluded(list []string, id string) bool {
-	for _, x := range list {
-		if x == id {
-			return true
-		}
-	}
-	return false
-}
--- a/pkg/serving/control/renew.go
+++ b/pkg/serving/control/renew.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"time"
 
 	"go.uber.org/zap"
@@ -158,7 +157,7 @@
 		t.Writes = append(t.Writes, platform.Write{Key: termPrefix + d.name, Value: encodeTerm(c.Row)})
 	}
 	err := d.config.Table.Commit(ctx, t)
-	o := outcome(err)
+	o := platform.WriteOutcome(err)
 
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -169,23 +168,6 @@
 	return Error.Wrap(err)
 }
 
-// outcome tells what is known of a write. An error that does not say so leaves
-// the outcome unknown.
-func outcome(err error) lease.Outcome {
-	var conflict *platform.ConflictError
-	var refused *platform.RefusedError
-	switch {
-	case err == nil:
-		return lease.OutcomeApplied
-	case errors.As(err, &conflict):
-		return lease.OutcomeConflict
-	case errors.As(err, &refused):
-		return lease.OutcomeRefused
-	default:
-		return lease.OutcomeUnknown
-	}
-}
-
 // handOn gives the lease up and waits until the row says so, or until the
 // lease has lapsed. Calls that fail are repeated until ctx is done.
 func (d *domain) handOn(ctx context.Context) error {
--- a/pkg/serving/event/event.go
+++ b/pkg/serving/event/event.go
@@ -39,6 +39,12 @@
 	entry.Write(append([]zap.Field{zap.Int("event", d.Number)}, fields...)...)
 }
 
+// Due reports whether a failure gets a line: the first, second, fourth and so on
+// in a row do, so that an outage does not fill the log.
+func Due(failures int) bool {
+	return failures&(failures-1) == 0
+}
+
 // All returns the catalogue in the order of the numbers.
 func All() []Definition {
 	var all []Definition
--- a/pkg/serving/node/run.go
+++ b/pkg/serving/node/run.go
@@ -93,9 +93,7 @@
 	}, func(error) { cancel() })
 }
 
-// loop runs step at once and then at each interval, until ctx is done. Of the
-// failures in a row the first, second, fourth and so on are logged, so that an
-// outage does not fill the log.
+// loop runs step at once and then at each interval, until ctx is done.
 func (n *Node) loop(ctx context.Context, interval time.Duration, step func(context.Context) error) {
 	ticker := n.config.Clock.NewTicker(interval)
 	defer ticker.Stop()
@@ -118,8 +116,7 @@
 }
 
 func (n *Node) logFailure(err error, failures int) {
-	isPowerOfTwo := failures&(failures-1) == 0
-	if !isPowerOfTwo {
+	if !event.Due(failures) {
 		return
 	}
 	event.StepFailed.Log(n.config.Logger, zap.String("error", err.Error()), zap.Int("failures", failures))
--- a/pkg/serving/platform/platformhttp/client.go
+++ b/pkg/serving/platform/platformhttp/client.go
@@ -8,8 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"net/url"
 	"time"
@@ -138,27 +136,11 @@
 		return nil, platform.Error.Wrap(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.http.Do(request)
+	status, answer, err := platform.Send(c.http, request, maxAnswerBytes)
 	if err != nil {
-		return nil, transportError(err)
-	}
-	defer func() { _ = response.Body.Close() }()
-
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
-	if err != nil {
-		return nil, &platform.UnknownError{Reason: err.Error()}
-	}
-	return answer, statusError(response.StatusCode, answer)
-}
-
-// transportError tells a request that was never sent from one whose answer
-// was lost.
-func transportError(err error) error {
-	var opError *net.OpError
-	if errors.As(err, &opError) && opError.Op == "dial" {
-		return &platform.RefusedError{Reason: err.Error()}
+		return nil, err
 	}
-	return &platform.UnknownError{Reason: err.Error()}
+	return answer, statusError(status, answer)
 }
 
 // statusError maps the status of an answer to an error of package platform.
