Decode of a configuration only what a decision uses

Cause: the engine's cost model, a route's priority and a service's connections were decoded into fields that nothing reads. They return with the code that needs them. No behaviour changes; no test was touched.

--- a/internal/routing/routes/configuration.go
+++ b/internal/routing/routes/configuration.go
@@ -37,8 +37,6 @@
 	Objective time.Duration
 	// GapObjective is the longest pause between two events that is in time.
 	GapObjective time.Duration
-	// Priority is zero for the most urgent.
-	Priority int
 	// MaxAttempts is the number of backend servers that one request may be sent
 	// to; at least one.
 	MaxAttempts int
@@ -62,39 +60,23 @@
 	Size int
 	// Share is the model's part of the work at the start.
 	Share float64
-	// Pace multiplies all times of the engine.
-	Pace float64
-	// Load is how long the weights take from the weight store, Warmup from the
-	// host.
-	Load   time.Duration
-	Warmup time.Duration
+	// Load is how long the weights take from the weight store.
+	Load time.Duration
 }
 
-// Engine is the cost model that a service states of its engines.
+// Engine is what a service states of its engines.
 type Engine struct {
 	Slots int
-	// Step, PerSequence and ContextPerThousand make up the time of a token.
-	Step               time.Duration
-	PerSequence        time.Duration
-	ContextPerThousand time.Duration
-	// PrefillPerSecond is the number of prompt tokens read in a second.
-	PrefillPerSecond float64
-	// Stride is the number of token steps in a pass.
-	Stride int
 	// LoadsPerSecond bounds the loads from the weight store of all engines.
 	LoadsPerSecond float64
 	// LoadsAtOnce is the number of loads beyond which each one takes longer.
 	LoadsAtOnce int
 	Models      []Model
-	// UsualPrompt and UsualAnswer are mean token counts.
-	UsualPrompt float64
-	UsualAnswer float64
 }
 
 // Service is one service of the configuration.
 type Service struct {
-	Name           string
-	MaxConnections int
+	Name string
 	// Engine is nil for plain services.
 	Engine *Engine
 }
