Drop two methods that only tests call

Cause: Book.Steady is called by nothing and Log.Failing by a test only since nodes judge the store by their last call. No behaviour changes.

--- a/internal/fleet/registry/book.go
+++ b/internal/fleet/registry/book.go
@@ -182,14 +182,8 @@
 	return b.readAt
 }
 
-// Steady reports whether missing rows may be believed.
-func (b *Book) Steady(now time.Time) bool {
-	b.mu.Lock()
-	defer b.mu.Unlock()
-
-	return b.steady(now)
-}
-
+// steady reports whether missing rows may be believed; it is called with mu
+// held.
 func (b *Book) steady(now time.Time) bool {
 	return !b.readAt.IsZero() && now.Sub(b.troubledAt) > b.config.ReturnGrace
 }
--- a/internal/peer/relay/log.go
+++ b/internal/peer/relay/log.go
@@ -122,14 +122,6 @@
 	l.changed = make(chan struct{})
 }
 
-// Failing reports whether the last reading of the table has failed.
-func (l *Log) Failing() bool {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-
-	return l.failing
-}
-
 // forget drops the oldest deletions when there are too many.
 func (l *Log) forget() {
 	var deleted []row
