--- a/internal/node/deployment/settings.go
+++ b/internal/node/deployment/settings.go
@@ -24,8 +24,6 @@
 	MetricsPort int
 	// Platform is the address of the store.
 	Platform string
-	// RowBytes bounds the value of one row.
-	RowBytes int
 	// FirstStart is set only when the whole system starts for the first time.
 	FirstStart  bool
 	MemoryBytes int64
@@ -39,17 +37,8 @@
 
 // Bounds are the promises that the system is held to.
 type Bounds struct {
-	// Contact is how long a VM must have been reachable before time bounds hold.
-	Contact time.Duration
-	// Drain is how long a leaving backend server may still be sent requests.
-	Drain time.Duration
 	// Grace is the time from SIGTERM to SIGKILL.
 	Grace time.Duration
-	// ConfigurationApply is how long a version may take to be in force.
-	ConfigurationApply time.Duration
-	// Stall is how long a replica group with a lost member stands still before
-	// it is broken.
-	Stall time.Duration
 	// RetryRatio, RetrySlack and RetryWindow bound the retries of all nodes.
 	RetryRatio  float64
 	RetrySlack  float64
--- /dev/null
+++ b/internal/node/entry/rig_test.go
@@ -0,0 +1,213 @@
+package entry_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"golang.org/x/sync/errgroup"
+
+	"almondbay.example/internal/fleet/control"
+	"almondbay.example/internal/fleet/formation"
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/node/deployment"
+	"almondbay.example/internal/node/entry"
+	"almondbay.example/internal/routing/exchange"
+	"almondbay.example/internal/routing/routes"
+	"almondbay.example/serving/platform"
+)
+
+const (
+	serversTable       = "servers"
+	configurationTable = "configuration"
+)
+
+// grace is the time from SIGTERM to SIGKILL.
+const grace = 8 * time.Second
+
+// dialect has an ID and a signature only.
+type dialect struct{}
+
+func (dialect) Call(h http.Header) exchange.Call { return exchange.Call{ID: h.Get("Id")} }
+
+func (dialect) Forward(from http.Header, _ exchange.Forward) http.Header { return from.Clone() }
+
+func (dialect) Answer(_ int, h http.Header) exchange.Answer {
+	return exchange.Answer{ID: h.Get("Id"), Signed: h.Get("Signature") != ""}
+}
+
+func (dialect) Return(to, from http.Header) { to.Set("Signature", from.Get("Signature")) }
+
+func (dialect) Refuse(http.Header, string, time.Duration) {}
+
+// store holds one server and one configuration, and never changes.
+type store struct{}
+
+func (store) Read(context.Context, string) (platform.Row, error) { return platform.Row{}, nil }
+
+func (store) Range(context.Context, string) ([]platform.Row, error) { return nil, nil }
+
+func (store) Commit(context.Context, platform.Transaction) error { return nil }
+
+func (store) CommitAt(context.Context, platform.Transaction) (uint64, error) { return 1, nil }
+
+func (store) Scan(_ context.Context, table string) (platform.Changes, error) {
+	c := platform.Changes{Version: 1}
+	if table == serversTable || table == configurationTable {
+		c.Rows = []platform.Change{{Key: "only", Version: 1}}
+	}
+	return c, nil
+}
+
+func (store) Changes(ctx context.Context, _ string, after uint64, _ time.Duration) (platform.Changes, error) {
+	<-ctx.Done()
+	return platform.Changes{Version: after}, nil
+}
+
+// noOrders are those of a failure domain without engines.
+type noOrders struct{}
+
+func (noOrders) Give(context.Context, formation.Order, uint64, uint64) (int, error) {
+	return 0, errors.New("there are no engines")
+}
+
+func (noOrders) Reach(context.Context, registry.Server) (control.State, error) {
+	return control.State{}, errors.New("there are no engines")
+}
+
+// freePort returns a port that was free a moment ago.
+func freePort(t *testing.T) int {
+	t.Helper()
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = l.Close() }()
+	return int(netip.MustParseAddrPort(l.Addr().String()).Port())
+}
+
+// node is a running node before one backend server.
+type node struct {
+	clock              *clockwork.FakeClock
+	lines              *observer.ObservedLogs
+	callers, readiness string
+	stop               context.CancelFunc
+	group              errgroup.Group
+	// ended is closed once the node has ended.
+	ended chan struct{}
+}
+
+func startNode(t *testing.T, backend string) *node {
+	t.Helper()
+	loopback := func() string {
+		return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(freePort(t))).String()
+	}
+	core, lines := observer.New(zap.InfoLevel)
+	n := &node{
+		clock: clockwork.NewFakeClock(), lines: lines, callers: loopback(), readiness: loopback(), ended: make(chan struct{}),
+	}
+	configuration := &routes.Configuration{
+		Version: 1, Services: map[string]routes.Service{"svc": {Name: "svc"}},
+		Routes: []routes.Route{
+			{Name: "once", Host: "h", Prefix: "/", Kind: routes.KindNonIdempotent, MaxAttempts: 1, Targets: targets("svc")},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routes.KindStreaming, MaxAttempts: 1, Targets: targets("svc")},
+			{Name: "nowhere", Host: "h", Prefix: "/nowhere/", Kind: routes.KindNonIdempotent, MaxAttempts: 1, Targets: targets("gone")},
+		},
+	}
+	configuration.Index()
+	server := &registry.Server{ID: "only", Service: "svc", Address: backend, FailureDomain: "a", Slots: 9, Born: 1}
+	assembled, err := entry.New(entry.Config{
+		Settings: deployment.Settings{
+			Node: "node", Address: netip.MustParseAddr("127.0.0.1"), FailureDomain: "a", FailureDomains: []string{"a"},
+			Callers: n.callers, Readiness: n.readiness, PeerPort: freePort(t), MetricsPort: freePort(t), Cores: 1,
+			Bounds: deployment.Bounds{Grace: grace, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second},
+		},
+		Clock: n.clock, Logger: zap.New(core), Store: store{}, Orders: noOrders{}, Dialect: dialect{},
+		Codec: entry.Codec{
+			ServersTable: serversTable, ConfigurationTable: configurationTable, ConfigurationKey: "only",
+			DecodeServer:        func(string, []byte) *registry.Server { return server },
+			DecodeConfiguration: func([]byte) (*routes.Configuration, error) { return configuration, nil },
+			Unwrap:              func(body []byte) (string, []byte, error) { return "", body, nil },
+		},
+		Dial:      (&net.Dialer{}).DialContext,
+		Dropped:   func() uint64 { return 0 },
+		ReadyPath: "/ready",
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.group.Go(func() error {
+		defer close(n.ended)
+		return assembled.Run(ctx)
+	})
+	t.Cleanup(func() {
+		stop()
+		n.advanceUntil(n.hasEnded)
+	})
+	return n
+}
+
+func targets(service string) []routes.Target {
+	return []routes.Target{{Service: service, Weight: 1}}
+}
+
+// advanceUntil moves the clock until a condition holds.
+func (n *node) advanceUntil(done func() bool) {
+	for !done() {
+		n.clock.Advance(50 * time.Millisecond)
+	}
+}
+
+func (n *node) hasEnded() bool {
+	select {
+	case <-n.ended:
+		return true
+	default:
+		return false
+	}
+}
+
+// ready returns whether the balancer would send callers.
+func (n *node) ready() bool {
+	response, err := http.Get("http://" + n.readiness + "/ready")
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// ask sends a request on a connection of its own and returns the answer's body.
+func (n *node) ask(t *testing.T, id string) string {
+	t.Helper()
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.callers+"/x", strings.NewReader("body"))
+	if err != nil {
+		t.Error(err)
+		return ""
+	}
+	request.Host = "h"
+	request.Header.Set("Id", id)
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		t.Errorf("request %s: %v", id, err)
+		return ""
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Errorf("answer to %s: %v", id, err)
+	}
+	return string(body)
+}
--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
@@ -402,3 +403,62 @@
 	}
 	group.Wait()
 }
+
+// TestCallerLeaves answers the pattern give_up: once its caller has left, a
+// request is broken off at the server, goes to no other, and ends as left.
+func TestCallerLeaves(t *testing.T) {
+	tests := []struct {
+		name string
+		path string
+		// begin is what the server answers before it waits.
+		begin func(http.ResponseWriter)
+	}{
+		{"before the answer", "/safe/x", func(http.ResponseWriter) {}},
+		{"within a stream", "/stream/x", func(w http.ResponseWriter) {
+			w.Header().Set("Signature", "x")
+			_, _ = io.WriteString(w, "id: 1\ndata: piece\n\n")
+			_ = http.NewResponseController(w).Flush()
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			begun, ended := make(chan struct{}), make(chan struct{})
+			first := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+				tt.begin(w)
+				close(begun)
+				<-r.Context().Done()
+				close(ended)
+			})
+			second := newServer(t, good)
+			r := newRig(t, 10, first, second)
+			ctx, leave := context.WithCancel(context.Background())
+			request, err := http.NewRequestWithContext(ctx, http.MethodPost, r.front.URL+tt.path, strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Host = "h"
+			request.Header.Set("Id", "mine")
+			request.Header.Set("Key", "key")
+			var caller sync.WaitGroup
+			caller.Go(func() {
+				response, err := http.DefaultClient.Do(request)
+				if err != nil {
+					return
+				}
+				// The stream ends when the caller leaves.
+				_, _ = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			})
+			<-begun
+			leave()
+			<-ended
+			if result := <-r.results; result.Outcome != ingress.OutcomeLeft || len(result.Tries) != 1 {
+				t.Errorf("result %+v", result)
+			}
+			if n := second.requests(); n != 0 {
+				t.Errorf("%d requests went on elsewhere", n)
+			}
+			caller.Wait()
+		})
+	}
+}
