Log the status and events of each try, and whether the response was cut off

The line of a request (event 901) named the heads of a resumed stream but not what each had answered, how much of it went to the caller, or whether the caller's connection was closed in place of the end. Each try now has status and events, the request has cutOff. No decision changes.

Ruled out: a line for each try, which doubles the volume; the fields of the line that exists are enough.

--- a/internal/node/entry/event_log.go
+++ b/internal/node/entry/event_log.go
@@ -71,14 +71,15 @@
 	event.RequestEnded.Log(l.logger,
 		zap.String("request", r.ID), zap.String("route", r.Route), zap.String("service", r.Service),
 		zap.String("model", r.Model), zap.Uint64("version", r.Version), zap.String("outcome", string(r.Outcome)),
-		zap.Int("status", r.Status), zap.String("cause", r.Cause), zap.String("tries", formatTries(r.Tries)),
+		zap.Int("status", r.Status), zap.Bool("cutOff", r.CutOff), zap.String("cause", r.Cause), zap.String("tries", formatTries(r.Tries)),
 		zap.Duration("retryAfter", r.RetryAfter), zap.Duration("firstByte", r.FirstByte),
 		zap.Duration("maxGap", r.MaxGap), zap.Duration("duration", r.Duration), zap.Int("events", r.Events),
 		zap.Duration("registryAge", registryAge))
 }
 
 // formatTries renders the tries of a request: head, requests in flight there,
-// duration and cause of failure.
+// duration, status of the head's response, events sent to the caller and cause of
+// failure.
 func formatTries(all []ingress.Try) string {
 	var b strings.Builder
 	for i, t := range all {
@@ -86,6 +87,9 @@
 			b.WriteString("; ")
 		}
 		b.WriteString(t.Head + " inFlight=" + strconv.Itoa(t.InFlight) + " took=" + t.Took.Round(time.Millisecond).String())
+		if t.Status != 0 {
+			b.WriteString(" status=" + strconv.Itoa(t.Status) + " events=" + strconv.Itoa(t.Events))
+		}
 		if t.Cause != "" {
 			b.WriteString(" cause=" + t.Cause)
 		}
--- a/internal/node/entry/request_log_test.go
+++ b/internal/node/entry/request_log_test.go
@@ -9,8 +9,12 @@
 	"testing"
 	"time"
 
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
 	"golang.org/x/sync/errgroup"
 
+	"almondbay.example/internal/node/entry"
+	"almondbay.example/internal/routing/ingress"
 	"almondbay.example/serving/event"
 )
 
@@ -101,3 +105,28 @@
 		}
 	}
 }
+
+// TestLogTellsTriesOfResumedStreamApart guards against a line from which nobody
+// can tell which head sent which part of a stream, and whether the caller's
+// response was ended or cut off.
+func TestLogTellsTriesOfResumedStreamApart(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	entry.LogRequest(zap.New(core), ingress.Result{
+		Outcome: ingress.OutcomeBroken, Status: http.StatusOK, CutOff: true, Events: 7,
+		Tries: []ingress.Try{
+			{Head: "a", Took: time.Second, End: ingress.TryFailed, Status: http.StatusOK, Events: 7, Cause: "reading response: unexpected EOF"},
+			{Head: "b", InFlight: 2, Took: time.Millisecond, End: ingress.TryFailed, Status: http.StatusInternalServerError, Cause: "backend server failed: 500"},
+			{Head: "c", End: ingress.TryNotSent, Cause: "connection refused"},
+		},
+	})
+	fields := lines.All()[0].ContextMap()
+	want := "a inFlight=0 took=1s status=200 events=7 cause=reading response: unexpected EOF; " +
+		"b inFlight=2 took=1ms status=500 events=0 cause=backend server failed: 500; " +
+		"c inFlight=0 took=0s cause=connection refused"
+	if fields["tries"] != want {
+		t.Errorf("tries %q, want %q", fields["tries"], want)
+	}
+	if fields["cutOff"] != true || fields["status"] != int64(http.StatusOK) {
+		t.Errorf("cutOff %v, status %v; want true, 200", fields["cutOff"], fields["status"])
+	}
+}
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -97,6 +97,7 @@
 	q.serve()
 	q.result.Duration = h.config.Clock.Since(q.started)
 	q.result.ID = q.call.ID
+	q.result.CutOff = q.abort
 	h.config.Observe(q.result)
 	if q.abort {
 		// Cuts the connection, so that the response does not look complete.
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -21,6 +21,11 @@
 	InFlight int
 	Took     time.Duration
 	End      TryEnd
+	// Status is the status of the head's response; zero if there was none.
+	Status int
+	// Events is the number of events of the head's response that were sent to the
+	// caller.
+	Events int
 	// Cause is the reason why the try failed; empty for TryAnswered.
 	Cause string
 }
@@ -62,6 +67,9 @@
 	// MaxGap is the longest time between two events of a stream.
 	MaxGap time.Duration
 	Events int
+	// CutOff is set if the caller's connection was closed in place of the end of
+	// the response.
+	CutOff bool
 }
 
 // request is the state of a request of a caller while it is handled.
@@ -241,6 +249,7 @@
 		sentAt: sentAt, progressAt: sentAt, limits: q.waitLimits(), reserveRetry: q.reserveRetry,
 	}
 	index := len(q.result.Tries)
+	eventsBefore := q.result.Events
 	q.result.Tries = append(q.result.Tries, Try{Head: choice.Head.ID, InFlight: choice.InFlight})
 	q.handler.watchdog.add(a)
 	end, cause := q.attempt(ctx, a, choice.Head)
@@ -251,6 +260,8 @@
 	t.Took = now.Sub(sentAt)
 	t.Cause = cause
 	t.End = end
+	t.Status = a.status
+	t.Events = q.result.Events - eventsBefore
 	if end == TryFailed {
 		q.possibleRuns++
 	}
@@ -290,6 +301,7 @@
 		return q.handleSendError(ctx, a, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	a.status = response.StatusCode
 	answer := c.Dialect.Answer(response.StatusCode, response.Header)
 	now := c.Clock.Now()
 	switch {
--- a/internal/routing/ingress/watch.go
+++ b/internal/routing/ingress/watch.go
@@ -43,6 +43,8 @@
 	// reserveRetry charges the retry budget; if it reports false, the attempt is
 	// not canceled.
 	reserveRetry func() bool
+	// status is the status of the head's response; zero until it is received.
+	status int
 
 	mu sync.Mutex
 	// progressAt is when the attempt last received data; initially when it was
