--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -128,6 +128,11 @@
 // unsigned returns a response without the server's signature.
 func unsigned(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "forged") }
 
+// unsignedError returns a server error without the server's signature.
+func unsignedError(w http.ResponseWriter, _ *http.Request) {
+	w.WriteHeader(http.StatusInternalServerError)
+}
+
 // otherResponse returns the response to another request.
 func otherResponse(w http.ResponseWriter, _ *http.Request) {
 	w.Header().Set("Id", "somebody else's")
@@ -370,6 +375,56 @@
 	}
 }
 
+// TestStreamIsCutOffIfResumptionFails guards against a stream that looks complete
+// to the caller although its first server crashed and the server that was asked
+// for the rest answered with an error.
+func TestStreamIsCutOffIfResumptionFails(t *testing.T) {
+	signed := func(status int, body string) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Signature", "x")
+			w.WriteHeader(status)
+			_, _ = io.WriteString(w, body)
+		}
+	}
+	tests := []struct {
+		name   string
+		second http.HandlerFunc
+	}{
+		{"server error", serverError},
+		{"server error without a body", signed(http.StatusInternalServerError, "")},
+		{"server error in the form of an event", signed(http.StatusInternalServerError, "id: 4\ndata: piece\n\n")},
+		{"gateway timeout", signed(http.StatusGatewayTimeout, "late")},
+		{"client error", signed(http.StatusNotFound, "no such model")},
+		{"redirect", signed(http.StatusTemporaryRedirect, "")},
+		{"unsigned error", unsignedError},
+		{"rejected, not run", rejectedNotRun},
+		{"rejected, may have run", rejectedUnstated},
+		{"connection reset", reset},
+		{"truncated error", truncated},
+		{"unsigned response", unsigned},
+		{"response to another request", otherResponse},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			cut := func() { panic(http.ErrAbortHandler) }
+			first, second := newServer(t, events(3, cut)), newServer(t, tt.second)
+			a := newFixture(t, 10, first, second).call(t, http.MethodPost, "/stream/x")
+			if !a.broken || a.status != http.StatusOK {
+				t.Errorf("answer %+v, want status 200 and an incomplete body", a)
+			}
+			if want := "id: 1\ndata: piece\n\nid: 2\ndata: piece\n\nid: 3\ndata: piece\n\n"; a.body != want {
+				t.Errorf("body %q, want the events of the first server %q", a.body, want)
+			}
+			if a.result.Outcome != ingress.OutcomeBroken || a.result.Status != http.StatusOK || a.result.Cause == "" {
+				t.Errorf("result %+v, want outcome broken, the status that the caller received and a cause", a.result)
+			}
+			if n := second.requests(); n != 1 {
+				t.Errorf("%d requests at the second server, want 1", n)
+			}
+		})
+	}
+}
+
 // TestStalledTryIsNotCanceledWithoutBudget guards against requests that fail in
 // large deployments, where each node can retry only a few requests: a stalled
 // try was canceled although the budget allowed no retry.
