Cut off a stream whose resumption is answered with an error

Cause: a resumed try that gets no stream went the way of any response that is not a stream, relayBuffered, which passes a signed error on when no further try is allowed, and any 3xx or 4xx. That function wrote status, headers and body to the caller without regard to the response that was begun; net/http ignores a second status, appends the body, and ends the chunked response since the handler returns normally. The request was recorded as answered with the error's status.

Class: the response was complete by default and incomplete only where a path set a flag (abort), and any path could write to it. Each path had to know what the others had sent.

Fix: callerResponse owns the caller's response. A second one is refused (errResponseBegun), and the connection is cut unless the response was completed, which a whole response and the end of a stream do. A resumption that is not answered with a stream is a failed try, after which the next server is asked if the route and the budget allow it, and else the stream is cut off, so that the caller can resume it. A response that could not be written says why in its cause for the node's own refusals too.

Ruled out: a check in bufferedResponse.write alone, which leaves the next path that ends a request free to repeat the fault.

--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -88,19 +88,19 @@
 // ServeHTTP implements http.Handler.
 func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	q := &request{
-		handler: h,
-		writer:  w,
-		http:    r,
-		started: h.config.Clock.Now(),
-		call:    h.config.Dialect.Call(r.Header),
+		handler:  h,
+		response: callerResponse{writer: w},
+		http:     r,
+		started:  h.config.Clock.Now(),
+		call:     h.config.Dialect.Call(r.Header),
 	}
 	q.serve()
 	q.result.Duration = h.config.Clock.Since(q.started)
 	q.result.ID = q.call.ID
-	q.result.CutOff = q.abort
+	q.result.CutOff = q.response.cutOff()
 	h.config.Observe(q.result)
-	if q.abort {
-		// Cuts the connection, so that the response does not look complete.
+	if q.result.CutOff {
+		// Closes the connection, so that the response does not look complete.
 		panic(http.ErrAbortHandler)
 	}
 }
@@ -163,7 +163,7 @@
 	if limit <= 0 {
 		limit = defaultMaxBody
 	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.writer, q.http.Body, limit))
+	body, err := io.ReadAll(http.MaxBytesReader(q.response.writer, q.http.Body, limit))
 	var tooLarge *http.MaxBytesError
 	switch {
 	case errors.As(err, &tooLarge):
@@ -172,7 +172,6 @@
 	case err != nil:
 		q.result.Outcome = OutcomeCallerLeft
 		q.result.Cause = "request body incomplete"
-		q.abort = true
 		return false
 	}
 	q.body = body
@@ -226,9 +225,10 @@
 	q.result.Status = status
 	q.result.Cause = cause
 	q.result.RetryAfter = after
-	q.handler.config.Dialect.SetRefusal(q.writer.Header(), q.call.ID, after)
-	q.writer.Header().Set("Content-Type", "text/plain; charset=utf-8")
-	q.writer.WriteHeader(status)
-	// A write error means that the caller has disconnected; nothing is left to do.
-	_, _ = io.WriteString(q.writer, cause+"\n")
+	header := q.response.header()
+	q.handler.config.Dialect.SetRefusal(header, q.call.ID, after)
+	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if err := q.response.writeWhole(status, []byte(cause+"\n")); err != nil {
+		q.recordWriteError(err)
+	}
 }
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -22,20 +22,28 @@
 
 // write sends the response to the caller.
 func (h *bufferedResponse) write(q *request) {
-	to := q.writer.Header()
-	q.handler.config.Dialect.CopyAnswer(to, h.header)
-	to.Set("Content-Length", strconv.Itoa(len(h.body)))
-	q.writer.WriteHeader(h.status)
-	q.headersSent = true
+	q.handler.config.Dialect.CopyAnswer(q.response.header(), h.header)
 	q.result.Status = h.status
 	q.result.Outcome = OutcomeAnswered
-	if _, err := q.writer.Write(h.body); err != nil {
-		q.result.Outcome = OutcomeCallerLeft
-		q.result.Cause = "writing response: " + err.Error()
-		q.abort = true
+	if err := q.response.writeWhole(h.status, h.body); err != nil {
+		q.recordWriteError(err)
 	}
 }
 
+// recordWriteError records that a response or a part of it could not be sent to
+// the caller.
+func (q *request) recordWriteError(err error) {
+	q.result.Outcome = OutcomeCallerLeft
+	if errors.Is(err, errResponseBegun) {
+		q.result.Outcome = OutcomeBroken
+	}
+	cause := "writing response: " + err.Error()
+	if q.result.Cause != "" {
+		cause = q.result.Cause + "; " + cause
+	}
+	q.result.Cause = cause
+}
+
 // relayBuffered reads the complete response before it sends any of it to the
 // caller, so that a truncated one can be retried elsewhere.
 func (q *request) relayBuffered(ctx context.Context, a *attempt, response *http.Response, answer exchange.Answer) (TryEnd, string) {
@@ -69,6 +77,16 @@
 	return TryAnswered, ""
 }
 
+// rejectResumption handles a response other than a stream to a request that
+// resumes a stream. The caller has the status and headers of the first head's
+// response, so that no other response can be returned.
+func (q *request) rejectResumption(a *attempt, status int) (TryEnd, string) {
+	if status >= http.StatusInternalServerError {
+		a.pool.RecordError(a.head)
+	}
+	return TryFailed, "backend server did not resume the stream: " + strconv.Itoa(status)
+}
+
 // impliesNotRun reports whether callers take a status to mean that the request
 // has not run.
 func impliesNotRun(status int) bool {
@@ -115,9 +133,7 @@
 		}
 		q.sendHeaders(response, now)
 		if err := q.sendEvent(a, event, reader.Ready(), now); err != nil {
-			q.result.Outcome = OutcomeCallerLeft
-			q.result.Cause = "writing stream: " + err.Error()
-			q.abort = true
+			q.recordWriteError(err)
 			return TryAnswered, q.result.Cause
 		}
 	}
@@ -134,15 +150,14 @@
 // sendHeaders sends the status and headers to the caller, once: a stream that is
 // resumed at another head keeps those of its first response.
 func (q *request) sendHeaders(response *http.Response, now time.Time) {
-	if q.headersSent {
+	if q.response.begun() {
 		return
 	}
-	to := q.writer.Header()
-	q.handler.config.Dialect.CopyAnswer(to, response.Header)
+	header := q.response.header()
+	q.handler.config.Dialect.CopyAnswer(header, response.Header)
 	// The length may change when the stream is resumed at another head.
-	to.Del("Content-Length")
-	q.writer.WriteHeader(response.StatusCode)
-	q.headersSent = true
+	header.Del("Content-Length")
+	q.response.begin(response.StatusCode)
 	q.result.Status = response.StatusCode
 	q.result.FirstByte = now.Sub(q.started)
 	q.lastEventAt = now
@@ -156,7 +171,7 @@
 	}
 	q.lastEventAt = now
 	q.result.Events++
-	if _, err := q.writer.Write(event.Raw); err != nil {
+	if err := q.response.write(event.Raw); err != nil {
 		return err
 	}
 	if event.ID != "" {
@@ -167,7 +182,7 @@
 		return nil
 	}
 	a.setCallerBlocked(true, now)
-	err := http.NewResponseController(q.writer).Flush()
+	err := q.response.flush()
 	a.setCallerBlocked(false, q.handler.config.Clock.Now())
 	return err
 }
@@ -176,6 +191,7 @@
 // headers if the stream had no events.
 func (q *request) endStream(a *attempt, response *http.Response, took time.Duration) (TryEnd, string) {
 	q.sendHeaders(response, q.handler.config.Clock.Now())
+	q.response.complete()
 	a.pool.RecordSuccess(a.head, took)
 	q.result.Outcome = OutcomeAnswered
 	return TryAnswered, ""
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -75,7 +75,7 @@
 // request is the state of a request of a caller while it is handled.
 type request struct {
 	handler   *Handler
-	writer    http.ResponseWriter
+	response  callerResponse
 	http      *http.Request
 	call      exchange.Call
 	started   time.Time
@@ -90,17 +90,12 @@
 	possibleRuns int
 	// exclude lists the heads that were tried and are not to be tried again.
 	exclude []string
-	// headersSent is set once status and headers were sent to the caller.
-	headersSent bool
 	// lastEvent is the ID of the last event that was written to the caller.
 	lastEvent string
 	// lastEventAt is when the last event was received.
 	lastEventAt time.Time
 	// retryReserved is set while a retry is charged to the budget but not used.
 	retryReserved atomic.Bool
-	// abort is set when the caller's connection must be closed, since the response
-	// is incomplete.
-	abort bool
 	// errorResponse is a response with an error status that is returned if the
 	// retries get no other response.
 	errorResponse *bufferedResponse
@@ -158,7 +153,7 @@
 // late reports whether the request can no longer meet its objective. Requests
 // that still can take precedence over it.
 func (q *request) late(now time.Time) bool {
-	if q.headersSent || now.Sub(q.started) > q.route.Objective {
+	if q.response.begun() || now.Sub(q.started) > q.route.Objective {
 		return true
 	}
 	// A caller that retries after a rejection sends a deadline shorter than the
@@ -216,17 +211,15 @@
 	callerLeft := q.http.Context().Err() != nil
 	timedOut := errors.Is(context.Cause(ctx), errDeadlineExceeded)
 	switch {
-	case q.headersSent:
+	case q.response.begun():
 		q.result.Outcome = OutcomeBroken
 		q.result.Cause = cause
 		if callerLeft {
 			q.result.Outcome = OutcomeCallerLeft
 		}
-		q.abort = true
 	case callerLeft:
 		q.result.Outcome = OutcomeCallerLeft
 		q.result.Cause = cause
-		q.abort = true
 	case q.errorResponse != nil:
 		q.errorResponse.write(q)
 	case q.possibleRuns == 0:
@@ -316,6 +309,8 @@
 		return TryFailed, "response is not signed by the backend server or was re-encoded"
 	case q.route.Kind == routes.KindStreaming && success(response.StatusCode):
 		return q.relayStream(ctx, a, response)
+	case q.response.begun():
+		return q.rejectResumption(a, response.StatusCode)
 	default:
 		return q.relayBuffered(ctx, a, response, answer)
 	}
