--- a/cmd/almondbay/entry.go
+++ b/cmd/almondbay/entry.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"log"
 	"net"
 	"os"
 	"runtime/debug"
@@ -63,6 +64,9 @@
 		event.NodeFailed.Log(logger, zap.Error(err))
 		return err
 	}
+	// net/http clients report unsolicited responses to the default logger.
+	log.SetFlags(0)
+	log.SetOutput(n.ErrorLog().Writer())
 	var g run.Group
 	g.Add(sink.Run, func(error) { sink.Stop() })
 	g.Add(func() error {
--- a/internal/node/entry/event_log.go
+++ b/internal/node/entry/event_log.go
@@ -36,6 +36,7 @@
 	// suppressed counts the requests without a line of their own by outcome.
 	suppressed      map[ingress.Outcome]int
 	failedDatagrams int
+	httpErrors      int
 }
 
 func newEventLog(logger *zap.Logger, clock clockwork.Clock, dropped func() uint64) *eventLog {
@@ -133,3 +134,21 @@
 		event.DatagramFailed.Log(l.logger, zap.String("error", err.Error()), zap.Int("failures", failures))
 	}
 }
+
+// Write logs an error that net/http reports, unless it is rate limited. It
+// implements io.Writer, so that a log.Logger can write to it.
+func (l *eventLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	l.httpErrors++
+	count := l.httpErrors
+	l.mu.Unlock()
+	if event.ShouldLog(count) {
+		text := strings.TrimSpace(string(p[:min(len(p), maxHTTPErrorBytes)]))
+		event.HTTPErrorReported.Log(l.logger, zap.String("error", text), zap.Int("count", count))
+	}
+	return len(p), nil
+}
+
+// maxHTTPErrorBytes limits the text of an error reported by net/http. A panic
+// comes with its stack.
+const maxHTTPErrorBytes = 4 << 10
--- a/internal/node/entry/export_test.go
+++ b/internal/node/entry/export_test.go
@@ -1,6 +1,8 @@
 package entry
 
 import (
+	"log"
+
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
@@ -11,3 +13,8 @@
 func LogRequest(logger *zap.Logger, r ingress.Result) {
 	newEventLog(logger, clockwork.NewFakeClock(), func() uint64 { return 0 }).request(r, 0)
 }
+
+// NewErrorLog returns a logger for errors that net/http reports.
+func NewErrorLog(logger *zap.Logger) *log.Logger {
+	return log.New(newEventLog(logger, clockwork.NewFakeClock(), func() uint64 { return 0 }), "", 0)
+}
--- a/internal/node/entry/request_log_test.go
+++ b/internal/node/entry/request_log_test.go
@@ -130,3 +130,31 @@
 		t.Errorf("cutOff %v, status %v; want true, 200", fields["cutOff"], fields["status"])
 	}
 }
+
+// TestErrorsOfHTTPServerAreLogged guards against misuse of net/http that nobody
+// sees: a second status for one response was reported to a logger that drops
+// everything.
+func TestErrorsOfHTTPServerAreLogged(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(http.StatusOK)
+		w.WriteHeader(http.StatusInternalServerError)
+	}))
+	server.Config.ErrorLog = entry.NewErrorLog(zap.New(core))
+	server.Start()
+	for range 8 {
+		response, err := http.Get(server.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_ = response.Body.Close()
+	}
+	server.Close()
+	got := lines.FilterMessage(event.HTTPErrorReported.Message).All()
+	if len(got) != 4 {
+		t.Fatalf("%d lines for 8 errors, want those with numbers 1, 2, 4 and 8", len(got))
+	}
+	if text := got[3].ContextMap()["error"].(string); !strings.Contains(text, "superfluous response.WriteHeader") {
+		t.Errorf("logged error %q, want the text that net/http reported", text)
+	}
+}
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"log"
 	"net"
 	"net/http"
 	"os"
@@ -157,7 +158,7 @@
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleCallerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
-		ErrorLog:          zap.NewStdLog(zap.NewNop()),
+		ErrorLog:          n.ErrorLog(),
 	}
 	ended := make(chan struct{})
 	g.Add(func() error {
@@ -249,10 +250,15 @@
 
 // addServer serves h until the group stops.
 func (n *Node) addServer(g *run.Group, l net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout}
+	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: n.ErrorLog()}
 	g.Add(func() error { return Error.Wrap(server.Serve(l)) }, func(error) { _ = server.Close() })
 }
 
+// ErrorLog returns a logger for errors that net/http reports.
+func (n *Node) ErrorLog() *log.Logger {
+	return log.New(n.eventLog, "", 0)
+}
+
 // addTask runs f with a context that is canceled when the group stops.
 func (n *Node) addTask(g *run.Group, f func(context.Context)) {
 	ctx, cancel := context.WithCancel(context.Background())
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -223,6 +223,12 @@
 		Meaning: "A message to or from another node could not be sent or read; a later message carries the same state.",
 		Action:  noAction,
 	}
+	HTTPErrorReported = Definition{
+		Number: 908, Level: zapcore.WarnLevel, Message: "HTTP error reported",
+		Fields:  []string{"error", "count"},
+		Meaning: "The HTTP library reported an error of a connection or of its use, such as bytes of a backend server that belong to no response, or a second status for one response. Of such errors, those with numbers 1, 2, 4, 8 and so on are logged; count is the number so far.",
+		Action:  "For a second status or a panic, report a fault of almondbay with the line; otherwise none.",
+	}
 )
 
 // Events of backend servers and replica groups, logged by nodes on entry VMs.
@@ -280,6 +286,7 @@
 	{"Scheduling", []Definition{OwnerUnreachable}},
 	{"Entry VMs", []Definition{
 		RequestEnded, RequestsCounted, ConfigurationInForce, ConfigurationUnreadable, SettingsReloaded, ReadinessChanged, DatagramFailed,
+		HTTPErrorReported,
 	}},
 	{"Backend servers", []Definition{HeadsChanged, GroupPlanned, GroupReleased, OrderSent, HeadProbed, FleetCounted}},
 }
