--- a/internal/node/entry/event_log.go
+++ b/internal/node/entry/event_log.go
@@ -36,6 +36,7 @@
 	// suppressed counts the requests without a line of their own by outcome.
 	suppressed      map[ingress.Outcome]int
 	failedDatagrams int
+	httpErrors      int
 }
 
 func newEventLog(logger *zap.Logger, clock clockwork.Clock, dropped func() uint64) *eventLog {
@@ -71,14 +72,15 @@
 	event.RequestEnded.Log(l.logger,
 		zap.String("request", r.ID), zap.String("route", r.Route), zap.String("service", r.Service),
 		zap.String("model", r.Model), zap.Uint64("version", r.Version), zap.String("outcome", string(r.Outcome)),
-		zap.Int("status", r.Status), zap.String("cause", r.Cause), zap.String("tries", formatTries(r.Tries)),
+		zap.Int("status", r.Status), zap.Bool("cutOff", r.CutOff), zap.String("cause", r.Cause), zap.String("tries", formatTries(r.Tries)),
 		zap.Duration("retryAfter", r.RetryAfter), zap.Duration("firstByte", r.FirstByte),
 		zap.Duration("maxGap", r.MaxGap), zap.Duration("duration", r.Duration), zap.Int("events", r.Events),
 		zap.Duration("registryAge", registryAge))
 }
 
 // formatTries renders the tries of a request: head, requests in flight there,
-// duration and cause of failure.
+// duration, status of the head's response, events sent to the caller and cause of
+// failure.
 func formatTries(all []ingress.Try) string {
 	var b strings.Builder
 	for i, t := range all {
@@ -86,6 +88,9 @@
 			b.WriteString("; ")
 		}
 		b.WriteString(t.Head + " inFlight=" + strconv.Itoa(t.InFlight) + " took=" + t.Took.Round(time.Millisecond).String())
+		if t.Status != 0 {
+			b.WriteString(" status=" + strconv.Itoa(t.Status) + " events=" + strconv.Itoa(t.Events))
+		}
 		if t.Cause != "" {
 			b.WriteString(" cause=" + t.Cause)
 		}
@@ -129,3 +134,21 @@
 		event.DatagramFailed.Log(l.logger, zap.String("error", err.Error()), zap.Int("failures", failures))
 	}
 }
+
+// Write logs an error that net/http reports, unless it is rate limited. It
+// implements io.Writer, so that a log.Logger can write to it.
+func (l *eventLog) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	l.httpErrors++
+	count := l.httpErrors
+	l.mu.Unlock()
+	if event.ShouldLog(count) {
+		text := strings.TrimSpace(string(p[:min(len(p), maxHTTPErrorBytes)]))
+		event.HTTPErrorReported.Log(l.logger, zap.String("error", text), zap.Int("count", count))
+	}
+	return len(p), nil
+}
+
+// maxHTTPErrorBytes limits the text of an error reported by net/http. A panic
+// comes with its stack.
+const maxHTTPErrorBytes = 4 << 10
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -21,6 +21,11 @@
 	InFlight int
 	Took     time.Duration
 	End      TryEnd
+	// Status is the status of the head's response; zero if there was none.
+	Status int
+	// Events is the number of events of the head's response that were sent to the
+	// caller.
+	Events int
 	// Cause is the reason why the try failed; empty for TryAnswered.
 	Cause string
 }
@@ -62,12 +67,15 @@
 	// MaxGap is the longest time between two events of a stream.
 	MaxGap time.Duration
 	Events int
+	// CutOff is set if the caller's connection was closed in place of the end of
+	// the response.
+	CutOff bool
 }
 
 // request is the state of a request of a caller while it is handled.
 type request struct {
 	handler   *Handler
-	writer    http.ResponseWriter
+	response  callerResponse
 	http      *http.Request
 	call      exchange.Call
 	started   time.Time
@@ -82,17 +90,12 @@
 	possibleRuns int
 	// exclude lists the heads that were tried and are not to be tried again.
 	exclude []string
-	// headersSent is set once status and headers were sent to the caller.
-	headersSent bool
 	// lastEvent is the ID of the last event that was written to the caller.
 	lastEvent string
 	// lastEventAt is when the last event was received.
 	lastEventAt time.Time
 	// retryReserved is set while a retry is charged to the budget but not used.
 	retryReserved atomic.Bool
-	// abort is set when the caller's connection must be closed, since the response
-	// is incomplete.
-	abort bool
 	// errorResponse is a response with an error status that is returned if the
 	// retries get no other response.
 	errorResponse *bufferedResponse
@@ -150,7 +153,7 @@
 // late reports whether the request can no longer meet its objective. Requests
 // that still can take precedence over it.
 func (q *request) late(now time.Time) bool {
-	if q.headersSent || now.Sub(q.started) > q.route.Objective {
+	if q.response.begun() || now.Sub(q.started) > q.route.Objective {
 		return true
 	}
 	// A caller that retries after a rejection sends a deadline shorter than the
@@ -208,17 +211,15 @@
 	callerLeft := q.http.Context().Err() != nil
 	timedOut := errors.Is(context.Cause(ctx), errDeadlineExceeded)
 	switch {
-	case q.headersSent:
+	case q.response.begun():
 		q.result.Outcome = OutcomeBroken
 		q.result.Cause = cause
 		if callerLeft {
 			q.result.Outcome = OutcomeCallerLeft
 		}
-		q.abort = true
 	case callerLeft:
 		q.result.Outcome = OutcomeCallerLeft
 		q.result.Cause = cause
-		q.abort = true
 	case q.errorResponse != nil:
 		q.errorResponse.write(q)
 	case q.possibleRuns == 0:
@@ -241,6 +242,7 @@
 		sentAt: sentAt, progressAt: sentAt, limits: q.waitLimits(), reserveRetry: q.reserveRetry,
 	}
 	index := len(q.result.Tries)
+	eventsBefore := q.result.Events
 	q.result.Tries = append(q.result.Tries, Try{Head: choice.Head.ID, InFlight: choice.InFlight})
 	q.handler.watchdog.add(a)
 	end, cause := q.attempt(ctx, a, choice.Head)
@@ -251,6 +253,8 @@
 	t.Took = now.Sub(sentAt)
 	t.Cause = cause
 	t.End = end
+	t.Status = a.status
+	t.Events = q.result.Events - eventsBefore
 	if end == TryFailed {
 		q.possibleRuns++
 	}
@@ -290,6 +294,7 @@
 		return q.handleSendError(ctx, a, err)
 	}
 	defer func() { _ = response.Body.Close() }()
+	a.status = response.StatusCode
 	answer := c.Dialect.Answer(response.StatusCode, response.Header)
 	now := c.Clock.Now()
 	switch {
@@ -304,6 +309,8 @@
 		return TryFailed, "response is not signed by the backend server or was re-encoded"
 	case q.route.Kind == routes.KindStreaming && success(response.StatusCode):
 		return q.relayStream(ctx, a, response)
+	case q.response.begun():
+		return q.rejectResumption(a, response.StatusCode)
 	default:
 		return q.relayBuffered(ctx, a, response, answer)
 	}
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -183,8 +183,8 @@
 var (
 	RequestEnded = Definition{
 		Number: 901, Level: zapcore.InfoLevel, Message: "request ended",
-		Fields:  []string{"request", "route", "service", "model", "version", "outcome", "status", "cause", "tries", "retryAfter", "firstByte", "maxGap", "duration", "events", "registryAge"},
-		Meaning: "A request of a caller ended. The field tries lists each head that the request was sent to, with the number of requests that the node counted in flight there, the duration, and the reason when the head gave no answer; version is the version of the configuration in force, and registryAge the age of the node's copy of the registrations of backend servers.",
+		Fields:  []string{"request", "route", "service", "model", "version", "outcome", "status", "cutOff", "cause", "tries", "retryAfter", "firstByte", "maxGap", "duration", "events", "registryAge"},
+		Meaning: "A request of a caller ended. The field tries lists each head that the request was sent to, with the number of requests that the node counted in flight there, the duration, the status of its response, the number of its events that were sent to the caller, and the reason when the head gave no answer; status is the one that the caller received, and cutOff is set if the connection was closed in place of the end of the response; version is the version of the configuration in force, and registryAge the age of the node's copy of the registrations of backend servers.",
 		Action:  "To find the cause from the ID of a request, see OPERATIONS.md.",
 	}
 	RequestsCounted = Definition{
@@ -223,6 +223,12 @@
 		Meaning: "A message to or from another node could not be sent or read; a later message carries the same state.",
 		Action:  noAction,
 	}
+	HTTPErrorReported = Definition{
+		Number: 908, Level: zapcore.WarnLevel, Message: "HTTP error reported",
+		Fields:  []string{"error", "count"},
+		Meaning: "The HTTP library reported an error of a connection or of its use, such as bytes of a backend server that belong to no response, or a second status for one response. Of such errors, those with numbers 1, 2, 4, 8 and so on are logged; count is the number so far.",
+		Action:  "For a second status or a panic, report a fault of almondbay with the line; otherwise none.",
+	}
 )
 
 // Events of backend servers and replica groups, logged by nodes on entry VMs.
@@ -280,6 +286,7 @@
 	{"Scheduling", []Definition{OwnerUnreachable}},
 	{"Entry VMs", []Definition{
 		RequestEnded, RequestsCounted, ConfigurationInForce, ConfigurationUnreadable, SettingsReloaded, ReadinessChanged, DatagramFailed,
+		HTTPErrorReported,
 	}},
 	{"Backend servers", []Definition{HeadsChanged, GroupPlanned, GroupReleased, OrderSent, HeadProbed, FleetCounted}},
 }
