Keep a buffered answer out of a stream that was begun

Callers saw: a generation stream was begun, its group broke it off, and the next group answered with a whole JSON body. The body was written into the stream behind its events, and the response ended without an error event.

Cause: relayBuffered sends its body through the same function as a stream, which leaves out only the headers once an answer was begun. Accept took the body's frame, which has no tokens, as the end of the stream.

TestResumedStreamJoinsOtherAnswer failed before (2 and 3 groups). A body that is not a stream now fails the attempt: the stream goes on at another group, or ends with an error event and without [DONE].

--- a/pkg/serving/caller/relay.go
+++ b/pkg/serving/caller/relay.go
@@ -21,6 +21,7 @@
 	errCallerGone    = Error.New("caller stopped reading the answer")
 	errMissingTokens = Error.New("token stream is incomplete")
 	errAnswerTooBig  = Error.New("answer exceeds the size limit")
+	errNotContinued  = Error.New("resumed stream was answered with a body that is not a stream")
 )
 
 // relay forwards an answer to the sink.
@@ -31,6 +32,9 @@
 	if a.stream {
 		return x.relayStream(a, dest, id)
 	}
+	if x.started {
+		return newFailure(attempt.FailureServer, errNotContinued)
+	}
 	return x.relayBuffered(a, dest, id)
 }
 
