End an attempt at an event that repeats some of its tokens

Callers saw: a stream went on at another group and ended with [DONE], but tokens were missing. The second group had sent an event that began with tokens the caller had and went on with new ones, which engines may do where an event holds several tokens.

Cause: Request.Accept dropped each frame that begins before the last forwarded token, whether or not all of its tokens were forwarded. The end marker has no offset of its own and was accepted after it.

TestResumedStreamJoinsOtherAnswer (events 1+3 and 0+4 after two tokens) and TestFramesAreForwardedOnceInOrder, which now checks dropped frames too, failed before. Such a frame is now a gap: it fails the attempt, and the stream goes on elsewhere or ends with an error event.

--- a/pkg/core/attempt/request.go
+++ b/pkg/core/attempt/request.go
@@ -53,7 +53,7 @@
 	// that were already forwarded.
 	Drop
 	// Gap fails the attempt as FailureBroken: tokens are missing before the
-	// frame.
+	// frame, or only some of its tokens were already forwarded.
 	Gap
 )
 
@@ -142,6 +142,9 @@
 		return Gap
 	}
 	if f.Tokens > 0 && f.Offset < r.forwarded {
+		if f.Offset+f.Tokens > r.forwarded {
+			return Gap
+		}
 		return Drop
 	}
 	r.confirmed = true
--- a/pkg/core/attempt/request_test.go
+++ b/pkg/core/attempt/request_test.go
@@ -101,7 +101,8 @@
 
 // TestFramesAreForwardedOnceInOrder checks with random frames, some late and some
 // out of order, that each token is forwarded once, in order and from the current
-// attempt, and that only an end marker completes the response.
+// attempt, that no frame with other tokens is dropped, and that only an end marker
+// completes the response.
 func TestFramesAreForwardedOnceInOrder(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		b := attempt.NewBudgets(attempt.BudgetConfig{Max: 100})
@@ -126,6 +127,9 @@
 				End:     rapid.IntRange(0, 9).Draw(t, "end") == 0,
 			}
 			got := r.Accept(f)
+			if got == attempt.Drop && f.Attempt == id && !ended && f.Offset+f.Tokens > next {
+				t.Fatalf("dropped frame %+v at token %d", f, next)
+			}
 			if got != attempt.Forward {
 				continue
 			}
