End a resumed attempt at an event that states no place

Callers saw: a stream with stated places was broken off after two tokens, went on at another group whose engine states none, and held the whole answer behind the two tokens: "t0 t1 t0 t1 t2 t3", ended with [DONE].

Cause: an event without a place counts as one token at the expected offset. In a resumed attempt that is a guess: an engine that states no places may not know the offset it was asked for. Accept looked at it only for later attempts.

TestResumedStreamJoinsOtherAnswer ("whole answer without stated place") failed before. In an attempt that resumes a response such a frame is now a gap, so that the stream goes on elsewhere or ends with an error event.

--- a/pkg/core/attempt/request.go
+++ b/pkg/core/attempt/request.go
@@ -53,7 +53,8 @@
 	// that were already forwarded.
 	Drop
 	// Gap fails the attempt as FailureBroken: tokens are missing before the
-	// frame, or only some of its tokens were already forwarded.
+	// frame, only some of its tokens were already forwarded, or it is not indexed
+	// although the attempt resumes the response.
 	Gap
 )
 
@@ -81,7 +82,9 @@
 	// mayHaveRun is set before the first byte of the attempt is written, and
 	// cleared when the backend server states that it did not start the request.
 	mayHaveRun bool
-	ended      bool
+	// resumed is set when tokens were forwarded before the attempt.
+	resumed bool
+	ended   bool
 }
 
 // Request is the state machine of a request and its attempts. It is not safe for
@@ -111,7 +114,7 @@
 // Begin starts an attempt and returns its ID. It must be called only for the
 // first attempt or after Fail has returned a decision to retry.
 func (r *Request) Begin(t Target) ID {
-	r.attempts = append(r.attempts, attemptState{target: t})
+	r.attempts = append(r.attempts, attemptState{target: t, resumed: r.forwarded > 0})
 	return ID(len(r.attempts))
 }
 
@@ -138,7 +141,7 @@
 	if a == nil || r.complete {
 		return Drop
 	}
-	if f.Offset > r.forwarded {
+	if f.Offset > r.forwarded || f.Tokens > 0 && a.resumed && !f.Indexed {
 		return Gap
 	}
 	if f.Tokens > 0 && f.Offset < r.forwarded {
--- a/pkg/standin/callertest/resumption_test.go
+++ b/pkg/standin/callertest/resumption_test.go
@@ -58,9 +58,10 @@
 	begun := streamEvent(0, 1) + streamEvent(1, 2)
 	rest := streamEvent(2, 3) + streamEvent(3, 4) + done
 	tests := map[string]string{
-		"whole answer as JSON":          `{"choices":[{"message":{"content":"t0 t1 t2 t3 "}}]}`,
-		"event with old and new tokens": streamEvent(1, 4) + done,
-		"whole answer in one event":     streamEvent(0, 4) + done,
+		"whole answer as JSON":              `{"choices":[{"message":{"content":"t0 t1 t2 t3 "}}]}`,
+		"event with old and new tokens":     streamEvent(1, 4) + done,
+		"whole answer in one event":         streamEvent(0, 4) + done,
+		"whole answer without stated place": plainEvent("t0 ") + plainEvent("t1 ") + plainEvent("t2 ") + plainEvent("t3 ") + done,
 	}
 	for name, second := range tests {
 		for _, groups := range []int{2, 3} {
