Check that a cut answer of a plain service is not passed on as whole

TestCutServiceAnswerIsNotComplete covers each way in which HTTP marks the end of an answer, extra bytes behind one, and bytes that are no answer.

--- /dev/null
+++ b/pkg/standin/callertest/framing_test.go
@@ -0,0 +1,68 @@
+package callertest
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"testing"
+
+	"almondbay.example/core/fleet"
+	"almondbay.example/serving/caller"
+)
+
+// serveBooking replaces both VMs of the plain service by a server with the
+// handler.
+func serveBooking(f *fixture, handle http.HandlerFunc) {
+	s := httptest.NewServer(handle)
+	f.t.Cleanup(s.Close)
+	for _, id := range []string{"svc", "svc2"} {
+		f.setVM(fleet.VM{ID: id, Address: s.Listener.Addr().String(), Role: fleet.RoleService, Service: "booking", State: fleet.VMLive})
+	}
+}
+
+// rawAnswer takes over the connection, sends the text and closes the connection:
+// by a reset if reset is set.
+func rawAnswer(t *testing.T, w http.ResponseWriter, text string, reset bool) {
+	connection, buffer, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		t.Error(err)
+		return
+	}
+	defer func() { _ = connection.Close() }()
+	_, _ = buffer.WriteString(text)
+	_ = buffer.Flush()
+	if tcp, ok := connection.(interface{ SetLinger(int) error }); ok && reset {
+		_ = tcp.SetLinger(0)
+	}
+}
+
+// TestCutServiceAnswerIsNotComplete guards against an answer of a plain service
+// that was cut off and is passed on as a whole one, however its end is marked. One
+// without a length ends with its connection, but not with a reset.
+func TestCutServiceAnswerIsNotComplete(t *testing.T) {
+	tests := []struct {
+		name, answer string
+		reset        bool
+		body         string
+	}{
+		{"whole, with length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngood", false, "good"},
+		{"extra bytes", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngoodHTTP/1.1 500 Bad\r\n\r\n", false, "good"},
+		{"whole, without length", "HTTP/1.1 200 OK\r\n\r\ngood", false, "good"},
+		{"reset, without length", "HTTP/1.1 200 OK\r\n\r\ngo", true, ""},
+		{"shorter than its length", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\ngo", false, ""},
+		{"chunk missing", "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\ngo\r\n", false, ""},
+		{"no answer in the protocol", "good\r\n\r\n", false, ""},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, fixtureConfig{nodes: 1})
+			serveBooking(f, func(w http.ResponseWriter, _ *http.Request) { rawAnswer(t, w, tt.answer, tt.reset) })
+			got := f.send(0, "/services/booking/quote", "x", nil)
+			if tt.body != "" && (got.status != http.StatusOK || got.body != tt.body || got.err != nil) {
+				t.Errorf("got %+v, want 200 and body %q", got, tt.body)
+			}
+			if tt.body == "" && (got.status != http.StatusBadGateway || got.code != caller.CodeBrokenAnswer || got.outcome == "notRun") {
+				t.Errorf("got %+v, want 502 brokenAnswer", got)
+			}
+		})
+	}
+}
