Keep the length of an answer to a HEAD request

Callers saw: HEAD on a plain service was answered with Content-Length: 0, whatever length the service had stated, also if it had stated none.

Cause: the gateway drops the length of an answer and states that of the body it has read, which for HEAD is always empty.

TestHeadAnswerKeepsLength failed before ("0", want "42" and none). The answer to a HEAD request now keeps the length that the service stated.

--- a/pkg/serving/caller/exchange.go
+++ b/pkg/serving/caller/exchange.go
@@ -51,7 +51,10 @@
 	header http.Header
 	// stream is set for server-sent events.
 	stream bool
-	body   io.ReadCloser
+	// headOnly is set for the answer to a HEAD request: its length is that of a
+	// body that is not sent.
+	headOnly bool
+	body     io.ReadCloser
 }
 
 // failureError reports an attempt that did not complete its request.
--- a/pkg/serving/caller/relay.go
+++ b/pkg/serving/caller/relay.go
@@ -104,7 +104,9 @@
 	if x.request.Accept(attempt.Frame{Attempt: id, End: true}) != attempt.Forward {
 		return newFailure(attempt.FailureBroken, errMissingTokens)
 	}
-	a.header.Set(echo.HeaderContentLength, strconv.Itoa(len(body)))
+	if !a.headOnly {
+		a.header.Set(echo.HeaderContentLength, strconv.Itoa(len(body)))
+	}
 	if err := x.send(a, body); err != nil {
 		return newFailure(attempt.FailureCanceled, err)
 	}
--- a/pkg/serving/caller/services.go
+++ b/pkg/serving/caller/services.go
@@ -157,7 +157,7 @@
 	var unreachable *service.UnreachableError
 	switch {
 	case err == nil:
-		return answer{status: a.Status, header: forwardedHeaders(a.Header), body: a.Body}, nil
+		return b.toAnswer(a), nil
 	case errors.As(err, &refused):
 		return answer{}, newFailure(attempt.FailureNotStarted, err)
 	case errors.As(err, &unreachable):
@@ -167,6 +167,19 @@
 	}
 }
 
+func (b *serviceBackend) toAnswer(a service.Answer) answer {
+	out := answer{
+		status:   a.Status,
+		header:   forwardedHeaders(a.Header),
+		headOnly: b.method == http.MethodHead,
+		body:     a.Body,
+	}
+	if length := a.Header.Get(echo.HeaderContentLength); out.headOnly && length != "" {
+		out.header.Set(echo.HeaderContentLength, length)
+	}
+	return out
+}
+
 // final reports whether the status is the answer of the service. For a call
 // that must not be executed again every status is. Otherwise the statuses of an
 // unavailable service cause another attempt.
--- a/pkg/standin/callertest/framing_test.go
+++ b/pkg/standin/callertest/framing_test.go
@@ -1,8 +1,10 @@
 package callertest
 
 import (
+	"io"
 	"net/http"
 	"net/http/httptest"
+	"strings"
 	"testing"
 
 	"almondbay.example/core/fleet"
@@ -66,3 +68,30 @@
 		})
 	}
 }
+
+// TestHeadAnswerKeepsLength guards against an answer to a HEAD request that states
+// a length of zero, or any length that the plain service did not state.
+func TestHeadAnswerKeepsLength(t *testing.T) {
+	for _, length := range []string{"42", ""} {
+		f := newFixture(t, fixtureConfig{nodes: 1})
+		serveBooking(f, func(w http.ResponseWriter, _ *http.Request) {
+			if length != "" {
+				w.Header().Set("Content-Length", length)
+			}
+		})
+		request, err := http.NewRequest(http.MethodHead, f.nodes[0].URL+"/services/booking/x", strings.NewReader(""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		request.Header.Set("Authorization", "Bearer "+key)
+		response, err := http.DefaultTransport.RoundTrip(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.Copy(io.Discard, response.Body)
+		_ = response.Body.Close()
+		if got := response.Header.Get("Content-Length"); response.StatusCode != http.StatusOK || got != length {
+			t.Errorf("status %d, length %q; want 200, %q", response.StatusCode, got, length)
+		}
+	}
+}
