Keep the encoding of a booked answer

Callers saw: a booked call of a plain service that answers with Content-Encoding (client libraries ask for gzip by themselves) got the encoded bytes without that header, the first time and in each repetition, so that the body could not be read.

Cause: of an answer's headers the recorder kept the content type only.

TestBookedAnswerKeepsEncoding failed before, for the first answer and the repeated one. The encoding is now recorded with the result, in a new optional field "encoding" of the row. A node without this change ignores the field and replays such a result as before.

--- a/pkg/core/attempt/booking.go
+++ b/pkg/core/attempt/booking.go
@@ -28,7 +28,9 @@
 type Result struct {
 	Status      int
 	ContentType string
-	Body        []byte
+	// ContentEncoding is empty if the body is not encoded.
+	ContentEncoding string
+	Body            []byte
 	// Omitted is set when the request ran but its body was too large to store.
 	Omitted bool
 }
--- a/pkg/core/attempt/booking_test.go
+++ b/pkg/core/attempt/booking_test.go
@@ -181,7 +181,7 @@
 }
 
 func FuzzDecodeBooking(f *testing.F) {
-	for _, b := range []attempt.Booking{{}, {Phase: attempt.BookingRecorded, Result: attempt.Result{Status: 200, ContentType: "text/plain", Body: []byte("x")}}} {
+	for _, b := range []attempt.Booking{{}, {Phase: attempt.BookingRecorded, Result: attempt.Result{Status: 200, ContentType: "text/plain", ContentEncoding: "gzip", Body: []byte("x")}}} {
 		value, err := attempt.EncodeBooking(b)
 		if err != nil {
 			f.Fatal(err)
--- a/pkg/core/attempt/codec.go
+++ b/pkg/core/attempt/codec.go
@@ -12,6 +12,7 @@
 	Digest      string `json:"digest"`
 	Status      int    `json:"status,omitempty"`
 	ContentType string `json:"contentType,omitempty"`
+	Encoding    string `json:"encoding,omitempty"`
 	Body        []byte `json:"body,omitempty"`
 	Omitted     bool   `json:"omitted,omitempty"`
 }
@@ -29,6 +30,7 @@
 		Digest:      hex.EncodeToString(b.Digest[:]),
 		Status:      b.Result.Status,
 		ContentType: b.Result.ContentType,
+		Encoding:    b.Result.ContentEncoding,
 		Body:        b.Result.Body,
 		Omitted:     b.Result.Omitted,
 	})
@@ -49,10 +51,11 @@
 	b := Booking{
 		Digest: digest,
 		Result: Result{
-			Status:      w.Status,
-			ContentType: w.ContentType,
-			Body:        w.Body,
-			Omitted:     w.Omitted,
+			Status:          w.Status,
+			ContentType:     w.ContentType,
+			ContentEncoding: w.Encoding,
+			Body:            w.Body,
+			Omitted:         w.Omitted,
 		},
 	}
 	for phase, name := range bookingPhaseNames {
--- a/pkg/serving/caller/booking.go
+++ b/pkg/serving/caller/booking.go
@@ -139,6 +139,9 @@
 		if r.Repeated {
 			h.Set(HeaderRepeated, "true")
 		}
+		if r.Result.ContentEncoding != "" {
+			h.Set(echo.HeaderContentEncoding, r.Result.ContentEncoding)
+		}
 		h.Set(echo.HeaderContentLength, strconv.Itoa(len(r.Result.Body)))
 		return c.Blob(r.Result.Status, r.Result.ContentType, r.Result.Body)
 	case attempt.ReplyFailed:
--- a/pkg/serving/caller/sink.go
+++ b/pkg/serving/caller/sink.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/json"
 	"net/http"
+	"strings"
 	"time"
 
 	"github.com/labstack/echo/v4"
@@ -99,7 +100,11 @@
 }
 
 func (r *resultRecorder) head(a answer) error {
-	r.result = attempt.Result{Status: a.status, ContentType: a.header.Get(echo.HeaderContentType)}
+	r.result = attempt.Result{
+		Status:          a.status,
+		ContentType:     a.header.Get(echo.HeaderContentType),
+		ContentEncoding: strings.Join(a.header.Values(echo.HeaderContentEncoding), ", "),
+	}
 	return nil
 }
 
--- a/pkg/standin/callertest/framing_test.go
+++ b/pkg/standin/callertest/framing_test.go
@@ -95,3 +95,24 @@
 		}
 	}
 }
+
+// TestBookedAnswerKeepsEncoding guards against the answer to a booked call, first
+// or repeated, whose body is encoded but no longer says so.
+func TestBookedAnswerKeepsEncoding(t *testing.T) {
+	f := newFixture(t, fixtureConfig{nodes: 1})
+	serveBooking(f, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Encoding", "gzip")
+		w.Header().Set("Content-Type", "text/plain")
+		_, _ = io.WriteString(w, "zipped")
+	})
+	h := headers{caller.HeaderIdempotencyKey: "k", "Accept-Encoding": "gzip"}
+	for _, repeated := range []string{"", "true"} {
+		got := f.send(0, bookPath, "seat 7", h)
+		if got.status != http.StatusOK || got.body != "zipped" || got.header.Get("Content-Encoding") != "gzip" {
+			t.Errorf("got %+v, want 200, the body as it is and its encoding", got)
+		}
+		if got.header.Get(caller.HeaderRepeated) != repeated {
+			t.Errorf("repeated %q, want %q", got.header.Get(caller.HeaderRepeated), repeated)
+		}
+	}
+}
