Make followers of a new relay log read the whole table

Callers could be sent to a backend server that was gone: a node went on to hold its registration for good. It followed a node that had started later (or had read the whole table again), and the row was deleted between the follower's version and that node's first read.

Cause: a log is taken to have all changes after any version, unless it has itself dropped deletions.

Followers at an older version get 410 and read the whole table from the same node, not from the store.

--- a/internal/peer/relay/log.go
+++ b/internal/peer/relay/log.go
@@ -35,10 +35,10 @@
 	mu      sync.Mutex
 	rows    map[string]row
 	version uint64
-	// compacted is the version of the newest deletion that was dropped. Changes
-	// after an older version are incomplete.
-	compacted uint64
-	readAt    time.Time
+	// completeFrom is the version from which on all changes are known. Those after
+	// an older version are incomplete, since deletions were dropped or never seen.
+	completeFrom uint64
+	readAt       time.Time
 	// failing is set if the last read of the table failed.
 	failing bool
 	// changed is closed and replaced when there are rows to notify or a read fails.
@@ -71,11 +71,15 @@
 }
 
 // Replace replaces the table with a snapshot that was read from the store at the
-// given time. Rows that the snapshot lacks are marked as deleted.
+// given time. Rows that the snapshot lacks are marked as deleted. A snapshot newer
+// than the log does not show rows that were written and deleted in between.
 func (l *Log) Replace(c platform.Changes, now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
+	if c.Version > l.version {
+		l.completeFrom = c.Version
+	}
 	listed := make(map[string]bool, len(c.Rows))
 	for _, change := range c.Rows {
 		listed[change.Key] = true
@@ -146,7 +150,7 @@
 	slices.SortFunc(deleted, func(a, b row) int { return cmp.Compare(a.Version, b.Version) })
 	for _, r := range deleted[:len(deleted)/2] {
 		delete(l.rows, r.Key)
-		l.compacted = max(l.compacted, r.Version)
+		l.completeFrom = max(l.completeFrom, r.Version)
 	}
 }
 
@@ -169,7 +173,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 
-	changes := LogChanges{Available: !l.readAt.IsZero() && !l.failing, Age: now.Sub(l.readAt), HistoryLost: after < l.compacted, changed: l.changed}
+	changes := LogChanges{Available: !l.readAt.IsZero() && !l.failing, Age: now.Sub(l.readAt), HistoryLost: after < l.completeFrom, changed: l.changed}
 	changes.Version = max(l.version, after)
 	for _, r := range l.rows {
 		if r.notifyVersion > after {
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -231,3 +231,55 @@
 		t.Errorf("unreachable server: reached %v, error %v", reached, err)
 	}
 }
+
+// TestNewLogHidesEarlierDeletions guards against followers that keep a deleted row
+// for good: a node that starts, or reads the whole table again, knows nothing of a
+// row that was deleted before, and told followers at an older version that they
+// had all changes.
+func TestNewLogHidesEarlierDeletions(t *testing.T) {
+	snapshot := platform.Changes{Rows: []platform.Change{change("a", 1, "x")}, Version: 9}
+	tests := []struct {
+		name  string
+		setUp func(l *relay.Log)
+		// after is the version of a follower, lost whether the log lacks changes
+		// after it.
+		after uint64
+		lost  bool
+	}{
+		{"started later than the follower", func(*relay.Log) {}, 7, true},
+		{"follower at the version of the snapshot", func(*relay.Log) {}, 9, false},
+		{"follower ahead", func(*relay.Log) {}, 12, false},
+		{"follower saw what the log missed", func(l *relay.Log) {
+			l.Replace(platform.Changes{Rows: []platform.Change{change("a", 1, "x")}, Version: 4}, noon)
+		}, 7, true},
+		{"log already knew more", func(l *relay.Log) {
+			l.Replace(platform.Changes{Rows: []platform.Change{change("a", 1, "x")}, Version: 6}, noon)
+			l.Apply(platform.Changes{Version: 9}, noon)
+		}, 7, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			l := relay.NewLog(nil)
+			tt.setUp(l)
+			l.Replace(snapshot, noon)
+			if got := l.Since(tt.after, noon); got.HistoryLost != tt.lost {
+				t.Errorf("changes after version %d: history lost %v, want %v", tt.after, got.HistoryLost, tt.lost)
+			}
+		})
+	}
+}
+
+// TestFollowerScansNewSource guards against the same failure across two nodes: a
+// follower must read the whole table of a source that started after it.
+func TestFollowerScansNewSource(t *testing.T) {
+	source := relay.NewLog(nil)
+	source.Replace(platform.Changes{Rows: []platform.Change{change("a", 1, "x")}, Version: 9}, noon)
+	feed, store := newFeed(t, clockwork.NewFakeClockAt(noon), source)
+	var lost *platform.HistoryLostError
+	if _, err := feed.Changes(context.Background(), table, 7, 0); !errors.As(err, &lost) {
+		t.Errorf("changes after version 7: error %v, want HistoryLostError", err)
+	}
+	if c, err := feed.Scan(context.Background(), table); err != nil || len(c.Rows) != 1 || c.Version != 9 || store.calls != 0 {
+		t.Errorf("scan: %+v, error %v, %d calls to the store; want row a at version 9 from the source", c, err, store.calls)
+	}
+}
