Serve the fleet to other nodes only once it is there

What callers would see: refusals, and attempts that are cancelled, at a node that fetches the fleet from one that has just started and got it from a peer itself (the platform does not answer it). For a moment that one said that the fleet has no rows; the other dropped all of its own until its next fetch.

Cause: applyDelta set the time of the read, from which on Since serves the source, before it filled the source. A full delta without rows deletes all rows.

The window was found by reading; it was not seen in a deployment.

--- a/pkg/serving/node/directory.go
+++ b/pkg/serving/node/directory.go
@@ -113,10 +113,11 @@
 // the platform was read for them.
 func (d *directory) applyDelta(delta feed.Delta, readAt time.Time) error {
 	changed := d.mirror.Apply(delta)
-	d.setLastRead(readAt)
 	if changed {
 		d.source.Replace("", d.mirror.Rows(""))
 	}
+	// Since serves the source as soon as this is set.
+	d.setLastRead(readAt)
 	return d.publishIf(changed)
 }
 
--- a/pkg/serving/node/directory_test.go
+++ b/pkg/serving/node/directory_test.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"errors"
+	"fmt"
+	"maps"
+	"sync"
 	"testing"
 	"time"
 
 	"github.com/google/go-cmp/cmp"
 	"github.com/jonboulle/clockwork"
 
+	"almondbay.example/core/feed"
 	"almondbay.example/core/fleet"
 	"almondbay.example/core/group"
 	"almondbay.example/serving/control"
@@ -139,3 +143,39 @@
 		t.Fatal(err)
 	}
 }
+
+// TestDirectoryServesNoRowsBeforeItHasThem guards against a node that starts and
+// answers another, which fetches the fleet from it meanwhile, that the fleet has no
+// rows: the other node then drops all of its own.
+func TestDirectoryServesNoRowsBeforeItHasThem(t *testing.T) {
+	const rows, starts = 2000, 20
+	clock := clockwork.NewFakeClock()
+	source := feed.NewSource("reader")
+	all := make(map[string]feed.Row, rows)
+	for i := range rows {
+		id := fmt.Sprint("vm", i)
+		listed, err := listRows([]fleet.VM{{ID: id}})
+		if err != nil {
+			t.Fatal(err)
+		}
+		maps.Copy(all, listed)
+	}
+	source.Replace(listPrefix, all)
+	for range starts {
+		d := newTestDirectory("x", platform.NewMemory(), unavailableList{}, clock)
+		var applied sync.WaitGroup
+		applied.Go(func() {
+			if err := d.applyDelta(source.Since(feed.Position{}), clock.Now()); err != nil {
+				t.Error(err)
+			}
+		})
+		delta := feed.Delta{}
+		for delta.Position.Source == "" {
+			delta, _ = d.Since(feed.Position{})
+		}
+		applied.Wait()
+		if len(delta.Rows) != rows {
+			t.Fatalf("first delta has %d rows, want %d", len(delta.Rows), rows)
+		}
+	}
+}
