--- /dev/null
+++ b/internal/routing/ingress/resumption_test.go
@@ -0,0 +1,228 @@
+package ingress_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"almondbay.example/internal/routing/ingress"
+)
+
+// cut closes the connection of a backend server.
+func cut() { panic(http.ErrAbortHandler) }
+
+// numbered returns the events with the IDs from first to last.
+func numbered(first, last int) string {
+	text := ""
+	for i := first; i <= last; i++ {
+		text += fmt.Sprintf("id: %d\ndata: piece\n\n", i)
+	}
+	return text
+}
+
+// plain returns events without IDs.
+func plain(count int) string {
+	return strings.Repeat("data: piece\n\n", count)
+}
+
+// signedText returns a handler that sends a signed text and, if end is set, flushes
+// it and calls end.
+func signedText(text string, end func()) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signature", "x")
+		_, _ = io.WriteString(w, text)
+		if end != nil {
+			_ = http.NewResponseController(w).Flush()
+			end()
+		}
+	}
+}
+
+// signedStatus returns a handler that sends a signed response with a status.
+func signedStatus(status int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signature", "second")
+		w.WriteHeader(status)
+		_, _ = io.WriteString(w, "its own failure")
+	}
+}
+
+// checkCutOff checks that a caller got the start of a stream as a response that is
+// not complete.
+func checkCutOff(t *testing.T, a answer, want string) {
+	t.Helper()
+	if a.status != http.StatusOK || a.body != want || !a.broken || a.result.Outcome != ingress.OutcomeBroken {
+		t.Errorf("status %d, broken %v, outcome %q, body %q; want 200, broken, outcome broken, body %q",
+			a.status, a.broken, a.result.Outcome, a.body, want)
+	}
+}
+
+// TestFailureEndsResumedStreamAsComplete guards against a stream that was begun and
+// ends, as a complete response, with the failure of the server that was to resume
+// it.
+func TestFailureEndsResumedStreamAsComplete(t *testing.T) {
+	tests := []struct {
+		name   string
+		second http.HandlerFunc
+	}{
+		{"server error", signedStatus(http.StatusInternalServerError)},
+		{"timeout", signedStatus(http.StatusGatewayTimeout)},
+		{"bad request", signedStatus(http.StatusBadRequest)},
+		{"gone", signedStatus(http.StatusGone)},
+		{"redirect", signedStatus(http.StatusTemporaryRedirect)},
+		{"not modified", signedStatus(http.StatusNotModified)},
+		{"server error, unsigned", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }},
+		{"bad request, unsigned", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadRequest) }},
+		{"rejected, not run", rejectedNotRun},
+		{"rejected, may have run", rejectedUnstated},
+		{"unsigned events", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, numbered(4, 6)) }},
+		{"response to another request", otherResponse},
+		{"connection reset", reset},
+		{"half an event", signedText("id: 4\nda", nil)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first, second := newServer(t, events(3, cut)), newServer(t, tt.second)
+			a := newFixture(t, 10, first, second).call(t, http.MethodPost, "/stream/x")
+			checkCutOff(t, a, numbered(1, 3))
+		})
+	}
+}
+
+// TestEventsWithoutIDAreJoined guards against events of two runs in one stream: a
+// stream cannot be resumed after an event without an ID, nor continued with one.
+func TestEventsWithoutIDAreJoined(t *testing.T) {
+	tests := []struct {
+		name          string
+		first, second http.HandlerFunc
+		want          string
+	}{
+		{"no IDs", signedText(plain(3), cut), signedText(plain(6), nil), plain(3)},
+		{"no ID in the last event received", signedText(numbered(1, 2)+plain(1), cut), events(6, nil), numbered(1, 2) + plain(1)},
+		{"empty ID in the last event received", signedText(numbered(1, 2)+"id:\ndata: piece\n\n", cut), events(6, nil), numbered(1, 2) + "id:\ndata: piece\n\n"},
+		{"no IDs after the resumption", events(3, cut), signedText(plain(6), nil), numbered(1, 3)},
+		{"body that is not a stream", events(3, cut), signedText("{\"pieces\": 6}\n\n", nil), numbered(1, 3)},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first, second := newServer(t, tt.first), newServer(t, tt.second)
+			a := newFixture(t, 10, first, second).call(t, http.MethodPost, "/stream/x")
+			checkCutOff(t, a, tt.want)
+		})
+	}
+}
+
+// TestResumedStreamIsWhole checks the resumptions that give a whole stream: no
+// event is missing or comes twice, and status and headers are those of the first
+// response of which an event was passed on.
+func TestResumedStreamIsWhole(t *testing.T) {
+	signed := func(signature string, handle http.HandlerFunc) http.HandlerFunc {
+		return func(w http.ResponseWriter, r *http.Request) {
+			w.Header().Set("Signature", signature)
+			w.Header().Set("Content-Type", "text/event-stream")
+			handle(w, r)
+		}
+	}
+	text := func(text string, end func()) http.HandlerFunc {
+		return func(w http.ResponseWriter, _ *http.Request) {
+			_, _ = io.WriteString(w, text)
+			_ = http.NewResponseController(w).Flush()
+			if end != nil {
+				end()
+			}
+		}
+	}
+	tests := []struct {
+		name            string
+		first, second   http.HandlerFunc
+		want, signature string
+	}{
+		{"at the next event", text(numbered(1, 3), cut), text(numbered(4, 6), nil), numbered(1, 6), "first"},
+		{"replayed from the start", text(numbered(1, 3), cut), text(numbered(1, 6), nil), numbered(1, 6), "first"},
+		{"within an event", text(numbered(1, 3)+"id: 4\nda", cut), text(numbered(4, 6), nil), numbered(1, 6), "first"},
+		{"after the last event", text(numbered(1, 6), cut), text("", nil), numbered(1, 6), "first"},
+		{"before the first event", text("", cut), text(numbered(1, 6), nil), numbered(1, 6), "second"},
+		{"within the first event", text("id: 1\nda", cut), text(numbered(1, 6), nil), numbered(1, 6), "second"},
+		{"after a comment", text(numbered(1, 3)+": alive\n\n", cut), text(numbered(4, 6), nil), numbered(1, 3) + ": alive\n\n" + numbered(4, 6), "first"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 10, newServer(t, signed("first", tt.first)), newServer(t, signed("second", tt.second)))
+			request, err := http.NewRequest(http.MethodPost, f.front.URL+"/stream/x", strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			request.Host = "h"
+			request.Header.Set("Id", "mine")
+			request.Header.Set("Key", "key")
+			response, err := http.DefaultClient.Do(request)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = response.Body.Close() }()
+			body, err := io.ReadAll(response.Body)
+			if err != nil || string(body) != tt.want || response.StatusCode != http.StatusOK {
+				t.Errorf("status %d, error %v, body %q; want 200, body %q", response.StatusCode, err, body, tt.want)
+			}
+			if got := response.Header.Values("Signature"); len(got) != 1 || got[0] != tt.signature {
+				t.Errorf("signature %q, want %q", got, tt.signature)
+			}
+			<-f.results
+		})
+	}
+}
+
+// raw returns a handler that takes over the connection, sends a response as it
+// stands and closes the connection: by a reset if reset is set.
+func raw(t *testing.T, headers, body string, reset bool) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		connection, buffer, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = connection.Close() }()
+		_, _ = buffer.WriteString("HTTP/1.1 200 OK\r\nId: mine\r\nSignature: x\r\n" + headers + "\r\n" + body)
+		_ = buffer.Flush()
+		if tcp, ok := connection.(*net.TCPConn); ok && reset {
+			_ = tcp.SetLinger(0)
+		}
+	}
+}
+
+// TestStreamCutBetweenEventsIsResumed guards against a stream that was cut off
+// exactly between two events and is taken for a complete one. A response without a
+// length ends with its connection, unless that is reset.
+func TestStreamCutBetweenEventsIsResumed(t *testing.T) {
+	part := numbered(1, 3)
+	chunk := func(text string) string { return fmt.Sprintf("%x\r\n%s\r\n", len(text), text) }
+	tests := []struct {
+		name, headers, body string
+		reset, resumed      bool
+	}{
+		{"chunks without an end", "Transfer-Encoding: chunked\r\n", chunk(part), false, true},
+		{"chunks with an end", "Transfer-Encoding: chunked\r\n", chunk(part) + "0\r\n\r\n", false, false},
+		{"shorter than its length", "Content-Length: 1000\r\n", part, false, true},
+		{"longer than its length, cut within an event", fmt.Sprintf("Content-Length: %d\r\n", len(part)-5), part, false, true},
+		{"longer than its length, cut between events", fmt.Sprintf("Content-Length: %d\r\n", len(part)), numbered(1, 6), false, false},
+		{"no length, connection reset", "", part, true, true},
+		{"no length, connection closed", "", part, false, false},
+		{"no length, connection closed within an event", "", part + "id: 4\nda", false, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first, second := newServer(t, raw(t, tt.headers, tt.body, tt.reset)), newServer(t, events(6, nil))
+			a := newFixture(t, 10, first, second).call(t, http.MethodPost, "/stream/x")
+			want := part
+			if tt.resumed {
+				want = numbered(1, 6)
+			}
+			if a.status != http.StatusOK || a.broken || a.body != want || second.requests() == 1 != tt.resumed {
+				t.Errorf("answer %+v, %d requests at the second server; want body %q, resumed %v", a, second.requests(), want, tt.resumed)
+			}
+		})
+	}
+}
