Test a cut stream of a caller that speaks HTTP/1.0

A test only, which fails. Without chunks and length a response ends with its connection, and net/http closes that without a reset after ErrAbortHandler, so that a stream that was cut off looks complete.

--- a/internal/routing/ingress/resumption_test.go
+++ b/internal/routing/ingress/resumption_test.go
@@ -1,6 +1,7 @@
 package ingress_test
 
 import (
+	"bufio"
 	"fmt"
 	"io"
 	"net"
@@ -226,3 +227,26 @@
 		})
 	}
 }
+
+// TestCutStreamLooksCompleteInHTTP10 guards against a stream that was cut off and
+// looks complete to a caller that speaks HTTP/1.0: its response has neither length
+// nor chunks, and ends with its connection unless that is reset.
+func TestCutStreamLooksCompleteInHTTP10(t *testing.T) {
+	first, second := newServer(t, events(3, cut)), newServer(t, events(4, cut))
+	f := newFixture(t, 10, first, second)
+	connection, err := net.Dial("tcp", strings.TrimPrefix(f.front.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	_, _ = io.WriteString(connection, "POST /stream/x HTTP/1.0\r\nHost: h\r\nId: mine\r\nKey: key\r\nContent-Length: 4\r\n\r\nbody")
+	response, err := http.ReadResponse(bufio.NewReader(connection), nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if body, err := io.ReadAll(response.Body); err == nil {
+		t.Errorf("body %q ended without an error, want a reset connection", body)
+	}
+	<-f.results
+}
