End an attempt at repeated tokens behind an event without a place

Callers saw: an engine sent an event without a place (a greeting, a role) before events with places; the first token was missing from a stream that ended with [DONE].

TestTokensAreLostBehindEventWithoutPlace failed before ("hello t1", ended). Once a frame without an index was forwarded, a frame that seems repeated is now a gap. Such a stream cannot be resumed, so it ends with an error event.

--- a/pkg/core/attempt/request.go
+++ b/pkg/core/attempt/request.go
@@ -53,8 +53,8 @@
 	// that were already forwarded.
 	Drop
 	// Gap fails the attempt as FailureBroken: tokens are missing before the
-	// frame, only some of its tokens were already forwarded, or it is not indexed
-	// although the attempt resumes the response.
+	// frame, it is not indexed although the attempt resumes the response, or it
+	// repeats tokens in part or behind a frame that is not indexed.
 	Gap
 )
 
@@ -101,6 +101,9 @@
 	confirmed bool
 	// forwarded is the number of tokens forwarded to the caller.
 	forwarded int
+	// estimated is set once a frame that is not indexed was forwarded: its tokens
+	// were counted without knowing their offset.
+	estimated bool
 	// version is the model version that generated the forwarded tokens.
 	version  string
 	complete bool
@@ -145,7 +148,7 @@
 		return Gap
 	}
 	if f.Tokens > 0 && f.Offset < r.forwarded {
-		if f.Offset+f.Tokens > r.forwarded {
+		if f.Offset+f.Tokens > r.forwarded || r.estimated {
 			return Gap
 		}
 		return Drop
@@ -156,6 +159,7 @@
 		r.forwarded += f.Tokens
 		r.version = a.target.Version
 		r.spec.Resumable = r.spec.Resumable && f.Indexed
+		r.estimated = r.estimated || !f.Indexed
 	}
 	return Forward
 }
--- a/pkg/standin/callertest/resumption_test.go
+++ b/pkg/standin/callertest/resumption_test.go
@@ -83,3 +83,16 @@
 		}
 	}
 }
+
+// TestTokensAreLostBehindEventWithoutPlace guards against a stream that ends as
+// complete although a token was dropped as repeated: behind an event that does not
+// state its place, that of the tokens passed on is a guess.
+func TestTokensAreLostBehindEventWithoutPlace(t *testing.T) {
+	f := newFixture(t, fixtureConfig{nodes: 1, groups: 2})
+	answerInTurn(f, []string{plainEvent("hello ") + streamEvent(0, 1) + streamEvent(1, 2) + "data: [DONE]\n\n"})
+	body, _ := chat("p", true, 2)
+	got := f.send(0, chatPath, body, nil)
+	if got.text != "hello " || got.done || got.code != caller.CodeBrokenAnswer {
+		t.Errorf("got %+v, want the first event, then an error event", got)
+	}
+}
