--- a/pkg/core/attempt/request.go
+++ b/pkg/core/attempt/request.go
@@ -53,7 +53,8 @@
 	// that were already forwarded.
 	Drop
 	// Gap fails the attempt as FailureBroken: tokens are missing before the
-	// frame.
+	// frame, it is not indexed although the attempt resumes the response, or it
+	// repeats tokens in part or behind a frame that is not indexed.
 	Gap
 )
 
@@ -81,7 +82,9 @@
 	// mayHaveRun is set before the first byte of the attempt is written, and
 	// cleared when the backend server states that it did not start the request.
 	mayHaveRun bool
-	ended      bool
+	// resumed is set when tokens were forwarded before the attempt.
+	resumed bool
+	ended   bool
 }
 
 // Request is the state machine of a request and its attempts. It is not safe for
@@ -98,6 +101,9 @@
 	confirmed bool
 	// forwarded is the number of tokens forwarded to the caller.
 	forwarded int
+	// estimated is set once a frame that is not indexed was forwarded: its tokens
+	// were counted without knowing their offset.
+	estimated bool
 	// version is the model version that generated the forwarded tokens.
 	version  string
 	complete bool
@@ -111,7 +117,7 @@
 // Begin starts an attempt and returns its ID. It must be called only for the
 // first attempt or after Fail has returned a decision to retry.
 func (r *Request) Begin(t Target) ID {
-	r.attempts = append(r.attempts, attemptState{target: t})
+	r.attempts = append(r.attempts, attemptState{target: t, resumed: r.forwarded > 0})
 	return ID(len(r.attempts))
 }
 
@@ -138,10 +144,13 @@
 	if a == nil || r.complete {
 		return Drop
 	}
-	if f.Offset > r.forwarded {
+	if f.Offset > r.forwarded || f.Tokens > 0 && a.resumed && !f.Indexed {
 		return Gap
 	}
 	if f.Tokens > 0 && f.Offset < r.forwarded {
+		if f.Offset+f.Tokens > r.forwarded || r.estimated {
+			return Gap
+		}
 		return Drop
 	}
 	r.confirmed = true
@@ -150,6 +159,7 @@
 		r.forwarded += f.Tokens
 		r.version = a.target.Version
 		r.spec.Resumable = r.spec.Resumable && f.Indexed
+		r.estimated = r.estimated || !f.Indexed
 	}
 	return Forward
 }
