Bound the head of a backend server's response

http.Transport without MaxResponseHeaderBytes reads a head of up to 10 MB, all 1xx responses before it included. A backend server that sent head bytes without end had each attempt read and hold that much; entry VMs with hundreds of connections have as little as 136 MB.

On the code before, all eight cases of TestHeadWithoutEnd ended with a SentError and a closed connection, but only after 10,485,760 bytes. Now 8,192 bytes are read in all of them. A parsed head takes more: 8 KB of the shortest header lines are some 2,000 entries of about 100 bytes (computed, not measured).

TestIncompleteHeadEndsWithRequest passes before and after: the end of the request's context ends a head that has stopped. A request without a deadline on a route without a timeout has no such end; only its caller's disconnect ends it.

--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -18,6 +18,11 @@
 	"github.com/jonboulle/clockwork"
 )
 
+// MaxHeadBytes is the maximum size in bytes of the head of a response, including
+// all 1xx responses before it. Heads of backend servers hold about ten short
+// headers.
+const MaxHeadBytes = 8 << 10
+
 // Config configures a Client.
 type Config struct {
 	Clock clockwork.Clock
@@ -58,7 +63,8 @@
 			IdleConnTimeout:     c.IdleTimeout,
 			// Callers get the body exactly as the backend server sent it, so the
 			// transport must not decode it.
-			DisableCompression: true,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: MaxHeadBytes,
 		},
 	}
 }
--- /dev/null
+++ b/internal/routing/backend/client_test.go
@@ -0,0 +1,120 @@
+package backend_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+
+	"almondbay.example/internal/routing/backend"
+	"almondbay.example/internal/routing/floodtest"
+)
+
+// counter dials and counts the bytes that were read from all its connections.
+type counter struct {
+	read atomic.Int64
+}
+
+func (c *counter) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+	if err != nil {
+		return nil, err
+	}
+	return &countedConn{Conn: conn, counter: c}, nil
+}
+
+type countedConn struct {
+	net.Conn
+	counter *counter
+}
+
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.counter.read.Add(int64(n))
+	return n, err
+}
+
+func newClient(c *counter) *backend.Client {
+	return backend.NewClient(backend.Config{
+		Clock: clockwork.NewFakeClock(), ConnectTimeout: time.Hour, IdleTimeout: time.Minute, MaxIdle: 4, Dial: c.dial,
+	})
+}
+
+func newRequest(s *floodtest.Server, id string) backend.Request {
+	return backend.Request{
+		Address: s.Address(), Method: http.MethodPost, Target: "/x", Host: "h",
+		Header: http.Header{"Id": {id}}, Body: []byte("body"),
+	}
+}
+
+// TestHeadWithoutEnd guards against responses whose head never ends: 10 MB of
+// each were read and held in memory.
+func TestHeadWithoutEnd(t *testing.T) {
+	tests := []struct {
+		name, begin, repeat string
+	}{
+		{"status line", "", "x"},
+		{"status line after the protocol", "HTTP/1.1 200 ", "x"},
+		{"header line", "HTTP/1.1 200 OK\r\nA: ", "x"},
+		{"name of a header line", "HTTP/1.1 200 OK\r\nA", "x"},
+		{"folded header line", "HTTP/1.1 200 OK\r\nA: b\r\n", " x\r\n"},
+		{"header lines", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
+		{"early hints", "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+		{"invitations to continue", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := floodtest.New(t, floodtest.Config{Begin: tt.begin, Repeat: tt.repeat})
+			var c counter
+			response, err := newClient(&c).Attempt(context.Background(), newRequest(s, "1"))
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			var sent *backend.SentError
+			if want := fmt.Sprintf("headers exceeded %d bytes", backend.MaxHeadBytes); !errors.As(err, &sent) || !strings.Contains(err.Error(), want) {
+				t.Errorf("error %v, want a SentError that says %q", err, want)
+			}
+			if end := <-s.Ends(); !end.Closed {
+				t.Errorf("the client read %d bytes and did not close the connection", end.Sent)
+			}
+			if n := c.read.Load(); n > backend.MaxHeadBytes {
+				t.Errorf("%d bytes read, want at most %d", n, backend.MaxHeadBytes)
+			}
+		})
+	}
+}
+
+// TestIncompleteHeadEndsWithRequest guards against a head that stops in the
+// middle and holds the request, and its connection, beyond the deadline.
+func TestIncompleteHeadEndsWithRequest(t *testing.T) {
+	s := floodtest.New(t, floodtest.Config{Begin: "HTTP/1.1 200 OK\r\nA: "})
+	ctx, cancel := context.WithCancelCause(context.Background())
+	deadline := errors.New("deadline of the test")
+	var group sync.WaitGroup
+	defer group.Wait()
+	group.Go(func() {
+		<-s.Started()
+		cancel(deadline)
+	})
+	var c counter
+	response, err := newClient(&c).Attempt(ctx, newRequest(s, "1"))
+	if err == nil {
+		_ = response.Body.Close()
+	}
+	var sent *backend.SentError
+	if !errors.As(err, &sent) || !errors.Is(err, deadline) {
+		t.Errorf("error %v, want a SentError with the cause %v", err, deadline)
+	}
+	if end := <-s.Ends(); !end.Closed {
+		t.Error("connection not closed")
+	}
+}
