Reject responses that switch protocols

A caller whose backend server answered with status 101 got no response, and the deadline of its request did not end it: net/http hands over the connection as the body of such a response and no longer closes it when the context ends.

On the code before, both cases of TestSwitchedProtocolIsRejected got a response and no error. In a trial through the ingress the request still waited in io.ReadAll after its deadline had passed, until the test was ended after 15 s. No request asks for a switch, since Upgrade is not forwarded, so such a response is a SentError and its connection is closed.

--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -154,10 +154,20 @@
 		}
 		return nil, &NotSentError{Address: r.Address, Err: err}
 	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		// The body is the connection itself, which the end of ctx does not close.
+		_ = response.Body.Close()
+		cancel(nil)
+		return nil, &SentError{Address: r.Address, Err: errSwitched}
+	}
 	response.Body = &body{ReadCloser: response.Body, cancel: cancel}
 	return response, nil
 }
 
+// errSwitched reports a response that switches protocols, which no request asks
+// for.
+var errSwitched = errors.New("response with status 101 switches protocols")
+
 // errConnectTimeout is the cancellation cause when no connection was obtained
 // within the connect timeout.
 var errConnectTimeout = errors.New("connect timeout")
--- a/internal/routing/backend/client_test.go
+++ b/internal/routing/backend/client_test.go
@@ -118,3 +118,28 @@
 		t.Error("connection not closed")
 	}
 }
+
+// TestSwitchedProtocolIsRejected guards against requests that a backend server
+// holds without end: the body of a response with status 101 is the connection,
+// which the end of the request does not close.
+func TestSwitchedProtocolIsRejected(t *testing.T) {
+	for _, repeat := range []string{"", "x"} {
+		t.Run(fmt.Sprintf("repeat %q", repeat), func(t *testing.T) {
+			s := floodtest.New(t, floodtest.Config{
+				Begin: "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", Repeat: repeat,
+			})
+			var c counter
+			response, err := newClient(&c).Attempt(context.Background(), newRequest(s, "1"))
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			var sent *backend.SentError
+			if !errors.As(err, &sent) {
+				t.Errorf("error %v, want a SentError", err)
+			}
+			if end := <-s.Ends(); !end.Closed {
+				t.Errorf("the client read %d bytes and did not close the connection", end.Sent)
+			}
+		})
+	}
+}
