Bound the response bodies that a node buffers

A backend server that sent a response body without end had the node read and hold it until the server stopped, and a body without length was then returned to the caller as a complete response: on the code before, the five cases of TestResponseWithoutEndIsNotReturned whose bytes net/http does not bound itself were read up to the 64 MB at which the stand-in stops, and two of them (no length; status 500) were returned, with status 200 and 500. The other cases (heads, chunk lines and extensions, trailers) were bounded before.

A body must now be smaller than 4 MiB. A larger one is a failure of the head, as a truncated one is. The buffers of all responses of a node are counted beyond the first 16 KiB of each, and their total stays within 16 MiB; a response that would exceed it fails its try without a failure of the head, since other responses take up the total. So large responses cannot keep ordinary ones from being returned.

The sum, computed and not measured: 16 MiB, plus 16 KiB for each buffered response in flight (8 MiB for 500), plus the smaller buffers that were outgrown, at most the same again until they are collected.

--- /dev/null
+++ b/internal/routing/ingress/bounds_test.go
@@ -0,0 +1,99 @@
+package ingress_test
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"almondbay.example/internal/routing/floodtest"
+	"almondbay.example/internal/routing/ingress"
+)
+
+// flooding returns a backend server that floods its clients.
+func flooding(t *testing.T, c floodtest.Config) (*floodtest.Server, *server) {
+	t.Helper()
+	s := floodtest.New(t, c)
+	return s, &server{Server: &httptest.Server{URL: "http://" + s.Address()}}
+}
+
+// checkClosed checks that the client closed a connection to a flooding server.
+func checkClosed(t *testing.T, s *floodtest.Server) {
+	t.Helper()
+	if end := <-s.Ends(); !end.Closed {
+		t.Errorf("the client read %d bytes and did not close the connection", end.Sent)
+	}
+}
+
+// responseHead begins a response that is valid but for its missing end.
+const responseHead = "HTTP/1.1 200 OK\r\nId: " + floodtest.IDMark + "\r\nSignature: x\r\n"
+
+// chunked begins a response with a chunked body.
+const chunked = responseHead + "Transfer-Encoding: chunked\r\n\r\n"
+
+// TestResponseWithoutEndIsNotReturned guards against responses without end, which
+// were read and held in memory until the backend server stopped, and against
+// their return to the caller.
+func TestResponseWithoutEndIsNotReturned(t *testing.T) {
+	tests := []struct {
+		name, begin, repeat string
+		cause               string
+	}{
+		{"head line", responseHead + "A: ", "x", "headers exceeded"},
+		{"head lines", responseHead, "A: b\r\n", "headers exceeded"},
+		{"early hints", "", "HTTP/1.1 103 Early Hints\r\n\r\n", "headers exceeded"},
+		{"switched protocol", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nId: " + floodtest.IDMark + "\r\nSignature: x\r\n\r\n", "x", "switches protocols"},
+		{"chunked body", chunked, "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n", "response body too large"},
+		{"small chunks", chunked, "10\r\n0123456789abcdef\r\n", "response body too large"},
+		{"size of a chunk", chunked, "0", "line too long"},
+		{"extension of a chunk", chunked + "1;", "x", "line too long"},
+		{"extensions of chunks", chunked, "1;" + strings.Repeat("x", 1<<10) + "\r\nx\r\n", "too much non-data"},
+		{"trailer line", chunked + "4\r\ngood\r\n0\r\nA: ", "x", "long trailer"},
+		{"trailer lines", chunked + "4\r\ngood\r\n0\r\n", "A: b\r\n", "long trailer"},
+		{"body without length", responseHead + "Connection: close\r\n\r\n", "x", "response body too large"},
+		{"body of great length", responseHead + "Content-Length: 1099511627776\r\n\r\n", "x", "response body too large"},
+		{"body of an error", "HTTP/1.1 500 Internal Server Error\r\nId: " + floodtest.IDMark + "\r\nSignature: x\r\n\r\n", "x", "response body too large"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			flood, first := flooding(t, floodtest.Config{Begin: tt.begin, Repeat: tt.repeat})
+			second := newServer(t, success)
+			a := newFixture(t, 10, first, second).call(t, http.MethodPost, "/once/x")
+			if a.status != http.StatusBadGateway || a.broken || a.result.Outcome != ingress.OutcomeFailed || !strings.Contains(a.result.Cause, tt.cause) {
+				t.Errorf("not retried: answer %+v, want status 502, outcome failed, cause %q", a, tt.cause)
+			}
+			checkClosed(t, flood)
+			if n := second.requests(); n != 0 {
+				t.Errorf("%d requests at the second server, want none", n)
+			}
+
+			a = newFixture(t, 10, first, second).call(t, http.MethodPost, "/safe/x")
+			if a.status != http.StatusOK || a.broken || a.body != "good" {
+				t.Errorf("retried: answer %+v, want status 200, body good", a)
+			}
+			checkClosed(t, flood)
+			if n, m := len(flood.IDs()), second.requests(); n != 2 || m != 1 {
+				t.Errorf("%d requests at the first server, %d at the second; want 2 and 1", n, m)
+			}
+		})
+	}
+}
+
+// TestLargeResponsesAreReturned guards against a total of the buffered responses
+// that does not fall when requests end.
+func TestLargeResponsesAreReturned(t *testing.T) {
+	want := strings.Repeat("x", ingress.MaxBufferedBody-1)
+	s := newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Signature", "x")
+		_, _ = io.WriteString(w, want)
+	})
+	r := newFixture(t, 10, s)
+	for range 2 * ingress.MaxBufferedBodies / ingress.MaxBufferedBody {
+		if a := r.call(t, http.MethodPost, "/safe/x"); a.status != http.StatusOK || a.body != want {
+			t.Fatalf("status %d, body of %d bytes, cause %q; want status 200, %d bytes", a.status, len(a.body), a.result.Cause, len(want))
+		}
+		r.clock.Advance(time.Second)
+	}
+}
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -50,6 +50,7 @@
 	config   Config
 	watchdog *watchdog
 	seed     maphash.Seed
+	buffers  bodyBuffers
 }
 
 // NewHandler returns a handler. Check must be called regularly for it to detect
@@ -94,6 +95,7 @@
 		started: h.config.Clock.Now(),
 		call:    h.config.Dialect.Call(r.Header),
 	}
+	defer func() { h.buffers.release(q.buffered) }()
 	q.serve()
 	q.result.Duration = h.config.Clock.Since(q.started)
 	q.result.ID = q.call.ID
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -39,9 +39,14 @@
 // relayBuffered reads the complete response before it sends any of it to the
 // caller, so that a truncated one can be retried elsewhere.
 func (q *request) relayBuffered(ctx context.Context, a *attempt, response *http.Response, answer exchange.Answer) (TryEnd, string) {
-	body, err := io.ReadAll(response.Body)
+	body, counted, err := q.handler.buffers.read(response.Body)
+	q.buffered += counted
 	now := q.handler.config.Clock.Now()
-	if err != nil {
+	switch {
+	case errors.Is(err, errBodiesTooLarge):
+		// Other responses are too large, so this head is not at fault.
+		return TryFailed, err.Error()
+	case err != nil:
 		return q.handleReadError(ctx, a, err)
 	}
 	a.recordData(now)
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -77,6 +77,9 @@
 	service   string
 	body      []byte
 	result    Result
+	// buffered is the number of bytes to release from the handler's buffers when
+	// the request ends.
+	buffered int64
 
 	// possibleRuns is the number of tries that may have run at a backend server.
 	possibleRuns int
