Bound an event of a stream to 64 KiB

Each stream could hold an event of up to 1 MB, so 500 streams with events without end held some 500 MB on VMs that have as little as 136 MB; a caller saw nothing of it until the node ran out of memory. An event of a few tokens has a few hundred bytes.

On the code before, TestEventWithoutEndTakesLittleMemory read 526,336,000 bytes for 500 streams; now it reads below its limit of 40 MiB. The tests through the ingress (an event without end as the first, the second, and before a resumption; a trailer without end; streams that only the deadline ends) pass before and after: the streams were cut off, but later.

--- a/internal/routing/ingress/bounds_test.go
+++ b/internal/routing/ingress/bounds_test.go
@@ -5,11 +5,13 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
 	"almondbay.example/internal/routing/floodtest"
 	"almondbay.example/internal/routing/ingress"
+	"almondbay.example/internal/routing/stream"
 )
 
 // flooding returns a backend server that floods its clients.
@@ -97,3 +99,91 @@
 		r.clock.Advance(time.Second)
 	}
 }
+
+// event is a complete event with the ID 1.
+const event = "id: 1\ndata: piece\n\n"
+
+// TestEventWithoutEndIsNotReturned guards against events without end, of which
+// one megabyte was held for each stream.
+func TestEventWithoutEndIsNotReturned(t *testing.T) {
+	tests := []struct{ name, begin, repeat string }{
+		{"line", "data: ", "x"},
+		{"bytes that are no field", "", "x"},
+		{"data lines", "", "data: x\n"},
+		{"comments", "", ": x\n"},
+		{"line endings that end no line", "", "\r"},
+		{"zero bytes", "", "\x00"},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			head := responseHead + "Connection: close\r\n\r\n"
+			flood, s := flooding(t, floodtest.Config{Begin: head + tt.begin, Repeat: tt.repeat})
+			a := newFixture(t, 10, s).call(t, http.MethodPost, "/stream/x")
+			if a.status != http.StatusBadGateway || a.broken || !strings.Contains(a.result.Tries[0].Cause, stream.ErrTooLong.Error()) {
+				t.Errorf("first event: answer %+v, want status 502, cause %q", a, stream.ErrTooLong)
+			}
+			checkClosed(t, flood)
+
+			flood, s = flooding(t, floodtest.Config{Begin: head + event + tt.begin, Repeat: tt.repeat})
+			a = newFixture(t, 10, s).call(t, http.MethodPost, "/stream/x")
+			if !a.broken || a.body != event || a.result.Outcome != ingress.OutcomeBroken {
+				t.Errorf("second event: answer %+v, want the first event, cut off", a)
+			}
+			checkClosed(t, flood)
+
+			flood, s = flooding(t, floodtest.Config{Begin: head + event + tt.begin, Repeat: tt.repeat})
+			a = newFixture(t, 10, s, newServer(t, events(2, nil))).call(t, http.MethodPost, "/stream/x")
+			if want := event + "id: 2\ndata: piece\n\n"; a.broken || a.body != want || a.result.Outcome != ingress.OutcomeAnswered {
+				t.Errorf("resumed: answer %+v, want body %q", a, want)
+			}
+			checkClosed(t, flood)
+		})
+	}
+}
+
+// TestTrailerWithoutEndCutsStreamOff guards against a stream that is returned as
+// complete although its chunked body has no end.
+func TestTrailerWithoutEndCutsStreamOff(t *testing.T) {
+	for _, repeat := range []string{"x", "A: b\r\n"} {
+		t.Run(repeat, func(t *testing.T) {
+			flood, s := flooding(t, floodtest.Config{Begin: chunked + "13\r\n" + event + "\r\n0\r\n", Repeat: repeat})
+			a := newFixture(t, 10, s).call(t, http.MethodPost, "/stream/x")
+			if !a.broken || a.body != event || a.result.Outcome != ingress.OutcomeBroken {
+				t.Errorf("answer %+v, want the event, cut off", a)
+			}
+			checkClosed(t, flood)
+		})
+	}
+}
+
+// TestDeadlineEndsStreamWithoutEnd guards against streams that backend servers
+// keep alive beyond the route's timeout with events that give the caller nothing
+// new.
+func TestDeadlineEndsStreamWithoutEnd(t *testing.T) {
+	tests := []struct {
+		name, repeat string
+	}{
+		{"blank lines", "\n"},
+		{"comments", ": x\n\n"},
+		{"events without ID", "data: x\n\n"},
+		{"events already received", event},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			first := newServer(t, events(1, func() { panic(http.ErrAbortHandler) }))
+			flood, second := flooding(t, floodtest.Config{Begin: responseHead + "Connection: close\r\n\r\n", Repeat: tt.repeat})
+			r := newFixture(t, 10, first, second)
+			var group sync.WaitGroup
+			defer group.Wait()
+			group.Go(func() {
+				<-flood.Started()
+				r.clock.Advance(time.Hour)
+			})
+			a := r.call(t, http.MethodPost, "/stream/x")
+			if !a.broken || !strings.HasPrefix(a.body, event) || a.result.Outcome != ingress.OutcomeBroken || a.result.Cause != "deadline exceeded" {
+				t.Errorf("%d bytes, broken %t, outcome %q, cause %q; want a stream cut off at the deadline", len(a.body), a.broken, a.result.Outcome, a.result.Cause)
+			}
+			checkClosed(t, flood)
+		})
+	}
+}
--- a/internal/routing/stream/events.go
+++ b/internal/routing/stream/events.go
@@ -7,15 +7,17 @@
 	"bufio"
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 )
 
 // ErrTooLong reports an event that is larger than MaxEventBytes.
-var ErrTooLong = errors.New("stream: event too long")
+var ErrTooLong = fmt.Errorf("stream: event too long: more than %d bytes", MaxEventBytes)
 
 // MaxEventBytes is the maximum size of an event in bytes, and so of the data
-// that is buffered before it is sent to the caller.
-const MaxEventBytes = 1 << 20
+// that is buffered before it is sent to the caller. An event of a few tokens has
+// a few hundred bytes.
+const MaxEventBytes = 64 << 10
 
 // Event is one complete event.
 type Event struct {
--- a/internal/routing/stream/events_test.go
+++ b/internal/routing/stream/events_test.go
@@ -61,6 +61,37 @@
 	}
 }
 
+// endless is a stream of one byte value without end. It counts the bytes read.
+type endless struct {
+	value byte
+	read  int
+}
+
+// Read implements io.Reader.
+func (e *endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = e.value
+	}
+	e.read += len(p)
+	return len(p), nil
+}
+
+// TestEventWithoutEndTakesLittleMemory guards against running out of memory while
+// hundreds of streams hold an event without end: each held 1 MB.
+func TestEventWithoutEndTakesLittleMemory(t *testing.T) {
+	const (
+		streams  = 500
+		maxBytes = 40 << 20
+	)
+	source := &endless{value: 'x'}
+	if _, err := stream.NewReader(source).Next(); !errors.Is(err, stream.ErrTooLong) {
+		t.Errorf("error %v, want ErrTooLong", err)
+	}
+	if all := streams * source.read; all > maxBytes {
+		t.Errorf("%d streams read %d bytes of events without end, want at most %d", streams, all, maxBytes)
+	}
+}
+
 // FuzzReader checks that no byte of the source is lost, duplicated or reordered.
 func FuzzReader(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n")
