Bound what a stream sends between two events

A backend server that sent blank lines, comments or lines that are no field without end kept a caller's stream alive until its deadline: each blank line was an event, passed on and taken as progress. On a route without a timeout only the caller could end it.

--- a/internal/routing/ingress/bounds_test.go
+++ b/internal/routing/ingress/bounds_test.go
@@ -141,6 +141,29 @@
 	}
 }
 
+// TestPaddingWithoutEndIsCutOff guards against streams of blank lines and the
+// like, which kept a request alive until its deadline.
+func TestPaddingWithoutEndIsCutOff(t *testing.T) {
+	for _, padding := range []string{"\n", "\r\n", ": comment\n\n", "no field\n\n"} {
+		t.Run(padding, func(t *testing.T) {
+			c := floodtest.Config{Begin: responseHead + "Connection: close\r\n\r\n" + event, Repeat: padding}
+			flood, s := flooding(t, c)
+			a := newFixture(t, 10, s).call(t, http.MethodPost, "/stream/x")
+			if !a.broken || a.result.Outcome != ingress.OutcomeBroken || a.result.Tries[0].Cause != "reading response: "+stream.ErrTooMuchPadding.Error() {
+				t.Errorf("%d bytes, broken %t, result %+v; want a stream cut off since %v", len(a.body), a.broken, a.result, stream.ErrTooMuchPadding)
+			}
+			checkClosed(t, flood)
+
+			flood, s = flooding(t, c)
+			a = newFixture(t, 10, s, newServer(t, events(2, nil))).call(t, http.MethodPost, "/stream/x")
+			if want := "id: 2\ndata: piece\n\n"; a.broken || !strings.HasPrefix(a.body, event) || !strings.HasSuffix(a.body, want) {
+				t.Errorf("%d bytes, broken %t, result %+v; want a stream resumed after the event", len(a.body), a.broken, a.result)
+			}
+			checkClosed(t, flood)
+		})
+	}
+}
+
 // TestTrailerWithoutEndCutsStreamOff guards against a stream that is returned as
 // complete although its chunked body has no end.
 func TestTrailerWithoutEndCutsStreamOff(t *testing.T) {
@@ -163,8 +186,6 @@
 	tests := []struct {
 		name, repeat string
 	}{
-		{"blank lines", "\n"},
-		{"comments", ": x\n\n"},
 		{"events without ID", "data: x\n\n"},
 		{"events already received", event},
 	}
--- a/internal/routing/stream/events.go
+++ b/internal/routing/stream/events.go
@@ -19,10 +19,19 @@
 // a few hundred bytes.
 const MaxEventBytes = 64 << 10
 
-// Event is one complete event.
+// ErrTooMuchPadding reports more than MaxPaddingBytes of padding.
+var ErrTooMuchPadding = fmt.Errorf("stream: padding between two events too long: more than %d bytes", MaxPaddingBytes)
+
+// MaxPaddingBytes is the maximum number of bytes of padding after an event.
+const MaxPaddingBytes = 64 << 10
+
+// Event is one complete event, or padding: blank lines, comments and lines that
+// are no field.
 type Event struct {
 	// ID is the event's ID; empty when it has none.
 	ID string
+	// Padding is set when the event has neither data nor an ID.
+	Padding bool
 	// Raw holds the bytes of the event, including the blank line at its end.
 	Raw []byte
 }
@@ -32,6 +41,8 @@
 type Reader struct {
 	source *bufio.Reader
 	buffer []byte
+	// padding is the number of bytes of padding since the last event.
+	padding int
 }
 
 // bufferBytes is the size of the read buffer: a few typical events.
@@ -47,7 +58,7 @@
 // event, if any.
 func (r *Reader) Next() (Event, error) {
 	r.buffer = r.buffer[:0]
-	var event Event
+	event := Event{Padding: true}
 	for {
 		start := len(r.buffer)
 		if err := r.line(); err != nil {
@@ -56,14 +67,35 @@
 		line := bytes.TrimRight(r.buffer[start:], "\r\n")
 		if len(line) == 0 {
 			event.Raw = r.buffer
+			if err := r.countPadding(event); err != nil {
+				return Event{}, err
+			}
 			return event, nil
 		}
-		if id, ok := bytes.CutPrefix(line, []byte("id:")); ok {
-			event.ID = string(bytes.TrimPrefix(id, []byte(" ")))
+		name, value, _ := bytes.Cut(line, []byte(":"))
+		switch string(name) {
+		case "id":
+			event.ID = string(bytes.TrimPrefix(value, []byte(" ")))
+			event.Padding = false
+		case "data":
+			event.Padding = false
 		}
 	}
 }
 
+// countPadding counts the bytes of consecutive padding.
+func (r *Reader) countPadding(event Event) error {
+	if !event.Padding {
+		r.padding = 0
+		return nil
+	}
+	r.padding += len(event.Raw)
+	if r.padding > MaxPaddingBytes {
+		return ErrTooMuchPadding
+	}
+	return nil
+}
+
 // line appends one line, including its line ending, to the buffer.
 func (r *Reader) line() error {
 	for {
--- a/internal/routing/stream/events_test.go
+++ b/internal/routing/stream/events_test.go
@@ -92,6 +92,28 @@
 	}
 }
 
+// TestPaddingWithoutEndIsRejected guards against streams that go on without end
+// and without an event.
+func TestPaddingWithoutEndIsRejected(t *testing.T) {
+	for _, padding := range []string{"\n", "\r\n", ": comment\n\n", "event: a\n\n", "datas: x\n\n", "no field\n\n", "\x00\n\n"} {
+		t.Run(padding, func(t *testing.T) {
+			within := strings.Repeat(padding, stream.MaxPaddingBytes/len(padding))
+			reader := stream.NewReader(strings.NewReader(within + "data: a\n\n" + within + "id: 1\n\n" + within + padding + padding))
+			events := 0
+			var err error
+			for err == nil {
+				var event stream.Event
+				if event, err = reader.Next(); err == nil && !event.Padding {
+					events++
+				}
+			}
+			if !errors.Is(err, stream.ErrTooMuchPadding) || events != 2 {
+				t.Errorf("error %v after %d events, want ErrTooMuchPadding after 2", err, events)
+			}
+		})
+	}
+}
+
 // FuzzReader checks that no byte of the source is lost, duplicated or reordered.
 func FuzzReader(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n")
