--- a/internal/routing/stream/events_test.go
+++ b/internal/routing/stream/events_test.go
@@ -61,6 +61,59 @@
 	}
 }
 
+// endless is a stream of one byte value without end. It counts the bytes read.
+type endless struct {
+	value byte
+	read  int
+}
+
+// Read implements io.Reader.
+func (e *endless) Read(p []byte) (int, error) {
+	for i := range p {
+		p[i] = e.value
+	}
+	e.read += len(p)
+	return len(p), nil
+}
+
+// TestEventWithoutEndTakesLittleMemory guards against running out of memory while
+// hundreds of streams hold an event without end: each held 1 MB.
+func TestEventWithoutEndTakesLittleMemory(t *testing.T) {
+	const (
+		streams  = 500
+		maxBytes = 40 << 20
+	)
+	source := &endless{value: 'x'}
+	if _, err := stream.NewReader(source).Next(); !errors.Is(err, stream.ErrTooLong) {
+		t.Errorf("error %v, want ErrTooLong", err)
+	}
+	if all := streams * source.read; all > maxBytes {
+		t.Errorf("%d streams read %d bytes of events without end, want at most %d", streams, all, maxBytes)
+	}
+}
+
+// TestPaddingWithoutEndIsRejected guards against streams that go on without end
+// and without an event.
+func TestPaddingWithoutEndIsRejected(t *testing.T) {
+	for _, padding := range []string{"\n", "\r\n", ": comment\n\n", "event: a\n\n", "datas: x\n\n", "no field\n\n", "\x00\n\n"} {
+		t.Run(padding, func(t *testing.T) {
+			within := strings.Repeat(padding, stream.MaxPaddingBytes/len(padding))
+			reader := stream.NewReader(strings.NewReader(within + "data: a\n\n" + within + "id: 1\n\n" + within + padding + padding))
+			events := 0
+			var err error
+			for err == nil {
+				var event stream.Event
+				if event, err = reader.Next(); err == nil && !event.Padding {
+					events++
+				}
+			}
+			if !errors.Is(err, stream.ErrTooMuchPadding) || events != 2 {
+				t.Errorf("error %v after %d events, want ErrTooMuchPadding after 2", err, events)
+			}
+		})
+	}
+}
+
 // FuzzReader checks that no byte of the source is lost, duplicated or reordered.
 func FuzzReader(f *testing.F) {
 	f.Add("id: 1\ndata: a\n\nid: 2\n")
