Reset the connection of a cut stream in HTTP/1.0

A caller that speaks HTTP/1.0 saw a stream that was cut off as complete: such a response has neither chunks nor a length and ends with its connection. TestCutStreamLooksCompleteInHTTP10 failed before. The connection is now reset, which its caller can tell from an end.

--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -102,6 +102,9 @@
 	q.result.CutOff = q.response.cutOff()
 	h.config.Observe(q.result)
 	if q.result.CutOff {
+		if q.response.begun() && !r.ProtoAtLeast(1, 1) {
+			q.response.reset()
+		}
 		// Closes the connection, so that the response does not look complete.
 		panic(http.ErrAbortHandler)
 	}
--- a/internal/routing/ingress/response.go
+++ b/internal/routing/ingress/response.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"net"
 	"net/http"
 	"strconv"
 )
@@ -82,3 +83,18 @@
 	r.complete()
 	return nil
 }
+
+// reset resets the caller's connection. In HTTP/1.0, a response without a length
+// is complete when its connection is closed.
+func (r *callerResponse) reset() {
+	conn, _, err := http.NewResponseController(r.writer).Hijack()
+	if err != nil {
+		// The server closes the connection itself.
+		return
+	}
+	if c, ok := conn.(*net.TCPConn); ok {
+		// If the option can't be set, the connection has failed already.
+		_ = c.SetLinger(0)
+	}
+	_ = conn.Close()
+}
