Resume a stream only behind events that have IDs

A stream whose last event had no ID was resumed from the start at another server, and its events were joined to those that the caller had; a resumed stream was continued with events without IDs or with a body that is no stream. An ID that went back was taken as the last one, so that an event behind it came twice.

A stream is now resumed only while all events that were sent have IDs, after the highest of them, and a resumed answer continues it only with events whose IDs follow. A head that stands still keeps such a stream, since no other can go on with it.

TestFailureEndsResumedStreamAsComplete had the cases of TestStreamIsCutOffIfResumptionFails: those that the latter lacked moved there, with the same checks and one of the recorded status more. TestDeadlineEndsStreamWithoutEnd now lets the first server flood with events without IDs, as a second one is cut off at the first of them.

--- a/internal/routing/ingress/bounds_test.go
+++ b/internal/routing/ingress/bounds_test.go
@@ -185,15 +185,21 @@
 func TestDeadlineEndsStreamWithoutEnd(t *testing.T) {
 	tests := []struct {
 		name, repeat string
+		resumed      bool
 	}{
-		{"events without ID", "data: x\n\n"},
-		{"events already received", event},
+		{"events without ID", "data: x\n\n", false},
+		{"events already received", event, true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			first := newServer(t, events(1, func() { panic(http.ErrAbortHandler) }))
-			flood, second := flooding(t, floodtest.Config{Begin: responseHead + "Connection: close\r\n\r\n", Repeat: tt.repeat})
-			r := newFixture(t, 10, first, second)
+			c := floodtest.Config{Begin: responseHead + "Connection: close\r\n\r\n" + event, Repeat: tt.repeat}
+			flood, flooded := flooding(t, c)
+			servers := []*server{flooded}
+			if tt.resumed {
+				first := newServer(t, events(1, func() { panic(http.ErrAbortHandler) }))
+				servers = []*server{first, flooded}
+			}
+			r := newFixture(t, 10, servers...)
 			var group sync.WaitGroup
 			defer group.Wait()
 			group.Go(func() {
--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -379,24 +379,22 @@
 // to the caller although its first server crashed and the server that was asked
 // for the rest answered with an error.
 func TestStreamIsCutOffIfResumptionFails(t *testing.T) {
-	signed := func(status int, body string) http.HandlerFunc {
-		return func(w http.ResponseWriter, _ *http.Request) {
-			w.Header().Set("Signature", "x")
-			w.WriteHeader(status)
-			_, _ = io.WriteString(w, body)
-		}
-	}
 	tests := []struct {
 		name   string
 		second http.HandlerFunc
 	}{
 		{"server error", serverError},
-		{"server error without a body", signed(http.StatusInternalServerError, "")},
-		{"server error in the form of an event", signed(http.StatusInternalServerError, "id: 4\ndata: piece\n\n")},
-		{"gateway timeout", signed(http.StatusGatewayTimeout, "late")},
-		{"client error", signed(http.StatusNotFound, "no such model")},
-		{"redirect", signed(http.StatusTemporaryRedirect, "")},
+		{"server error without a body", withStatus(http.StatusInternalServerError, "")},
+		{"server error in the form of an event", withStatus(http.StatusInternalServerError, "id: 4\ndata: piece\n\n")},
+		{"gateway timeout", withStatus(http.StatusGatewayTimeout, "late")},
+		{"client error", withStatus(http.StatusNotFound, "no such model")},
+		{"redirect", withStatus(http.StatusTemporaryRedirect, "")},
+		{"gone", withStatus(http.StatusGone, "no such event")},
+		{"not modified", withStatus(http.StatusNotModified, "")},
 		{"unsigned error", unsignedError},
+		{"unsigned client error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadRequest) }},
+		{"unsigned events", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, numbered(4, 6)) }},
+		{"half an event", signedText("id: 4\nda", nil)},
 		{"rejected, not run", rejectedNotRun},
 		{"rejected, may have run", rejectedUnstated},
 		{"connection reset", reset},
@@ -406,13 +404,12 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			cut := func() { panic(http.ErrAbortHandler) }
 			first, second := newServer(t, events(3, cut)), newServer(t, tt.second)
 			a := newFixture(t, 10, first, second).call(t, http.MethodPost, "/stream/x")
 			if !a.broken || a.status != http.StatusOK {
 				t.Errorf("answer %+v, want status 200 and an incomplete body", a)
 			}
-			if want := "id: 1\ndata: piece\n\nid: 2\ndata: piece\n\nid: 3\ndata: piece\n\n"; a.body != want {
+			if want := numbered(1, 3); a.body != want {
 				t.Errorf("body %q, want the events of the first server %q", a.body, want)
 			}
 			if a.result.Outcome != ingress.OutcomeBroken || a.result.Status != http.StatusOK || a.result.Cause == "" {
--- a/internal/routing/ingress/pairs_test.go
+++ b/internal/routing/ingress/pairs_test.go
@@ -1,7 +1,6 @@
 package ingress_test
 
 import (
-	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -38,7 +37,6 @@
 const lastEvent = 6
 
 func behaviors() []behavior {
-	cut := func() { panic(http.ErrAbortHandler) }
 	return []behavior{
 		{"whole stream", events(lastEvent, nil), true},
 		{"stream reset before its first event", events(0, cut), true},
@@ -66,10 +64,7 @@
 // every pair of servers' behaviors, the caller receives all events once, or a
 // part of them and no normal end, or one error as a whole.
 func TestStreamIsWholeOrCutOffWhateverServersAnswer(t *testing.T) {
-	whole := ""
-	for i := range lastEvent {
-		whole += fmt.Sprintf("id: %d\ndata: piece\n\n", i+1)
-	}
+	whole := numbered(1, lastEvent)
 	for _, first := range behaviors() {
 		for _, second := range behaviors() {
 			t.Run(first.name+", then "+second.name, func(t *testing.T) {
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -119,7 +119,7 @@
 func (q *request) relayStream(ctx context.Context, a *attempt, response *http.Response) (TryEnd, string) {
 	reader := stream.NewReader(response.Body)
 	sentAt := q.handler.config.Clock.Now()
-	resumeAfter := q.lastEvent
+	resumed := q.lastEvent != ""
 	for {
 		event, err := reader.Next()
 		now := q.handler.config.Clock.Now()
@@ -133,7 +133,12 @@
 			return q.handleReadError(ctx, a, err)
 		}
 		a.recordData(now)
-		if resumeAfter != "" && !follows(event.ID, resumeAfter) {
+		switch {
+		case !resumed || event.Padding && !event.Foreign:
+		case event.ID == "":
+			a.pool.RecordError(a.head)
+			return TryFailed, "backend server resumed the stream with an event without an ID"
+		case !follows(event.ID, q.lastEvent):
 			continue
 		}
 		q.sendHeaders(response, now)
@@ -179,7 +184,11 @@
 	if err := q.response.write(event.Raw); err != nil {
 		return err
 	}
-	if event.ID != "" {
+	switch {
+	case event.Padding:
+	case event.ID == "":
+		q.unresumable.Store(true)
+	case q.lastEvent == "" || follows(event.ID, q.lastEvent):
 		q.lastEvent = event.ID
 	}
 	if more {
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -93,8 +93,11 @@
 	possibleRuns int
 	// exclude lists the heads that were tried and are not to be tried again.
 	exclude []string
-	// lastEvent is the ID of the last event that was written to the caller.
+	// lastEvent is the highest ID of the events that were written to the caller.
 	lastEvent string
+	// unresumable is set once an event without an ID was written to the caller:
+	// no server can tell what follows it.
+	unresumable atomic.Bool
 	// lastEventAt is when the last event was received.
 	lastEventAt time.Time
 	// retryReserved is set while a retry is charged to the budget but not used.
@@ -182,15 +185,18 @@
 	case TryNotRun:
 		return q.handler.config.Budget.Acquire(q.service, now)
 	default:
-		return q.route.Repeatable() && q.possibleRuns < q.route.MaxAttempts &&
+		return q.route.Repeatable() && !q.unresumable.Load() && q.possibleRuns < q.route.MaxAttempts &&
 			(q.retryReserved.Swap(false) || q.handler.config.Budget.Acquire(q.service, now))
 	}
 }
 
 // reserveRetry charges the budget for a retry before the running try is
-// canceled, and reports whether the budget allows one.
+// canceled, and reports whether the budget and the events sent so far allow one.
 func (q *request) reserveRetry() bool {
-	if q.retryReserved.Load() {
+	switch {
+	case q.unresumable.Load():
+		return false
+	case q.retryReserved.Load():
 		return true
 	}
 	acquired := q.handler.config.Budget.Acquire(q.service, q.handler.config.Clock.Now())
--- a/internal/routing/ingress/resumption_test.go
+++ b/internal/routing/ingress/resumption_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"almondbay.example/internal/routing/ingress"
 )
@@ -42,15 +43,6 @@
 	}
 }
 
-// signedStatus returns a handler that sends a signed response with a status.
-func signedStatus(status int) http.HandlerFunc {
-	return func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Signature", "second")
-		w.WriteHeader(status)
-		_, _ = io.WriteString(w, "its own failure")
-	}
-}
-
 // checkCutOff checks that a caller got the start of a stream as a response that is
 // not complete.
 func checkCutOff(t *testing.T, a answer, want string) {
@@ -61,38 +53,6 @@
 	}
 }
 
-// TestFailureEndsResumedStreamAsComplete guards against a stream that was begun and
-// ends, as a complete response, with the failure of the server that was to resume
-// it.
-func TestFailureEndsResumedStreamAsComplete(t *testing.T) {
-	tests := []struct {
-		name   string
-		second http.HandlerFunc
-	}{
-		{"server error", signedStatus(http.StatusInternalServerError)},
-		{"timeout", signedStatus(http.StatusGatewayTimeout)},
-		{"bad request", signedStatus(http.StatusBadRequest)},
-		{"gone", signedStatus(http.StatusGone)},
-		{"redirect", signedStatus(http.StatusTemporaryRedirect)},
-		{"not modified", signedStatus(http.StatusNotModified)},
-		{"server error, unsigned", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusInternalServerError) }},
-		{"bad request, unsigned", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadRequest) }},
-		{"rejected, not run", rejectedNotRun},
-		{"rejected, may have run", rejectedUnstated},
-		{"unsigned events", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, numbered(4, 6)) }},
-		{"response to another request", otherResponse},
-		{"connection reset", reset},
-		{"half an event", signedText("id: 4\nda", nil)},
-	}
-	for _, tt := range tests {
-		t.Run(tt.name, func(t *testing.T) {
-			first, second := newServer(t, events(3, cut)), newServer(t, tt.second)
-			a := newFixture(t, 10, first, second).call(t, http.MethodPost, "/stream/x")
-			checkCutOff(t, a, numbered(1, 3))
-		})
-	}
-}
-
 // TestEventsWithoutIDAreJoined guards against events of two runs in one stream: a
 // stream cannot be resumed after an event without an ID, nor continued with one.
 func TestEventsWithoutIDAreJoined(t *testing.T) {
@@ -147,6 +107,8 @@
 		{"after the last event", text(numbered(1, 6), cut), text("", nil), numbered(1, 6), "first"},
 		{"before the first event", text("", cut), text(numbered(1, 6), nil), numbered(1, 6), "second"},
 		{"within the first event", text("id: 1\nda", cut), text(numbered(1, 6), nil), numbered(1, 6), "second"},
+		{"after an event that came twice", text(numbered(1, 3)+numbered(2, 2), cut), text(numbered(2, 6), nil), numbered(1, 3) + numbered(2, 2) + numbered(4, 6), "first"},
+		{"repeated after the resumption", text(numbered(1, 3), cut), text(numbered(4, 5)+numbered(4, 6), nil), numbered(1, 6), "first"},
 		{"after a comment", text(numbered(1, 3)+": alive\n\n", cut), text(numbered(4, 6), nil), numbered(1, 3) + ": alive\n\n" + numbered(4, 6), "first"},
 	}
 	for _, tt := range tests {
@@ -250,3 +212,36 @@
 	}
 	<-f.results
 }
+
+// TestStalledStreamWithoutIDsIsNotCanceled guards against a stream that is broken
+// off since its server stands still, although no other server can resume it.
+func TestStalledStreamWithoutIDsIsNotCanceled(t *testing.T) {
+	release := make(chan struct{})
+	first := newServer(t, signedText(plain(1), func() { <-release }))
+	second := newServer(t, events(6, nil))
+	f := newFixture(t, 10, first, second)
+	request, err := http.NewRequest(http.MethodPost, f.front.URL+"/stream/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("Id", "mine")
+	request.Header.Set("Key", "key")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if _, err := io.ReadFull(response.Body, make([]byte, len(plain(1)))); err != nil {
+		t.Fatal(err)
+	}
+	f.clock.Advance(2 * time.Hour / 3)
+	f.handler.Check(f.clock.Now())
+	close(release)
+	if rest, err := io.ReadAll(response.Body); err != nil || len(rest) > 0 {
+		t.Errorf("rest %q, error %v; want a normal end", rest, err)
+	}
+	if result := <-f.results; result.Outcome != ingress.OutcomeAnswered || second.requests() != 0 {
+		t.Errorf("result %+v, %d requests at the second server; want outcome answered after one try", result, second.requests())
+	}
+}
--- a/internal/routing/stream/events.go
+++ b/internal/routing/stream/events.go
@@ -32,6 +32,8 @@
 	ID string
 	// Padding is set when the event has neither data nor an ID.
 	Padding bool
+	// Foreign is set when a line is neither a comment nor a field of the format.
+	Foreign bool
 	// Raw holds the bytes of the event, including the blank line at its end.
 	Raw []byte
 }
@@ -79,6 +81,9 @@
 			event.Padding = false
 		case "data":
 			event.Padding = false
+		case "", "event", "retry":
+		default:
+			event.Foreign = true
 		}
 	}
 }
