--- a/internal/routing/ingress/resumption_test.go
+++ b/internal/routing/ingress/resumption_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -235,8 +236,12 @@
 	if _, err := io.ReadFull(response.Body, make([]byte, len(plain(1)))); err != nil {
 		t.Fatal(err)
 	}
-	f.clock.Advance(2 * time.Hour / 3)
-	f.handler.Check(f.clock.Now())
+	// The stall timer starts only when the event has been flushed to the caller.
+	for range 1000 {
+		f.clock.Advance(time.Second)
+		f.handler.Check(f.clock.Now())
+		runtime.Gosched()
+	}
 	close(release)
 	if rest, err := io.ReadAll(response.Body); err != nil || len(rest) > 0 {
 		t.Errorf("rest %q, error %v; want a normal end", rest, err)
