Don't count padding of a stream as progress of its head

A stalled backend server that sent comments or blank lines on a stream held the stream's caller: each of them counted as data, so that the stream was not resumed elsewhere, the head's suspension ended, its other stalled requests waited too, and its first comment counted as the time to the first event.

--- a/internal/routing/ingress/bounds_test.go
+++ b/internal/routing/ingress/bounds_test.go
@@ -1,6 +1,8 @@
 package ingress_test
 
 import (
+	"bufio"
+	"context"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -208,3 +210,90 @@
 		})
 	}
 }
+
+// TestPaddingDoesNotHideStall guards against a stalled backend server that counts
+// as making progress since it sends comments or blank lines.
+func TestPaddingDoesNotHideStall(t *testing.T) {
+	const (
+		// step is below the fixture's time to a stall.
+		step  = 300 * time.Millisecond
+		steps = 20
+	)
+	for _, padding := range []string{": comment\n\n", "\n"} {
+		t.Run(padding, func(t *testing.T) {
+			send, gone := make(chan struct{}), make(chan struct{})
+			first := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+				defer close(gone)
+
+				w.Header().Set("Signature", "x")
+				_, _ = io.WriteString(w, event)
+				for {
+					_ = http.NewResponseController(w).Flush()
+					select {
+					case <-send:
+						_, _ = io.WriteString(w, padding)
+					case <-r.Context().Done():
+						return
+					}
+				}
+			})
+			r := newFixture(t, 10, first, newServer(t, events(2, nil)))
+			reader, writer := io.Pipe()
+			var group sync.WaitGroup
+			defer group.Wait()
+			ctx, disconnect := context.WithCancel(context.Background())
+			defer disconnect()
+			group.Go(func() { _ = writer.CloseWithError(r.copy(ctx, "/stream/x", writer)) })
+			defer func() { _ = reader.Close() }()
+
+			received := bufio.NewReader(reader)
+			expect(t, received, event)
+			for range steps {
+				r.clock.Advance(step)
+				r.handler.Check(r.clock.Now())
+				select {
+				case send <- struct{}{}:
+				case <-gone:
+				}
+				next, err := received.Peek(1)
+				if err != nil {
+					t.Fatal(err)
+				}
+				if next[0] == event[0] {
+					expect(t, received, "id: 2\ndata: piece\n\n")
+					return
+				}
+				expect(t, received, padding)
+			}
+			t.Errorf("stream not resumed after %v without an event", steps*step)
+		})
+	}
+}
+
+// copy sends a request and copies the body of its response to w.
+func (f *fixture) copy(ctx context.Context, path string, w io.Writer) error {
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.front.URL+path, strings.NewReader("body"))
+	if err != nil {
+		return err
+	}
+	request.Host = "h"
+	request.Header.Set("Id", "mine")
+	request.Header.Set("Key", "key")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+
+	_, err = io.Copy(w, response.Body)
+	return err
+}
+
+// expect checks that the next bytes of r are want.
+func expect(t *testing.T, r io.Reader, want string) {
+	t.Helper()
+	got := make([]byte, len(want))
+	if _, err := io.ReadFull(r, got); err != nil || string(got) != want {
+		t.Fatalf("received %q, error %v; want %q", got, err, want)
+	}
+}
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -114,7 +114,9 @@
 			}
 			return q.handleReadError(ctx, a, err)
 		}
-		a.recordData(now)
+		if !event.Padding {
+			a.recordData(now)
+		}
 		if resumeAfter != "" && !follows(event.ID, resumeAfter) {
 			continue
 		}
--- a/internal/routing/ingress/watch.go
+++ b/internal/routing/ingress/watch.go
@@ -53,6 +53,8 @@
 	// callerBlocked is set while the stream is blocked by a write to the caller,
 	// so that no stall of the head is assumed.
 	callerBlocked bool
+	// blockedAt is when callerBlocked was last set.
+	blockedAt time.Time
 }
 
 // recordData records that an event or a complete response was received.
@@ -69,12 +71,17 @@
 }
 
 // setCallerBlocked records whether the stream is blocked by a write to the
-// caller. It restarts the stall timer.
+// caller. That time does not count as time without data.
 func (a *attempt) setCallerBlocked(callerBlocked bool, now time.Time) {
 	a.mu.Lock()
+	defer a.mu.Unlock()
+
 	a.callerBlocked = callerBlocked
-	a.progressAt = now
-	a.mu.Unlock()
+	if callerBlocked {
+		a.blockedAt = now
+		return
+	}
+	a.progressAt = a.progressAt.Add(now.Sub(a.blockedAt))
 }
 
 // cancelCause returns the cause to cancel the attempt for, or nil if it is
