--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -132,7 +132,9 @@
 			}
 			return q.handleReadError(ctx, a, err)
 		}
-		a.recordData(now)
+		if !event.Padding {
+			a.recordData(now)
+		}
 		switch {
 		case !resumed || event.Padding && !event.Foreign:
 		case event.ID == "":
