Take an invalid status of a backend server as a failure

A server that answered "HTTP/1.1 099" made the node's handler panic: net/http's client accepts the status, its server refuses to send it. A status below 200 now fails the try, and the watchdog forgets an attempt on every way out. TestInvalidStatusIsFailure did not end before.

--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"strconv"
 	"sync/atomic"
 	"time"
 
@@ -246,6 +247,7 @@
 	sentAt := c.Clock.Now()
 	defer pool.Done(choice.Head.ID)
 	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
 	a := &attempt{
 		pool: pool, head: choice.Head.ID, inFlight: choice.InFlight, cancel: cancel,
 		sentAt: sentAt, progressAt: sentAt, limits: q.waitLimits(), reserveRetry: q.reserveRetry,
@@ -253,10 +255,7 @@
 	index := len(q.result.Tries)
 	eventsBefore := q.result.Events
 	q.result.Tries = append(q.result.Tries, Try{Head: choice.Head.ID, InFlight: choice.InFlight})
-	q.handler.watchdog.add(a)
-	end, cause := q.attempt(ctx, a, choice.Head)
-	q.handler.watchdog.remove(a)
-	cancel(nil)
+	end, cause := q.watchedAttempt(ctx, a, choice.Head)
 	now := c.Clock.Now()
 	t := &q.result.Tries[index]
 	t.Took = now.Sub(sentAt)
@@ -273,6 +272,13 @@
 	return end
 }
 
+// watchedAttempt runs an attempt that the watchdog may cancel.
+func (q *request) watchedAttempt(ctx context.Context, a *attempt, head registry.Head) (TryEnd, string) {
+	q.handler.watchdog.add(a)
+	defer q.handler.watchdog.remove(a)
+	return q.attempt(ctx, a, head)
+}
+
 // waitLimits returns how long the next try may receive no data before it is
 // canceled; zero, for no limit, if no retry would be allowed.
 func (q *request) waitLimits() WaitLimits {
@@ -307,6 +313,9 @@
 	answer := c.Dialect.Answer(response.StatusCode, response.Header)
 	now := c.Clock.Now()
 	switch {
+	case response.StatusCode < http.StatusOK:
+		a.pool.RecordError(a.head)
+		return TryFailed, "response has invalid status " + strconv.Itoa(response.StatusCode)
 	case answer.NotExecuted:
 		q.recordRefusal(a, answer, response.StatusCode, now)
 		return TryNotRun, "rejected by backend server: " + http.StatusText(response.StatusCode)
--- a/internal/routing/ingress/resumption_test.go
+++ b/internal/routing/ingress/resumption_test.go
@@ -250,3 +250,23 @@
 		t.Errorf("result %+v, %d requests at the second server; want outcome answered after one try", result, second.requests())
 	}
 }
+
+// TestInvalidStatusIsFailure guards against a status that net/http accepts from a
+// server but refuses to send: the handler panicked, the request was not recorded,
+// and its attempt was taken for a stalled one for good.
+func TestInvalidStatusIsFailure(t *testing.T) {
+	odd := func(w http.ResponseWriter, _ *http.Request) {
+		connection, buffer, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		_, _ = buffer.WriteString("HTTP/1.1 099 Odd\r\nId: mine\r\nSignature: x\r\nContent-Length: 0\r\n\r\n")
+		_ = buffer.Flush()
+		_ = connection.Close()
+	}
+	a := newFixture(t, 10, newServer(t, odd)).call(t, http.MethodPost, "/once/x")
+	if a.status != http.StatusBadGateway || a.result.Outcome != ingress.OutcomeFailed {
+		t.Errorf("answer %+v, want status 502, outcome failed", a)
+	}
+}
