--- a/internal/routing/ingress/bounds_test.go
+++ b/internal/routing/ingress/bounds_test.go
@@ -220,30 +220,10 @@
 // TestPaddingDoesNotHideStall guards against a stalled backend server that counts
 // as making progress since it sends comments or blank lines.
 func TestPaddingDoesNotHideStall(t *testing.T) {
-	const (
-		// step is below the fixture's time to a stall.
-		step  = 300 * time.Millisecond
-		steps = 20
-	)
 	for _, padding := range []string{": comment\n\n", "\n"} {
 		t.Run(padding, func(t *testing.T) {
-			send, gone := make(chan struct{}), make(chan struct{})
-			first := newServer(t, func(w http.ResponseWriter, r *http.Request) {
-				defer close(gone)
-
-				w.Header().Set("Signature", "x")
-				_, _ = io.WriteString(w, event)
-				for {
-					_ = http.NewResponseController(w).Flush()
-					select {
-					case <-send:
-						_, _ = io.WriteString(w, padding)
-					case <-r.Context().Done():
-						return
-					}
-				}
-			})
-			r := newFixture(t, 10, first, newServer(t, events(2, nil)))
+			first := newStallingServer(t, padding)
+			r := newFixture(t, 10, first.server, newServer(t, events(2, nil)))
 			reader, writer := io.Pipe()
 			var group sync.WaitGroup
 			defer group.Wait()
@@ -254,28 +234,72 @@
 
 			received := bufio.NewReader(reader)
 			expect(t, received, event)
-			for range steps {
-				r.clock.Advance(step)
-				r.handler.Check(r.clock.Now())
-				select {
-				case send <- struct{}{}:
-				case <-gone:
-				}
-				next, err := received.Peek(1)
-				if err != nil {
-					t.Fatal(err)
-				}
-				if next[0] == event[0] {
-					expect(t, received, "id: 2\ndata: piece\n\n")
-					return
-				}
-				expect(t, received, padding)
-			}
-			t.Errorf("stream not resumed after %v without an event", steps*step)
+			first.advanceUntilCanceled(t, r, received)
+			expect(t, received, "id: 2\ndata: piece\n\n")
 		})
 	}
 }
 
+// stallingServer is a backend server that sends an event and then only padding.
+type stallingServer struct {
+	*server
+	padding string
+	// send makes the server send padding once.
+	send chan struct{}
+	// gone is closed when the request has been canceled.
+	gone chan struct{}
+}
+
+func newStallingServer(t *testing.T, padding string) *stallingServer {
+	t.Helper()
+	s := &stallingServer{padding: padding, send: make(chan struct{}), gone: make(chan struct{})}
+	s.server = newServer(t, func(w http.ResponseWriter, r *http.Request) {
+		defer close(s.gone)
+
+		w.Header().Set("Signature", "x")
+		_, _ = io.WriteString(w, event)
+		for {
+			_ = http.NewResponseController(w).Flush()
+			select {
+			case <-s.send:
+				_, _ = io.WriteString(w, padding)
+			case <-r.Context().Done():
+				return
+			}
+		}
+	})
+	return s
+}
+
+// advanceUntilCanceled advances the clock until the node cancels the request. The
+// padding, which the caller receives, keeps the node's handling of the stream in
+// step with the clock.
+func (s *stallingServer) advanceUntilCanceled(t *testing.T, f *fixture, received *bufio.Reader) {
+	t.Helper()
+	const (
+		// step is below the fixture's time to a stall.
+		step  = 300 * time.Millisecond
+		steps = 20
+	)
+	for range steps {
+		f.clock.Advance(step)
+		f.handler.Check(f.clock.Now())
+		select {
+		case s.send <- struct{}{}:
+		case <-s.gone:
+			return
+		}
+		next, err := received.Peek(1)
+		if err != nil || next[0] == event[0] {
+			// The stream ended or went on without the padding.
+			<-s.gone
+			return
+		}
+		expect(t, received, s.padding)
+	}
+	t.Fatalf("request not canceled after %v without an event", steps*step)
+}
+
 // copy sends a request and copies the body of its response to w.
 func (f *fixture) copy(ctx context.Context, path string, w io.Writer) error {
 	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.front.URL+path, strings.NewReader("body"))
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -227,13 +227,10 @@
 
 // finish writes a response of the node itself.
 func (q *request) finish(status int, cause string, after time.Duration) {
-	q.result.Status = status
 	q.result.Cause = cause
 	q.result.RetryAfter = after
 	header := q.response.header()
 	q.handler.config.Dialect.SetRefusal(header, q.call.ID, after)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
-	if err := q.response.writeWhole(status, []byte(cause+"\n")); err != nil {
-		q.recordWriteError(err)
-	}
+	q.sendWhole(status, []byte(cause+"\n"))
 }
--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -394,6 +394,7 @@
 		{"unsigned error", unsignedError},
 		{"unsigned client error", func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusBadRequest) }},
 		{"unsigned events", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, numbered(4, 6)) }},
+		{"replayed events only", signedText(numbered(1, 2), nil)},
 		{"half an event", signedText("id: 4\nda", nil)},
 		{"rejected, not run", rejectedNotRun},
 		{"rejected, may have run", rejectedUnstated},
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -23,9 +23,18 @@
 // write sends the response to the caller.
 func (h *bufferedResponse) write(q *request) {
 	q.handler.config.Dialect.CopyAnswer(q.response.header(), h.header)
-	q.result.Status = h.status
 	q.result.Outcome = OutcomeAnswered
-	if err := q.response.writeWhole(h.status, h.body); err != nil {
+	q.sendWhole(h.status, h.body)
+}
+
+// sendWhole sends a complete response and records its status, or why it could not
+// be sent.
+func (q *request) sendWhole(status int, body []byte) {
+	err := q.response.writeWhole(status, body)
+	if !errors.Is(err, errResponseBegun) {
+		q.result.Status = status
+	}
+	if err != nil {
 		q.recordWriteError(err)
 	}
 }
@@ -120,11 +129,14 @@
 	reader := stream.NewReader(response.Body)
 	sentAt := q.handler.config.Clock.Now()
 	resumed := q.lastEvent != ""
+	// replaying is set while the last event was one that the caller had before the
+	// last of its events.
+	replaying := false
 	for {
 		event, err := reader.Next()
 		now := q.handler.config.Clock.Now()
 		switch {
-		case errors.Is(err, io.EOF) && len(reader.Rest()) == 0:
+		case errors.Is(err, io.EOF) && len(reader.Rest()) == 0 && !replaying:
 			return q.endStream(a, response, now.Sub(sentAt))
 		case err != nil:
 			if errors.Is(err, io.EOF) {
@@ -141,7 +153,10 @@
 			a.pool.RecordError(a.head)
 			return TryFailed, "backend server resumed the stream with an event without an ID"
 		case !follows(event.ID, q.lastEvent):
+			replaying = event.ID != q.lastEvent
 			continue
+		default:
+			replaying = false
 		}
 		q.sendHeaders(response, now)
 		if err := q.sendEvent(a, event, reader.Ready(), now); err != nil {
--- a/internal/routing/ingress/response.go
+++ b/internal/routing/ingress/response.go
@@ -75,10 +75,15 @@
 	if r.begun() {
 		return errResponseBegun
 	}
-	r.header().Set("Content-Length", strconv.Itoa(len(body)))
+	if len(body) > 0 || r.header().Get("Content-Length") == "" {
+		// The response to a HEAD request states the length of a body that is not sent.
+		r.header().Set("Content-Length", strconv.Itoa(len(body)))
+	}
 	r.begin(status)
-	if err := r.write(body); err != nil {
-		return err
+	if len(body) > 0 {
+		if err := r.write(body); err != nil {
+			return err
+		}
 	}
 	r.complete()
 	return nil
--- a/internal/routing/ingress/resumption_test.go
+++ b/internal/routing/ingress/resumption_test.go
@@ -2,15 +2,20 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 
+	"github.com/google/go-cmp/cmp"
+	"github.com/google/go-cmp/cmp/cmpopts"
+
 	"almondbay.example/internal/routing/ingress"
 )
 
@@ -251,6 +256,89 @@
 	}
 }
 
+// TestStreamIsCutOffIfResumptionAfterStallFails guards against a stream that looks
+// complete although its first server stands still, so that the node broke it off,
+// and the one that was asked for the rest answers with an error.
+func TestStreamIsCutOffIfResumptionAfterStallFails(t *testing.T) {
+	for name, handle := range map[string]http.HandlerFunc{
+		"server error": serverError, "client error": withStatus(http.StatusNotFound, ""), "rejected, not run": rejectedNotRun,
+	} {
+		t.Run(name, func(t *testing.T) {
+			first := newStallingServer(t, ": comment\n\n")
+			f := newFixture(t, 10, first.server, newServer(t, handle))
+			reader, writer := io.Pipe()
+			var group sync.WaitGroup
+			defer group.Wait()
+			ctx, disconnect := context.WithCancel(context.Background())
+			defer disconnect()
+			group.Go(func() { _ = writer.CloseWithError(f.copy(ctx, "/stream/x", writer)) })
+			defer func() { _ = reader.Close() }()
+
+			received := bufio.NewReader(reader)
+			expect(t, received, event)
+			first.advanceUntilCanceled(t, f, received)
+			if rest, err := io.ReadAll(received); err == nil || strings.Contains(string(rest), "failure") {
+				t.Errorf("rest %q, error %v; want a response that is cut off", rest, err)
+			}
+			if result := <-f.results; result.Outcome != ingress.OutcomeBroken || result.Status != http.StatusOK || !result.CutOff {
+				t.Errorf("result %+v, want outcome broken, status 200, cut off", result)
+			}
+		})
+	}
+}
+
+// TestFailedResumptionCountsAsAttempt guards against a request that runs at more
+// servers than its route allows, or at fewer, since a resumption that was answered with
+// an error is taken for one that did not run, or the reverse.
+func TestFailedResumptionCountsAsAttempt(t *testing.T) {
+	began := ingress.Try{End: ingress.TryFailed, Status: http.StatusOK, Events: 3}
+	tests := []struct {
+		name  string
+		other http.HandlerFunc
+		want  []ingress.Try
+	}{
+		{"server error", serverError, []ingress.Try{began, {End: ingress.TryFailed, Status: http.StatusInternalServerError}}},
+		{"client error", withStatus(http.StatusNotFound, ""), []ingress.Try{began, {End: ingress.TryFailed, Status: http.StatusNotFound}}},
+		{"rejected, not run", rejectedNotRun, []ingress.Try{
+			began,
+			{End: ingress.TryNotRun, Status: http.StatusServiceUnavailable},
+			{End: ingress.TryNotRun, Status: http.StatusServiceUnavailable},
+		}},
+		{"resumed", events(6, nil), []ingress.Try{began, {End: ingress.TryAnswered, Status: http.StatusOK, Events: 3}}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 10, newServer(t, events(3, cut)), newServer(t, tt.other), newServer(t, tt.other))
+			got := f.call(t, http.MethodPost, "/stream/x").result.Tries
+			ignored := cmpopts.IgnoreFields(ingress.Try{}, "Head", "InFlight", "Took", "Cause")
+			if diff := cmp.Diff(tt.want, got, ignored); diff != "" {
+				t.Errorf("tries (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestIncompleteRequestGetsNoResponse guards against an empty response that looks
+// complete to a caller whose request body ended early.
+func TestIncompleteRequestGetsNoResponse(t *testing.T) {
+	f := newFixture(t, 10, newServer(t, success))
+	connection, err := net.Dial("tcp", strings.TrimPrefix(f.front.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = connection.Close() }()
+	_, _ = io.WriteString(connection, "POST /safe/x HTTP/1.1\r\nHost: h\r\nId: mine\r\nKey: key\r\nContent-Length: 100\r\n\r\nbody")
+	if err := connection.(*net.TCPConn).CloseWrite(); err != nil {
+		t.Fatal(err)
+	}
+	if response, _ := io.ReadAll(connection); len(response) > 0 {
+		t.Errorf("response %q, want none", response)
+	}
+	if result := <-f.results; result.Outcome != ingress.OutcomeCallerLeft || !result.CutOff {
+		t.Errorf("result %+v, want outcome callerLeft, cut off", result)
+	}
+}
+
 // TestInvalidStatusIsFailure guards against a status that net/http accepts from a
 // server but refuses to send: the handler panicked, the request was not recorded,
 // and its attempt was taken for a stalled one for good.
@@ -270,3 +358,25 @@
 		t.Errorf("answer %+v, want status 502, outcome failed", a)
 	}
 }
+
+// TestHeadResponseKeepsLength guards against a length of 0 in the response to a
+// HEAD request, which states that of the body that a GET request would get.
+func TestHeadResponseKeepsLength(t *testing.T) {
+	f := newFixture(t, 10, newServer(t, success))
+	request, err := http.NewRequest(http.MethodHead, f.front.URL+"/safe/x", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("Id", "mine")
+	request.Header.Set("Key", "key")
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	if response.StatusCode != http.StatusOK || response.ContentLength != int64(len("good")) {
+		t.Errorf("status %d, length %d; want 200, %d", response.StatusCode, response.ContentLength, len("good"))
+	}
+	<-f.results
+}
