Keep bytes after a response from the next request

A request on a connection whose backend server had sent bytes after its previous response could fail as one that may have run, which callers of non-idempotent routes see as 502, or get those bytes as its response. Through the ingress the ID of the request keeps such a response from the caller, so there it is a 502 or a retry as well.

net/http puts a connection back before it looks for such bytes, and closes it for them only if no request has taken it by then.

An attempt on a reused connection now waits until the transport reads from the connection again, which it does only with an empty buffer, or has closed it; then a request that was not sent is a NotSentError and may go elsewhere. Bytes that arrive after that and before the request's first write are an error of the connection. Bytes that arrive later cannot be told from a response by their time; the ID does that. TestConnectionIsReused shows that connections are reused as before.

--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -12,6 +12,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -70,18 +71,84 @@
 }
 
 // countedConn counts the calls of Write on a connection, so that an attempt can
-// tell whether any of its request was written.
+// tell whether any of its request was written. It also keeps bytes that arrive
+// before a request from being taken for its response, which the transport does
+// if they arrive just before the request.
 type countedConn struct {
 	net.Conn
 	writes atomic.Int64
+	// before is the number of writes before the current request.
+	before atomic.Int64
+
+	mu sync.Mutex
+	// reading is set during a call of Read.
+	reading bool
+	closed  bool
+	// wake is closed at the next call of Read or Close; nil if nothing waits.
+	wake chan struct{}
 }
 
+// Errors of connections that cannot take a request.
+var (
+	errUnsolicited = errors.New("connection holds bytes that no request asked for")
+	errIdleClosed  = errors.New("idle connection was closed by the server or holds bytes that no request asked for")
+)
+
 // Write implements net.Conn.
 func (c *countedConn) Write(p []byte) (int, error) {
 	c.writes.Add(1)
 	return c.Conn.Write(p)
 }
 
+// Read implements net.Conn.
+func (c *countedConn) Read(p []byte) (int, error) {
+	c.set(&c.reading, true)
+	n, err := c.Conn.Read(p)
+	c.set(&c.reading, false)
+	if n > 0 && c.writes.Load() == c.before.Load() {
+		return 0, errUnsolicited
+	}
+	return n, err
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.set(&c.closed, true)
+	return c.Conn.Close()
+}
+
+// set sets a field and wakes awaitRead if the field is now true.
+func (c *countedConn) set(field *bool, value bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	*field = value
+	if value && c.wake != nil {
+		close(c.wake)
+		c.wake = nil
+	}
+}
+
+// awaitRead waits until the transport reads from the connection, which it does
+// on an idle one once it holds no more bytes, or has closed it. It reports
+// whether the connection is still open.
+func (c *countedConn) awaitRead(ctx context.Context) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if !c.reading && !c.closed {
+		wake := make(chan struct{})
+		c.wake = wake
+		c.mu.Unlock()
+		select {
+		case <-wake:
+		case <-ctx.Done():
+		}
+		c.mu.Lock()
+	}
+	return !c.closed
+}
+
 // Request is a request to one backend server.
 type Request struct {
 	Address string
@@ -134,8 +201,8 @@
 	})
 	defer timer.Stop()
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
+		tracker.begin(attemptCtx, i)
 		timer.Stop()
-		tracker.begin(i.Conn)
 	}}
 	request, err := newRequest(httptrace.WithClientTrace(attemptCtx, trace), r)
 	if err != nil {
@@ -152,6 +219,9 @@
 		if tracker.sent() {
 			return nil, &SentError{Address: r.Address, Err: err}
 		}
+		if cause == nil && tracker.lost.Load() {
+			err = errIdleClosed
+		}
 		return nil, &NotSentError{Address: r.Address, Err: err}
 	}
 	if response.StatusCode == http.StatusSwitchingProtocols {
@@ -178,13 +248,17 @@
 	conn      atomic.Pointer[countedConn]
 	// before is the number of writes on the connection before the request.
 	before atomic.Int64
+	// lost is set if the connection was closed before the request.
+	lost atomic.Bool
 }
 
 // begin records the connection that the request is about to be written to.
-func (t *writeTracker) begin(conn net.Conn) {
-	if c, ok := conn.(*countedConn); ok {
+func (t *writeTracker) begin(ctx context.Context, i httptrace.GotConnInfo) {
+	if c, ok := i.Conn.(*countedConn); ok {
 		t.before.Store(c.writes.Load())
 		t.conn.Store(c)
+		c.before.Store(c.writes.Load())
+		t.lost.Store(i.Reused && !c.awaitRead(ctx))
 	}
 	t.connected.Store(true)
 }
--- a/internal/routing/backend/client_test.go
+++ b/internal/routing/backend/client_test.go
@@ -4,8 +4,11 @@
 	"context"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -18,12 +21,14 @@
 	"almondbay.example/internal/routing/floodtest"
 )
 
-// counter dials and counts the bytes that were read from all its connections.
+// counter dials, and counts its connections and the bytes read from all of them.
 type counter struct {
-	read atomic.Int64
+	read  atomic.Int64
+	dials atomic.Int64
 }
 
 func (c *counter) dial(ctx context.Context, network, address string) (net.Conn, error) {
+	c.dials.Add(1)
 	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
 	if err != nil {
 		return nil, err
@@ -143,3 +148,90 @@
 		})
 	}
 }
+
+// TestBytesAfterResponseReachNoOtherRequest guards against a response that is
+// taken for that of the next request on the connection, and against requests that
+// the transport sends again by itself.
+func TestBytesAfterResponseReachNoOtherRequest(t *testing.T) {
+	heads := map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nId: " + floodtest.IDMark + "\r\nContent-Length: 4\r\n\r\ngood",
+		"chunked": "HTTP/1.1 200 OK\r\nId: " + floodtest.IDMark + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+		"no body": "HTTP/1.1 204 No Content\r\nId: " + floodtest.IDMark + "\r\n\r\n",
+	}
+	const forged = "HTTP/1.1 200 OK\r\nId: forged\r\nContent-Length: 1\r\n\r\nx"
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) { checkResponses(t, floodtest.Config{Begin: head, Repeat: "x"}) })
+		t.Run(name+", forged response", func(t *testing.T) { checkResponses(t, floodtest.Config{Begin: head, Repeat: forged}) })
+	}
+}
+
+// checkResponses checks that each of many requests gets its own response or was
+// not sent, and that no request is sent twice.
+func checkResponses(t *testing.T, config floodtest.Config) {
+	t.Helper()
+	const attempts = 100
+	s := floodtest.New(t, config)
+	var c counter
+	client := newClient(&c)
+	answered := 0
+	for i := range attempts {
+		id := fmt.Sprint(i)
+		response, err := client.Attempt(context.Background(), newRequest(s, id))
+		var notSent *backend.NotSentError
+		switch {
+		case errors.As(err, &notSent) && strings.Contains(err.Error(), "bytes that no request asked for"):
+			continue
+		case err != nil:
+			t.Errorf("request %s: error %v, want a response or a NotSentError that says why", id, err)
+			continue
+		}
+		body, err := io.ReadAll(response.Body)
+		if err != nil || response.Header.Get("Id") != id || strings.Contains(string(body), "x") {
+			t.Errorf("request %s got the response of %q, body %q, error %v", id, response.Header.Get("Id"), body, err)
+		}
+		_ = response.Body.Close()
+		answered++
+	}
+	if answered == 0 {
+		t.Error("no request was answered")
+	}
+	ids := s.IDs()
+	for range ids {
+		if end := <-s.Ends(); !end.Closed {
+			t.Errorf("the client read %d bytes and did not close the connection", end.Sent)
+		}
+	}
+	slices.Sort(ids)
+	if once := slices.Compact(slices.Clone(ids)); len(once) != len(ids) {
+		t.Errorf("requests received %v, want each at most once", ids)
+	}
+}
+
+// TestConnectionIsReused guards against a connection for each request, or requests
+// that wait, where backend servers send nothing but their responses.
+func TestConnectionIsReused(t *testing.T) {
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("Id") != "0" {
+			_, _ = io.WriteString(w, "good")
+		}
+	}))
+	defer s.Close()
+	var c counter
+	client := newClient(&c)
+	for i := range 100 {
+		response, err := client.Attempt(context.Background(), backend.Request{
+			Address: s.Listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h",
+			Header: http.Header{"Id": {fmt.Sprint(i % 2)}}, Body: []byte("body"),
+		})
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.ReadAll(response.Body); err != nil {
+			t.Error(err)
+		}
+		_ = response.Body.Close()
+	}
+	if n := c.dials.Load(); n != 1 {
+		t.Errorf("%d connections for 100 requests in sequence, want 1", n)
+	}
+}
--- a/internal/routing/floodtest/server.go
+++ b/internal/routing/floodtest/server.go
@@ -70,8 +70,7 @@
 // Address returns the address that the server listens on.
 func (s *Server) Address() string { return s.listener.Addr().String() }
 
-// Started receives a value when the first bytes of Repeat of a response were
-// sent.
+// Started receives a value when the first bytes of a response were sent.
 func (s *Server) Started() <-chan struct{} { return s.started }
 
 // Ends receives a value when a connection that had a request has ended.
@@ -132,26 +131,25 @@
 const pieceBytes = 32 << 10
 
 func (s *Server) flood(conn net.Conn, begin string) End {
-	sent, err := io.WriteString(conn, begin)
+	piece := strings.Repeat(s.config.Repeat, pieceBytes/max(1, len(s.config.Repeat)))
+	// One write, so that a client that reads the end of a response has received
+	// bytes after it.
+	sent, err := io.WriteString(conn, begin+piece)
 	if err != nil {
 		return End{Sent: sent, Closed: true}
 	}
-	if s.config.Repeat == "" {
-		s.started <- struct{}{}
+	s.started <- struct{}{}
+	if piece == "" {
 		// Ends when the client closes the connection.
 		_, _ = io.Copy(io.Discard, conn)
 		return End{Sent: sent, Closed: true}
 	}
-	piece := strings.Repeat(s.config.Repeat, max(1, pieceBytes/len(s.config.Repeat)))
-	for first := true; sent < Limit; first = false {
+	for sent < Limit {
 		n, err := io.WriteString(conn, piece)
 		sent += n
 		if err != nil {
 			return End{Sent: sent, Closed: true}
 		}
-		if first {
-			s.started <- struct{}{}
-		}
 	}
 	return End{Sent: sent}
 }
