Refuse responses of the platform that exceed a bound

Callers saw the start of a body of more than 64 MB as the whole one: Get of an object returned 64 MiB without an error, and Commit and Put succeeded. A head could take 10 MB, the default of net/http. The cause: Send cut the body off with a LimitReader and did not check for more.

--- a/pkg/serving/platform/platformhttp/client.go
+++ b/pkg/serving/platform/platformhttp/client.go
@@ -17,8 +17,17 @@
 	"almondbay.example/serving/platform/platformwire"
 )
 
-// maxAnswerBytes bounds the body of an answer of the platform.
-const maxAnswerBytes = 64 << 20
+// Bounds of the body of an answer, in bytes.
+const (
+	// maxRowBytes bounds one row.
+	maxRowBytes = 1 << 20
+	// maxListBytes bounds the rows of a range and the list of VMs.
+	maxListBytes = 16 << 20
+	// maxObjectBytes is the platform's limit of an object.
+	maxObjectBytes = 8 << 20
+	// maxWriteBytes bounds the answer to a write.
+	maxWriteBytes = 16 << 10
+)
 
 // Config configures a Client.
 type Config struct {
@@ -26,7 +35,8 @@
 	Address string
 	// Timeout bounds each call; zero for no timeout.
 	Timeout time.Duration
-	// Transport sends the requests; nil for http.DefaultTransport.
+	// Transport sends the requests and bounds the heads of the answers; nil for
+	// http.DefaultTransport with platform.MaxHeadBytes.
 	Transport http.RoundTripper
 }
 
@@ -45,16 +55,24 @@
 
 // New returns a client for the platform at c.Address.
 func New(c Config) *Client {
+	if c.Transport == nil {
+		transport := http.DefaultTransport.(*http.Transport).Clone()
+		transport.MaxResponseHeaderBytes = platform.MaxHeadBytes
+		c.Transport = transport
+	}
 	return &Client{
 		address: c.Address,
-		http:    &http.Client{Timeout: c.Timeout, Transport: c.Transport},
+		http: &http.Client{
+			Timeout:   c.Timeout,
+			Transport: c.Transport,
+		},
 	}
 }
 
 // Read implements platform.Table.
 func (c *Client) Read(ctx context.Context, key string) (platform.Row, error) {
 	var row platformwire.Row
-	if err := c.call(ctx, platformwire.PathRead, platformwire.KeyRequest{Key: key}, &row); err != nil {
+	if err := c.call(ctx, platformwire.PathRead, platformwire.KeyRequest{Key: key}, maxRowBytes, &row); err != nil {
 		return platform.Row{}, err
 	}
 	return platformwire.ToRow(row), nil
@@ -63,7 +81,7 @@
 // Range implements platform.Table.
 func (c *Client) Range(ctx context.Context, prefix string) ([]platform.Row, error) {
 	var answer platformwire.Rows
-	if err := c.call(ctx, platformwire.PathRange, platformwire.KeyRequest{Key: prefix}, &answer); err != nil {
+	if err := c.call(ctx, platformwire.PathRange, platformwire.KeyRequest{Key: prefix}, maxListBytes, &answer); err != nil {
 		return nil, err
 	}
 	rows := make([]platform.Row, 0, len(answer.Rows))
@@ -75,18 +93,18 @@
 
 // Commit implements platform.Table.
 func (c *Client) Commit(ctx context.Context, t platform.Transaction) error {
-	return c.call(ctx, platformwire.PathCommit, platformwire.FromTransaction(t), nil)
+	return c.call(ctx, platformwire.PathCommit, platformwire.FromTransaction(t), maxWriteBytes, nil)
 }
 
 // Put implements platform.Objects.
 func (c *Client) Put(ctx context.Context, name string, body []byte) error {
-	_, err := c.roundTrip(ctx, http.MethodPut, platformwire.PathObjects+url.PathEscape(name), body)
+	_, err := c.roundTrip(ctx, http.MethodPut, platformwire.PathObjects+url.PathEscape(name), body, maxWriteBytes)
 	return err
 }
 
 // Get implements platform.Objects.
 func (c *Client) Get(ctx context.Context, name string) ([]byte, error) {
-	body, err := c.roundTrip(ctx, http.MethodGet, platformwire.PathObjects+url.PathEscape(name), nil)
+	body, err := c.roundTrip(ctx, http.MethodGet, platformwire.PathObjects+url.PathEscape(name), nil, maxObjectBytes)
 	var notFound *platform.NotFoundError
 	if errors.As(err, &notFound) {
 		return nil, &platform.NotFoundError{Name: name}
@@ -96,7 +114,7 @@
 
 // List implements platform.VMs.
 func (c *Client) List(ctx context.Context) ([]fleet.VM, error) {
-	body, err := c.roundTrip(ctx, http.MethodGet, platformwire.PathVMs, nil)
+	body, err := c.roundTrip(ctx, http.MethodGet, platformwire.PathVMs, nil, maxListBytes)
 	if err != nil {
 		return nil, err
 	}
@@ -111,13 +129,14 @@
 	return vms, nil
 }
 
-// call posts in as JSON and decodes the answer into out, unless out is nil.
-func (c *Client) call(ctx context.Context, path string, in, out any) error {
+// call posts in as JSON and decodes the answer, which may hold up to maxBytes,
+// into out, unless out is nil.
+func (c *Client) call(ctx context.Context, path string, in any, maxBytes int64, out any) error {
 	body, err := json.Marshal(in)
 	if err != nil {
 		return platform.Error.Wrap(err)
 	}
-	answer, err := c.roundTrip(ctx, http.MethodPost, path, body)
+	answer, err := c.roundTrip(ctx, http.MethodPost, path, body, maxBytes)
 	if err != nil {
 		return err
 	}
@@ -127,16 +146,17 @@
 	return platform.Error.Wrap(json.Unmarshal(answer, out))
 }
 
-// roundTrip sends one request and returns the body of the answer. It returns a
-// RefusedError if the request certainly did not reach the platform, an
-// UnknownError for any other transport error, and else the error of statusError.
-func (c *Client) roundTrip(ctx context.Context, method, path string, body []byte) ([]byte, error) {
+// roundTrip sends one request and returns the body of the answer, which may hold
+// up to maxBytes. It returns a RefusedError if the request certainly did not reach
+// the platform, an UnknownError for any other transport error, and else the error
+// of statusError.
+func (c *Client) roundTrip(ctx context.Context, method, path string, body []byte, maxBytes int64) ([]byte, error) {
 	request, err := http.NewRequestWithContext(ctx, method, c.address+path, bytes.NewReader(body))
 	if err != nil {
 		return nil, platform.Error.Wrap(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	status, answer, err := platform.Send(c.http, request, maxAnswerBytes)
+	status, answer, err := platform.Send(c.http, request, maxBytes)
 	if err != nil {
 		return nil, err
 	}
