Bound responses of other nodes

A node that sends a body without end filled the memory of its followers until the call's deadline; a head could take 10 MB. The cause: json.NewDecoder on an unlimited body, and the default MaxResponseHeaderBytes.

Bounds: head 16 KiB; table 8 MiB; result of a probe 16 KiB. The error is a BodyTooLargeError that names the node.

--- /dev/null
+++ b/internal/peer/relay/bounds_test.go
@@ -0,0 +1,89 @@
+package relay_test
+
+import (
+	"context"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/peer/relay"
+	"almondbay.example/serving/platform"
+	"almondbay.example/serving/platform/platformtest"
+)
+
+// calls holds a call of each kind and the bound of its response.
+var calls = []struct {
+	name     string
+	maxBytes int64
+	call     func(ctx context.Context, c *relay.Client) error
+}{
+	{"snapshot", 8 << 20, func(ctx context.Context, c *relay.Client) error {
+		_, _, err := c.Snapshot(ctx, "127.0.0.1", table)
+		return err
+	}},
+	{"changes", 8 << 20, func(ctx context.Context, c *relay.Client) error {
+		_, _, err := c.Changes(ctx, "127.0.0.1", table, 1, time.Minute)
+		return err
+	}},
+	{"probe", 16 << 10, func(ctx context.Context, c *relay.Client) error {
+		_, _, err := c.ProbeServer(ctx, "127.0.0.1", registry.Server{ID: "i-1"})
+		return err
+	}},
+}
+
+// TestBodyWithoutEndIsRefused guards against a node whose body without end fills
+// the memory.
+func TestBodyWithoutEndIsRefused(t *testing.T) {
+	for _, tt := range calls {
+		t.Run(tt.name, func(t *testing.T) {
+			server := platformtest.NewEndless(t, "HTTP/1.1 200 OK\r\n\r\n{\"rows\":[", " ")
+			c := relay.NewClient(relay.ClientConfig{Port: server.Port(), Dial: server.Dial})
+			err := tt.call(context.Background(), c)
+			var tooLarge *platform.BodyTooLargeError
+			if !relay.Error.Has(err) || !errors.As(err, &tooLarge) || tooLarge.Server != server.Address() || tooLarge.MaxBytes != tt.maxBytes {
+				t.Errorf("error %v, want a BodyTooLargeError of %s with %d bytes", err, server.Address(), tt.maxBytes)
+			}
+			server.CheckClosed(tt.maxBytes)
+		})
+	}
+}
+
+// TestRefusalWithoutEndIsNotRead guards against a refusal whose body without end
+// fills the memory.
+func TestRefusalWithoutEndIsNotRead(t *testing.T) {
+	for _, tt := range calls {
+		t.Run(tt.name, func(t *testing.T) {
+			server := platformtest.NewEndless(t, "HTTP/1.1 404 Not Found\r\n\r\n", "x")
+			c := relay.NewClient(relay.ClientConfig{Port: server.Port(), Dial: server.Dial})
+			if err := tt.call(context.Background(), c); err == nil || !strings.Contains(err.Error(), "status 404") {
+				t.Errorf("error %v, want status 404", err)
+			}
+			server.CheckClosed(0)
+		})
+	}
+}
+
+// TestHeadWithoutEndIsRefused guards against a head without end that fills the
+// memory up to the default bound of 10 MB for each call.
+func TestHeadWithoutEndIsRefused(t *testing.T) {
+	heads := map[string][2]string{
+		"line":          {"HTTP/1.1 200 OK\r\nName: ", "value"},
+		"lines":         {"HTTP/1.1 200 OK\r\n", "Name: value\r\n"},
+		"informational": {"", "HTTP/1.1 103 Early Hints\r\nName: value\r\n\r\n"},
+	}
+	for name, head := range heads {
+		for _, tt := range calls {
+			t.Run(name+" "+tt.name, func(t *testing.T) {
+				server := platformtest.NewEndless(t, head[0], head[1])
+				c := relay.NewClient(relay.ClientConfig{Port: server.Port(), Dial: server.Dial})
+				err := tt.call(context.Background(), c)
+				if !relay.Error.Has(err) || !strings.Contains(err.Error(), server.Address()) || !strings.Contains(err.Error(), "headers exceeded 16384 bytes") {
+					t.Errorf("error %v, want one that names %s and the bound", err, server.Address())
+				}
+				server.CheckClosed(16 << 10)
+			})
+		}
+	}
+}
--- a/internal/peer/relay/client.go
+++ b/internal/peer/relay/client.go
@@ -32,17 +32,28 @@
 func NewClient(c ClientConfig) *Client {
 	return &Client{
 		port: strconv.Itoa(c.Port),
-		http: &http.Client{Transport: &http.Transport{
-			DialContext:         c.Dial,
-			MaxIdleConnsPerHost: maxIdlePerPeer,
-			DisableCompression:  true,
-		}},
+		http: &http.Client{
+			Transport: &http.Transport{
+				DialContext:            c.Dial,
+				MaxIdleConnsPerHost:    maxIdlePerPeer,
+				DisableCompression:     true,
+				MaxResponseHeaderBytes: platform.MaxHeadBytes,
+			},
+		},
 	}
 }
 
 // maxIdlePerPeer allows one connection for each followed table.
 const maxIdlePerPeer = 4
 
+// Bounds of the body of a response, in bytes.
+const (
+	// maxFeedBytes bounds the rows of a table.
+	maxFeedBytes = 8 << 20
+	// maxProbeBytes bounds the result of a probe.
+	maxProbeBytes = 16 << 10
+)
+
 // Snapshot reads a whole table from a node. The duration is the time since that
 // node's data was read from the store.
 func (c *Client) Snapshot(ctx context.Context, address, table string) (platform.Changes, time.Duration, error) {
@@ -63,7 +74,9 @@
 // feed calls the feed of a node and maps status 410 to HistoryLostError.
 func (c *Client) feed(ctx context.Context, address string, query url.Values, after uint64) (platform.Changes, time.Duration, error) {
 	var w feedWire
-	status, err := c.call(ctx, http.MethodGet, address, pathFeed+"?"+query.Encode(), nil, &w)
+	status, err := c.call(ctx, call{
+		method: http.MethodGet, address: address, path: pathFeed + "?" + query.Encode(), maxBytes: maxFeedBytes,
+	}, &w)
 	switch {
 	case err != nil:
 		return platform.Changes{}, 0, err
@@ -84,7 +97,9 @@
 		return control.State{}, false, Error.Wrap(err)
 	}
 	var w probeResultWire
-	status, err := c.call(ctx, http.MethodPost, address, pathProbe, body, &w)
+	status, err := c.call(ctx, call{
+		method: http.MethodPost, address: address, path: pathProbe, body: body, maxBytes: maxProbeBytes,
+	}, &w)
 	if err != nil {
 		return control.State{}, false, err
 	}
@@ -98,14 +113,22 @@
 	}, w.Reached, nil
 }
 
+// call is one request to a node.
+type call struct {
+	method, address, path string
+	body                  []byte
+	// maxBytes bounds the body of the response.
+	maxBytes int64
+}
+
 // call sends a request to a node and decodes the body of a response with status
-// 200 into out.
-func (c *Client) call(ctx context.Context, method, address, path string, body []byte, out any) (int, error) {
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+net.JoinHostPort(address, c.port)+path, bytes.NewReader(body))
+// 200 into out. It doesn't read the body of another status.
+func (c *Client) call(ctx context.Context, q call, out any) (int, error) {
+	request, err := http.NewRequestWithContext(ctx, q.method, "http://"+net.JoinHostPort(q.address, c.port)+q.path, bytes.NewReader(q.body))
 	if err != nil {
 		return 0, Error.Wrap(err)
 	}
-	if body != nil {
+	if q.body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
 	response, err := c.http.Do(request)
@@ -117,5 +140,12 @@
 	if response.StatusCode != http.StatusOK {
 		return response.StatusCode, nil
 	}
-	return response.StatusCode, Error.Wrap(json.NewDecoder(response.Body).Decode(out))
+	body, err := platform.ReadBody(response, q.maxBytes)
+	if err != nil {
+		return response.StatusCode, Error.Wrap(err)
+	}
+	if err := json.Unmarshal(body, out); err != nil {
+		return response.StatusCode, Error.New("decode response of node %s: %w", q.address, err)
+	}
+	return response.StatusCode, nil
 }
