--- a/internal/peer/relay/bounds_test.go
+++ b/internal/peer/relay/bounds_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"errors"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -87,3 +90,19 @@
 		}
 	}
 }
+
+// TestRedirectIsNotFollowed guards against a table that is read from another
+// server than the source.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var followed atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { followed.Add(1) }))
+	defer other.Close()
+	server := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	defer server.Close()
+	for _, tt := range calls {
+		err := tt.call(context.Background(), client(t, server.URL))
+		if err == nil || !strings.Contains(err.Error(), "status 307") || followed.Load() > 0 {
+			t.Errorf("%s: error %v, %d redirects followed; want status 307, 0", tt.name, err, followed.Load())
+		}
+	}
+}
--- a/internal/peer/relay/client.go
+++ b/internal/peer/relay/client.go
@@ -39,6 +39,7 @@
 				DisableCompression:     true,
 				MaxResponseHeaderBytes: platform.MaxHeadBytes,
 			},
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
 }
--- a/pkg/serving/platform/platformhttp/client.go
+++ b/pkg/serving/platform/platformhttp/client.go
@@ -63,8 +63,9 @@
 	return &Client{
 		address: c.Address,
 		http: &http.Client{
-			Timeout:   c.Timeout,
-			Transport: c.Transport,
+			Timeout:       c.Timeout,
+			Transport:     c.Transport,
+			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
 }
--- a/pkg/serving/platform/platformhttp/client_test.go
+++ b/pkg/serving/platform/platformhttp/client_test.go
@@ -4,7 +4,9 @@
 	"context"
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"almondbay.example/serving/platform"
@@ -79,3 +81,21 @@
 	}
 	server.CheckClosed(0)
 }
+
+// TestRedirectIsNotFollowed guards against a transaction that is sent twice and
+// against answers of another server.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var followed atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { followed.Add(1) }))
+	defer other.Close()
+	server := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	defer server.Close()
+	client := platformhttp.New(platformhttp.Config{Address: server.URL})
+	for _, tt := range calls {
+		err := tt.call(context.Background(), client)
+		var unknown *platform.UnknownError
+		if !errors.As(err, &unknown) || followed.Load() > 0 {
+			t.Errorf("%s: error %v, %d redirects followed; want UnknownError, 0", tt.name, err, followed.Load())
+		}
+	}
+}
