Refuse datagrams that exceed the buffer

A datagram of more than 60 KiB was cut off and its start decoded as the whole message; errors of decoding didn't name the sender. The cause: the buffer had exactly the size of the bound, so that a longer datagram looked like one of 60 KiB.

The new test on the code before: datagrams of 61441 and 65507 bytes were received as messages. Now they are errors that name the sender and the bound.

--- a/internal/peer/gossip/socket.go
+++ b/internal/peer/gossip/socket.go
@@ -41,15 +41,20 @@
 
 // Run receives messages until the socket is closed.
 func (s *Socket) Run() error {
-	buffer := make([]byte, maxDatagram)
+	// A datagram that fills the buffer is too large.
+	buffer := make([]byte, maxDatagram+1)
 	for {
 		n, from, err := s.conn.ReadFromUDPAddrPort(buffer)
 		if err != nil {
 			return Error.Wrap(err)
 		}
+		if n > maxDatagram {
+			s.config.OnError(Error.New("datagram from %s exceeds %d bytes", from, maxDatagram))
+			continue
+		}
 		m, err := decode(buffer[:n])
 		if err != nil {
-			s.config.OnError(err)
+			s.config.OnError(Error.New("datagram from %s: %w", from, err))
 			continue
 		}
 		m.Address = from.Addr().Unmap().String()
