Bound the heads of responses to 64 KB

Callers saw nothing; a node read up to 10 MB of head for each call to a server that sends a status line, header lines or 1xx responses without end, the default of net/http. With 8192 requests in flight that is up to 80 GB.

Package bounded holds the limit and a transport that reports the server in a TooLargeError; the clients of engines, plain services, peers, the admin API, the platform and of a stand-in's registration use it.

--- a/cmd/almondbay/serve.go
+++ b/cmd/almondbay/serve.go
@@ -8,6 +8,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/certificate"
 	"almondbay.example/serving/engine/enginehttp"
 	"almondbay.example/serving/event"
@@ -124,9 +125,9 @@
 	return platformhttp.New(platformhttp.Config{
 		Address: p.Address,
 		Timeout: platformTimeout,
-		Transport: keys.Transport{Key: p.Key, Base: &http.Transport{
+		Transport: keys.Transport{Key: p.Key, Base: bounded.NewTransport(&http.Transport{
 			TLSClientConfig:     trust,
 			MaxIdleConnsPerHost: platformConnections,
-		}},
+		})},
 	}), nil
 }
--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 
 	"almondbay.example/core/fleet"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/platform/platformwire"
 	"almondbay.example/standin/platformstandin"
 )
@@ -71,7 +72,10 @@
 		return err
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
+	client := &http.Client{
+		Transport: bounded.NewTransport(nil),
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/pkg/serving/bounded/bounded.go
@@ -0,0 +1,73 @@
+// Package bounded bounds what HTTP clients read from servers, so that a server
+// that sends bytes without end costs neither memory nor a call that never ends.
+package bounded
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+)
+
+// MaxHeadBytes bounds the head of a response together with the 1xx responses
+// before it.
+const MaxHeadBytes = 64 << 10
+
+// Part is a part of a response.
+type Part string
+
+// Parts of a response.
+const (
+	PartHead Part = "head"
+)
+
+// TooLargeError reports a part of a response that exceeds its limit.
+type TooLargeError struct {
+	Part Part
+	// Server is the address or the name of the server.
+	Server string
+	// Limit is the limit in bytes.
+	Limit int64
+}
+
+func (e *TooLargeError) Error() string {
+	return fmt.Sprintf("%s of the response of %s exceeds %d bytes", e.Part, e.Server, e.Limit)
+}
+
+// Transport sends requests and bounds the heads of the responses.
+type Transport struct {
+	base http.RoundTripper
+}
+
+// NewTransport returns a transport that sends requests with base, or with
+// http.DefaultTransport if base is nil. It copies an *http.Transport to set its
+// limits; a base of another type must bound heads itself.
+func NewTransport(base http.RoundTripper) *Transport {
+	if base == nil {
+		base = http.DefaultTransport
+	}
+	if t, ok := base.(*http.Transport); ok {
+		limited := t.Clone()
+		limited.MaxResponseHeaderBytes = MaxHeadBytes
+		base = limited
+	}
+	return &Transport{base: base}
+}
+
+// RoundTrip implements http.RoundTripper. It returns a TooLargeError if the head
+// is too large.
+func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
+	response, err := t.base.RoundTrip(r)
+	if err != nil && isHeadTooLarge(err) {
+		return nil, &TooLargeError{Part: PartHead, Server: r.URL.Host, Limit: MaxHeadBytes}
+	}
+	if err != nil {
+		return nil, err
+	}
+	return response, nil
+}
+
+// isHeadTooLarge reports whether net/http aborted a response whose head is too
+// large. net/http has no type for this error.
+func isHeadTooLarge(err error) bool {
+	return strings.Contains(err.Error(), "server response headers exceeded")
+}
--- /dev/null
+++ b/pkg/serving/engine/enginehttp/bounds_test.go
@@ -0,0 +1,66 @@
+package enginehttp_test
+
+import (
+	"context"
+	"io"
+	"testing"
+	"time"
+
+	"almondbay.example/core/fleet"
+	"almondbay.example/serving/bounded"
+	"almondbay.example/serving/bounded/boundedtest"
+	"almondbay.example/serving/engine"
+	"almondbay.example/serving/engine/enginehttp"
+)
+
+// controlTimeout is longer than any test needs.
+const controlTimeout = time.Minute
+
+// call is one call of a client to the engine at an address.
+type call struct {
+	name string
+	run  func(ctx context.Context, c *enginehttp.Client, address string) error
+}
+
+var controlCalls = []call{
+	{"health", func(ctx context.Context, c *enginehttp.Client, address string) error {
+		_, err := c.Health(ctx, address)
+		return err
+	}},
+	{"order", func(ctx context.Context, c *enginehttp.Client, address string) error {
+		return c.Order(ctx, address, fleet.Order{})
+	}},
+}
+
+var generateCalls = []call{
+	{"generate", func(ctx context.Context, c *enginehttp.Client, address string) error {
+		return generate(ctx, c, address, false)
+	}},
+	{"generate once", func(ctx context.Context, c *enginehttp.Client, address string) error {
+		return generate(ctx, c, address, true)
+	}},
+}
+
+func generate(ctx context.Context, c *enginehttp.Client, address string, noRetry bool) error {
+	a, err := c.Generate(ctx, address, engine.Request{Path: "/v1/completions", Body: []byte("{}"), NoRetry: noRetry})
+	if err != nil {
+		return err
+	}
+	defer func() { _ = a.Body.Close() }()
+	_, err = io.Copy(io.Discard, a.Body)
+	return err
+}
+
+// TestHeadWithoutEnd guards against heads of up to 10 MB, the default of net/http.
+func TestHeadWithoutEnd(t *testing.T) {
+	client := enginehttp.New(enginehttp.Config{ControlTimeout: controlTimeout})
+	for _, call := range append(controlCalls, generateCalls...) {
+		for _, c := range boundedtest.HeadCases() {
+			t.Run(call.name+"/"+c.Name, func(t *testing.T) {
+				s := boundedtest.NewServer(t, c)
+				boundedtest.RequireTooLarge(t, call.run(t.Context(), client, s.Address), bounded.PartHead, s.Address)
+				s.RequireClosed(t)
+			})
+		}
+	}
+}
--- a/pkg/serving/engine/enginehttp/client.go
+++ b/pkg/serving/engine/enginehttp/client.go
@@ -14,6 +14,7 @@
 	"time"
 
 	"almondbay.example/core/fleet"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/engine"
 	"almondbay.example/serving/engine/enginewire"
 )
@@ -69,7 +70,7 @@
 // would send an attempt a second time.
 func newHTTPClient(t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     t,
+		Transport:     bounded.NewTransport(t),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
--- /dev/null
+++ b/pkg/serving/node/bounds_test.go
@@ -0,0 +1,40 @@
+package node
+
+import (
+	"context"
+	"testing"
+
+	"almondbay.example/core/feed"
+	"almondbay.example/core/fleet"
+	"almondbay.example/serving/bounded"
+	"almondbay.example/serving/bounded/boundedtest"
+	"almondbay.example/serving/keys"
+	"almondbay.example/serving/peer"
+	"almondbay.example/serving/settings"
+)
+
+// newPeerRelay returns a relay with the peer client of a node that has a peer key.
+func newPeerRelay() *peer.Relay {
+	n := &Node{config: Config{Settings: settings.Settings{Peer: settings.PeerListener{Keys: []keys.Secret{keys.NewSecret("shared")}}}}}
+	return peer.New(peer.Config{
+		Scheme: n.peerScheme(), HTTP: n.peerClient(), Nodes: func() []fleet.VM { return nil },
+	})
+}
+
+// fetchFleet sends a request with the peer client of a node.
+func fetchFleet(ctx context.Context, address string) error {
+	_, _, err := newPeerRelay().FetchFleet(ctx, address, feed.Position{})
+	return err
+}
+
+// TestPeerHeadWithoutEnd guards against heads of up to 10 MB, the default of
+// net/http.
+func TestPeerHeadWithoutEnd(t *testing.T) {
+	for _, c := range boundedtest.HeadCases() {
+		t.Run(c.Name, func(t *testing.T) {
+			s := boundedtest.NewServer(t, c)
+			boundedtest.RequireTooLarge(t, fetchFleet(t.Context(), s.Address), bounded.PartHead, s.Address)
+			s.RequireClosed(t)
+		})
+	}
+}
--- a/pkg/serving/node/peers.go
+++ b/pkg/serving/node/peers.go
@@ -11,6 +11,7 @@
 	"almondbay.example/core/document"
 	"almondbay.example/core/fleet"
 	"almondbay.example/core/revision"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/event"
 	"almondbay.example/serving/keys"
 	"almondbay.example/serving/peer"
@@ -61,7 +62,7 @@
 	}
 	return &http.Client{
 		Timeout:   peerTimeout,
-		Transport: keys.Transport{Key: n.peerKey(), Base: transport},
+		Transport: keys.Transport{Key: n.peerKey(), Base: bounded.NewTransport(transport)},
 	}
 }
 
--- a/pkg/serving/operator/operatorclient/client.go
+++ b/pkg/serving/operator/operatorclient/client.go
@@ -19,6 +19,7 @@
 
 	"almondbay.example/core/burn"
 	"almondbay.example/core/revision"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/keys"
 	"almondbay.example/serving/operator/operatorwire"
 	"almondbay.example/serving/status"
@@ -36,7 +37,9 @@
 	// request goes to them in order until one gives a final response.
 	Servers []string
 	// Key is the operator's key.
-	Key  keys.Secret
+	Key keys.Secret
+	// HTTP sends the requests. The client uses a copy that bounds
+	// what it reads.
 	HTTP *http.Client
 }
 
@@ -49,6 +52,9 @@
 
 // New returns a client.
 func New(c Config) *Client {
+	limited := *c.HTTP
+	limited.Transport = bounded.NewTransport(c.HTTP.Transport)
+	c.HTTP = &limited
 	return &Client{config: c}
 }
 
--- /dev/null
+++ b/pkg/serving/service/bounds_test.go
@@ -0,0 +1,35 @@
+package service_test
+
+import (
+	"net/http"
+	"testing"
+
+	"almondbay.example/serving/bounded"
+	"almondbay.example/serving/bounded/boundedtest"
+	"almondbay.example/serving/service"
+)
+
+// call sends a call to a service and closes the body of the answer.
+func call(t *testing.T, c *service.Client, address string, noRetry bool) (int, error) {
+	t.Helper()
+	a, err := c.Call(t.Context(), address, service.Request{Method: http.MethodPost, Path: "/", Header: http.Header{}, NoRetry: noRetry})
+	if err != nil {
+		return 0, err
+	}
+	return a.Status, a.Body.Close()
+}
+
+// TestHeadWithoutEnd guards against heads of up to 10 MB, the default of net/http.
+func TestHeadWithoutEnd(t *testing.T) {
+	client := service.NewClient()
+	for _, noRetry := range []bool{false, true} {
+		for _, c := range boundedtest.HeadCases() {
+			t.Run(c.Name, func(t *testing.T) {
+				s := boundedtest.NewServer(t, c)
+				_, err := call(t, client, s.Address, noRetry)
+				boundedtest.RequireTooLarge(t, err, bounded.PartHead, s.Address)
+				s.RequireClosed(t)
+			})
+		}
+	}
+}
--- a/pkg/serving/service/service.go
+++ b/pkg/serving/service/service.go
@@ -13,6 +13,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"almondbay.example/serving/bounded"
 )
 
 // Error is the class of all errors of this package.
@@ -118,7 +120,7 @@
 // them.
 func newHTTPClient(t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     t,
+		Transport:     bounded.NewTransport(t),
 		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 	}
 }
