Refuse responses that switch to another protocol

Callers saw requests that did not end at their deadline: the body of a response with status 101 is the connection itself, on which net/http applies neither the context of the request nor the timeout of the client. A health check of an engine that answered 101 and then nothing held its probe for ever; a generation request was taken for answered and read the connection as its answer; the platform's object store was taken to hold whatever bytes followed.

No client of ours asks for an upgrade, so the transport closes the connection and returns an UpgradeError that names the server.

Before: TestUpgradeUnasked failed in enginehttp (generate: no error, 128 MB read; health and order: "status 101", after bytes that end), service (no error) and operatorclient ("unexpected end of JSON input", after 64 MB), TestPeerUpgradeUnasked ("EOF", after 64 MB) and TestPlatformUpgradeUnasked (no error). With a silent server, Health with a timeout of 1 s was still in io.ReadAll when go test ended it after 10 s. After: all pass.

--- a/cmd/almondbay/bounds_test.go
+++ b/cmd/almondbay/bounds_test.go
@@ -28,3 +28,19 @@
 		})
 	}
 }
+
+// TestPlatformUpgradeUnasked guards against a response with status 101, whose body
+// reads past the timeout of the client.
+func TestPlatformUpgradeUnasked(t *testing.T) {
+	s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadUpgrade, Repeat: "x"})
+	client, err := platformClient(settings.Platform{Address: "http://" + s.Address})
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, err = client.Get(t.Context(), "document")
+	want := &bounded.UpgradeError{Server: s.Address}
+	if err == nil || !strings.Contains(err.Error(), want.Error()) {
+		t.Errorf("got error %v, want %v", err, want)
+	}
+	s.RequireClosed(t)
+}
--- a/pkg/serving/bounded/bounded.go
+++ b/pkg/serving/bounded/bounded.go
@@ -33,6 +33,17 @@
 	return fmt.Sprintf("%s of the response of %s exceeds %d bytes", e.Part, e.Server, e.Limit)
 }
 
+// UpgradeError reports a response that switches the connection to another
+// protocol, which no client requests.
+type UpgradeError struct {
+	// Server is the address of the server.
+	Server string
+}
+
+func (e *UpgradeError) Error() string {
+	return fmt.Sprintf("%s switched to another protocol unasked", e.Server)
+}
+
 // Transport sends requests and bounds the heads of the responses.
 type Transport struct {
 	base http.RoundTripper
@@ -54,7 +65,8 @@
 }
 
 // RoundTrip implements http.RoundTripper. It returns a TooLargeError if the head
-// is too large.
+// is too large, and an UpgradeError for a response with status 101: its body is
+// the connection, whose reads end neither at a deadline nor on cancellation.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
 	response, err := t.base.RoundTrip(r)
 	if err != nil && isHeadTooLarge(err) {
@@ -63,6 +75,10 @@
 	if err != nil {
 		return nil, err
 	}
+	if response.StatusCode == http.StatusSwitchingProtocols {
+		_ = response.Body.Close()
+		return nil, &UpgradeError{Server: r.URL.Host}
+	}
 	return response, nil
 }
 
--- a/pkg/serving/bounded/bounded_test.go
+++ b/pkg/serving/bounded/bounded_test.go
@@ -35,3 +35,11 @@
 		})
 	}
 }
+
+// TestUpgradeUnasked guards against a response with status 101, whose body reads
+// past the deadline of its request.
+func TestUpgradeUnasked(t *testing.T) {
+	s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadUpgrade})
+	boundedtest.RequireUpgradeRefused(t, get(t, s), s.Address)
+	s.RequireClosed(t)
+}
--- a/pkg/serving/bounded/boundedtest/server.go
+++ b/pkg/serving/bounded/boundedtest/server.go
@@ -30,6 +30,8 @@
 	HeadBody = "HTTP/1.1 200 OK\r\nContent-Type: application/json\r\n\r\n"
 	// HeadEvents starts a stream of events of unknown length.
 	HeadEvents = "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+	// HeadUpgrade switches to another protocol.
+	HeadUpgrade = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: bytes\r\n\r\n"
 )
 
 // Case is a response without end.
@@ -99,6 +101,16 @@
 	}
 }
 
+// RequireUpgradeRefused fails the test unless err says that a server switched to
+// another protocol.
+func RequireUpgradeRefused(t testing.TB, err error, server string) {
+	t.Helper()
+	var upgrade *bounded.UpgradeError
+	if !errors.As(err, &upgrade) || upgrade.Server != server {
+		t.Errorf("got error %v, want one that says that %s switched to another protocol", err, server)
+	}
+}
+
 func (s *Server) accept() {
 	for {
 		connection, err := s.listener.Accept()
--- a/pkg/serving/engine/enginehttp/bounds_test.go
+++ b/pkg/serving/engine/enginehttp/bounds_test.go
@@ -64,3 +64,16 @@
 		}
 	}
 }
+
+// TestUpgradeUnasked guards against a response with status 101, whose body reads
+// past the deadline of its request.
+func TestUpgradeUnasked(t *testing.T) {
+	client := enginehttp.New(enginehttp.Config{ControlTimeout: controlTimeout})
+	for _, call := range append(controlCalls, generateCalls...) {
+		t.Run(call.name, func(t *testing.T) {
+			s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadUpgrade, Repeat: "x"})
+			boundedtest.RequireUpgradeRefused(t, call.run(t.Context(), client, s.Address), s.Address)
+			s.RequireClosed(t)
+		})
+	}
+}
--- a/pkg/serving/node/bounds_test.go
+++ b/pkg/serving/node/bounds_test.go
@@ -38,3 +38,11 @@
 		})
 	}
 }
+
+// TestPeerUpgradeUnasked guards against a response with status 101, whose body
+// reads past the timeout of the client.
+func TestPeerUpgradeUnasked(t *testing.T) {
+	s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadUpgrade, Repeat: " "})
+	boundedtest.RequireUpgradeRefused(t, fetchFleet(t.Context(), s.Address), s.Address)
+	s.RequireClosed(t)
+}
--- a/pkg/serving/operator/operatorclient/bounds_test.go
+++ b/pkg/serving/operator/operatorclient/bounds_test.go
@@ -25,3 +25,12 @@
 		})
 	}
 }
+
+// TestUpgradeUnasked guards against a response with status 101, whose body reads
+// past the timeout of the command.
+func TestUpgradeUnasked(t *testing.T) {
+	s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadUpgrade, Repeat: " "})
+	_, err := newClient("http://" + s.Address).Status(t.Context())
+	boundedtest.RequireUpgradeRefused(t, err, s.Address)
+	s.RequireClosed(t)
+}
--- a/pkg/serving/service/bounds_test.go
+++ b/pkg/serving/service/bounds_test.go
@@ -33,3 +33,15 @@
 		}
 	}
 }
+
+// TestUpgradeUnasked guards against a response with status 101, whose body reads
+// past the deadline of its call.
+func TestUpgradeUnasked(t *testing.T) {
+	client := service.NewClient()
+	for _, noRetry := range []bool{false, true} {
+		s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadUpgrade, Repeat: "x"})
+		_, err := call(t, client, s.Address, noRetry)
+		boundedtest.RequireUpgradeRefused(t, err, s.Address)
+		s.RequireClosed(t)
+	}
+}
