Report bodies over the limit instead of cutting them

Callers saw wrong answers and misleading errors: an engine's answer to an order, and one of the admin API to a drain, that went on without end counted as success; other cut answers were reported as "unexpected end of JSON input", "EOF" or "unexpected response with status 409", without the server.

The cause is io.LimitReader, which ends a body at the limit as if it were whole. ReadBody reads one byte more and returns a TooLargeError with the limit and the server. A command of the admin API whose answer is too large has an unknown outcome, also if its status is a refusal.

--- a/cmd/standin/bounds_test.go
+++ b/cmd/standin/bounds_test.go
@@ -23,3 +23,12 @@
 		})
 	}
 }
+
+// TestBodyWithoutEnd guards against reading the body of a refused registration.
+func TestBodyWithoutEnd(t *testing.T) {
+	s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadBody, Repeat: "x"})
+	if err := registerAt("http://" + s.Address); err == nil {
+		t.Error("a refused registration returned no error")
+	}
+	s.RequireClosed(t)
+}
--- a/pkg/serving/bounded/bounded.go
+++ b/pkg/serving/bounded/bounded.go
@@ -4,6 +4,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"strings"
 )
@@ -18,6 +19,7 @@
 // Parts of a response.
 const (
 	PartHead Part = "head"
+	PartBody Part = "body"
 )
 
 // TooLargeError reports a part of a response that exceeds its limit.
@@ -87,3 +89,24 @@
 func isHeadTooLarge(err error) bool {
 	return strings.Contains(err.Error(), "server response headers exceeded")
 }
+
+// ReadBody reads the complete body of a response. It returns a TooLargeError if
+// the body exceeds maxBytes.
+func ReadBody(response *http.Response, maxBytes int64) ([]byte, error) {
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
+	if err != nil {
+		return nil, err
+	}
+	if int64(len(body)) > maxBytes {
+		return nil, &TooLargeError{Part: PartBody, Server: serverOf(response), Limit: maxBytes}
+	}
+	return body, nil
+}
+
+// serverOf returns the address of the server that sent a response.
+func serverOf(response *http.Response) string {
+	if response.Request == nil || response.Request.URL == nil {
+		return "unknown server"
+	}
+	return response.Request.URL.Host
+}
--- a/pkg/serving/bounded/bounded_test.go
+++ b/pkg/serving/bounded/bounded_test.go
@@ -1,7 +1,9 @@
 package bounded_test
 
 import (
+	"io"
 	"net/http"
+	"strings"
 	"testing"
 
 	"almondbay.example/serving/bounded"
@@ -21,7 +23,8 @@
 		return err
 	}
 	defer func() { _ = response.Body.Close() }()
-	return nil
+	_, err = bounded.ReadBody(response, 1<<10)
+	return err
 }
 
 // TestHeadWithoutEnd guards against heads of up to 10 MB, the default of net/http.
@@ -36,6 +39,15 @@
 	}
 }
 
+// TestBodyWithoutEnd guards against a body that is cut at the limit and then read
+// as if it were whole.
+func TestBodyWithoutEnd(t *testing.T) {
+	s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadBody, Repeat: " "})
+	err := get(t, s)
+	boundedtest.RequireTooLarge(t, err, bounded.PartBody, s.Address)
+	s.RequireClosed(t)
+}
+
 // TestUpgradeUnasked guards against a response with status 101, whose body reads
 // past the deadline of its request.
 func TestUpgradeUnasked(t *testing.T) {
@@ -43,3 +55,16 @@
 	boundedtest.RequireUpgradeRefused(t, get(t, s), s.Address)
 	s.RequireClosed(t)
 }
+
+// TestBodyAtTheLimit guards against a limit that is one byte too low.
+func TestBodyAtTheLimit(t *testing.T) {
+	response := &http.Response{Body: http.NoBody}
+	if body, err := bounded.ReadBody(response, 0); err != nil || len(body) > 0 {
+		t.Errorf("empty body: got %q, error %v", body, err)
+	}
+	s := strings.Repeat("x", 1<<10)
+	response.Body = io.NopCloser(strings.NewReader(s))
+	if body, err := bounded.ReadBody(response, 1<<10); err != nil || string(body) != s {
+		t.Errorf("body at the limit: got %d bytes, error %v", len(body), err)
+	}
+}
--- a/pkg/serving/engine/enginehttp/bounds_test.go
+++ b/pkg/serving/engine/enginehttp/bounds_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"io"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,6 +66,26 @@
 	}
 }
 
+// TestControlBodyWithoutEnd guards against an answer to a health check or an order
+// that is cut at the limit and then read as if it were whole.
+func TestControlBodyWithoutEnd(t *testing.T) {
+	client := enginehttp.New(enginehttp.Config{ControlTimeout: controlTimeout})
+	heads := map[string]string{
+		"ok":         boundedtest.HeadBody,
+		"stale term": strings.Replace(boundedtest.HeadBody, "200 OK", "409 Conflict", 1),
+		"failed":     strings.Replace(boundedtest.HeadBody, "200 OK", "500 Internal Server Error", 1),
+	}
+	for _, call := range controlCalls {
+		for name, head := range heads {
+			t.Run(call.name+"/"+name, func(t *testing.T) {
+				s := boundedtest.NewServer(t, boundedtest.Case{Start: head, Repeat: " "})
+				boundedtest.RequireTooLarge(t, call.run(t.Context(), client, s.Address), bounded.PartBody, s.Address)
+				s.RequireClosed(t)
+			})
+		}
+	}
+}
+
 // TestUpgradeUnasked guards against a response with status 101, whose body reads
 // past the deadline of its request.
 func TestUpgradeUnasked(t *testing.T) {
--- a/pkg/serving/engine/enginehttp/client.go
+++ b/pkg/serving/engine/enginehttp/client.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -188,7 +187,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	answer, err := bounded.ReadBody(response, maxAnswerBytes)
 	if err != nil {
 		return nil, engine.Error.Wrap(err)
 	}
--- a/pkg/serving/operator/operatorclient/bounds_test.go
+++ b/pkg/serving/operator/operatorclient/bounds_test.go
@@ -1,7 +1,9 @@
 package operatorclient_test
 
 import (
+	"errors"
 	"net/http"
+	"strings"
 	"testing"
 
 	"almondbay.example/serving/bounded"
@@ -26,6 +28,27 @@
 	}
 }
 
+// TestBodyWithoutEnd guards against a response that is cut at the limit, which
+// then looks like a malformed one or like an unexpected refusal.
+func TestBodyWithoutEnd(t *testing.T) {
+	heads := map[string]string{
+		"ok":      boundedtest.HeadBody,
+		"refused": strings.Replace(boundedtest.HeadBody, "200 OK", "409 Conflict", 1),
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			s := boundedtest.NewServer(t, boundedtest.Case{Start: head, Repeat: " "})
+			err := newClient("http://"+s.Address).Drain(t.Context(), "vm")
+			boundedtest.RequireTooLarge(t, err, bounded.PartBody, s.Address)
+			var unknown *operatorclient.UnknownOutcomeError
+			if !errors.As(err, &unknown) {
+				t.Errorf("got error %v, want an unknown outcome", err)
+			}
+			s.RequireClosed(t)
+		})
+	}
+}
+
 // TestUpgradeUnasked guards against a response with status 101, whose body reads
 // past the timeout of the command.
 func TestUpgradeUnasked(t *testing.T) {
--- a/pkg/serving/operator/operatorclient/client.go
+++ b/pkg/serving/operator/operatorclient/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -227,7 +226,7 @@
 		return Error.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := bounded.ReadBody(response, maxResponseBytes)
 	if err != nil {
 		return Error.Wrap(err)
 	}
--- a/pkg/serving/peer/http.go
+++ b/pkg/serving/peer/http.go
@@ -5,13 +5,13 @@
 	"context"
 	"encoding/json"
 	"errors"
-	"io"
 	"net/http"
 
 	"github.com/labstack/echo/v4"
 
 	"almondbay.example/core/jsonc"
 	"almondbay.example/core/revision"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/environment"
 )
 
@@ -157,5 +157,9 @@
 	if reply == nil {
 		return nil
 	}
-	return Error.Wrap(json.NewDecoder(io.LimitReader(response.Body, maxResponseBytes)).Decode(reply))
+	answer, err := bounded.ReadBody(response, maxResponseBytes)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	return Error.Wrap(json.Unmarshal(answer, reply))
 }
