Follow no redirects with a key or a command

A peer that answered with a redirect received more than its own request: the node sent the request, with the peer key, to whichever server the redirect named, and took that server's answer for the peer's. net/http drops the Authorization header at a redirect to another host, but keys.Transport adds the key again. The operator's client carried out commands at servers that the operator did not name, and a stand-in registered itself there.

These clients now return a redirect as the response, which none of them takes for a success, as those of engines and plain services already did.

Before: TestPeerKeyStaysWithPeers failed ("another server received the peer key"), as did TestRedirectIsNotFollowed of operatorclient and standin ("a redirect was taken for a success"). TestRedirectIsNotFollowed of enginehttp and TestRedirectIsReturned of service passed before. After: all pass.

--- a/cmd/standin/bounds_test.go
+++ b/cmd/standin/bounds_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"net"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"almondbay.example/core/fleet"
@@ -32,3 +35,21 @@
 	}
 	s.RequireClosed(t)
 }
+
+// TestRedirectIsNotFollowed guards against a registration at another server.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var reached atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		reached.Add(1)
+		w.WriteHeader(http.StatusNoContent)
+	}))
+	t.Cleanup(other.Close)
+	s := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	t.Cleanup(s.Close)
+	if err := registerAt(s.URL); err == nil {
+		t.Error("a redirect was taken for a success")
+	}
+	if n := reached.Load(); n > 0 {
+		t.Errorf("another server received %d requests, want none", n)
+	}
+}
--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -73,7 +73,8 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	client := &http.Client{
-		Transport: bounded.NewTransport(nil),
+		Transport:     bounded.NewTransport(nil),
+		CheckRedirect: bounded.RefuseRedirects,
 	}
 	response, err := client.Do(request)
 	if err != nil {
--- a/pkg/serving/bounded/bounded.go
+++ b/pkg/serving/bounded/bounded.go
@@ -90,6 +90,13 @@
 	return strings.Contains(err.Error(), "server response headers exceeded")
 }
 
+// RefuseRedirects is a CheckRedirect function of an http.Client: the client
+// returns a redirect as the response. Following it would send the request, and
+// the key of a client that adds one, to another server.
+func RefuseRedirects(*http.Request, []*http.Request) error {
+	return http.ErrUseLastResponse
+}
+
 // ReadBody reads the complete body of a response. It returns a TooLargeError if
 // the body exceeds maxBytes.
 func ReadBody(response *http.Response, maxBytes int64) ([]byte, error) {
--- a/pkg/serving/bounded/bounded_test.go
+++ b/pkg/serving/bounded/bounded_test.go
@@ -17,7 +17,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client := &http.Client{Transport: bounded.NewTransport(nil)}
+	client := &http.Client{Transport: bounded.NewTransport(nil), CheckRedirect: bounded.RefuseRedirects}
 	response, err := client.Do(request)
 	if err != nil {
 		return err
--- a/pkg/serving/engine/enginehttp/bounds_test.go
+++ b/pkg/serving/engine/enginehttp/bounds_test.go
@@ -3,7 +3,10 @@
 import (
 	"context"
 	"io"
+	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -98,3 +101,20 @@
 		})
 	}
 }
+
+// TestRedirectIsNotFollowed guards against a redirect that makes the client send a
+// request twice or read another server.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var reached atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached.Add(1) }))
+	t.Cleanup(other.Close)
+	s := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	t.Cleanup(s.Close)
+	client := enginehttp.New(enginehttp.Config{ControlTimeout: controlTimeout})
+	for _, call := range append(controlCalls, generateCalls...) {
+		_ = call.run(t.Context(), client, s.Listener.Addr().String())
+	}
+	if n := reached.Load(); n > 0 {
+		t.Errorf("another server received %d requests, want none", n)
+	}
+}
--- a/pkg/serving/engine/enginehttp/client.go
+++ b/pkg/serving/engine/enginehttp/client.go
@@ -70,7 +70,7 @@
 func newHTTPClient(t *http.Transport) *http.Client {
 	return &http.Client{
 		Transport:     bounded.NewTransport(t),
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		CheckRedirect: bounded.RefuseRedirects,
 	}
 }
 
--- a/pkg/serving/node/bounds_test.go
+++ b/pkg/serving/node/bounds_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"almondbay.example/core/feed"
@@ -46,3 +49,24 @@
 	boundedtest.RequireUpgradeRefused(t, fetchFleet(t.Context(), s.Address), s.Address)
 	s.RequireClosed(t)
 }
+
+// TestPeerKeyStaysWithPeers guards against a redirect that makes a node send the
+// peer key to another server.
+func TestPeerKeyStaysWithPeers(t *testing.T) {
+	var reached atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		reached.Add(1)
+		if keys.FromHeader(r.Header) != "" {
+			t.Error("another server received the peer key")
+		}
+	}))
+	t.Cleanup(other.Close)
+	s := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	t.Cleanup(s.Close)
+	if err := fetchFleet(t.Context(), s.Listener.Addr().String()); err == nil {
+		t.Error("a redirect was taken for the response of a peer")
+	}
+	if n := reached.Load(); n > 0 {
+		t.Errorf("another server received %d requests, want none", n)
+	}
+}
--- a/pkg/serving/node/peers.go
+++ b/pkg/serving/node/peers.go
@@ -61,8 +61,9 @@
 		IdleConnTimeout:     time.Minute,
 	}
 	return &http.Client{
-		Timeout:   peerTimeout,
-		Transport: keys.Transport{Key: n.peerKey(), Base: bounded.NewTransport(transport)},
+		Timeout:       peerTimeout,
+		Transport:     keys.Transport{Key: n.peerKey(), Base: bounded.NewTransport(transport)},
+		CheckRedirect: bounded.RefuseRedirects,
 	}
 }
 
--- a/pkg/serving/operator/operatorclient/bounds_test.go
+++ b/pkg/serving/operator/operatorclient/bounds_test.go
@@ -3,7 +3,9 @@
 import (
 	"errors"
 	"net/http"
+	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"almondbay.example/serving/bounded"
@@ -57,3 +59,19 @@
 	boundedtest.RequireUpgradeRefused(t, err, s.Address)
 	s.RequireClosed(t)
 }
+
+// TestRedirectIsNotFollowed guards against a redirect that makes the client send a
+// command to a server that the operator did not name.
+func TestRedirectIsNotFollowed(t *testing.T) {
+	var reached atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached.Add(1) }))
+	t.Cleanup(other.Close)
+	s := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	t.Cleanup(s.Close)
+	if err := newClient(s.URL).Drain(t.Context(), "vm"); err == nil {
+		t.Error("a redirect was taken for a success")
+	}
+	if n := reached.Load(); n > 0 {
+		t.Errorf("another server received %d requests, want none", n)
+	}
+}
--- a/pkg/serving/operator/operatorclient/client.go
+++ b/pkg/serving/operator/operatorclient/client.go
@@ -37,8 +37,8 @@
 	Servers []string
 	// Key is the operator's key.
 	Key keys.Secret
-	// HTTP sends the requests. The client uses a copy that bounds
-	// what it reads.
+	// HTTP sends the requests. The client uses a copy that follows no redirects and
+	// bounds what it reads.
 	HTTP *http.Client
 }
 
@@ -53,6 +53,7 @@
 func New(c Config) *Client {
 	limited := *c.HTTP
 	limited.Transport = bounded.NewTransport(c.HTTP.Transport)
+	limited.CheckRedirect = bounded.RefuseRedirects
 	c.HTTP = &limited
 	return &Client{config: c}
 }
--- a/pkg/serving/service/bounds_test.go
+++ b/pkg/serving/service/bounds_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
 	"testing"
 
 	"almondbay.example/serving/bounded"
@@ -45,3 +47,23 @@
 		s.RequireClosed(t)
 	}
 }
+
+// TestRedirectIsReturned guards against a redirect that makes the client send a
+// call twice or read another server.
+func TestRedirectIsReturned(t *testing.T) {
+	var reached atomic.Int64
+	other := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) { reached.Add(1) }))
+	t.Cleanup(other.Close)
+	s := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
+	t.Cleanup(s.Close)
+	client := service.NewClient()
+	for _, noRetry := range []bool{false, true} {
+		status, err := call(t, client, s.Listener.Addr().String(), noRetry)
+		if err != nil || status != http.StatusTemporaryRedirect {
+			t.Errorf("got status %d, error %v, want the redirect", status, err)
+		}
+	}
+	if n := reached.Load(); n > 0 {
+		t.Errorf("another server received %d requests, want none", n)
+	}
+}
