Bound TLS handshakes to 5 s

A peer or a platform that accepts connections and then does not respond to the TLS handshake cost a node a connection and a goroutine for each call to it, for as long as the server liked: net/http goes on to connect after the request has ended, and neither the transports nor certificate.Dial had a timeout of their own. The registration of a stand-in had none for the whole call; it has one of 10 s now.

Before: TestHandshakeWithoutEnd of certificate was still in HandshakeContext, and that of bounded (with a transport without the timeout) still waited for the server to see its connection closed, when go test ended them after 20 s. After: both pass, in 5 s.

--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -24,6 +24,9 @@
 // request.
 const readHeaderTimeout = 10 * time.Second
 
+// registerTimeout bounds the registration of a VM.
+const registerTimeout = 10 * time.Second
+
 // vmOptions are the flags of a stand-in that runs on a VM listed by the platform.
 type vmOptions struct {
 	ID            string `long:"id" required:"true" description:"ID of the VM"`
@@ -73,6 +76,7 @@
 	}
 	request.Header.Set("Content-Type", "application/json")
 	client := &http.Client{
+		Timeout:       registerTimeout,
 		Transport:     bounded.NewTransport(nil),
 		CheckRedirect: bounded.RefuseRedirects,
 	}
--- a/pkg/serving/bounded/bounded.go
+++ b/pkg/serving/bounded/bounded.go
@@ -7,12 +7,17 @@
 	"io"
 	"net/http"
 	"strings"
+	"time"
 )
 
 // MaxHeadBytes bounds the head of a response together with the 1xx responses
 // before it.
 const MaxHeadBytes = 64 << 10
 
+// HandshakeTimeout bounds a TLS handshake. The deadline of a request does not:
+// net/http goes on to connect after the request has ended.
+const HandshakeTimeout = 5 * time.Second
+
 // Part is a part of a response.
 type Part string
 
@@ -61,6 +66,7 @@
 	if t, ok := base.(*http.Transport); ok {
 		limited := t.Clone()
 		limited.MaxResponseHeaderBytes = MaxHeadBytes
+		limited.TLSHandshakeTimeout = HandshakeTimeout
 		base = limited
 	}
 	return &Transport{base: base}
--- a/pkg/serving/bounded/bounded_test.go
+++ b/pkg/serving/bounded/bounded_test.go
@@ -1,7 +1,9 @@
 package bounded_test
 
 import (
+	"context"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -56,6 +58,29 @@
 	s.RequireClosed(t)
 }
 
+// TestHandshakeWithoutEnd guards against a connection that stays open after its
+// request when the server does not respond to the TLS handshake.
+func TestHandshakeWithoutEnd(t *testing.T) {
+	t.Parallel()
+	s := boundedtest.NewServer(t, boundedtest.Case{Unread: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	client := &http.Client{Transport: bounded.NewTransport(&http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			defer cancel()
+			return new(net.Dialer).DialContext(ctx, network, address)
+		},
+	})}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+s.Address, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response, err := client.Do(request); err == nil {
+		_ = response.Body.Close()
+		t.Error("got a response from a silent server")
+	}
+	s.RequireClosed(t)
+}
+
 // TestBodyAtTheLimit guards against a limit that is one byte too low.
 func TestBodyAtTheLimit(t *testing.T) {
 	response := &http.Response{Body: http.NoBody}
--- a/pkg/serving/bounded/boundedtest/server.go
+++ b/pkg/serving/bounded/boundedtest/server.go
@@ -40,6 +40,8 @@
 	// Start is sent first, and then Repeat until the client closes the connection.
 	// An empty Repeat sends nothing more.
 	Start, Repeat string
+	// Unread is set to send without reading a request first.
+	Unread bool
 }
 
 // HeadCases returns responses whose heads have no end.
@@ -126,8 +128,10 @@
 
 // respond returns nil once the client has closed the connection.
 func (s *Server) respond(connection net.Conn) error {
-	if err := readRequest(connection); err != nil {
-		return err
+	if !s.response.Unread {
+		if err := readRequest(connection); err != nil {
+			return err
+		}
 	}
 	if _, err := io.WriteString(connection, s.response.Start); err != nil {
 		return nil
--- a/pkg/serving/certificate/certificate.go
+++ b/pkg/serving/certificate/certificate.go
@@ -16,6 +16,7 @@
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
 
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/event"
 )
 
@@ -184,14 +185,20 @@
 // certificate. It has the signature of http.Transport.DialTLSContext.
 func (s *Store) Dial(ctx context.Context, network, address string) (net.Conn, error) {
 	current := s.current.Load()
-	dialer := &tls.Dialer{Config: &tls.Config{
-		MinVersion:   tls.VersionTLS13,
-		Certificates: []tls.Certificate{current.certificate},
-		RootCAs:      current.authority,
-		NextProtos:   []string{"http/1.1"},
-	}}
+	dialer := &tls.Dialer{
+		NetDialer: &net.Dialer{Timeout: bounded.HandshakeTimeout},
+		Config: &tls.Config{
+			MinVersion:   tls.VersionTLS13,
+			Certificates: []tls.Certificate{current.certificate},
+			RootCAs:      current.authority,
+			NextProtos:   []string{"http/1.1"},
+		},
+	}
 	connection, err := dialer.DialContext(ctx, network, address)
-	return connection, Error.Wrap(err)
+	if err != nil {
+		return nil, Error.Wrap(fmt.Errorf("connect to %s: %w", address, err))
+	}
+	return connection, nil
 }
 
 // ClientConfig returns the TLS settings of a client that verifies servers with the
--- a/pkg/serving/certificate/certificate_test.go
+++ b/pkg/serving/certificate/certificate_test.go
@@ -9,11 +9,13 @@
 	"crypto/x509"
 	"crypto/x509/pkix"
 	"encoding/pem"
+	"errors"
 	"io"
 	"math/big"
 	"net"
 	"os"
 	"path/filepath"
+	"strings"
 	"testing"
 	"time"
 
@@ -21,6 +23,7 @@
 	"go.uber.org/zap/zaptest/observer"
 	"golang.org/x/sync/errgroup"
 
+	"almondbay.example/serving/bounded/boundedtest"
 	"almondbay.example/serving/certificate"
 )
 
@@ -196,3 +199,23 @@
 		t.Error("Load of missing files returned no error")
 	}
 }
+
+// TestHandshakeWithoutEnd guards against a connection that stays open when the
+// server does not respond to the TLS handshake. net/http calls Dial with a context
+// that outlives the request.
+func TestHandshakeWithoutEnd(t *testing.T) {
+	t.Parallel()
+	c := config(t, zap.NewNop())
+	newAuthority().issue(10, c)
+	store := must(certificate.Load(c))
+	s := boundedtest.NewServer(t, boundedtest.Case{Unread: true})
+	connection, err := store.Dial(t.Context(), "tcp", s.Address)
+	var timeout net.Error
+	if !errors.As(err, &timeout) || !timeout.Timeout() || !strings.Contains(err.Error(), s.Address) {
+		t.Errorf("got error %v, want a timeout of %s", err, s.Address)
+	}
+	if err == nil {
+		_ = connection.Close()
+	}
+	s.RequireClosed(t)
+}
