Say which part of an answer was too large, and whose

Callers saw "no backend server returned a complete answer: serverError" or "broken" for an answer over 8 MB, an event over 1 MB or a head over 64 KB; neither they nor the errors within the gateway told which part was too large or which server sent it. The problem now says so. It names the replica group or the VM, not the address, which callers do not know.

Before: TestAnswerWithoutEnd (4 cases), TestHeadWithoutEnd (on the parent, which bounds heads) and TestStreamWithoutEnd/event failed for the missing text; the connections were closed and the limits kept. TestStreamEndsAtDeadline passed before: a stream of tokens without end and one that falls silent end at the deadline of their request. After: all pass, 3 runs under the race detector.

--- a/pkg/serving/bounded/bounded.go
+++ b/pkg/serving/bounded/bounded.go
@@ -23,8 +23,9 @@
 
 // Parts of a response.
 const (
-	PartHead Part = "head"
-	PartBody Part = "body"
+	PartHead  Part = "head"
+	PartBody  Part = "body"
+	PartEvent Part = "event"
 )
 
 // TooLargeError reports a part of a response that exceeds its limit.
--- a/pkg/serving/bounded/boundedtest/server.go
+++ b/pkg/serving/bounded/boundedtest/server.go
@@ -42,6 +42,9 @@
 	Start, Repeat string
 	// Unread is set to send without reading a request first.
 	Unread bool
+	// Unlimited is set to send until the client closes the connection, for calls
+	// that end at a deadline.
+	Unlimited bool
 }
 
 // HeadCases returns responses whose heads have no end.
@@ -84,7 +87,7 @@
 	return s
 }
 
-// RequireClosed waits until the client has closed a connection. It fails the test
+// RequireClosed waits until the client has closed the connection of a request. It fails the test
 // if the client read all bytes that the server sends at most.
 func (s *Server) RequireClosed(t testing.TB) {
 	t.Helper()
@@ -121,18 +124,16 @@
 		}
 		s.handlers.Go(func() {
 			defer func() { _ = connection.Close() }()
-			s.ended <- s.respond(connection)
+			// A connection without a request is a probe.
+			if s.response.Unread || readRequest(connection) == nil {
+				s.ended <- s.respond(connection)
+			}
 		})
 	}
 }
 
 // respond returns nil once the client has closed the connection.
 func (s *Server) respond(connection net.Conn) error {
-	if !s.response.Unread {
-		if err := readRequest(connection); err != nil {
-			return err
-		}
-	}
 	if _, err := io.WriteString(connection, s.response.Start); err != nil {
 		return nil
 	}
@@ -141,7 +142,7 @@
 		return nil
 	}
 	block := strings.Repeat(s.response.Repeat, max(1, writeBytes/len(s.response.Repeat)))
-	for sent := 0; sent < maxSentBytes; sent += len(block) {
+	for sent := 0; s.response.Unlimited || sent < maxSentBytes; sent += len(block) {
 		if _, err := io.WriteString(connection, block); err != nil {
 			return nil
 		}
--- a/pkg/serving/caller/exchange.go
+++ b/pkg/serving/caller/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondbay.example/core/attempt"
+	"almondbay.example/serving/bounded"
 )
 
 const (
@@ -170,6 +171,10 @@
 	if f.rejection != nil {
 		p.status = f.rejection.status
 	}
+	var tooLarge *bounded.TooLargeError
+	if p.code == CodeBrokenAnswer && errors.As(f.cause, &tooLarge) {
+		p.message += ": " + tooLarge.Error()
+	}
 	return p
 }
 
@@ -261,6 +266,10 @@
 	if failure == nil {
 		return nil
 	}
+	var head *bounded.TooLargeError
+	if errors.As(failure.cause, &head) && head.Part == bounded.PartHead {
+		failure.cause = tooLarge(bounded.PartHead, dest, head.Limit)
+	}
 	return x.classify(ctx, dest, failure)
 }
 
--- a/pkg/serving/caller/relay.go
+++ b/pkg/serving/caller/relay.go
@@ -10,6 +10,7 @@
 	"github.com/labstack/echo/v4"
 
 	"almondbay.example/core/attempt"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/engine"
 )
 
@@ -50,6 +51,9 @@
 		if errors.Is(err, engine.ErrEngineError) {
 			return newFailure(attempt.FailureServer, err)
 		}
+		if errors.Is(err, engine.ErrEventTooLong) {
+			return newFailure(attempt.FailureBroken, tooLarge(bounded.PartEvent, dest, engine.MaxEventBytes))
+		}
 		if err != nil {
 			return newFailure(attempt.FailureBroken, err)
 		}
@@ -66,6 +70,12 @@
 	}
 }
 
+// tooLarge returns the error for a part of an answer that exceeds its limit. It
+// names the replica group or the VM, whose address callers do not know.
+func tooLarge(p bounded.Part, dest destination, limit int64) error {
+	return &bounded.TooLargeError{Part: p, Server: dest.target.Group, Limit: limit}
+}
+
 func frameOf(id attempt.ID, b engine.Batch) attempt.Frame {
 	return attempt.Frame{
 		Attempt: id,
@@ -95,7 +105,7 @@
 		return newFailure(attempt.FailureBroken, err)
 	}
 	if len(body) > maxBufferedBytes {
-		return newFailure(attempt.FailureServer, errAnswerTooBig)
+		return newFailure(attempt.FailureServer, tooLarge(bounded.PartBody, dest, maxBufferedBytes))
 	}
 	if x.request.Accept(attempt.Frame{Attempt: id, End: true}) != attempt.Forward {
 		return newFailure(attempt.FailureBroken, errMissingTokens)
--- a/pkg/serving/engine/events.go
+++ b/pkg/serving/engine/events.go
@@ -10,8 +10,8 @@
 const (
 	// initialBufferBytes is the initial size of the buffer of a stream.
 	initialBufferBytes = 4 << 10
-	// maxEventBytes bounds the size of one server-sent event.
-	maxEventBytes = 1 << 20
+	// MaxEventBytes bounds the size of one server-sent event.
+	MaxEventBytes = 1 << 20
 )
 
 var (
@@ -25,7 +25,7 @@
 
 // Errors of an event stream.
 var (
-	// ErrEventTooLong reports an event larger than maxEventBytes.
+	// ErrEventTooLong reports an event larger than MaxEventBytes.
 	ErrEventTooLong = Error.New("event exceeds the size limit")
 	// ErrTruncated reports a stream that ended before its end marker.
 	ErrTruncated = Error.New("stream ended before its end marker")
@@ -99,7 +99,7 @@
 		e.start = 0
 	}
 	if e.end == len(e.buffer) {
-		if len(e.buffer) >= maxEventBytes {
+		if len(e.buffer) >= MaxEventBytes {
 			e.err = ErrEventTooLong
 			return
 		}
