End a stream that has no new tokens for 16 MB

Callers saw a stream that held their request until its deadline, one hour by default, while the node read comments, events without tokens or repeated tokens as fast as the backend server sent them. One event was bounded; the stream was only by the deadline.

Events now counts the bytes since the last new token and returns ErrNoProgress above 16 MB. The attempt has then failed as broken, so a request that may be repeated goes to another replica group.

--- a/pkg/serving/bounded/bounded.go
+++ b/pkg/serving/bounded/bounded.go
@@ -26,6 +26,8 @@
 	PartHead  Part = "head"
 	PartBody  Part = "body"
 	PartEvent Part = "event"
+	// PartSkipped is the part of a stream of events that has no new tokens.
+	PartSkipped Part = "part without new tokens"
 )
 
 // TooLargeError reports a part of a response that exceeds its limit.
--- a/pkg/serving/caller/bounds_test.go
+++ b/pkg/serving/caller/bounds_test.go
@@ -171,15 +171,20 @@
 // booked are the headers of a call that runs at most once.
 var booked = map[string]string{HeaderIdempotencyKey: "key", HeaderIdempotent: "false"}
 
-// TestStreamWithoutEnd guards against an error that does not say which server sent
-// a stream without end.
+// TestStreamWithoutEnd guards against a stream that holds a request until its
+// deadline without a token for its caller, and against an error that does not say
+// which server sent it.
 func TestStreamWithoutEnd(t *testing.T) {
 	const token = "id: 0+1\ndata: x\n\n"
+	const skipped = "part without new tokens of the response of g0 exceeds 16777216 bytes"
 	tests := []struct {
 		boundedtest.Case
 		text string
 	}{
 		{boundedtest.Case{Name: "event", Start: token + "data: ", Repeat: "x"}, "event of the response of g0 exceeds 1048576 bytes"},
+		{boundedtest.Case{Name: "comments", Start: token, Repeat: ": comment\n\n"}, skipped},
+		{boundedtest.Case{Name: "events without tokens", Start: token, Repeat: "id: 1+0\ndata: x\n\n"}, skipped},
+		{boundedtest.Case{Name: "repeated tokens", Start: token, Repeat: token}, skipped},
 	}
 	for _, tt := range tests {
 		t.Run(tt.Name, func(t *testing.T) {
--- a/pkg/serving/caller/relay.go
+++ b/pkg/serving/caller/relay.go
@@ -54,6 +54,9 @@
 		if errors.Is(err, engine.ErrEventTooLong) {
 			return newFailure(attempt.FailureBroken, tooLarge(bounded.PartEvent, dest, engine.MaxEventBytes))
 		}
+		if errors.Is(err, engine.ErrNoProgress) {
+			return newFailure(attempt.FailureBroken, tooLarge(bounded.PartSkipped, dest, engine.MaxSkippedBytes))
+		}
 		if err != nil {
 			return newFailure(attempt.FailureBroken, err)
 		}
--- a/pkg/serving/engine/events.go
+++ b/pkg/serving/engine/events.go
@@ -12,6 +12,9 @@
 	initialBufferBytes = 4 << 10
 	// MaxEventBytes bounds the size of one server-sent event.
 	MaxEventBytes = 1 << 20
+	// MaxSkippedBytes bounds the events between two new tokens: comments, events
+	// without tokens and events that repeat tokens.
+	MaxSkippedBytes = 16 << 20
 )
 
 var (
@@ -27,6 +30,8 @@
 var (
 	// ErrEventTooLong reports an event larger than MaxEventBytes.
 	ErrEventTooLong = Error.New("event exceeds the size limit")
+	// ErrNoProgress reports more than MaxSkippedBytes without a new token.
+	ErrNoProgress = Error.New("stream exceeds the size limit between two new tokens")
 	// ErrTruncated reports a stream that ended before its end marker.
 	ErrTruncated = Error.New("stream ended before its end marker")
 	// ErrEngineError reports that the engine sent an error as an event of the
@@ -59,9 +64,11 @@
 	// returned.
 	start, end int
 	// next is the expected offset of the next event.
-	next  int
-	ended bool
-	err   error
+	next int
+	// skipped is the number of bytes since the last new token.
+	skipped int
+	ended   bool
+	err     error
 }
 
 // NewEvents returns the events of a stream whose first token has the given
@@ -139,6 +146,7 @@
 			batch.Offset, batch.Indexed = v.Offset, v.Indexed
 		}
 		e.start += length + len(eventSeparator)
+		e.recordProgress(v, length+len(eventSeparator))
 		if v.Offset < e.next {
 			// An event that repeats tokens is a separate batch, so that it can be
 			// dropped without the events after it.
@@ -154,6 +162,18 @@
 	return batch, nil
 }
 
+// recordProgress counts the bytes of an event unless it has new tokens.
+func (e *Events) recordProgress(v Batch, length int) {
+	if v.Tokens > 0 && v.Offset >= e.next {
+		e.skipped = 0
+		return
+	}
+	e.skipped += length
+	if e.skipped > MaxSkippedBytes {
+		e.err = ErrNoProgress
+	}
+}
+
 // parseEvent parses one event, given without the blank line that ends it. The end
 // marker and events without data have no tokens and are at the expected offset.
 func parseEvent(event []byte, expected int) (Batch, error) {
