Wait at most 1 s for the end of a stream's body

Callers who had received the end marker saw the response stay open until the deadline of their request, one hour by default, if the backend server left the body open: the gateway reads to the end of the body to get the connection back, without a limit of its own. The request also kept its share of the node's limits.

The read now has one second, after which the attempt is canceled and with it the connection closed. The request is complete and stays so.

Before: TestSilenceAfterEndMarker failed after its deadline of one minute ("request ended at its deadline"). After: it passes, 5 runs under the race detector on a fake clock.

--- a/pkg/serving/caller/bounds_test.go
+++ b/pkg/serving/caller/bounds_test.go
@@ -12,6 +12,7 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+	"golang.org/x/sync/errgroup"
 
 	"almondbay.example/core/document"
 	"almondbay.example/core/fleet"
@@ -213,3 +214,28 @@
 		})
 	}
 }
+
+// TestSilenceAfterEndMarker guards against a complete stream whose backend server
+// holds the request until its deadline by leaving the body open.
+func TestSilenceAfterEndMarker(t *testing.T) {
+	clock := clockwork.NewFakeClockAt(time.Now())
+	f := newEndlessFleet(t, clock, boundedtest.Case{Start: boundedtest.HeadEvents + "data: x\n\ndata: [DONE]\n\n"})
+	answered, answer := context.WithCancel(t.Context())
+	var group errgroup.Group
+	group.Go(func() error {
+		defer answer()
+		_, body, err := f.post(t.Context(), enginewire.PathCompletions, streamBody, map[string]string{HeaderTimeout: "1m"})
+		if err == nil && !strings.HasSuffix(body, "data: [DONE]\n\n") {
+			err = fmt.Errorf("stream ends with %q, want the end marker", body)
+		}
+		return err
+	})
+	if err := clock.BlockUntilContext(answered, 1); err != nil {
+		t.Error("request ended at its deadline, want a limit on the wait for the end of the body")
+	}
+	clock.Advance(drainTimeout)
+	if err := group.Wait(); err != nil {
+		t.Error(err)
+	}
+	f.backend.RequireClosed(t)
+}
--- a/pkg/serving/caller/exchange.go
+++ b/pkg/serving/caller/exchange.go
@@ -260,7 +260,7 @@
 		if a.status < http.StatusMultipleChoices {
 			x.request.Answered(id)
 		}
-		failure = x.relay(a, dest, id)
+		failure = x.relay(a, dest, id, func() { cancel(nil) })
 		_ = a.body.Close()
 	}
 	if failure == nil {
--- a/pkg/serving/caller/relay.go
+++ b/pkg/serving/caller/relay.go
@@ -6,6 +6,7 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
@@ -18,25 +19,28 @@
 // forwarded.
 const maxBufferedBytes = 8 << 20
 
+// drainTimeout bounds the wait for the end of a body after the end marker.
+const drainTimeout = time.Second
+
 var (
 	errCallerGone    = Error.New("caller stopped reading the answer")
 	errMissingTokens = Error.New("token stream is incomplete")
 	errAnswerTooBig  = Error.New("answer exceeds the size limit")
 )
 
-// relay forwards an answer to the sink.
-func (x *exchange) relay(a answer, dest destination, id attempt.ID) *failureError {
+// relay forwards an answer to the sink. Abort cancels the attempt.
+func (x *exchange) relay(a answer, dest destination, id attempt.ID, abort func()) *failureError {
 	if a.status >= http.StatusMultipleChoices && !x.backend.final(a) {
 		return newFailure(attempt.FailureServer, Error.New("backend server answered with status %d", a.status))
 	}
 	if a.stream {
-		return x.relayStream(a, dest, id)
+		return x.relayStream(a, dest, id, abort)
 	}
 	return x.relayBuffered(a, dest, id)
 }
 
 // relayStream forwards complete server-sent events until the end marker.
-func (x *exchange) relayStream(a answer, dest destination, id attempt.ID) *failureError {
+func (x *exchange) relayStream(a answer, dest destination, id attempt.ID, abort func()) *failureError {
 	events := engine.NewEvents(a.body, x.request.Forwarded())
 	for {
 		b, err := events.Next()
@@ -45,7 +49,7 @@
 		}
 		if errors.Is(err, io.EOF) {
 			dest.slot.Finish(x.request.Forwarded())
-			_, _ = a.body.Read(make([]byte, 1)) // Reading to EOF returns the connection to the pool.
+			x.drain(a.body, abort)
 			return nil
 		}
 		if errors.Is(err, engine.ErrEngineError) {
@@ -73,6 +77,15 @@
 	}
 }
 
+// drain reads the end of a body, which returns the connection to the pool. It
+// aborts the attempt if the end does not arrive within drainTimeout.
+func (x *exchange) drain(body io.Reader, abort func()) {
+	timer := x.gateway.clock.AfterFunc(drainTimeout, abort)
+	defer timer.Stop()
+
+	_, _ = body.Read(make([]byte, 1))
+}
+
 // tooLarge returns the error for a part of an answer that exceeds its limit. It
 // names the replica group or the VM, whose address callers do not know.
 func tooLarge(p bounded.Part, dest destination, limit int64) error {
