--- a/cmd/standin/serve.go
+++ b/cmd/standin/serve.go
@@ -15,6 +15,7 @@
 	"github.com/oklog/run"
 
 	"almondbay.example/core/fleet"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/platform/platformwire"
 	"almondbay.example/standin/platformstandin"
 )
@@ -23,6 +24,9 @@
 // request.
 const readHeaderTimeout = 10 * time.Second
 
+// registerTimeout bounds the registration of a VM.
+const registerTimeout = 10 * time.Second
+
 // vmOptions are the flags of a stand-in that runs on a VM listed by the platform.
 type vmOptions struct {
 	ID            string `long:"id" required:"true" description:"ID of the VM"`
@@ -71,7 +75,12 @@
 		return err
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := http.DefaultClient.Do(request)
+	client := &http.Client{
+		Timeout:       registerTimeout,
+		Transport:     bounded.NewTransport(nil),
+		CheckRedirect: bounded.RefuseRedirects,
+	}
+	response, err := client.Do(request)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/pkg/serving/bounded/bounded_test.go
@@ -0,0 +1,95 @@
+package bounded_test
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+
+	"almondbay.example/serving/bounded"
+	"almondbay.example/serving/bounded/boundedtest"
+)
+
+// get sends a request to a server without end and reads the body of the response.
+func get(t *testing.T, s *boundedtest.Server) error {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+s.Address, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := &http.Client{Transport: bounded.NewTransport(nil), CheckRedirect: bounded.RefuseRedirects}
+	response, err := client.Do(request)
+	if err != nil {
+		return err
+	}
+	defer func() { _ = response.Body.Close() }()
+	_, err = bounded.ReadBody(response, 1<<10)
+	return err
+}
+
+// TestHeadWithoutEnd guards against heads of up to 10 MB, the default of net/http.
+func TestHeadWithoutEnd(t *testing.T) {
+	for _, c := range boundedtest.HeadCases() {
+		t.Run(c.Name, func(t *testing.T) {
+			s := boundedtest.NewServer(t, c)
+			err := get(t, s)
+			boundedtest.RequireTooLarge(t, err, bounded.PartHead, s.Address)
+			s.RequireClosed(t)
+		})
+	}
+}
+
+// TestBodyWithoutEnd guards against a body that is cut at the limit and then read
+// as if it were whole.
+func TestBodyWithoutEnd(t *testing.T) {
+	s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadBody, Repeat: " "})
+	err := get(t, s)
+	boundedtest.RequireTooLarge(t, err, bounded.PartBody, s.Address)
+	s.RequireClosed(t)
+}
+
+// TestUpgradeUnasked guards against a response with status 101, whose body reads
+// past the deadline of its request.
+func TestUpgradeUnasked(t *testing.T) {
+	s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadUpgrade})
+	boundedtest.RequireUpgradeRefused(t, get(t, s), s.Address)
+	s.RequireClosed(t)
+}
+
+// TestHandshakeWithoutEnd guards against a connection that stays open after its
+// request when the server does not respond to the TLS handshake.
+func TestHandshakeWithoutEnd(t *testing.T) {
+	t.Parallel()
+	s := boundedtest.NewServer(t, boundedtest.Case{Unread: true})
+	ctx, cancel := context.WithCancel(t.Context())
+	client := &http.Client{Transport: bounded.NewTransport(&http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			defer cancel()
+			return new(net.Dialer).DialContext(ctx, network, address)
+		},
+	})}
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, "https://"+s.Address, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if response, err := client.Do(request); err == nil {
+		_ = response.Body.Close()
+		t.Error("got a response from a silent server")
+	}
+	s.RequireClosed(t)
+}
+
+// TestBodyAtTheLimit guards against a limit that is one byte too low.
+func TestBodyAtTheLimit(t *testing.T) {
+	response := &http.Response{Body: http.NoBody}
+	if body, err := bounded.ReadBody(response, 0); err != nil || len(body) > 0 {
+		t.Errorf("empty body: got %q, error %v", body, err)
+	}
+	s := strings.Repeat("x", 1<<10)
+	response.Body = io.NopCloser(strings.NewReader(s))
+	if body, err := bounded.ReadBody(response, 1<<10); err != nil || string(body) != s {
+		t.Errorf("body at the limit: got %d bytes, error %v", len(body), err)
+	}
+}
--- a/pkg/serving/caller/exchange.go
+++ b/pkg/serving/caller/exchange.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"almondbay.example/core/attempt"
+	"almondbay.example/serving/bounded"
 )
 
 const (
@@ -89,7 +90,8 @@
 	crashed(ctx context.Context, dest destination) bool
 }
 
-// sink receives the answer. An error means that the caller has disconnected.
+// sink receives the answer. An error means that the caller has disconnected, or,
+// for errAnswerTooBig, that the answer is too large to record.
 type sink interface {
 	// head sends the status and headers.
 	head(a answer) error
@@ -173,6 +175,10 @@
 	if f.rejection != nil {
 		p.status = f.rejection.status
 	}
+	var tooLarge *bounded.TooLargeError
+	if p.code == CodeBrokenAnswer && errors.As(f.cause, &tooLarge) {
+		p.message += ": " + tooLarge.Error()
+	}
 	return p
 }
 
@@ -258,12 +264,16 @@
 		if a.status < http.StatusMultipleChoices {
 			x.request.Answered(id)
 		}
-		failure = x.relay(a, dest, id)
+		failure = x.relay(a, dest, id, func() { cancel(nil) })
 		_ = a.body.Close()
 	}
 	if failure == nil {
 		return nil
 	}
+	var head *bounded.TooLargeError
+	if errors.As(failure.cause, &head) && head.Part == bounded.PartHead {
+		failure.cause = tooLarge(bounded.PartHead, dest, head.Limit)
+	}
 	return x.classify(ctx, dest, failure)
 }
 
--- a/pkg/serving/caller/relay.go
+++ b/pkg/serving/caller/relay.go
@@ -6,10 +6,12 @@
 	"io"
 	"net/http"
 	"strconv"
+	"time"
 
 	"github.com/labstack/echo/v4"
 
 	"almondbay.example/core/attempt"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/engine"
 )
 
@@ -17,6 +19,9 @@
 // forwarded.
 const maxBufferedBytes = 8 << 20
 
+// drainTimeout bounds the wait for the end of a body after the end marker.
+const drainTimeout = time.Second
+
 var (
 	errCallerGone    = Error.New("caller stopped reading the answer")
 	errMissingTokens = Error.New("token stream is incomplete")
@@ -24,13 +29,13 @@
 	errNotContinued  = Error.New("resumed stream was answered with a body that is not a stream")
 )
 
-// relay forwards an answer to the sink.
-func (x *exchange) relay(a answer, dest destination, id attempt.ID) *failureError {
+// relay forwards an answer to the sink. Abort cancels the attempt.
+func (x *exchange) relay(a answer, dest destination, id attempt.ID, abort func()) *failureError {
 	if a.status >= http.StatusMultipleChoices && !x.backend.final(a) {
 		return newFailure(attempt.FailureServer, Error.New("backend server answered with status %d", a.status))
 	}
 	if a.stream {
-		return x.relayStream(a, dest, id)
+		return x.relayStream(a, dest, id, abort)
 	}
 	if x.started {
 		return newFailure(attempt.FailureServer, errNotContinued)
@@ -39,7 +44,7 @@
 }
 
 // relayStream forwards complete server-sent events until the end marker.
-func (x *exchange) relayStream(a answer, dest destination, id attempt.ID) *failureError {
+func (x *exchange) relayStream(a answer, dest destination, id attempt.ID, abort func()) *failureError {
 	events := engine.NewEvents(a.body, x.request.Forwarded())
 	for {
 		b, err := events.Next()
@@ -48,12 +53,18 @@
 		}
 		if errors.Is(err, io.EOF) {
 			dest.slot.Finish(x.request.Forwarded())
-			_, _ = a.body.Read(make([]byte, 1)) // Reading to EOF returns the connection to the pool.
+			x.drain(a.body, abort)
 			return nil
 		}
 		if errors.Is(err, engine.ErrEngineError) {
 			return newFailure(attempt.FailureServer, err)
 		}
+		if errors.Is(err, engine.ErrEventTooLong) {
+			return newFailure(attempt.FailureBroken, tooLarge(bounded.PartEvent, dest, engine.MaxEventBytes))
+		}
+		if errors.Is(err, engine.ErrNoProgress) {
+			return newFailure(attempt.FailureBroken, tooLarge(bounded.PartSkipped, dest, engine.MaxSkippedBytes))
+		}
 		if err != nil {
 			return newFailure(attempt.FailureBroken, err)
 		}
@@ -64,12 +75,35 @@
 			return newFailure(attempt.FailureBroken, errMissingTokens)
 		}
 		if err := x.send(a, b.Data); err != nil {
-			return newFailure(attempt.FailureCanceled, err)
+			return sinkFailure(err, dest)
 		}
 		dest.slot.Progress(x.request.Forwarded())
 	}
 }
 
+// drain reads the end of a body, which returns the connection to the pool. It
+// aborts the attempt if the end does not arrive within drainTimeout.
+func (x *exchange) drain(body io.Reader, abort func()) {
+	timer := x.gateway.clock.AfterFunc(drainTimeout, abort)
+	defer timer.Stop()
+
+	_, _ = body.Read(make([]byte, 1))
+}
+
+// tooLarge returns the error for a part of an answer that exceeds its limit. It
+// names the replica group or the VM, whose address callers do not know.
+func tooLarge(p bounded.Part, dest destination, limit int64) error {
+	return &bounded.TooLargeError{Part: p, Server: dest.target.Group, Limit: limit}
+}
+
+// sinkFailure returns the failure of an attempt whose sink returned an error.
+func sinkFailure(err error, dest destination) *failureError {
+	if errors.Is(err, errAnswerTooBig) {
+		return newFailure(attempt.FailureServer, tooLarge(bounded.PartBody, dest, maxBufferedBytes))
+	}
+	return newFailure(attempt.FailureCanceled, err)
+}
+
 func frameOf(id attempt.ID, b engine.Batch) attempt.Frame {
 	return attempt.Frame{
 		Attempt: id,
@@ -99,7 +133,7 @@
 		return newFailure(attempt.FailureBroken, err)
 	}
 	if len(body) > maxBufferedBytes {
-		return newFailure(attempt.FailureServer, errAnswerTooBig)
+		return newFailure(attempt.FailureServer, tooLarge(bounded.PartBody, dest, maxBufferedBytes))
 	}
 	if x.request.Accept(attempt.Frame{Attempt: id, End: true}) != attempt.Forward {
 		return newFailure(attempt.FailureBroken, errMissingTokens)
@@ -108,7 +142,7 @@
 		a.header.Set(echo.HeaderContentLength, strconv.Itoa(len(body)))
 	}
 	if err := x.send(a, body); err != nil {
-		return newFailure(attempt.FailureCanceled, err)
+		return sinkFailure(err, dest)
 	}
 	dest.slot.Finish(len(body) / bytesPerToken)
 	return nil
--- a/pkg/serving/engine/enginehttp/client.go
+++ b/pkg/serving/engine/enginehttp/client.go
@@ -6,7 +6,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -14,6 +13,7 @@
 	"time"
 
 	"almondbay.example/core/fleet"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/engine"
 	"almondbay.example/serving/engine/enginewire"
 )
@@ -69,8 +69,8 @@
 // would send an attempt a second time.
 func newHTTPClient(t *http.Transport) *http.Client {
 	return &http.Client{
-		Transport:     t,
-		CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+		Transport:     bounded.NewTransport(t),
+		CheckRedirect: bounded.RefuseRedirects,
 	}
 }
 
@@ -187,7 +187,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 
-	answer, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	answer, err := bounded.ReadBody(response, maxAnswerBytes)
 	if err != nil {
 		return nil, engine.Error.Wrap(err)
 	}
--- a/pkg/serving/operator/operatorclient/client.go
+++ b/pkg/serving/operator/operatorclient/client.go
@@ -8,7 +8,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/url"
@@ -19,6 +18,7 @@
 
 	"almondbay.example/core/burn"
 	"almondbay.example/core/revision"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/keys"
 	"almondbay.example/serving/operator/operatorwire"
 	"almondbay.example/serving/status"
@@ -36,7 +36,9 @@
 	// request goes to them in order until one gives a final response.
 	Servers []string
 	// Key is the operator's key.
-	Key  keys.Secret
+	Key keys.Secret
+	// HTTP sends the requests. The client uses a copy that follows no redirects and
+	// bounds what it reads.
 	HTTP *http.Client
 }
 
@@ -49,6 +51,10 @@
 
 // New returns a client.
 func New(c Config) *Client {
+	limited := *c.HTTP
+	limited.Transport = bounded.NewTransport(c.HTTP.Transport)
+	limited.CheckRedirect = bounded.RefuseRedirects
+	c.HTTP = &limited
 	return &Client{config: c}
 }
 
@@ -221,7 +227,7 @@
 		return Error.Wrap(err)
 	}
 	defer func() { _ = response.Body.Close() }()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
+	body, err := bounded.ReadBody(response, maxResponseBytes)
 	if err != nil {
 		return Error.Wrap(err)
 	}
