Bound what clients read in one place

The clients of the store, of backend servers' orders and of other nodes now use serving/bounded. The tests check the same bounds; the text of a head that is too large now names the server, and they ask for it.

--- a/internal/peer/relay/bounds_test.go
+++ b/internal/peer/relay/bounds_test.go
@@ -12,7 +12,7 @@
 
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/peer/relay"
-	"almondbay.example/serving/platform"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/platform/platformtest"
 )
 
@@ -44,9 +44,9 @@
 			server := platformtest.NewEndless(t, "HTTP/1.1 200 OK\r\n\r\n{\"rows\":[", " ")
 			c := relay.NewClient(relay.ClientConfig{Port: server.Port(), Dial: server.Dial})
 			err := tt.call(context.Background(), c)
-			var tooLarge *platform.BodyTooLargeError
-			if !relay.Error.Has(err) || !errors.As(err, &tooLarge) || tooLarge.Server != server.Address() || tooLarge.MaxBytes != tt.maxBytes {
-				t.Errorf("error %v, want a BodyTooLargeError of %s with %d bytes", err, server.Address(), tt.maxBytes)
+			var tooLarge *bounded.TooLargeError
+			if !relay.Error.Has(err) || !errors.As(err, &tooLarge) || tooLarge.Server != server.Address() || tooLarge.Limit != tt.maxBytes {
+				t.Errorf("error %v, want a TooLargeError of %s with %d bytes", err, server.Address(), tt.maxBytes)
 			}
 			server.CheckClosed(tt.maxBytes)
 		})
@@ -82,7 +82,7 @@
 				server := platformtest.NewEndless(t, head[0], head[1])
 				c := relay.NewClient(relay.ClientConfig{Port: server.Port(), Dial: server.Dial})
 				err := tt.call(context.Background(), c)
-				if !relay.Error.Has(err) || !strings.Contains(err.Error(), server.Address()) || !strings.Contains(err.Error(), "headers exceeded 16384 bytes") {
+				if !relay.Error.Has(err) || !strings.Contains(err.Error(), server.Address()) || !strings.Contains(err.Error(), " exceeds 16384 bytes") {
 					t.Errorf("error %v, want one that names %s and the bound", err, server.Address())
 				}
 				server.CheckClosed(16 << 10)
--- a/internal/peer/relay/client.go
+++ b/internal/peer/relay/client.go
@@ -12,6 +12,7 @@
 
 	"almondbay.example/internal/fleet/control"
 	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/platform"
 )
 
@@ -33,13 +34,12 @@
 	return &Client{
 		port: strconv.Itoa(c.Port),
 		http: &http.Client{
-			Transport: &http.Transport{
-				DialContext:            c.Dial,
-				MaxIdleConnsPerHost:    maxIdlePerPeer,
-				DisableCompression:     true,
-				MaxResponseHeaderBytes: platform.MaxHeadBytes,
-			},
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+			Transport: bounded.NewTransport(&http.Transport{
+				DialContext:         c.Dial,
+				MaxIdleConnsPerHost: maxIdlePerPeer,
+				DisableCompression:  true,
+			}),
+			CheckRedirect: bounded.RefuseRedirects,
 		},
 	}
 }
@@ -141,7 +141,7 @@
 	if response.StatusCode != http.StatusOK {
 		return response.StatusCode, nil
 	}
-	body, err := platform.ReadBody(response, q.maxBytes)
+	body, err := bounded.ReadBody(response, q.maxBytes)
 	if err != nil {
 		return response.StatusCode, Error.Wrap(err)
 	}
--- a/pkg/serving/bounded/bounded.go
+++ b/pkg/serving/bounded/bounded.go
@@ -12,7 +12,7 @@
 
 // MaxHeadBytes bounds the head of a response together with the 1xx responses
 // before it.
-const MaxHeadBytes = 64 << 10
+const MaxHeadBytes = 16 << 10
 
 // HandshakeTimeout bounds a TLS handshake. The deadline of a request does not:
 // net/http goes on to connect after the request has ended.
@@ -109,16 +109,30 @@
 // ReadBody reads the complete body of a response. It returns a TooLargeError if
 // the body exceeds maxBytes.
 func ReadBody(response *http.Response, maxBytes int64) ([]byte, error) {
+	tooLarge := &TooLargeError{Part: PartBody, Server: serverOf(response), Limit: maxBytes}
+	if response.ContentLength > maxBytes {
+		return nil, tooLarge
+	}
 	body, err := io.ReadAll(io.LimitReader(response.Body, maxBytes+1))
 	if err != nil {
 		return nil, err
 	}
 	if int64(len(body)) > maxBytes {
-		return nil, &TooLargeError{Part: PartBody, Server: serverOf(response), Limit: maxBytes}
+		return nil, tooLarge
 	}
 	return body, nil
 }
 
+// maxExcerptBytes bounds what is read of a body that only explains a status.
+const maxExcerptBytes = 512
+
+// ReadExcerpt reads the start of a body that only explains an error status. It
+// ignores a failure to read, since the status suffices.
+func ReadExcerpt(response *http.Response) []byte {
+	body, _ := io.ReadAll(io.LimitReader(response.Body, maxExcerptBytes))
+	return body
+}
+
 // serverOf returns the address of the server that sent a response.
 func serverOf(response *http.Response) string {
 	if response.Request == nil || response.Request.URL == nil {
--- a/pkg/serving/bounded/boundedtest/server.go
+++ b/pkg/serving/bounded/boundedtest/server.go
@@ -87,8 +87,8 @@
 	return s
 }
 
-// RequireClosed waits until the client has closed the connection of a request. It fails the test
-// if the client read all bytes that the server sends at most.
+// RequireClosed waits until the client has closed the connection of a request. It
+// fails the test if the client read all bytes that the server sends at most.
 func (s *Server) RequireClosed(t testing.TB) {
 	t.Helper()
 	if err := <-s.ended; err != nil {
--- a/pkg/serving/caller/bounds_test.go
+++ b/pkg/serving/caller/bounds_test.go
@@ -164,7 +164,7 @@
 	for path, server := range map[string]string{enginewire.PathCompletions: "g0", bookPath: "s0"} {
 		f := newEndlessFleet(t, clockwork.NewRealClock(), boundedtest.HeadCases()[0])
 		_, body, err := f.post(t.Context(), path, streamBody, nil)
-		requireProblem(t, body, err, CodeBrokenAnswer, "head of the response of "+server+" exceeds 65536 bytes")
+		requireProblem(t, body, err, CodeBrokenAnswer, "head of the response of "+server+" exceeds 16384 bytes")
 		f.backend.RequireClosed(t)
 	}
 }
--- a/pkg/serving/platform/platformhttp/client.go
+++ b/pkg/serving/platform/platformhttp/client.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"almondbay.example/core/fleet"
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/platform"
 	"almondbay.example/serving/platform/platformwire"
 )
@@ -35,8 +36,8 @@
 	Address string
 	// Timeout bounds each call; zero for no timeout.
 	Timeout time.Duration
-	// Transport sends the requests and bounds the heads of the answers; nil for
-	// http.DefaultTransport with platform.MaxHeadBytes.
+	// Transport sends the requests; nil for http.DefaultTransport. One that is not
+	// an *http.Transport must bound the heads of the answers itself.
 	Transport http.RoundTripper
 }
 
@@ -55,17 +56,12 @@
 
 // New returns a client for the platform at c.Address.
 func New(c Config) *Client {
-	if c.Transport == nil {
-		transport := http.DefaultTransport.(*http.Transport).Clone()
-		transport.MaxResponseHeaderBytes = platform.MaxHeadBytes
-		c.Transport = transport
-	}
 	return &Client{
 		address: c.Address,
 		http: &http.Client{
 			Timeout:       c.Timeout,
-			Transport:     c.Transport,
-			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
+			Transport:     bounded.NewTransport(c.Transport),
+			CheckRedirect: bounded.RefuseRedirects,
 		},
 	}
 }
--- a/pkg/serving/platform/platformhttp/client_test.go
+++ b/pkg/serving/platform/platformhttp/client_test.go
@@ -76,7 +76,7 @@
 	client := platformhttp.New(platformhttp.Config{Address: "http://" + server.Address()})
 	_, err := client.Read(context.Background(), "k")
 	var unknown *platform.UnknownError
-	if !errors.As(err, &unknown) || !strings.Contains(err.Error(), server.Address()) || !strings.Contains(err.Error(), "headers exceeded 16384 bytes") {
+	if !errors.As(err, &unknown) || !strings.Contains(err.Error(), server.Address()) || !strings.Contains(err.Error(), " exceeds 16384 bytes") {
 		t.Errorf("head without end: error %v, want an UnknownError that names the server and the bound", err)
 	}
 	server.CheckClosed(0)
--- a/pkg/serving/platform/transport_test.go
+++ b/pkg/serving/platform/transport_test.go
@@ -9,6 +9,7 @@
 	"strings"
 	"testing"
 
+	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/platform"
 	"almondbay.example/serving/platform/platformtest"
 )
@@ -67,8 +68,8 @@
 			ContentLength: -1,
 			Request:       httptest.NewRequest(http.MethodGet, "http://server", nil),
 		}
-		got, err := platform.ReadBody(response, 10)
-		var tooLarge *platform.BodyTooLargeError
+		got, err := bounded.ReadBody(response, 10)
+		var tooLarge *bounded.TooLargeError
 		if whole != (int64(len(got)) == size && err == nil) || whole == errors.As(err, &tooLarge) {
 			t.Errorf("body of %d bytes, bound 10: %d bytes, error %v", size, len(got), err)
 		}
