Report a recorded stream that is too large as such

Callers of a booked generation whose stream exceeded 8 MB saw status 499 and "the caller closed the connection". Each error of a sink was taken for a caller that had disconnected; that of the recorder now fails the attempt as a server error and names the replica group.

Before: TestBookedStreamWithoutEnd failed with code canceled and status 499, at 8 MB and with the connection closed. After: it passes.

--- a/pkg/serving/caller/bounds_test.go
+++ b/pkg/serving/caller/bounds_test.go
@@ -239,3 +239,15 @@
 	}
 	f.backend.RequireClosed(t)
 }
+
+// TestBookedStreamWithoutEnd guards against the report that the caller closed the
+// connection when the answer is too large.
+func TestBookedStreamWithoutEnd(t *testing.T) {
+	f := newEndlessFleet(t, clockwork.NewRealClock(), boundedtest.Case{Start: boundedtest.HeadEvents, Repeat: "data: x\n\n"})
+	status, body, err := f.post(t.Context(), enginewire.PathCompletions, streamBody, booked)
+	requireProblem(t, body, err, CodeBrokenAnswer, "body of the response of g0 exceeds 8388608 bytes")
+	if status != http.StatusBadGateway {
+		t.Errorf("got status %d, want %d", status, http.StatusBadGateway)
+	}
+	f.backend.RequireClosed(t)
+}
--- a/pkg/serving/caller/exchange.go
+++ b/pkg/serving/caller/exchange.go
@@ -87,7 +87,8 @@
 	crashed(ctx context.Context, dest destination) bool
 }
 
-// sink receives the answer. An error means that the caller has disconnected.
+// sink receives the answer. An error means that the caller has disconnected, or,
+// for errAnswerTooBig, that the answer is too large to record.
 type sink interface {
 	// head sends the status and headers.
 	head(a answer) error
--- a/pkg/serving/caller/relay.go
+++ b/pkg/serving/caller/relay.go
@@ -71,7 +71,7 @@
 			return newFailure(attempt.FailureBroken, errMissingTokens)
 		}
 		if err := x.send(a, b.Data); err != nil {
-			return newFailure(attempt.FailureCanceled, err)
+			return sinkFailure(err, dest)
 		}
 		dest.slot.Progress(x.request.Forwarded())
 	}
@@ -92,6 +92,14 @@
 	return &bounded.TooLargeError{Part: p, Server: dest.target.Group, Limit: limit}
 }
 
+// sinkFailure returns the failure of an attempt whose sink returned an error.
+func sinkFailure(err error, dest destination) *failureError {
+	if errors.Is(err, errAnswerTooBig) {
+		return newFailure(attempt.FailureServer, tooLarge(bounded.PartBody, dest, maxBufferedBytes))
+	}
+	return newFailure(attempt.FailureCanceled, err)
+}
+
 func frameOf(id attempt.ID, b engine.Batch) attempt.Frame {
 	return attempt.Frame{
 		Attempt: id,
@@ -128,7 +136,7 @@
 	}
 	a.header.Set(echo.HeaderContentLength, strconv.Itoa(len(body)))
 	if err := x.send(a, body); err != nil {
-		return newFailure(attempt.FailureCanceled, err)
+		return sinkFailure(err, dest)
 	}
 	dest.slot.Finish(len(body) / bytesPerToken)
 	return nil
