Bound the buffers of all answers in flight to 512 MB

A node buffers an answer that is not a stream, and a recorded one, up to 8 MB, and an event of a stream up to 1 MB, but nothing bounded their sum: 64 GB for 8192 requests in flight. maxBodiesBytes bounds the bodies of requests only.

Each buffer now reserves what it needs above 64 KB from a shared 512 MB. Nothing waits for memory, so answers that trickle in hold up no others: an answer without memory ends its request with status 503, code overloaded and the outcome, without another attempt, which would need the memory as well. On top come the first 64 KB of each buffer (a recorded answer has two), 512 MB for 8192 requests, and, while a buffer grows, its old half.

TestAnswersMemory does not build on the code before; with reserve always granting, its 5 cases fail. After: they pass under the race detector.

--- a/pkg/serving/bounded/boundedtest/server.go
+++ b/pkg/serving/bounded/boundedtest/server.go
@@ -126,12 +126,20 @@
 			defer func() { _ = connection.Close() }()
 			// A connection without a request is a probe.
 			if s.response.Unread || readRequest(connection) == nil {
-				s.ended <- s.respond(connection)
+				s.end(s.respond(connection))
 			}
 		})
 	}
 }
 
+// end records the end of a connection, unless too many were not awaited.
+func (s *Server) end(err error) {
+	select {
+	case s.ended <- err:
+	default:
+	}
+}
+
 // respond returns nil once the client has closed the connection.
 func (s *Server) respond(connection net.Conn) error {
 	if _, err := io.WriteString(connection, s.response.Start); err != nil {
--- a/pkg/serving/caller/booking.go
+++ b/pkg/serving/caller/booking.go
@@ -113,9 +113,11 @@
 		CloseOperation: newOperation(),
 		MaxTries:       maxBookingWrites,
 	})
+	share := g.limits.newAnswerShare()
+	defer share.release()
 	var refusal *problem
 	dispatch := func() (attempt.Outcome, bool, attempt.Result) {
-		r := &resultRecorder{}
+		r := &resultRecorder{share: share}
 		x := g.newExchange(b, call, r, false)
 		refusal = x.run(ctx)
 		return x.request.Outcome(), refusal == nil, r.result
--- a/pkg/serving/caller/bounds_test.go
+++ b/pkg/serving/caller/bounds_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"golang.org/x/sync/errgroup"
+	"golang.org/x/sync/semaphore"
 
 	"almondbay.example/core/document"
 	"almondbay.example/core/fleet"
@@ -37,7 +38,7 @@
 type endlessFleet struct {
 	backend *boundedtest.Server
 	gateway *Gateway
-	url     string
+	server  *httptest.Server
 }
 
 func newEndlessFleet(t *testing.T, clock clockwork.Clock, c boundedtest.Case) *endlessFleet {
@@ -55,18 +56,17 @@
 		Engine:  expectedEngine{enginehttp.New(enginehttp.Config{ControlTimeout: time.Minute})},
 		Service: service.NewClient(), Table: platform.NewMemory(), Limits: Limits{Linger: -1},
 	})
-	server := httptest.NewUnstartedServer(f.gateway)
-	server.Config = f.gateway.Server()
-	server.Start()
-	t.Cleanup(server.Close)
-	f.url = server.URL
+	f.server = httptest.NewUnstartedServer(f.gateway)
+	f.server.Config = f.gateway.Server()
+	f.server.Start()
+	t.Cleanup(f.server.Close)
 	return f
 }
 
 // post sends a request to the gateway and returns the status and the body of the
 // response.
 func (f *endlessFleet) post(ctx context.Context, path, body string, header map[string]string) (int, string, error) {
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.url+path, strings.NewReader(body))
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, f.server.URL+path, strings.NewReader(body))
 	if err != nil {
 		return 0, "", err
 	}
@@ -251,3 +251,36 @@
 	}
 	f.backend.RequireClosed(t)
 }
+
+// TestAnswersMemory guards against answers that each keep to their limit but not
+// all together, and against shares that are not returned.
+func TestAnswersMemory(t *testing.T) {
+	const answers = 512 << 10
+	tests := map[string]struct {
+		response   boundedtest.Case
+		path, body string
+		header     map[string]string
+	}{
+		"generation":     {boundedtest.Case{Start: boundedtest.HeadBody, Repeat: "x"}, enginewire.PathCompletions, `{"model":"draft"}`, nil},
+		"service":        {boundedtest.Case{Start: boundedtest.HeadBody, Repeat: "x"}, bookPath, "", nil},
+		"event":          {boundedtest.Case{Start: boundedtest.HeadEvents, Repeat: "x"}, enginewire.PathCompletions, streamBody, nil},
+		"booked stream":  {boundedtest.Case{Start: boundedtest.HeadEvents, Repeat: "data: x\n\n"}, enginewire.PathCompletions, streamBody, booked},
+		"booked service": {boundedtest.Case{Start: boundedtest.HeadBody, Repeat: "x"}, bookPath, "", booked},
+	}
+	for name, tt := range tests {
+		t.Run(name, func(t *testing.T) {
+			f := newEndlessFleet(t, clockwork.NewRealClock(), tt.response)
+			f.gateway.limits.answers = semaphore.NewWeighted(answers)
+			status, body, err := f.post(t.Context(), tt.path, tt.body, tt.header)
+			requireProblem(t, body, err, CodeOverloaded, "exceed the memory limit")
+			if status != http.StatusServiceUnavailable {
+				t.Errorf("got status %d, want %d", status, http.StatusServiceUnavailable)
+			}
+			f.backend.RequireClosed(t)
+			f.server.Close()
+			if !f.gateway.limits.answers.TryAcquire(answers) {
+				t.Error("not all memory was returned")
+			}
+		})
+	}
+}
--- a/pkg/serving/caller/exchange.go
+++ b/pkg/serving/caller/exchange.go
@@ -87,8 +87,8 @@
 	crashed(ctx context.Context, dest destination) bool
 }
 
-// sink receives the answer. An error means that the caller has disconnected, or,
-// for errAnswerTooBig, that the answer is too large to record.
+// sink receives the answer. An error means that the caller has disconnected, for
+// errAnswerTooBig and errAnswersMemory, that the answer cannot be recorded.
 type sink interface {
 	// head sends the status and headers.
 	head(a answer) error
@@ -144,6 +144,9 @@
 			return nil
 		}
 		x.lastFailure = failure
+		if errors.Is(failure.cause, errAnswersMemory) {
+			return answersMemoryProblem(x.request.Outcome())
+		}
 		if failure.kind == attempt.FailureCrashed {
 			g := x.gateway
 			g.suspects.recordCrash(ctx, x.call.fingerprint, dest.crash, g.clock.Now())
--- a/pkg/serving/caller/limit.go
+++ b/pkg/serving/caller/limit.go
@@ -58,10 +58,15 @@
 	config   Limits
 	requests atomic.Int64
 	bodies   *semaphore.Weighted
+	answers  *semaphore.Weighted
 }
 
 func newLimits(c Limits) *limits {
-	return &limits{config: c.withDefaults(), bodies: semaphore.NewWeighted(maxBodiesBytes)}
+	return &limits{
+		config:  c.withDefaults(),
+		bodies:  semaphore.NewWeighted(maxBodiesBytes),
+		answers: semaphore.NewWeighted(maxAnswersBytes),
+	}
 }
 
 // acquire admits a request with a body of the given size, which is negative
--- a/pkg/serving/caller/relay.go
+++ b/pkg/serving/caller/relay.go
@@ -33,15 +33,18 @@
 	if a.status >= http.StatusMultipleChoices && !x.backend.final(a) {
 		return newFailure(attempt.FailureServer, Error.New("backend server answered with status %d", a.status))
 	}
+	share := x.gateway.limits.newAnswerShare()
+	defer share.release()
 	if a.stream {
-		return x.relayStream(a, dest, id, abort)
+		return x.relayStream(a, dest, id, share, abort)
 	}
-	return x.relayBuffered(a, dest, id)
+	return x.relayBuffered(a, dest, id, share)
 }
 
 // relayStream forwards complete server-sent events until the end marker.
-func (x *exchange) relayStream(a answer, dest destination, id attempt.ID, abort func()) *failureError {
+func (x *exchange) relayStream(a answer, dest destination, id attempt.ID, share *answerShare, abort func()) *failureError {
 	events := engine.NewEvents(a.body, x.request.Forwarded())
+	events.OnGrow(share.reserve)
 	for {
 		b, err := events.Next()
 		if errors.Is(err, io.EOF) && !x.request.Complete() {
@@ -52,17 +55,8 @@
 			x.drain(a.body, abort)
 			return nil
 		}
-		if errors.Is(err, engine.ErrEngineError) {
-			return newFailure(attempt.FailureServer, err)
-		}
-		if errors.Is(err, engine.ErrEventTooLong) {
-			return newFailure(attempt.FailureBroken, tooLarge(bounded.PartEvent, dest, engine.MaxEventBytes))
-		}
-		if errors.Is(err, engine.ErrNoProgress) {
-			return newFailure(attempt.FailureBroken, tooLarge(bounded.PartSkipped, dest, engine.MaxSkippedBytes))
-		}
 		if err != nil {
-			return newFailure(attempt.FailureBroken, err)
+			return readFailure(err, dest)
 		}
 		switch x.request.Accept(frameOf(id, b)) {
 		case attempt.Drop:
@@ -92,11 +86,28 @@
 	return &bounded.TooLargeError{Part: p, Server: dest.target.Group, Limit: limit}
 }
 
+// readFailure returns the failure of an attempt whose answer could not be read.
+func readFailure(err error, dest destination) *failureError {
+	switch {
+	case errors.Is(err, engine.ErrEngineError), errors.Is(err, errAnswersMemory):
+		return newFailure(attempt.FailureServer, err)
+	case errors.Is(err, engine.ErrEventTooLong):
+		return newFailure(attempt.FailureBroken, tooLarge(bounded.PartEvent, dest, engine.MaxEventBytes))
+	case errors.Is(err, engine.ErrNoProgress):
+		return newFailure(attempt.FailureBroken, tooLarge(bounded.PartSkipped, dest, engine.MaxSkippedBytes))
+	default:
+		return newFailure(attempt.FailureBroken, err)
+	}
+}
+
 // sinkFailure returns the failure of an attempt whose sink returned an error.
 func sinkFailure(err error, dest destination) *failureError {
 	if errors.Is(err, errAnswerTooBig) {
 		return newFailure(attempt.FailureServer, tooLarge(bounded.PartBody, dest, maxBufferedBytes))
 	}
+	if errors.Is(err, errAnswersMemory) {
+		return newFailure(attempt.FailureServer, err)
+	}
 	return newFailure(attempt.FailureCanceled, err)
 }
 
@@ -123,10 +134,10 @@
 }
 
 // relayBuffered reads the complete answer before it forwards it.
-func (x *exchange) relayBuffered(a answer, dest destination, id attempt.ID) *failureError {
-	body, err := io.ReadAll(io.LimitReader(a.body, maxBufferedBytes+1))
+func (x *exchange) relayBuffered(a answer, dest destination, id attempt.ID, share *answerShare) *failureError {
+	body, err := share.readAll(a.body)
 	if err != nil {
-		return newFailure(attempt.FailureBroken, err)
+		return readFailure(err, dest)
 	}
 	if len(body) > maxBufferedBytes {
 		return newFailure(attempt.FailureServer, tooLarge(bounded.PartBody, dest, maxBufferedBytes))
--- a/pkg/serving/caller/sink.go
+++ b/pkg/serving/caller/sink.go
@@ -96,6 +96,7 @@
 // resultRecorder records an answer for a booking.
 type resultRecorder struct {
 	result attempt.Result
+	share  *answerShare
 }
 
 func (r *resultRecorder) head(a answer) error {
@@ -107,7 +108,11 @@
 	if len(r.result.Body)+len(b) > maxBufferedBytes {
 		return errAnswerTooBig
 	}
-	r.result.Body = append(r.result.Body, b...)
+	body, err := r.share.grow(r.result.Body, len(r.result.Body)+len(b))
+	if err != nil {
+		return err
+	}
+	r.result.Body = append(body, b...)
 	r.result.Omitted = len(r.result.Body) > maxRecordedBytes
 	return nil
 }
--- a/pkg/serving/engine/events.go
+++ b/pkg/serving/engine/events.go
@@ -69,6 +69,7 @@
 	skipped int
 	ended   bool
 	err     error
+	onGrow  func(bytes int) error
 }
 
 // NewEvents returns the events of a stream whose first token has the given
@@ -77,6 +78,12 @@
 	return &Events{reader: r, buffer: make([]byte, initialBufferBytes), next: offset}
 }
 
+// OnGrow sets a function that is called with the size of the buffer before the
+// buffer grows. An error that it returns ends the stream.
+func (e *Events) OnGrow(f func(bytes int) error) {
+	e.onGrow = f
+}
+
 // Next returns the next batch: all complete events received so far, up to the
 // first gap. An event that repeats tokens forms a batch of its own. After the end
 // marker, Next returns io.EOF; if the stream ends or fails before the end marker,
@@ -110,6 +117,11 @@
 			e.err = ErrEventTooLong
 			return
 		}
+		if e.onGrow != nil {
+			if e.err = e.onGrow(2 * len(e.buffer)); e.err != nil {
+				return
+			}
+		}
 		e.buffer = append(e.buffer, make([]byte, len(e.buffer))...)
 	}
 	n, err := e.reader.Read(e.buffer[e.end:])
