Keep test processes from taking each other's ports

TestEachRequestIsLoggedOnce hung, or failed with "address already in use" or with no lines at all, when other test processes ran beside it. The cause: freePort returned a port of 127.0.0.1 that another process could take before the node listened on it; the test then waited for a node that had stopped, or spoke to the node of the other process. Each process now uses its own loopback address and picks its ports at once, and a test fails if its node stops too early.

--- a/internal/node/entry/node_test.go
+++ b/internal/node/entry/node_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"os"
 	"strings"
 	"testing"
 	"time"
@@ -84,19 +85,33 @@
 	return control.State{}, errors.New("there are no engines")
 }
 
-// freePort returns a port that was free when it was checked.
-func freePort(t *testing.T) int {
+// loopback returns a loopback address on which no other process listens: test
+// processes that run at the same time must not take each other's ports.
+func loopback() netip.Addr {
+	id := uint32(os.Getpid())
+	return netip.AddrFrom4([4]byte{127, 64 | byte(id>>16)&63, byte(id >> 8), byte(id)})
+}
+
+// freePorts returns different ports that were free on an address when they were
+// checked.
+func freePorts(t *testing.T, address netip.Addr, count int) []int {
 	t.Helper()
-	l, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	var ports []int
+	for range count {
+		l, err := net.Listen("tcp", netip.AddrPortFrom(address, 0).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		// Closed only on return, so that no port is found twice.
+		defer func() { _ = l.Close() }()
+		ports = append(ports, l.Addr().(*net.TCPAddr).Port)
 	}
-	defer func() { _ = l.Close() }()
-	return int(netip.MustParseAddrPort(l.Addr().String()).Port())
+	return ports
 }
 
 // node is a running node with one backend server.
 type node struct {
+	t                  *testing.T
 	clock              *clockwork.FakeClock
 	lines              *observer.ObservedLogs
 	callers, readiness string
@@ -108,12 +123,12 @@
 
 func startNode(t *testing.T, backend string) *node {
 	t.Helper()
-	loopback := func() string {
-		return netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(freePort(t))).String()
-	}
+	address := loopback()
+	ports := freePorts(t, address, 4)
+	listen := func(port int) string { return netip.AddrPortFrom(address, uint16(port)).String() }
 	core, lines := observer.New(zap.InfoLevel)
 	n := &node{
-		clock: clockwork.NewFakeClock(), lines: lines, callers: loopback(), readiness: loopback(), stopped: make(chan struct{}),
+		t: t, clock: clockwork.NewFakeClock(), lines: lines, callers: listen(ports[0]), readiness: listen(ports[1]), stopped: make(chan struct{}),
 	}
 	configuration := &routes.Configuration{
 		Version: 1, Services: map[string]routes.Service{"svc": {Name: "svc"}},
@@ -127,8 +142,8 @@
 	server := &registry.Server{ID: "only", Service: "svc", Address: backend, FailureDomain: "a", Slots: 9, Incarnation: 1}
 	running, err := entry.New(entry.Config{
 		Settings: deployment.Settings{
-			Node: "node", Address: netip.MustParseAddr("127.0.0.1"), FailureDomain: "a", FailureDomains: []string{"a"},
-			CallerListen: n.callers, ReadinessListen: n.readiness, PeerPort: freePort(t), MetricsPort: freePort(t), Cores: 1,
+			Node: "node", Address: address, FailureDomain: "a", FailureDomains: []string{"a"},
+			CallerListen: n.callers, ReadinessListen: n.readiness, PeerPort: ports[2], MetricsPort: ports[3], Cores: 1,
 			Bounds: deployment.Bounds{Grace: grace, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second},
 		},
 		Clock: n.clock, Logger: zap.New(core), Store: store{}, Orders: noOrders{}, Dialect: dialect{},
@@ -165,6 +180,9 @@
 // advanceUntil advances the fake clock until the condition holds.
 func (n *node) advanceUntil(condition func() bool) {
 	for !condition() {
+		if n.hasStopped() && !condition() {
+			n.t.Fatalf("node stopped before the expected state: %v", n.group.Wait())
+		}
 		n.clock.Advance(50 * time.Millisecond)
 	}
 }
