Report a node ready only once it knows its backend servers

A caller whose request was the first after the readiness probe succeeded could get 503 "no backend server registered". The cause: the node reported ready when registrations and configuration had been read, but the heads are built from them a moment later. Readiness now waits until the heads include the registrations.

TestEachRequestIsLoggedOnce showed it as "request with outcome answered was logged as [refused]" for whichever request came first, or hung if that was callerLeft. No test forces the order of events; the existing ones showed it by chance.

--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -99,6 +99,8 @@
 	configuration atomic.Pointer[routes.Configuration]
 	stopping      atomic.Bool
 	lastReady     atomic.Bool
+	// headsKnown is set once the heads were built from registrations.
+	headsKnown atomic.Bool
 	// serving is set once this node or a peer has had a request in flight.
 	serving atomic.Bool
 
--- a/internal/node/entry/refresh.go
+++ b/internal/node/entry/refresh.go
@@ -133,6 +133,10 @@
 	defer n.mu.Unlock()
 
 	now := n.config.Clock.Now()
+	if !n.registrations.ReadAt().IsZero() {
+		// Set on return, when the heads include the registrations.
+		defer n.headsKnown.Store(true)
+	}
 	generation := n.registrations.Generation()
 	if generation == n.headsGeneration && c.Version == n.headsVersion && now.Sub(n.headsBuiltAt) < headsMaxAge {
 		return
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -205,6 +205,8 @@
 		return false, "no configuration received yet"
 	case n.registrations.ReadAt().IsZero():
 		return false, "registrations not read yet"
+	case !n.headsKnown.Load():
+		return false, "backend servers not known yet"
 	default:
 		return true, ""
 	}
