Log requests that are aborted at the end of the grace period

A request that was still in flight when a node aborted its requests before SIGKILL had no line in the log: "request with outcome callerLeft was logged as [], want one line with that outcome". The cause: after Shutdown had given up, drain returned and Run ended without waiting for the handlers, which log a request when it ends. In the test, the fake clock runs past the grace period while the node still learns that the caller left.

drain now closes the connections and waits for the handlers. It also measures the rest of the grace period by the node's clock alone; before, it subtracted the fake clock's time from a timeout in real time. The test is as it was.

--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -8,9 +8,11 @@
 	"os"
 	"os/signal"
 	"strconv"
+	"sync"
 	"syscall"
 	"time"
 
+	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
 	"github.com/oklog/run"
 	"go.uber.org/zap"
@@ -152,8 +154,9 @@
 // addCallers serves callers until ctx is done and the requests in flight have
 // ended.
 func (n *Node) addCallers(ctx context.Context, g *run.Group, l net.Listener) {
+	requests := &requestTracker{handler: n.handler}
 	server := &http.Server{
-		Handler:           n.handler,
+		Handler:           requests,
 		ReadHeaderTimeout: readHeaderTimeout,
 		IdleTimeout:       idleCallerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
@@ -171,7 +174,7 @@
 	stop, cancel := context.WithCancel(ctx)
 	g.Add(func() error {
 		<-stop.Done()
-		n.drain(server)
+		n.drain(server, requests)
 		close(ended)
 		return nil
 	}, func(error) { cancel() })
@@ -179,8 +182,9 @@
 
 // drain shuts the callers' server down gracefully: it reports unready, releases
 // leases, still accepts connections for drainDelay and then waits for the
-// requests in flight until killMargin before the end of the grace period.
-func (n *Node) drain(server *http.Server) {
+// requests in flight until killMargin before the end of the grace period. It
+// returns once all requests have ended.
+func (n *Node) drain(server *http.Server, requests *requestTracker) {
 	start := n.config.Clock.Now()
 	event.NodeDraining.Log(n.config.Logger)
 	n.stopping.Store(true)
@@ -189,13 +193,52 @@
 	server.SetKeepAlivesEnabled(false)
 	n.config.Clock.Sleep(drainDelay)
 	remaining := n.config.Settings.Bounds.Grace - killMargin - n.config.Clock.Since(start)
-	ctx, cancel := context.WithTimeout(context.Background(), remaining)
+	ctx, cancel := clockwork.WithTimeout(context.Background(), n.config.Clock, remaining)
 	defer cancel()
 	if err := server.Shutdown(ctx); err != nil {
 		event.StepFailed.Log(n.config.Logger, zap.String("error", "requests aborted at the end of the grace period: "+err.Error()), zap.Int("failures", 1))
+		_ = server.Close()
+		requests.wait()
 	}
 }
 
+// requestTracker is an HTTP handler that knows when its requests have ended.
+type requestTracker struct {
+	handler http.Handler
+
+	mu       sync.Mutex
+	stopped  bool
+	requests sync.WaitGroup
+}
+
+// ServeHTTP implements http.Handler.
+func (t *requestTracker) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if !t.begin() {
+		panic(http.ErrAbortHandler)
+	}
+	defer t.requests.Done()
+	t.handler.ServeHTTP(w, r)
+}
+
+// begin counts a request. It returns false once wait was called.
+func (t *requestTracker) begin() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+
+	if !t.stopped {
+		t.requests.Add(1)
+	}
+	return !t.stopped
+}
+
+// wait admits no more requests and returns once all have ended.
+func (t *requestTracker) wait() {
+	t.mu.Lock()
+	t.stopped = true
+	t.mu.Unlock()
+	t.requests.Wait()
+}
+
 // ready reports whether the node can serve, and otherwise the reason.
 func (n *Node) ready() (bool, string) {
 	switch {
--- a/internal/node/entry/shutdown_test.go
+++ b/internal/node/entry/shutdown_test.go
@@ -7,7 +7,10 @@
 	"strings"
 	"testing"
 
+	"go.uber.org/zap"
 	"golang.org/x/sync/errgroup"
+
+	"almondbay.example/serving/event"
 )
 
 // TestShutdownDrainsRequests guards against requests that are cut off when nodes
@@ -62,3 +65,42 @@
 		t.Error(err)
 	}
 }
+
+// TestRequestAbortedAtEndOfGraceIsLogged guards against a request without a line in
+// the log: the node stopped without waiting for the requests that it aborts.
+func TestRequestAbortedAtEndOfGraceIsLogged(t *testing.T) {
+	started := make(chan struct{})
+	backend := httptest.NewServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		// The server detects a closed connection only after it has read the body.
+		_, _ = io.Copy(io.Discard, r.Body)
+		close(started)
+		<-r.Context().Done()
+	}))
+	defer backend.Close()
+	n := startNode(t, strings.TrimPrefix(backend.URL, "http://"))
+	n.advanceUntil(n.ready)
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.callers+"/x", strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("Id", "endless")
+	var caller errgroup.Group
+	caller.Go(func() error {
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			// The node closes the connection.
+			return nil
+		}
+		return response.Body.Close()
+	})
+	<-started
+	n.stop()
+	n.advanceUntil(n.hasStopped)
+	if got := n.lines.FilterMessage(event.RequestEnded.Message).FilterField(zap.String("request", "endless")).Len(); got != 1 {
+		t.Errorf("request aborted at the end of the grace period was logged in %d lines, want 1", got)
+	}
+	if err := caller.Wait(); err != nil {
+		t.Error(err)
+	}
+}
