Order the operations of the fault matrix by a seed

What was seen: shard 6 of TestFaultMatrix failed in some runs, and no command repeated the failure.

Cause: which operation of a tick came first depended on the order of goroutines.

Now each operation of a process waits for its turn, and a seed draws the next turn. A run draws a new seed unless -seed sets one, so the runs still go through different orders; a failure names its seed.

--- a/pkg/serving/control/faultmatrix_test.go
+++ b/pkg/serving/control/faultmatrix_test.go
@@ -1,8 +1,10 @@
 package control
 
 import (
+	"flag"
 	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync/atomic"
@@ -16,6 +18,8 @@
 	"almondbay.example/serving/platform"
 )
 
+var matrixSeed = flag.Uint64("seed", rand.Uint64N(1_000_000), "seed of the order of operations in simulations; random if not set")
+
 // violate records a violated invariant.
 func (s *simulation) violate(format string, args ...any) {
 	s.mu.Lock()
@@ -259,8 +263,13 @@
 	return serving == s.doc.Models[0].Groups && bound == serving*s.doc.Models[0].Span
 }
 
-// stop stops all processes.
+// stop stops all processes and waits for their operations.
 func (s *simulation) stop() {
+	s.stopProcesses()
+	s.schedule.run()
+}
+
+func (s *simulation) stopProcesses() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for _, p := range s.nodes {
@@ -276,18 +285,18 @@
 // did not occur.
 var unmatchedCells atomic.Int64
 
-// runCell runs the scenario with the faults injected. It returns the violations
-// and the number of operations by label.
-func runCell(t *testing.T, fencing bool, faults []injection, m mutant) (violations []string, operations map[string]int) {
+// runCell runs the scenario with the faults injected, in the order of operations
+// that the seed sets. It returns the violations and the number of operations by
+// label.
+func runCell(t *testing.T, seed uint64, fencing bool, faults []injection, m mutant) (violations []string, operations map[string]int) {
 	synctest.Test(t, func(t *testing.T) {
-		s := newSimulation(t, fencing, faults, m)
+		s := newSimulation(t, seed, fencing, faults, m)
 		ok := s.scenario()
 		if !ok {
 			groups, vms := s.rows()
 			s.violate("not converged: %+v %+v", groups, vms)
 		}
 		s.stop()
-		synctest.Wait()
 		violations, operations = s.violations, s.injector.counts
 		if len(s.injector.faults) > 0 && m == (mutant{}) {
 			unmatchedCells.Add(1)
@@ -300,9 +309,9 @@
 // even if no operation fails, and against a scenario that does not converge.
 func TestScenarioWithoutFaults(t *testing.T) {
 	for _, fencing := range []bool{true, false} {
-		violations, operations := runCell(t, fencing, nil, mutant{})
+		violations, operations := runCell(t, *matrixSeed, fencing, nil, mutant{})
 		if len(violations) > 0 {
-			t.Fatalf("%d violations, first: %s", len(violations), violations[0])
+			t.Fatalf("seed=%d: %d violations, first: %s", *matrixSeed, len(violations), violations[0])
 		}
 		t.Logf("%d kinds of operations: %v", len(operations), operations)
 	}
@@ -310,7 +319,7 @@
 
 // operationLabels returns the labels of all operations in the scenario, sorted.
 func operationLabels(t *testing.T) []string {
-	_, operations := runCell(t, true, nil, mutant{})
+	_, operations := runCell(t, *matrixSeed, true, nil, mutant{})
 	return slices.Sorted(maps.Keys(operations))
 }
 
@@ -357,7 +366,7 @@
 // members that ignore them.
 func TestFaultMatrix(t *testing.T) {
 	all := matrixCells(t)
-	t.Logf("fault matrix: %d cells, %d of them with two faults", 2*len(all), 2*len(pairedOperations)*len(pairedOperations)*6)
+	t.Logf("fault matrix: %d cells, %d of them with two faults, seed %d", 2*len(all), 2*len(pairedOperations)*len(pairedOperations)*6, *matrixSeed)
 	unmatchedCells.Store(0)
 	t.Cleanup(func() { t.Logf("%d cells: the operation of an injected fault did not occur", unmatchedCells.Load()) })
 	const shards = 8
@@ -366,9 +375,9 @@
 			t.Parallel()
 			for i := shard; i < len(all); i += shards {
 				for _, fencing := range []bool{true, false} {
-					violations, _ := runCell(t, fencing, all[i], mutant{})
+					violations, _ := runCell(t, *matrixSeed+uint64(i), fencing, all[i], mutant{})
 					if len(violations) > 0 {
-						t.Errorf("fencing=%v %s: %d violations, first: %s", fencing, cellName(all[i]), len(violations), violations[0])
+						t.Errorf("seed=%d fencing=%v %s: %d violations, first: %s", *matrixSeed, fencing, cellName(all[i]), len(violations), violations[0])
 					}
 				}
 			}
@@ -401,16 +410,16 @@
 	for name, m := range mutants {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
-			for _, faults := range append([][]injection{nil}, cells...) {
+			for i, faults := range append([][]injection{nil}, cells...) {
 				for _, fencing := range []bool{true, false} {
-					violations, _ := runCell(t, fencing, faults, m)
+					violations, _ := runCell(t, *matrixSeed+uint64(i), fencing, faults, m)
 					if len(violations) > 0 {
 						t.Logf("detected with fencing=%v faults=[%s]: %s", fencing, cellName(faults), violations[0])
 						return
 					}
 				}
 			}
-			t.Error("no cell of the matrix detected the mutant")
+			t.Errorf("seed=%d: no cell of the matrix detected the mutant", *matrixSeed)
 		})
 	}
 }
@@ -420,8 +429,9 @@
 // is broken. It disconnects the first process that holds a lease from all
 // members: the process must release its leases, and no group may change.
 func TestHolderThatReachesNoMemberResigns(t *testing.T) {
+	t.Logf("seed %d", *matrixSeed)
 	synctest.Test(t, func(t *testing.T) {
-		s := newSimulation(t, true, nil, mutant{})
+		s := newSimulation(t, *matrixSeed, true, nil, mutant{})
 		s.acceptDocument("1", 2)
 		for range 20 {
 			s.step()
@@ -448,7 +458,6 @@
 			}
 		}
 		s.stop()
-		synctest.Wait()
 	})
 }
 
@@ -457,8 +466,9 @@
 // the platform for much longer than the duration of a lease: groups must keep
 // serving by their proofs, and nodes must acquire the leases again afterwards.
 func TestGroupsKeepServingDuringPlatformOutage(t *testing.T) {
+	t.Logf("seed %d", *matrixSeed)
 	synctest.Test(t, func(t *testing.T) {
-		s := newSimulation(t, true, nil, mutant{})
+		s := newSimulation(t, *matrixSeed, true, nil, mutant{})
 		s.acceptDocument("1", 3)
 		for range 40 {
 			s.step()
@@ -490,6 +500,5 @@
 			t.Errorf("got %d held leases and violations %v, want 2 and none", held, s.violations)
 		}
 		s.stop()
-		synctest.Wait()
 	})
 }
--- a/pkg/serving/control/simulation_test.go
+++ b/pkg/serving/control/simulation_test.go
@@ -7,7 +7,6 @@
 	"strings"
 	"sync"
 	"testing"
-	"testing/synctest"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -154,6 +153,8 @@
 	mu     sync.Mutex
 	clock  *clockwork.FakeClock
 	memory *platform.Memory
+	// schedule orders the operations of the processes within a tick.
+	schedule *schedule
 	// groupRows and vmRows read the rows for the checks, without faults.
 	groupRows *rowReader[group.Row]
 	vmRows    *rowReader[group.VMRow]
@@ -176,9 +177,11 @@
 	ordersOnTime bool
 }
 
-func newSimulation(t *testing.T, fencing bool, faults []injection, m mutant) *simulation {
+// newSimulation returns a simulation in which the seed sets the order of the
+// operations within a tick.
+func newSimulation(t *testing.T, seed uint64, fencing bool, faults []injection, m mutant) *simulation {
 	s := &simulation{
-		t: t, clock: clockwork.NewFakeClock(), memory: platform.NewMemory(), fencing: fencing, mutant: m,
+		t: t, clock: clockwork.NewFakeClock(), memory: platform.NewMemory(), schedule: newSchedule(seed), fencing: fencing, mutant: m,
 		groupRows: newGroupReader("e"), vmRows: newVMReader(),
 		members: map[string]*fakeMember{}, lastRows: map[string]group.Row{}, injector: injector{faults: faults, counts: map[string]int{}}, ordersOnTime: true,
 	}
@@ -231,13 +234,15 @@
 // step advances the clock by one tick, runs every process once and checks the
 // invariants.
 func (s *simulation) step() {
+	s.schedule.settle()
 	s.clock.Advance(tick)
+	s.schedule.settle()
 	now := s.clock.Now()
 	s.runDelayed(now)
 	for _, p := range s.nodes {
 		s.runProcess(p, now)
 	}
-	synctest.Wait()
+	s.schedule.run()
 	s.restartStopped(now)
 	s.check(now)
 }
@@ -387,11 +392,11 @@
 	pauseDuration  = 14 * tick
 )
 
-// call executes one operation of a process against the members or, if members is
-// false, the platform, and injects the fault that is due.
-func (p *process) call(label string, members bool, do func() error) error {
+// call executes one operation of a process on the target against the members or,
+// if members is false, the platform, and injects the fault that is due.
+func (p *process) call(label, target string, members bool, do func() error) error {
 	unanswered := &platform.UnknownError{Reason: "no answer"}
-	f, injected := p.injectFault(label)
+	f, injected := p.injectFault(label, target)
 	if !p.reaches(members) {
 		return unanswered
 	}
@@ -438,9 +443,11 @@
 }
 
 // injectFault applies the fault that is due for an operation to the process:
-// it crashes it, disconnects it or pauses it. It blocks while the process is
-// paused.
-func (p *process) injectFault(label string) (fault, bool) {
+// it crashes it, disconnects it or pauses it. It blocks until it is the
+// operation's turn and while the process is paused.
+func (p *process) injectFault(label, target string) (fault, bool) {
+	name := p.sim.schedule.name(p.controller.config.Holder, label, target)
+	p.sim.schedule.await(name)
 	f, injected := p.sim.injector.next(label)
 	now := p.sim.clock.Now()
 	if injected && f == faultCrashBefore {
@@ -459,14 +466,22 @@
 			p.pause(now.Add(2 * tick))
 		}
 	}
-	resume := p.resume
 	p.sim.mu.Unlock()
-	if resume != nil {
+	for resume := p.paused(); resume != nil; resume = p.paused() {
 		<-resume
+		p.sim.schedule.await(name)
 	}
 	return f, injected
 }
 
+// paused returns the channel that is closed at the end of the pause, nil unless
+// the process is paused.
+func (p *process) paused() chan struct{} {
+	p.sim.mu.Lock()
+	defer p.sim.mu.Unlock()
+	return p.resume
+}
+
 func (p *process) pause(until time.Time) {
 	if p.resume == nil {
 		p.resume = make(chan struct{})
@@ -489,7 +504,7 @@
 type faultyTable struct{ p *process }
 
 func (f faultyTable) Read(ctx context.Context, key string) (row platform.Row, err error) {
-	err = f.p.call("read "+key[:strings.Index(key, "/")], false, func() error {
+	err = f.p.call("read "+key[:strings.Index(key, "/")], key, false, func() error {
 		row, err = f.p.sim.memory.Read(ctx, key)
 		return err
 	})
@@ -497,7 +512,7 @@
 }
 
 func (f faultyTable) Range(ctx context.Context, prefix string) (rows []platform.Row, err error) {
-	err = f.p.call("range "+prefix[:strings.Index(prefix, "/")], false, func() error {
+	err = f.p.call("range "+prefix[:strings.Index(prefix, "/")], prefix, false, func() error {
 		rows, err = f.p.sim.memory.Range(ctx, prefix)
 		return err
 	})
@@ -505,7 +520,7 @@
 }
 
 func (f faultyTable) Commit(_ context.Context, t platform.Transaction) error {
-	return f.p.call(transactionLabel(t), false, func() error { return f.p.sim.commit(t) })
+	return f.p.call(transactionLabel(t), t.Operation, false, func() error { return f.p.sim.commit(t) })
 }
 
 // transactionLabel returns the label of a transaction: its step, or the kind of
@@ -533,7 +548,7 @@
 func (f faultyEngine) Order(_ context.Context, address string, o fleet.Order) error {
 	label := orderLabel(address, o)
 	m := f.p.sim.members[address]
-	return f.p.call(label, true, func() error {
+	return f.p.call(label, address, true, func() error {
 		if m.unreachable {
 			return engine.Error.New("no answer")
 		}
