--- a/cmd/almondbay/main_test.go
+++ b/cmd/almondbay/main_test.go
@@ -128,7 +128,7 @@
 		{[]string{"drain", "--cancel", "vm-1"}, exitSuccess, "may receive work again", ""},
 		{[]string{"report", "burn"}, exitSuccess, "default    demo   95%     1", ""},
 		{[]string{"history", "--key", "wrong"}, exitFailure, "", "key is not valid"},
-		{[]string{"history", "--key", dev.Key}, exitFailure, "", "key is not valid"},
+		{[]string{"history", "--key=" + dev.Key}, exitFailure, "", "key is not valid"},
 	}
 	for _, step := range steps {
 		args := append(slices.Clone(step.args), "--server", server)
