Test the bounds of clients with one server without end

It keeps the strictest rules of the three: a response ends after 64 MiB (was 128, 80 and 64), and connections with a request must end by themselves before the test does. Only two tests set 128 MiB, as before, since their clients accept bodies of 64 MiB. At the end of a test the server closes connections without a request, as floodtest did, since a client may keep them as idle ones. RequireClosedWithin also fails if nothing was received through Dial.

Bounds taken out of clients in the working tree, and put back: - platform, Orders without the bound of 64 KiB: TestServerBodyWithoutEndIsRefused fails in both cases, "client read bytes and did not close the connection" and "client received bytes, want at most 65536 and a buffer". - internal/routing/backend without MaxResponseHeaderBytes: TestHeadWithoutEnd fails in all eight cases, " bytes read, want at most 8192". - internal/routing/ingress without MaxBufferedBody: TestResponseWithoutEndIsNotReturned fails in five cases, where the bound of all bodies in flight is named instead. Without that one too, the case "body without length" returns status 200 and "client read bytes and did not close the connection".

--- a/internal/peer/relay/bounds_test.go
+++ b/internal/peer/relay/bounds_test.go
@@ -13,7 +13,7 @@
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/peer/relay"
 	"almondbay.example/serving/bounded"
-	"almondbay.example/serving/platform/platformtest"
+	"almondbay.example/serving/bounded/boundedtest"
 )
 
 // calls holds a call of each kind and the bound of its response.
@@ -41,14 +41,14 @@
 func TestBodyWithoutEndIsRefused(t *testing.T) {
 	for _, tt := range calls {
 		t.Run(tt.name, func(t *testing.T) {
-			server := platformtest.NewEndless(t, "HTTP/1.1 200 OK\r\n\r\n{\"rows\":[", " ")
-			c := relay.NewClient(relay.ClientConfig{Port: server.Port(), Dial: server.Dial})
+			server := boundedtest.NewServer(t, boundedtest.Case{Start: "HTTP/1.1 200 OK\r\n\r\n{\"rows\":[", Repeat: " "})
+			c := relay.NewClient(relay.ClientConfig{Port: server.Port, Dial: server.Dial})
 			err := tt.call(context.Background(), c)
 			var tooLarge *bounded.TooLargeError
-			if !relay.Error.Has(err) || !errors.As(err, &tooLarge) || tooLarge.Server != server.Address() || tooLarge.Limit != tt.maxBytes {
-				t.Errorf("error %v, want a TooLargeError of %s with %d bytes", err, server.Address(), tt.maxBytes)
+			if !relay.Error.Has(err) || !errors.As(err, &tooLarge) || tooLarge.Server != server.Address || tooLarge.Limit != tt.maxBytes {
+				t.Errorf("error %v, want a TooLargeError of %s with %d bytes", err, server.Address, tt.maxBytes)
 			}
-			server.CheckClosed(tt.maxBytes)
+			server.RequireClosedWithin(t, tt.maxBytes)
 		})
 	}
 }
@@ -58,12 +58,12 @@
 func TestRefusalWithoutEndIsNotRead(t *testing.T) {
 	for _, tt := range calls {
 		t.Run(tt.name, func(t *testing.T) {
-			server := platformtest.NewEndless(t, "HTTP/1.1 404 Not Found\r\n\r\n", "x")
-			c := relay.NewClient(relay.ClientConfig{Port: server.Port(), Dial: server.Dial})
+			server := boundedtest.NewServer(t, boundedtest.Case{Start: "HTTP/1.1 404 Not Found\r\n\r\n", Repeat: "x"})
+			c := relay.NewClient(relay.ClientConfig{Port: server.Port, Dial: server.Dial})
 			if err := tt.call(context.Background(), c); err == nil || !strings.Contains(err.Error(), "status 404") {
 				t.Errorf("error %v, want status 404", err)
 			}
-			server.CheckClosed(0)
+			server.RequireClosedWithin(t, 0)
 		})
 	}
 }
@@ -79,13 +79,13 @@
 	for name, head := range heads {
 		for _, tt := range calls {
 			t.Run(name+" "+tt.name, func(t *testing.T) {
-				server := platformtest.NewEndless(t, head[0], head[1])
-				c := relay.NewClient(relay.ClientConfig{Port: server.Port(), Dial: server.Dial})
+				server := boundedtest.NewServer(t, boundedtest.Case{Start: head[0], Repeat: head[1]})
+				c := relay.NewClient(relay.ClientConfig{Port: server.Port, Dial: server.Dial})
 				err := tt.call(context.Background(), c)
-				if !relay.Error.Has(err) || !strings.Contains(err.Error(), server.Address()) || !strings.Contains(err.Error(), " exceeds 16384 bytes") {
-					t.Errorf("error %v, want one that names %s and the bound", err, server.Address())
+				if !relay.Error.Has(err) || !strings.Contains(err.Error(), server.Address) || !strings.Contains(err.Error(), " exceeds 16384 bytes") {
+					t.Errorf("error %v, want one that names %s and the bound", err, server.Address)
 				}
-				server.CheckClosed(16 << 10)
+				server.RequireClosedWithin(t, 16<<10)
 			})
 		}
 	}
--- a/internal/routing/backend/client_test.go
+++ b/internal/routing/backend/client_test.go
@@ -5,58 +5,29 @@
 	"errors"
 	"fmt"
 	"io"
-	"net"
 	"net/http"
 	"net/http/httptest"
 	"slices"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 
 	"almondbay.example/internal/routing/backend"
-	"almondbay.example/internal/routing/floodtest"
+	"almondbay.example/serving/bounded/boundedtest"
 )
 
-// counter dials, and counts its connections and the bytes read from all of them.
-type counter struct {
-	read  atomic.Int64
-	dials atomic.Int64
-}
-
-func (c *counter) dial(ctx context.Context, network, address string) (net.Conn, error) {
-	c.dials.Add(1)
-	conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
-	if err != nil {
-		return nil, err
-	}
-	return &countedConn{Conn: conn, counter: c}, nil
-}
-
-type countedConn struct {
-	net.Conn
-	counter *counter
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.counter.read.Add(int64(n))
-	return n, err
-}
-
-func newClient(c *counter) *backend.Client {
+func newClient(d *boundedtest.Dialer) *backend.Client {
 	return backend.NewClient(backend.Config{
-		Clock: clockwork.NewFakeClock(), ConnectTimeout: time.Hour, IdleTimeout: time.Minute, MaxIdle: 4, Dial: c.dial,
+		Clock: clockwork.NewFakeClock(), ConnectTimeout: time.Hour, IdleTimeout: time.Minute, MaxIdle: 4, Dial: d.Dial,
 	})
 }
 
-func newRequest(s *floodtest.Server, id string) backend.Request {
+func newRequest(s *boundedtest.Server, id string) backend.Request {
 	return backend.Request{
-		Address: s.Address(), Method: http.MethodPost, Target: "/x", Host: "h",
+		Address: s.Address, Method: http.MethodPost, Target: "/x", Host: "h",
 		Header: http.Header{"Id": {id}}, Body: []byte("body"),
 	}
 }
@@ -78,9 +49,9 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			s := floodtest.New(t, floodtest.Config{Begin: tt.begin, Repeat: tt.repeat})
-			var c counter
-			response, err := newClient(&c).Attempt(context.Background(), newRequest(s, "1"))
+			s := boundedtest.NewServer(t, boundedtest.Case{Start: tt.begin, Repeat: tt.repeat})
+			var d boundedtest.Dialer
+			response, err := newClient(&d).Attempt(context.Background(), newRequest(s, "1"))
 			if err == nil {
 				_ = response.Body.Close()
 			}
@@ -88,10 +59,8 @@
 			if want := fmt.Sprintf("headers exceeded %d bytes", backend.MaxHeadBytes); !errors.As(err, &sent) || !strings.Contains(err.Error(), want) {
 				t.Errorf("error %v, want a SentError that says %q", err, want)
 			}
-			if end := <-s.Ends(); !end.Closed {
-				t.Errorf("the client read %d bytes and did not close the connection", end.Sent)
-			}
-			if n := c.read.Load(); n > backend.MaxHeadBytes {
+			s.RequireClosed(t)
+			if n := d.Received(); n > backend.MaxHeadBytes {
 				t.Errorf("%d bytes read, want at most %d", n, backend.MaxHeadBytes)
 			}
 		})
@@ -101,7 +70,7 @@
 // TestIncompleteHeadEndsWithRequest guards against a head that stops in the
 // middle and holds the request, and its connection, beyond the deadline.
 func TestIncompleteHeadEndsWithRequest(t *testing.T) {
-	s := floodtest.New(t, floodtest.Config{Begin: "HTTP/1.1 200 OK\r\nA: "})
+	s := boundedtest.NewServer(t, boundedtest.Case{Start: "HTTP/1.1 200 OK\r\nA: "})
 	ctx, cancel := context.WithCancelCause(context.Background())
 	deadline := errors.New("deadline of the test")
 	var group sync.WaitGroup
@@ -110,8 +79,8 @@
 		<-s.Started()
 		cancel(deadline)
 	})
-	var c counter
-	response, err := newClient(&c).Attempt(ctx, newRequest(s, "1"))
+	var d boundedtest.Dialer
+	response, err := newClient(&d).Attempt(ctx, newRequest(s, "1"))
 	if err == nil {
 		_ = response.Body.Close()
 	}
@@ -119,9 +88,7 @@
 	if !errors.As(err, &sent) || !errors.Is(err, deadline) {
 		t.Errorf("error %v, want a SentError with the cause %v", err, deadline)
 	}
-	if end := <-s.Ends(); !end.Closed {
-		t.Error("connection not closed")
-	}
+	s.RequireClosed(t)
 }
 
 // TestSwitchedProtocolIsRejected guards against requests that a backend server
@@ -130,11 +97,11 @@
 func TestSwitchedProtocolIsRejected(t *testing.T) {
 	for _, repeat := range []string{"", "x"} {
 		t.Run(fmt.Sprintf("repeat %q", repeat), func(t *testing.T) {
-			s := floodtest.New(t, floodtest.Config{
-				Begin: "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", Repeat: repeat,
+			s := boundedtest.NewServer(t, boundedtest.Case{
+				Start: "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n", Repeat: repeat,
 			})
-			var c counter
-			response, err := newClient(&c).Attempt(context.Background(), newRequest(s, "1"))
+			var d boundedtest.Dialer
+			response, err := newClient(&d).Attempt(context.Background(), newRequest(s, "1"))
 			if err == nil {
 				_ = response.Body.Close()
 			}
@@ -142,9 +109,7 @@
 			if !errors.As(err, &sent) {
 				t.Errorf("error %v, want a SentError", err)
 			}
-			if end := <-s.Ends(); !end.Closed {
-				t.Errorf("the client read %d bytes and did not close the connection", end.Sent)
-			}
+			s.RequireClosed(t)
 		})
 	}
 }
@@ -154,25 +119,25 @@
 // the transport sends again by itself.
 func TestBytesAfterResponseReachNoOtherRequest(t *testing.T) {
 	heads := map[string]string{
-		"length":  "HTTP/1.1 200 OK\r\nId: " + floodtest.IDMark + "\r\nContent-Length: 4\r\n\r\ngood",
-		"chunked": "HTTP/1.1 200 OK\r\nId: " + floodtest.IDMark + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
-		"no body": "HTTP/1.1 204 No Content\r\nId: " + floodtest.IDMark + "\r\n\r\n",
+		"length":  "HTTP/1.1 200 OK\r\nId: " + boundedtest.IDMark + "\r\nContent-Length: 4\r\n\r\ngood",
+		"chunked": "HTTP/1.1 200 OK\r\nId: " + boundedtest.IDMark + "\r\nTransfer-Encoding: chunked\r\n\r\n4\r\ngood\r\n0\r\n\r\n",
+		"no body": "HTTP/1.1 204 No Content\r\nId: " + boundedtest.IDMark + "\r\n\r\n",
 	}
 	const forged = "HTTP/1.1 200 OK\r\nId: forged\r\nContent-Length: 1\r\n\r\nx"
 	for name, head := range heads {
-		t.Run(name, func(t *testing.T) { checkResponses(t, floodtest.Config{Begin: head, Repeat: "x"}) })
-		t.Run(name+", forged response", func(t *testing.T) { checkResponses(t, floodtest.Config{Begin: head, Repeat: forged}) })
+		t.Run(name, func(t *testing.T) { checkResponses(t, boundedtest.Case{Start: head, Repeat: "x"}) })
+		t.Run(name+", forged response", func(t *testing.T) { checkResponses(t, boundedtest.Case{Start: head, Repeat: forged}) })
 	}
 }
 
 // checkResponses checks that each of many requests gets its own response or was
 // not sent, and that no request is sent twice.
-func checkResponses(t *testing.T, config floodtest.Config) {
+func checkResponses(t *testing.T, config boundedtest.Case) {
 	t.Helper()
 	const attempts = 100
-	s := floodtest.New(t, config)
-	var c counter
-	client := newClient(&c)
+	s := boundedtest.NewServer(t, config)
+	var d boundedtest.Dialer
+	client := newClient(&d)
 	answered := 0
 	for i := range attempts {
 		id := fmt.Sprint(i)
@@ -197,9 +162,7 @@
 	}
 	ids := s.IDs()
 	for range ids {
-		if end := <-s.Ends(); !end.Closed {
-			t.Errorf("the client read %d bytes and did not close the connection", end.Sent)
-		}
+		s.RequireClosed(t)
 	}
 	slices.Sort(ids)
 	if once := slices.Compact(slices.Clone(ids)); len(once) != len(ids) {
@@ -216,8 +179,8 @@
 		}
 	}))
 	defer s.Close()
-	var c counter
-	client := newClient(&c)
+	var d boundedtest.Dialer
+	client := newClient(&d)
 	for i := range 100 {
 		response, err := client.Attempt(context.Background(), backend.Request{
 			Address: s.Listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h",
@@ -231,7 +194,7 @@
 		}
 		_ = response.Body.Close()
 	}
-	if n := c.dials.Load(); n != 1 {
+	if n := d.Dials(); n != 1 {
 		t.Errorf("%d connections for 100 requests in sequence, want 1", n)
 	}
 }
--- a/internal/routing/ingress/bounds_test.go
+++ b/internal/routing/ingress/bounds_test.go
@@ -11,28 +11,20 @@
 	"testing"
 	"time"
 
-	"almondbay.example/internal/routing/floodtest"
 	"almondbay.example/internal/routing/ingress"
 	"almondbay.example/internal/routing/stream"
+	"almondbay.example/serving/bounded/boundedtest"
 )
 
 // flooding returns a backend server that floods its clients.
-func flooding(t *testing.T, c floodtest.Config) (*floodtest.Server, *server) {
+func flooding(t *testing.T, c boundedtest.Case) (*boundedtest.Server, *server) {
 	t.Helper()
-	s := floodtest.New(t, c)
-	return s, &server{Server: &httptest.Server{URL: "http://" + s.Address()}}
-}
-
-// checkClosed checks that the client closed a connection to a flooding server.
-func checkClosed(t *testing.T, s *floodtest.Server) {
-	t.Helper()
-	if end := <-s.Ends(); !end.Closed {
-		t.Errorf("the client read %d bytes and did not close the connection", end.Sent)
-	}
+	s := boundedtest.NewServer(t, c)
+	return s, &server{Server: &httptest.Server{URL: "http://" + s.Address}}
 }
 
 // responseHead begins a response that is valid but for its missing end.
-const responseHead = "HTTP/1.1 200 OK\r\nId: " + floodtest.IDMark + "\r\nSignature: x\r\n"
+const responseHead = "HTTP/1.1 200 OK\r\nId: " + boundedtest.IDMark + "\r\nSignature: x\r\n"
 
 // chunked begins a response with a chunked body.
 const chunked = responseHead + "Transfer-Encoding: chunked\r\n\r\n"
@@ -48,7 +40,7 @@
 		{"head line", responseHead + "A: ", "x", "headers exceeded"},
 		{"head lines", responseHead, "A: b\r\n", "headers exceeded"},
 		{"early hints", "", "HTTP/1.1 103 Early Hints\r\n\r\n", "headers exceeded"},
-		{"switched protocol", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nId: " + floodtest.IDMark + "\r\nSignature: x\r\n\r\n", "x", "switches protocols"},
+		{"switched protocol", "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: x\r\nId: " + boundedtest.IDMark + "\r\nSignature: x\r\n\r\n", "x", "switches protocols"},
 		{"chunked body", chunked, "400\r\n" + strings.Repeat("x", 1<<10) + "\r\n", "response body too large"},
 		{"small chunks", chunked, "10\r\n0123456789abcdef\r\n", "response body too large"},
 		{"size of a chunk", chunked, "0", "line too long"},
@@ -58,17 +50,17 @@
 		{"trailer lines", chunked + "4\r\ngood\r\n0\r\n", "A: b\r\n", "long trailer"},
 		{"body without length", responseHead + "Connection: close\r\n\r\n", "x", "response body too large"},
 		{"body of great length", responseHead + "Content-Length: 1099511627776\r\n\r\n", "x", "response body too large"},
-		{"body of an error", "HTTP/1.1 500 Internal Server Error\r\nId: " + floodtest.IDMark + "\r\nSignature: x\r\n\r\n", "x", "response body too large"},
+		{"body of an error", "HTTP/1.1 500 Internal Server Error\r\nId: " + boundedtest.IDMark + "\r\nSignature: x\r\n\r\n", "x", "response body too large"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			flood, first := flooding(t, floodtest.Config{Begin: tt.begin, Repeat: tt.repeat})
+			flood, first := flooding(t, boundedtest.Case{Start: tt.begin, Repeat: tt.repeat})
 			second := newServer(t, success)
 			a := newFixture(t, 10, first, second).call(t, http.MethodPost, "/once/x")
 			if a.status != http.StatusBadGateway || a.broken || a.result.Outcome != ingress.OutcomeFailed || !strings.Contains(a.result.Cause, tt.cause) {
 				t.Errorf("not retried: answer %+v, want status 502, outcome failed, cause %q", a, tt.cause)
 			}
-			checkClosed(t, flood)
+			flood.RequireClosed(t)
 			if n := second.requests(); n != 0 {
 				t.Errorf("%d requests at the second server, want none", n)
 			}
@@ -77,7 +69,7 @@
 			if a.status != http.StatusOK || a.broken || a.body != "good" {
 				t.Errorf("retried: answer %+v, want status 200, body good", a)
 			}
-			checkClosed(t, flood)
+			flood.RequireClosed(t)
 			if n, m := len(flood.IDs()), second.requests(); n != 2 || m != 1 {
 				t.Errorf("%d requests at the first server, %d at the second; want 2 and 1", n, m)
 			}
@@ -119,26 +111,26 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			head := responseHead + "Connection: close\r\n\r\n"
-			flood, s := flooding(t, floodtest.Config{Begin: head + tt.begin, Repeat: tt.repeat})
+			flood, s := flooding(t, boundedtest.Case{Start: head + tt.begin, Repeat: tt.repeat})
 			a := newFixture(t, 10, s).call(t, http.MethodPost, "/stream/x")
 			if a.status != http.StatusBadGateway || a.broken || !strings.Contains(a.result.Tries[0].Cause, stream.ErrTooLong.Error()) {
 				t.Errorf("first event: answer %+v, want status 502, cause %q", a, stream.ErrTooLong)
 			}
-			checkClosed(t, flood)
+			flood.RequireClosed(t)
 
-			flood, s = flooding(t, floodtest.Config{Begin: head + event + tt.begin, Repeat: tt.repeat})
+			flood, s = flooding(t, boundedtest.Case{Start: head + event + tt.begin, Repeat: tt.repeat})
 			a = newFixture(t, 10, s).call(t, http.MethodPost, "/stream/x")
 			if !a.broken || a.body != event || a.result.Outcome != ingress.OutcomeBroken {
 				t.Errorf("second event: answer %+v, want the first event, cut off", a)
 			}
-			checkClosed(t, flood)
+			flood.RequireClosed(t)
 
-			flood, s = flooding(t, floodtest.Config{Begin: head + event + tt.begin, Repeat: tt.repeat})
+			flood, s = flooding(t, boundedtest.Case{Start: head + event + tt.begin, Repeat: tt.repeat})
 			a = newFixture(t, 10, s, newServer(t, events(2, nil))).call(t, http.MethodPost, "/stream/x")
 			if want := event + "id: 2\ndata: piece\n\n"; a.broken || a.body != want || a.result.Outcome != ingress.OutcomeAnswered {
 				t.Errorf("resumed: answer %+v, want body %q", a, want)
 			}
-			checkClosed(t, flood)
+			flood.RequireClosed(t)
 		})
 	}
 }
@@ -148,20 +140,20 @@
 func TestPaddingWithoutEndIsCutOff(t *testing.T) {
 	for _, padding := range []string{"\n", "\r\n", ": comment\n\n", "no field\n\n"} {
 		t.Run(padding, func(t *testing.T) {
-			c := floodtest.Config{Begin: responseHead + "Connection: close\r\n\r\n" + event, Repeat: padding}
+			c := boundedtest.Case{Start: responseHead + "Connection: close\r\n\r\n" + event, Repeat: padding}
 			flood, s := flooding(t, c)
 			a := newFixture(t, 10, s).call(t, http.MethodPost, "/stream/x")
 			if !a.broken || a.result.Outcome != ingress.OutcomeBroken || a.result.Tries[0].Cause != "reading response: "+stream.ErrTooMuchPadding.Error() {
 				t.Errorf("%d bytes, broken %t, result %+v; want a stream cut off since %v", len(a.body), a.broken, a.result, stream.ErrTooMuchPadding)
 			}
-			checkClosed(t, flood)
+			flood.RequireClosed(t)
 
 			flood, s = flooding(t, c)
 			a = newFixture(t, 10, s, newServer(t, events(2, nil))).call(t, http.MethodPost, "/stream/x")
 			if want := "id: 2\ndata: piece\n\n"; a.broken || !strings.HasPrefix(a.body, event) || !strings.HasSuffix(a.body, want) {
 				t.Errorf("%d bytes, broken %t, result %+v; want a stream resumed after the event", len(a.body), a.broken, a.result)
 			}
-			checkClosed(t, flood)
+			flood.RequireClosed(t)
 		})
 	}
 }
@@ -171,12 +163,12 @@
 func TestTrailerWithoutEndCutsStreamOff(t *testing.T) {
 	for _, repeat := range []string{"x", "A: b\r\n"} {
 		t.Run(repeat, func(t *testing.T) {
-			flood, s := flooding(t, floodtest.Config{Begin: chunked + "13\r\n" + event + "\r\n0\r\n", Repeat: repeat})
+			flood, s := flooding(t, boundedtest.Case{Start: chunked + "13\r\n" + event + "\r\n0\r\n", Repeat: repeat})
 			a := newFixture(t, 10, s).call(t, http.MethodPost, "/stream/x")
 			if !a.broken || a.body != event || a.result.Outcome != ingress.OutcomeBroken {
 				t.Errorf("answer %+v, want the event, cut off", a)
 			}
-			checkClosed(t, flood)
+			flood.RequireClosed(t)
 		})
 	}
 }
@@ -194,7 +186,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			c := floodtest.Config{Begin: responseHead + "Connection: close\r\n\r\n" + event, Repeat: tt.repeat}
+			c := boundedtest.Case{Start: responseHead + "Connection: close\r\n\r\n" + event, Repeat: tt.repeat}
 			flood, flooded := flooding(t, c)
 			servers := []*server{flooded}
 			if tt.resumed {
@@ -212,7 +204,7 @@
 			if !a.broken || !strings.HasPrefix(a.body, event) || a.result.Outcome != ingress.OutcomeBroken || a.result.Cause != "deadline exceeded" {
 				t.Errorf("%d bytes, broken %t, outcome %q, cause %q; want a stream cut off at the deadline", len(a.body), a.broken, a.result.Outcome, a.result.Cause)
 			}
-			checkClosed(t, flood)
+			flood.RequireClosed(t)
 		})
 	}
 }
--- a/pkg/serving/bounded/boundedtest/server.go
+++ b/pkg/serving/bounded/boundedtest/server.go
@@ -4,10 +4,12 @@
 
 import (
 	"bufio"
+	"context"
 	"errors"
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -16,12 +18,15 @@
 )
 
 const (
-	// maxSentBytes ends a response that its client did not stop reading.
-	maxSentBytes = 128 << 20
+	// defaultMaxBytes is the default of Case.MaxBytes.
+	defaultMaxBytes = 64 << 20
 	// writeBytes is the approximate size of one write.
-	writeBytes = 64 << 10
+	writeBytes = 32 << 10
+	// readAheadBytes is the number of bytes by which a client may exceed its bound,
+	// because it reads into a buffer.
+	readAheadBytes = 64 << 10
 	// maxConnections bounds the connections whose ends were not yet awaited.
-	maxConnections = 64
+	maxConnections = 256
 )
 
 // Starts of responses whose bodies have no end.
@@ -34,14 +39,19 @@
 	HeadUpgrade = "HTTP/1.1 101 Switching Protocols\r\nConnection: Upgrade\r\nUpgrade: bytes\r\n\r\n"
 )
 
-// Case is a response without end.
+// IDMark stands for the ID header of the request in Case.Start.
+const IDMark = "<id>"
+
+// Case is a response without end. It configures a Server.
 type Case struct {
 	Name string
 	// Start is sent first, and then Repeat until the client closes the connection.
-	// An empty Repeat sends nothing more.
+	// An empty Repeat sends nothing more. Start may contain IDMark.
 	Start, Repeat string
 	// Unread is set to send without reading a request first.
 	Unread bool
+	// MaxBytes ends a response that its client did not stop reading; 64 MiB if zero.
+	MaxBytes int
 	// Unlimited is set to send until the client closes the connection, for calls
 	// that end at a deadline.
 	Unlimited bool
@@ -57,18 +67,35 @@
 	}
 }
 
-// errNotClosed reports a client that did not stop reading.
-var errNotClosed = errors.New("client read all bytes that the server sends at most")
-
-// Server responds to the first request of each connection without end.
+// Server responds to the first request of each connection without end. It must be
+// created with NewServer.
 type Server struct {
 	// Address is the address that the server listens on.
 	Address string
+	// Port is the port of Address.
+	Port int
 
 	response Case
 	listener net.Listener
+	dialer   Dialer
+	accepter sync.WaitGroup
 	handlers sync.WaitGroup
-	ended    chan error
+	started  chan struct{}
+	ends     chan end
+
+	mu sync.Mutex
+	// unused holds the connections without a request.
+	unused map[net.Conn]struct{}
+	ids    []string
+}
+
+// end is the end of a connection that had a request.
+type end struct {
+	// sent is the number of bytes sent.
+	sent int
+	// closed is set if the client closed the connection, and not the server since
+	// it had sent Case.MaxBytes.
+	closed bool
 }
 
 // NewServer starts a server, which is closed at the end of the test.
@@ -78,21 +105,58 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s := &Server{Address: l.Addr().String(), response: c, listener: l, ended: make(chan error, maxConnections)}
-	s.handlers.Go(s.accept)
-	t.Cleanup(func() {
-		_ = l.Close()
-		s.handlers.Wait()
-	})
+	if c.MaxBytes == 0 {
+		c.MaxBytes = defaultMaxBytes
+	}
+	s := &Server{
+		Address:  l.Addr().String(),
+		Port:     l.Addr().(*net.TCPAddr).Port,
+		response: c,
+		listener: l,
+		started:  make(chan struct{}, maxConnections),
+		ends:     make(chan end, maxConnections),
+		unused:   make(map[net.Conn]struct{}),
+	}
+	s.accepter.Go(s.accept)
+	t.Cleanup(s.stop)
 	return s
 }
 
+// Dial opens a connection whose received bytes RequireClosedWithin counts.
+func (s *Server) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	return s.dialer.Dial(ctx, network, address)
+}
+
+// Started receives a value when the first bytes of a response were sent.
+func (s *Server) Started() <-chan struct{} { return s.started }
+
+// IDs returns the ID headers of the requests received.
+func (s *Server) IDs() []string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return slices.Clone(s.ids)
+}
+
 // RequireClosed waits until the client has closed the connection of a request. It
 // fails the test if the client read all bytes that the server sends at most.
 func (s *Server) RequireClosed(t testing.TB) {
 	t.Helper()
-	if err := <-s.ended; err != nil {
-		t.Errorf("server %s: %v", s.Address, err)
+	if end := <-s.ends; !end.closed {
+		t.Errorf("server %s: client read %d bytes and did not close the connection", s.Address, end.sent)
+	}
+}
+
+// RequireClosedWithin is RequireClosed for a client that connects with Dial. It
+// also fails the test if the client received more than maxBytes and a buffer.
+func (s *Server) RequireClosedWithin(t testing.TB, maxBytes int64) {
+	t.Helper()
+	s.RequireClosed(t)
+	switch n := s.dialer.Received(); {
+	case n == 0:
+		t.Errorf("server %s: client received nothing through Dial", s.Address)
+	case n > maxBytes+readAheadBytes:
+		t.Errorf("server %s: client received %d bytes, want at most %d and a buffer", s.Address, n, maxBytes)
 	}
 }
 
@@ -116,45 +180,85 @@
 	}
 }
 
+// stop closes the connections without a request, which a client may keep as idle
+// ones. Those with a request must end by themselves.
+func (s *Server) stop() {
+	_ = s.listener.Close()
+	s.accepter.Wait()
+	s.mu.Lock()
+	for c := range s.unused {
+		_ = c.Close()
+	}
+	s.mu.Unlock()
+	s.handlers.Wait()
+}
+
 func (s *Server) accept() {
 	for {
 		connection, err := s.listener.Accept()
 		if err != nil {
 			return
 		}
-		s.handlers.Go(func() {
-			defer func() { _ = connection.Close() }()
+		if !s.response.Unread {
+			s.mu.Lock()
+			s.unused[connection] = struct{}{}
+			s.mu.Unlock()
+		}
+		s.handlers.Go(func() { s.serve(connection) })
+	}
+}
+
+func (s *Server) serve(connection net.Conn) {
+	defer func() { _ = connection.Close() }()
+
+	start := s.response.Start
+	if !s.response.Unread {
+		id, err := readRequest(connection)
+		s.mu.Lock()
+		delete(s.unused, connection)
+		if err == nil {
+			s.ids = append(s.ids, id)
+		}
+		s.mu.Unlock()
+		if err != nil {
 			// A connection without a request is a probe.
-			if s.response.Unread || readRequest(connection) == nil {
-				s.ended <- s.respond(connection)
-			}
-		})
+			return
+		}
+		start = strings.ReplaceAll(start, IDMark, id)
 	}
+	s.ends <- s.respond(connection, start)
 }
 
-// respond returns nil once the client has closed the connection.
-func (s *Server) respond(connection net.Conn) error {
-	if _, err := io.WriteString(connection, s.response.Start); err != nil {
-		return nil
+// respond sends until the client closes the connection or Case.MaxBytes were sent.
+func (s *Server) respond(connection net.Conn, start string) end {
+	block := strings.Repeat(s.response.Repeat, max(1, writeBytes/max(1, len(s.response.Repeat))))
+	// One write, so that a client that reads the end of a response has received
+	// bytes after it.
+	sent, err := io.WriteString(connection, start+block)
+	if err != nil {
+		return end{sent: sent, closed: true}
 	}
-	if s.response.Repeat == "" {
+	s.started <- struct{}{}
+	if block == "" {
 		_, _ = io.Copy(io.Discard, connection)
-		return nil
+		return end{sent: sent, closed: true}
 	}
-	block := strings.Repeat(s.response.Repeat, max(1, writeBytes/len(s.response.Repeat)))
-	for sent := 0; s.response.Unlimited || sent < maxSentBytes; sent += len(block) {
-		if _, err := io.WriteString(connection, block); err != nil {
-			return nil
+	for s.response.Unlimited || sent < s.response.MaxBytes {
+		n, err := io.WriteString(connection, block)
+		sent += n
+		if err != nil {
+			return end{sent: sent, closed: true}
 		}
 	}
-	return errNotClosed
+	return end{sent: sent}
 }
 
-func readRequest(connection net.Conn) error {
+// readRequest reads a request and returns its ID header.
+func readRequest(connection net.Conn) (string, error) {
 	request, err := http.ReadRequest(bufio.NewReader(connection))
 	if err != nil {
-		return err
+		return "", err
 	}
 	_, err = io.Copy(io.Discard, request.Body)
-	return err
+	return request.Header.Get("Id"), err
 }
--- a/pkg/serving/operator/operatorclient/bounds_test.go
+++ b/pkg/serving/operator/operatorclient/bounds_test.go
@@ -39,7 +39,7 @@
 	}
 	for name, head := range heads {
 		t.Run(name, func(t *testing.T) {
-			s := boundedtest.NewServer(t, boundedtest.Case{Start: head, Repeat: " "})
+			s := boundedtest.NewServer(t, boundedtest.Case{Start: head, Repeat: " ", MaxBytes: 128 << 20})
 			err := newClient("http://"+s.Address).Drain(t.Context(), "vm")
 			boundedtest.RequireTooLarge(t, err, bounded.PartBody, s.Address)
 			var unknown *operatorclient.UnknownOutcomeError
--- a/pkg/serving/peer/bounds_test.go
+++ b/pkg/serving/peer/bounds_test.go
@@ -12,7 +12,7 @@
 // TestResponseWithoutEnd guards against a response that is cut at the limit, which
 // then looks like one of a peer that broke off.
 func TestResponseWithoutEnd(t *testing.T) {
-	s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadBody, Repeat: " "})
+	s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadBody, Repeat: " ", MaxBytes: 128 << 20})
 	r := New(Config{Scheme: "http", HTTP: &http.Client{}})
 	_, _, err := r.FetchFleet(t.Context(), s.Address, feed.Position{})
 	boundedtest.RequireTooLarge(t, err, bounded.PartBody, s.Address)
--- a/pkg/serving/platform/platformhttp/client_test.go
+++ b/pkg/serving/platform/platformhttp/client_test.go
@@ -9,9 +9,9 @@
 	"sync/atomic"
 	"testing"
 
+	"almondbay.example/serving/bounded/boundedtest"
 	"almondbay.example/serving/platform"
 	"almondbay.example/serving/platform/platformhttp"
-	"almondbay.example/serving/platform/platformtest"
 )
 
 const (
@@ -54,17 +54,17 @@
 func TestBodyWithoutEndIsRefused(t *testing.T) {
 	for _, tt := range calls {
 		t.Run(tt.name, func(t *testing.T) {
-			server := platformtest.NewEndless(t, "HTTP/1.1 200 OK\r\n\r\n", " ")
+			server := boundedtest.NewServer(t, boundedtest.Case{Start: "HTTP/1.1 200 OK\r\n\r\n", Repeat: " "})
 			client := platformhttp.New(platformhttp.Config{
-				Address:   "http://" + server.Address(),
+				Address:   "http://" + server.Address,
 				Transport: &http.Transport{DialContext: server.Dial},
 			})
 			err := tt.call(context.Background(), client)
 			var unknown *platform.UnknownError
-			if !errors.As(err, &unknown) || !strings.Contains(err.Error(), server.Address()) || !strings.Contains(err.Error(), "exceeds") {
+			if !errors.As(err, &unknown) || !strings.Contains(err.Error(), server.Address) || !strings.Contains(err.Error(), "exceeds") {
 				t.Errorf("body without end: error %v, want an UnknownError that names the server and the bound", err)
 			}
-			server.CheckClosed(tt.maxBytes)
+			server.RequireClosedWithin(t, tt.maxBytes)
 		})
 	}
 }
@@ -72,14 +72,14 @@
 // TestHeadWithoutEndIsRefused guards against a head without end that fills the
 // memory up to the default bound of 10 MB for each call.
 func TestHeadWithoutEndIsRefused(t *testing.T) {
-	server := platformtest.NewEndless(t, "HTTP/1.1 200 OK\r\n", "Name: value\r\n")
-	client := platformhttp.New(platformhttp.Config{Address: "http://" + server.Address()})
+	server := boundedtest.NewServer(t, boundedtest.Case{Start: "HTTP/1.1 200 OK\r\n", Repeat: "Name: value\r\n"})
+	client := platformhttp.New(platformhttp.Config{Address: "http://" + server.Address})
 	_, err := client.Read(context.Background(), "k")
 	var unknown *platform.UnknownError
-	if !errors.As(err, &unknown) || !strings.Contains(err.Error(), server.Address()) || !strings.Contains(err.Error(), " exceeds 16384 bytes") {
+	if !errors.As(err, &unknown) || !strings.Contains(err.Error(), server.Address) || !strings.Contains(err.Error(), " exceeds 16384 bytes") {
 		t.Errorf("head without end: error %v, want an UnknownError that names the server and the bound", err)
 	}
-	server.CheckClosed(0)
+	server.RequireClosed(t)
 }
 
 // TestRedirectIsNotFollowed guards against a transaction that is sent twice and
--- a/pkg/serving/platform/transport_test.go
+++ b/pkg/serving/platform/transport_test.go
@@ -10,8 +10,8 @@
 	"testing"
 
 	"almondbay.example/serving/bounded"
+	"almondbay.example/serving/bounded/boundedtest"
 	"almondbay.example/serving/platform"
-	"almondbay.example/serving/platform/platformtest"
 )
 
 // TestSendBoundsBody guards against a body without end that fills the memory, and
@@ -31,14 +31,14 @@
 				if name == "chunked" {
 					next = "10\r\n" + strings.Repeat(" ", 16) + "\r\n"
 				}
-				server := platformtest.NewEndless(t, fmt.Sprintf("HTTP/1.1 %d X\r\n%s\r\n", status, head), next)
+				server := boundedtest.NewServer(t, boundedtest.Case{Start: fmt.Sprintf("HTTP/1.1 %d X\r\n%s\r\n", status, head), Repeat: next})
 				_, body, err := send(t, server, maxBytes)
 				var unknown *platform.UnknownError
-				if !errors.As(err, &unknown) || !strings.Contains(err.Error(), server.Address()+" exceeds 1048576 bytes") {
+				if !errors.As(err, &unknown) || !strings.Contains(err.Error(), server.Address+" exceeds 1048576 bytes") {
 					t.Errorf("got %d bytes and error %v, want an UnknownError that names the server and the bound", len(body), err)
 				}
 				// A chunk of 16 bytes takes 22 bytes.
-				server.CheckClosed(maxBytes * 22 / 16)
+				server.RequireClosedWithin(t, maxBytes*22/16)
 			})
 		}
 	}
@@ -50,12 +50,12 @@
 func TestSendReadsExcerptOfErrorStatus(t *testing.T) {
 	for _, status := range []int{http.StatusFound, http.StatusBadRequest, http.StatusGone, http.StatusServiceUnavailable} {
 		t.Run(fmt.Sprint(status), func(t *testing.T) {
-			server := platformtest.NewEndless(t, fmt.Sprintf("HTTP/1.1 %d X\r\n\r\n", status), "x")
+			server := boundedtest.NewServer(t, boundedtest.Case{Start: fmt.Sprintf("HTTP/1.1 %d X\r\n\r\n", status), Repeat: "x"})
 			got, body, err := send(t, server, 1<<20)
 			if got != status || len(body) != 512 || err != nil {
 				t.Errorf("got status %d, %d bytes and error %v; want status %d and 512 bytes", got, len(body), err, status)
 			}
-			server.CheckClosed(512)
+			server.RequireClosedWithin(t, 512)
 		})
 	}
 }
@@ -77,9 +77,9 @@
 }
 
 // send sends a request to the server.
-func send(t *testing.T, server *platformtest.Endless, maxBytes int64) (int, []byte, error) {
+func send(t *testing.T, server *boundedtest.Server, maxBytes int64) (int, []byte, error) {
 	t.Helper()
-	request, err := http.NewRequest(http.MethodGet, "http://"+server.Address(), nil)
+	request, err := http.NewRequest(http.MethodGet, "http://"+server.Address, nil)
 	if err != nil {
 		t.Fatal(err)
 	}
