--- a/internal/routing/ingress/response.go
+++ b/internal/routing/ingress/response.go
@@ -76,7 +76,8 @@
 		return errResponseBegun
 	}
 	if len(body) > 0 || r.header().Get("Content-Length") == "" {
-		// The response to a HEAD request states the length of a body that is not sent.
+		// Otherwise, the response to a HEAD request keeps the length of the body that
+		// is not sent.
 		r.header().Set("Content-Length", strconv.Itoa(len(body)))
 	}
 	r.begin(status)
