--- a/internal/routing/ingress/bounds_test.go
+++ b/internal/routing/ingress/bounds_test.go
@@ -195,16 +195,7 @@
 				servers = []*server{first, flooded}
 			}
 			r := newFixture(t, 10, servers...)
-			reader, writer := io.Pipe()
-			var group sync.WaitGroup
-			defer group.Wait()
-			ctx, disconnect := context.WithCancel(context.Background())
-			defer disconnect()
-			request := r.request(t, http.MethodPost, "/stream/x").WithContext(ctx)
-			group.Go(func() { _ = writer.CloseWithError(r.copy(request, writer)) })
-			defer func() { _ = reader.Close() }()
-
-			received := bufio.NewReader(reader)
+			received := r.stream(t)
 			expect(t, received, event)
 			<-flood.Started()
 			r.clock.Advance(time.Hour)
@@ -224,16 +215,7 @@
 		t.Run(padding, func(t *testing.T) {
 			first := newStallingServer(t, padding)
 			r := newFixture(t, 10, first.server, newServer(t, events(2, nil)))
-			reader, writer := io.Pipe()
-			var group sync.WaitGroup
-			defer group.Wait()
-			ctx, disconnect := context.WithCancel(context.Background())
-			defer disconnect()
-			request := r.request(t, http.MethodPost, "/stream/x").WithContext(ctx)
-			group.Go(func() { _ = writer.CloseWithError(r.copy(request, writer)) })
-			defer func() { _ = reader.Close() }()
-
-			received := bufio.NewReader(reader)
+			received := r.stream(t)
 			expect(t, received, event)
 			first.advanceUntilCanceled(t, r, received)
 			expect(t, received, "id: 2\ndata: piece\n\n")
@@ -304,8 +286,25 @@
 	t.Fatalf("request not canceled after %v without an event", steps*step)
 }
 
-// copy sends the request and copies the body of its response to w.
-func (f *fixture) copy(request *http.Request, w io.Writer) error {
+// stream sends a request for a stream and returns the body of its response, which
+// the test reads as it arrives.
+func (f *fixture) stream(t *testing.T) *bufio.Reader {
+	t.Helper()
+	ctx, disconnect := context.WithCancel(t.Context())
+	request := f.request(t, http.MethodPost, "/stream/x").WithContext(ctx)
+	reader, writer := io.Pipe()
+	var group sync.WaitGroup
+	group.Go(func() { _ = writer.CloseWithError(copyBody(writer, request)) })
+	t.Cleanup(func() {
+		disconnect()
+		_ = reader.Close()
+		group.Wait()
+	})
+	return bufio.NewReader(reader)
+}
+
+// copyBody sends the request and copies the body of its response to w.
+func copyBody(w io.Writer, request *http.Request) error {
 	response, err := http.DefaultClient.Do(request)
 	if err != nil {
 		return err
--- a/internal/routing/ingress/resumption_test.go
+++ b/internal/routing/ingress/resumption_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -252,16 +250,7 @@
 		t.Run(name, func(t *testing.T) {
 			first := newStallingServer(t, ": comment\n\n")
 			f := newFixture(t, 10, first.server, newServer(t, handle))
-			reader, writer := io.Pipe()
-			var group sync.WaitGroup
-			defer group.Wait()
-			ctx, disconnect := context.WithCancel(context.Background())
-			defer disconnect()
-			request := f.request(t, http.MethodPost, "/stream/x").WithContext(ctx)
-			group.Go(func() { _ = writer.CloseWithError(f.copy(request, writer)) })
-			defer func() { _ = reader.Close() }()
-
-			received := bufio.NewReader(reader)
+			received := f.stream(t)
 			expect(t, received, event)
 			first.advanceUntilCanceled(t, f, received)
 			if rest, err := io.ReadAll(received); err == nil || strings.Contains(string(rest), "failure") {
