--- a/internal/routing/ingress/resumption_test.go
+++ b/internal/routing/ingress/resumption_test.go
@@ -2,14 +2,12 @@
 
 import (
 	"bufio"
-	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"runtime"
 	"strings"
-	"sync"
 	"testing"
 	"time"
 
@@ -120,14 +118,7 @@
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFixture(t, 10, newServer(t, signed("first", tt.first)), newServer(t, signed("second", tt.second)))
-			request, err := http.NewRequest(http.MethodPost, f.front.URL+"/stream/x", strings.NewReader("body"))
-			if err != nil {
-				t.Fatal(err)
-			}
-			request.Host = "h"
-			request.Header.Set("Id", "mine")
-			request.Header.Set("Key", "key")
-			response, err := http.DefaultClient.Do(request)
+			response, err := http.DefaultClient.Do(f.request(t, http.MethodPost, "/stream/x"))
 			if err != nil {
 				t.Fatal(err)
 			}
@@ -226,14 +217,7 @@
 	first := newServer(t, signedText(plain(1), func() { <-release }))
 	second := newServer(t, events(6, nil))
 	f := newFixture(t, 10, first, second)
-	request, err := http.NewRequest(http.MethodPost, f.front.URL+"/stream/x", strings.NewReader("body"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Host = "h"
-	request.Header.Set("Id", "mine")
-	request.Header.Set("Key", "key")
-	response, err := http.DefaultClient.Do(request)
+	response, err := http.DefaultClient.Do(f.request(t, http.MethodPost, "/stream/x"))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -266,15 +250,7 @@
 		t.Run(name, func(t *testing.T) {
 			first := newStallingServer(t, ": comment\n\n")
 			f := newFixture(t, 10, first.server, newServer(t, handle))
-			reader, writer := io.Pipe()
-			var group sync.WaitGroup
-			defer group.Wait()
-			ctx, disconnect := context.WithCancel(context.Background())
-			defer disconnect()
-			group.Go(func() { _ = writer.CloseWithError(f.copy(ctx, "/stream/x", writer)) })
-			defer func() { _ = reader.Close() }()
-
-			received := bufio.NewReader(reader)
+			received := f.stream(t)
 			expect(t, received, event)
 			first.advanceUntilCanceled(t, f, received)
 			if rest, err := io.ReadAll(received); err == nil || strings.Contains(string(rest), "failure") {
@@ -363,14 +339,7 @@
 // HEAD request, which states that of the body that a GET request would get.
 func TestHeadResponseKeepsLength(t *testing.T) {
 	f := newFixture(t, 10, newServer(t, success))
-	request, err := http.NewRequest(http.MethodHead, f.front.URL+"/safe/x", nil)
-	if err != nil {
-		t.Fatal(err)
-	}
-	request.Host = "h"
-	request.Header.Set("Id", "mine")
-	request.Header.Set("Key", "key")
-	response, err := http.DefaultClient.Do(request)
+	response, err := http.DefaultClient.Do(f.request(t, http.MethodHead, "/safe/x"))
 	if err != nil {
 		t.Fatal(err)
 	}
