Log the content of lost requests and the servers that ended under them

Event 901 now has a digest of workspace, path, query and body for requests that lost a try, event 957 names a server that ended with the digests of the requests lost by it and how the node found out, and a metric counts the ends. A reset, a stall or a truncated response of a server that lives is no end; nor is a planned departure. The node connects to a head that ended a connection abruptly, at most once in 200 ms, and otherwise waits for the registration. No decision on requests changes.

--- a/internal/fleet/registry/cache.go
+++ b/internal/fleet/registry/cache.go
@@ -1,6 +1,7 @@
 package registry
 
 import (
+	"cmp"
 	"maps"
 	"slices"
 	"sync"
@@ -211,6 +212,15 @@
 	return !c.readAt.IsZero() && now.Sub(c.lastFailureAt) > c.config.ReturnGrace
 }
 
+// Find returns the record of a server.
+func (v View) Find(id string) (Record, bool) {
+	i, ok := slices.BinarySearchFunc(v.Servers, id, func(r Record, id string) int { return cmp.Compare(r.ID, id) })
+	if !ok {
+		return Record{}, false
+	}
+	return v.Servers[i], true
+}
+
 // Missing reports whether a server counts as gone: its row is missing, and
 // either the store is stable or the row has been missing for longer than grace.
 func (v View) Missing(r Record, now time.Time, grace time.Duration) bool {
--- a/internal/fleet/registry/head.go
+++ b/internal/fleet/registry/head.go
@@ -19,6 +19,11 @@
 	Incarnation int64
 }
 
+// Life returns the run of the server that is the head.
+func (h Head) Life() Life {
+	return Life{ID: h.ID, Incarnation: h.Incarnation}
+}
+
 // Heads returns the servers that can be sent requests. The head of a group is
 // included only while every member reports the group's name and epoch; sizes
 // holds the number of members per group by model.
--- a/internal/fleet/registry/server.go
+++ b/internal/fleet/registry/server.go
@@ -54,6 +54,17 @@
 	Group Membership
 }
 
+// Life identifies one run of a server, from its start to its end.
+type Life struct {
+	ID          string
+	Incarnation int64
+}
+
+// Life returns the run of the server that the registration is about.
+func (s Server) Life() Life {
+	return Life{ID: s.ID, Incarnation: s.Incarnation}
+}
+
 // In reports whether the server is a member of the given group under the given
 // epoch.
 func (s Server) In(group string, epoch uint64) bool {
--- a/internal/node/entry/event_log.go
+++ b/internal/node/entry/event_log.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"almondbay.example/internal/routing/ingress"
+	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/serving/event"
 )
 
@@ -75,13 +76,21 @@
 	}
 	event.RequestEnded.Log(l.logger,
 		zap.String("request", r.ID), zap.String("route", r.Route), zap.String("service", r.Service),
-		zap.String("model", r.Model), zap.Uint64("version", r.Version), zap.String("outcome", string(r.Outcome)),
+		zap.String("model", r.Model), zap.String("digest", formatDigest(r.Digest)), zap.Uint64("version", r.Version), zap.String("outcome", string(r.Outcome)),
 		zap.Int("status", r.Status), zap.Bool("cutOff", r.CutOff), zap.String("cause", r.Cause), zap.String("tries", formatTries(r.Tries)),
 		zap.Duration("retryAfter", r.RetryAfter), zap.Duration("firstByte", r.FirstByte),
 		zap.Float64("load", r.Load), zap.Duration("maxGap", r.MaxGap), zap.Duration("duration", r.Duration), zap.Int("events", r.Events),
 		zap.Duration("registryAge", registryAge))
 }
 
+// formatDigest returns the start of a digest, or nothing if it was not computed.
+func formatDigest(d quarantine.Digest) string {
+	if d == (quarantine.Digest{}) {
+		return ""
+	}
+	return quarantine.Short(d.Fingerprint)
+}
+
 // formatTries renders the tries of a request: head, requests in flight there,
 // duration, status of the head's response, events sent to the caller and cause of
 // failure.
--- /dev/null
+++ b/internal/node/entry/losses.go
@@ -0,0 +1,83 @@
+package entry
+
+import (
+	"context"
+	"errors"
+	"strconv"
+	"strings"
+	"syscall"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/routing/quarantine"
+	"almondbay.example/serving/event"
+)
+
+const (
+	// lapseHeartbeats is the number of heartbeats after which the registration of a
+	// silent server lapses.
+	lapseHeartbeats = 3
+	// lossSlack covers the time until a node reads that a registration lapsed.
+	lossSlack = 4 * time.Second
+	// checkInterval limits the connections to one head.
+	checkInterval = 200 * time.Millisecond
+	// maxChecks limits the heads that are connected to at a time.
+	maxChecks = 16
+	// maxLosses is about the number of requests that a node has in flight at peak
+	// load, several times over.
+	maxLosses = 1024
+)
+
+// matchLosses looks for servers that ended while they ran requests of this node.
+func (n *Node) matchLosses(ctx context.Context, now time.Time) {
+	if n.losses.Pending() == 0 {
+		return
+	}
+	n.recordEnds(n.losses.Match(n.registrations.View(now), now))
+	for _, head := range n.losses.Due(now) {
+		n.checks.TryGo(func() error {
+			n.checkHead(ctx, head)
+			return nil
+		})
+	}
+}
+
+// checkHead connects to a head that ended a connection, to find out whether it
+// ended itself.
+func (n *Node) checkHead(ctx context.Context, head registry.Head) {
+	startedAt := n.config.Clock.Now()
+	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
+	defer cancel()
+	conn, err := n.config.Dial(ctx, "tcp", head.Address)
+	if err == nil {
+		_ = conn.Close()
+	}
+	n.recordEnds(n.losses.RecordCheck(head, startedAt, errors.Is(err, syscall.ECONNREFUSED), err == nil))
+}
+
+// recordEnds logs and counts servers that ended.
+func (n *Node) recordEnds(ends []quarantine.End) {
+	for _, e := range ends {
+		n.metrics.ServerEnds.WithLabelValues(string(e.Proof)).Inc()
+		event.ServerEnded.Log(n.config.Logger, zap.String("server", e.Server.ID), zap.Int64("incarnation", e.Server.Incarnation),
+			zap.String("group", e.Crash.Group), zap.Uint64("epoch", e.Crash.Epoch), zap.String("proof", string(e.Proof)),
+			zap.Int("requests", len(e.Requests)), zap.String("digests", formatDigests(e.Requests)))
+	}
+}
+
+// maxShownDigests limits the digests in one line of the log.
+const maxShownDigests = 20
+
+// formatDigests lists the digests of requests, and the number of those left out.
+func formatDigests(digests []quarantine.Digest) string {
+	shown := make([]string, 0, maxShownDigests+1)
+	for _, d := range digests[:min(len(digests), maxShownDigests)] {
+		shown = append(shown, quarantine.Short(d.Fingerprint))
+	}
+	if rest := len(digests) - len(shown); rest > 0 {
+		shown = append(shown, "and "+strconv.Itoa(rest)+" more")
+	}
+	return strings.Join(shown, ",")
+}
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -17,6 +17,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/zeebo/errs"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"almondbay.example/core/relay"
 	"almondbay.example/internal/fleet/control"
@@ -28,6 +29,7 @@
 	"almondbay.example/internal/routing/balance"
 	"almondbay.example/internal/routing/exchange"
 	"almondbay.example/internal/routing/ingress"
+	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/internal/routing/retry"
 	"almondbay.example/internal/routing/routes"
 	"almondbay.example/serving/metric"
@@ -82,9 +84,12 @@
 	budget        *retry.Budget
 	socket        *gossip.Socket
 	handler       *ingress.Handler
-	controller    *control.Controller
-	eventLog      *eventLog
-	store         *instrumentedStore
+	losses        *quarantine.Tracker
+	// checks are the connections to heads that may have ended.
+	checks     errgroup.Group
+	controller *control.Controller
+	eventLog   *eventLog
+	store      *instrumentedStore
 	// lastSent and collector are used only by the loop that runs sendReport.
 	lastSent sentReport
 	// collector is the name of the node that this one reports to; empty if the nodes of
@@ -234,6 +239,13 @@
 		collected:     newCollected(),
 		eventLog:      newEventLog(c.Logger, c.Clock, c.DroppedLines),
 	}
+	n.losses = quarantine.NewTracker(quarantine.TrackerConfig{
+		Retention:     lapseHeartbeats*c.Settings.Heartbeat + returnGrace + lossSlack,
+		ReturnGrace:   returnGrace,
+		CheckInterval: checkInterval,
+		MaxLosses:     maxLosses,
+	})
+	n.checks.SetLimit(maxChecks)
 	n.peers = gossip.NewPeerSet(gossip.Config{
 		Self: n.self(), Interval: reportInterval, IntervalPerPeer: reportIntervalPerPeer, DeadAfter: peerTimeout,
 		MeshPeers: meshPeers, CollectInterval: collectInterval, CollectIntervalPerPeer: collectIntervalPerPeer, CollectorTimeout: collectorTimeout,
@@ -276,6 +288,7 @@
 		Budget:        n.budget,
 		Configuration: n.configuration.Load,
 		Observe:       n.observe,
+		OnLoss:        n.losses.Add,
 		MaxTries:      maxTries,
 		StallAfter:    stallAfter,
 		AttemptStall:  attemptStallAfter,
--- a/internal/node/entry/readiness_test.go
+++ b/internal/node/entry/readiness_test.go
@@ -9,6 +9,7 @@
 
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/routing/balance"
+	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/internal/routing/routes"
 	"almondbay.example/serving/metric"
 )
@@ -23,6 +24,7 @@
 		registrations: registry.NewCache(registry.CacheConfig{ReturnGrace: time.Second, RecordRetention: time.Minute}),
 		heads:         map[balance.Key]int{},
 		metrics:       metric.NewEntry(),
+		losses:        quarantine.NewTracker(quarantine.TrackerConfig{}),
 	}
 	check := func(step string, want bool) {
 		t.Helper()
--- a/internal/node/entry/refresh.go
+++ b/internal/node/entry/refresh.go
@@ -144,6 +144,7 @@
 	}
 	n.headsGeneration, n.headsVersion, n.headsBuiltAt = generation, c.Version, now
 	view := n.registrations.View(now)
+	n.losses.SetGroups(view, now)
 	heads := registry.Heads(view, c.Sizes(), now, returnGrace)
 	if slices.Equal(heads, n.lastHeads) {
 		return
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -110,6 +110,7 @@
 			Domain: domainReportInterval + reportInterval,
 		})
 		n.refreshHeads()
+		n.matchLosses(ctx, now)
 		return n.sendReport(ctx)
 	})
 	n.addLoop(g, every(demandInterval), n.sampleDemand)
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -18,6 +18,7 @@
 	"almondbay.example/internal/routing/backend"
 	"almondbay.example/internal/routing/balance"
 	"almondbay.example/internal/routing/exchange"
+	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/internal/routing/retry"
 	"almondbay.example/internal/routing/routes"
 )
@@ -34,6 +35,8 @@
 	Configuration func() *routes.Configuration
 	// Observe is called with the result of each request when it ends.
 	Observe func(Result)
+	// OnLoss is called for each try that its head left without a complete response.
+	OnLoss func(quarantine.Loss)
 	// MaxTries is the maximum number of tries for one request, including those
 	// that a head rejected.
 	MaxTries int
--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -21,6 +21,7 @@
 	"almondbay.example/internal/routing/balance"
 	"almondbay.example/internal/routing/exchange"
 	"almondbay.example/internal/routing/ingress"
+	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/internal/routing/retry"
 	"almondbay.example/internal/routing/routes"
 )
@@ -212,6 +213,7 @@
 		Budget:        retry.NewBudget(retry.Config{Slack: slack, Window: time.Hour, UsableFraction: 1}),
 		Configuration: func() *routes.Configuration { return configuration },
 		Observe:       func(result ingress.Result) { r.results <- result },
+		OnLoss:        func(quarantine.Loss) {},
 		MaxTries:      3, StallAfter: 400 * time.Millisecond, AttemptStall: time.Hour,
 	})
 	r.front = httptest.NewServer(r.handler)
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -115,10 +115,12 @@
 // handleReadError handles an error while the response was read. It records a
 // failure of the head unless the attempt was canceled.
 func (q *request) handleReadError(ctx context.Context, a *attempt, err error) (TryEnd, string) {
+	a.lost = true
 	cause := context.Cause(ctx)
 	if cause != nil {
 		return TryFailed, cause.Error()
 	}
+	a.abrupt = true
 	a.pool.RecordFailure(a.head, q.handler.config.Clock.Now())
 	return TryFailed, "reading response: " + err.Error()
 }
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -12,6 +12,7 @@
 	"almondbay.example/internal/routing/backend"
 	"almondbay.example/internal/routing/balance"
 	"almondbay.example/internal/routing/exchange"
+	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/internal/routing/routes"
 )
 
@@ -52,6 +53,10 @@
 	Route   string
 	Service string
 	Model   string
+	// Digest identifies the content of the request, which it shares with repeats of
+	// it under other IDs. It is computed only if a try was lost; otherwise it is the
+	// zero value.
+	Digest quarantine.Digest
 	// Version is the version of the configuration that the request was handled
 	// under.
 	Version uint64
@@ -274,12 +279,36 @@
 	if end == TryFailed {
 		q.possibleRuns++
 	}
+	if a.lost {
+		q.recordLoss(a, choice.Head, now)
+	}
 	if end != TryAnswered {
 		q.exclude = append(q.exclude, choice.Head.ID)
 	}
 	return end
 }
 
+// recordLoss reports a try that its head left without a complete response, in case
+// the head ended.
+func (q *request) recordLoss(a *attempt, head registry.Head, now time.Time) {
+	progressAt := a.lastProgress()
+	if !a.abrupt && now.Sub(progressAt) < q.handler.config.StallAfter {
+		// The head was sending data when the try was canceled.
+		return
+	}
+	if q.result.Digest == (quarantine.Digest{}) {
+		q.result.Digest = q.identity().Digest()
+	}
+	q.handler.config.OnLoss(quarantine.Loss{
+		Digest: q.result.Digest, Head: head, Since: progressAt, At: now, Abrupt: a.abrupt,
+	})
+}
+
+// identity returns the content of the request that its repeats share.
+func (q *request) identity() quarantine.Identity {
+	return quarantine.Identity{Workspace: q.workspace, Target: q.http.URL.RequestURI(), Body: q.body}
+}
+
 // watchedAttempt runs an attempt that the watchdog may cancel.
 func (q *request) watchedAttempt(ctx context.Context, a *attempt, head registry.Head) (TryEnd, string) {
 	q.handler.watchdog.add(a)
@@ -392,7 +421,9 @@
 		}
 		return TryNotSent, err.Error()
 	}
+	a.lost = true
 	if cause == nil {
+		a.abrupt = true
 		a.pool.RecordFailure(a.head, now)
 		return TryFailed, err.Error()
 	}
--- a/internal/routing/ingress/watch.go
+++ b/internal/routing/ingress/watch.go
@@ -48,6 +48,9 @@
 	reserveRetry func() bool
 	// status is the status of the head's response; zero until it is received.
 	status int
+	// lost is set if the try ended without a complete response, abrupt if the head
+	// ended the connection.
+	lost, abrupt bool
 
 	mu sync.Mutex
 	// progressAt is when the attempt last received data; initially when it was
@@ -77,6 +80,14 @@
 	a.pool.RecordProgress(a.head, now)
 }
 
+// lastProgress returns when the attempt last received data, or was sent.
+func (a *attempt) lastProgress() time.Time {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.progressAt
+}
+
 // setCallerBlocked records whether the stream is blocked by a write to the
 // caller. That time does not count as time without data.
 func (a *attempt) setCallerBlocked(callerBlocked bool, now time.Time) {
--- a/pkg/serving/metric/entry.go
+++ b/pkg/serving/metric/entry.go
@@ -62,6 +62,10 @@
 		Name: "almondbay_entry_leases_held", Kind: KindGauge,
 		Help: "Failure domains whose replica groups the node controls.",
 	}
+	entryServerEnds = Definition{
+		Name: "almondbay_entry_server_ends_total", Kind: KindCounter, Labels: []string{"proof"},
+		Help: "Ends of backend servers, not as planned, by which this node lost requests, by how it found out.",
+	}
 	entryOrders = Definition{
 		Name: "almondbay_entry_orders_total", Kind: KindCounter, Labels: []string{"operation", "status"},
 		Help: "Orders sent to backend servers, by the status of the answer; 0 for no answer.",
@@ -71,7 +75,7 @@
 // entryDefinitions are the metrics of an entry VM.
 var entryDefinitions = []Definition{
 	entryRequests, entryTries, entryFirstByte, entryGap, entryDuration, entryStoreCalls, entryStoreSeconds,
-	entryHeads, entryReady, entryVersion, entryLeases, entryOrders,
+	entryHeads, entryReady, entryVersion, entryLeases, entryOrders, entryServerEnds,
 }
 
 // Entry holds the metrics of a node on an entry VM. It is safe for concurrent use.
@@ -90,6 +94,7 @@
 	ConfigurationVersion prometheus.Gauge
 	Leases               prometheus.Gauge
 	Orders               *prometheus.CounterVec
+	ServerEnds           *prometheus.CounterVec
 
 	registry *prometheus.Registry
 }
@@ -110,9 +115,10 @@
 		ConfigurationVersion: prometheus.NewGauge(gaugeOptions(entryVersion)),
 		Leases:               prometheus.NewGauge(gaugeOptions(entryLeases)),
 		Orders:               prometheus.NewCounterVec(counterOptions(entryOrders), entryOrders.Labels),
+		ServerEnds:           prometheus.NewCounterVec(counterOptions(entryServerEnds), entryServerEnds.Labels),
 	}
 	e.registry.MustRegister(e.Requests, e.Tries, e.FirstByte, e.Gap, e.Duration, e.StoreCalls, e.StoreSeconds,
-		e.Heads, e.Ready, e.ConfigurationVersion, e.Leases, e.Orders, collectors.NewGoCollector())
+		e.Heads, e.Ready, e.ConfigurationVersion, e.Leases, e.Orders, e.ServerEnds, collectors.NewGoCollector())
 	return e
 }
 
