Show that a request is sent on after three servers ended under it

Requests with the same content, each with its own ID, end a server each: 7 of 8 servers through one node on a route with one try, 8 of 8 on a route with two. The bound of three is the contract's.

--- /dev/null
+++ b/internal/node/entry/cluster_test.go
@@ -0,0 +1,360 @@
+package entry_test
+
+import (
+	"cmp"
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/jonboulle/clockwork"
+	"go.uber.org/zap"
+	"go.uber.org/zap/zaptest/observer"
+	"golang.org/x/sync/errgroup"
+
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/node/deployment"
+	"almondbay.example/internal/node/entry"
+	"almondbay.example/internal/routing/routes"
+	"almondbay.example/serving/event"
+	"almondbay.example/serving/platform"
+)
+
+// tables is an in-memory store with a feed, which some nodes may be cut off from.
+type tables struct {
+	mu      sync.Mutex
+	rows    map[string]platform.Change
+	version uint64
+	// changed is closed and replaced at each change.
+	changed chan struct{}
+}
+
+func newTables() *tables {
+	return &tables{rows: map[string]platform.Change{}, changed: make(chan struct{})}
+}
+
+// put writes or deletes the row of a table's empty part.
+func (s *tables) put(table, key string, value []byte, deleted bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.version++
+	s.rows[table+"//"+key] = platform.Change{Key: key, Version: s.version, Value: value, Deleted: deleted}
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// since returns the rows of a table that changed after a version, and a channel
+// that is closed at the next change.
+func (s *tables) since(table string, after uint64) (platform.Changes, chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	c := platform.Changes{Version: s.version}
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, table+"//") && row.Version > after {
+			c.Rows = append(c.Rows, row)
+		}
+	}
+	slices.SortFunc(c.Rows, func(a, b platform.Change) int { return cmp.Compare(a.Version, b.Version) })
+	return c, s.changed
+}
+
+// errCutOff is the error of calls of a node that is cut off from the store.
+var errCutOff = &platform.UnknownError{Reason: "store unreachable"}
+
+// clusterStore is the store as one node reaches it.
+type clusterStore struct {
+	*tables
+	cutOff bool
+}
+
+func (s clusterStore) Read(_ context.Context, key string) (platform.Row, error) {
+	if s.cutOff {
+		return platform.Row{}, errCutOff
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	row := s.rows[key]
+	if row.Deleted {
+		return platform.Row{Key: key}, nil
+	}
+	return platform.Row{Key: key, Version: row.Version, Value: row.Value}, nil
+}
+
+func (s clusterStore) Range(context.Context, string) ([]platform.Row, error) {
+	if s.cutOff {
+		return nil, errCutOff
+	}
+	return nil, nil
+}
+
+func (s clusterStore) Commit(ctx context.Context, t platform.Transaction) error {
+	_, err := s.CommitVersion(ctx, t)
+	return err
+}
+
+func (s clusterStore) CommitVersion(_ context.Context, t platform.Transaction) (uint64, error) {
+	if s.cutOff {
+		return 0, errCutOff
+	}
+	for _, w := range t.Writes {
+		table, key, _ := strings.Cut(w.Key, "//")
+		s.put(table, key, w.Value, w.Delete)
+	}
+	return 1, nil
+}
+
+func (s clusterStore) Scan(_ context.Context, table string) (platform.Changes, error) {
+	if s.cutOff {
+		return platform.Changes{}, errCutOff
+	}
+	c, _ := s.since(table, 0)
+	c.Rows = slices.DeleteFunc(c.Rows, func(row platform.Change) bool { return row.Deleted })
+	return c, nil
+}
+
+func (s clusterStore) Changes(ctx context.Context, table string, after uint64, _ time.Duration) (platform.Changes, error) {
+	if s.cutOff {
+		return platform.Changes{}, errCutOff
+	}
+	for {
+		c, changed := s.since(table, after)
+		if len(c.Rows) > 0 {
+			return c, nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return platform.Changes{Version: after}, nil
+		}
+	}
+}
+
+// poison is the body of requests that end each server that runs them.
+const poison = "poison"
+
+// crashingServer is a server of a plain service that ends when it runs a request
+// with the body poison.
+type crashingServer struct {
+	id       string
+	listener net.Listener
+	http     *http.Server
+	serving  errgroup.Group
+
+	mu    sync.Mutex
+	ended bool
+}
+
+func (s *crashingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	body, err := io.ReadAll(r.Body)
+	if err != nil {
+		return
+	}
+	if string(body) == poison {
+		s.mu.Lock()
+		s.ended = true
+		s.mu.Unlock()
+		// A server that ends closes its listener and all connections.
+		_ = s.http.Close()
+		panic(http.ErrAbortHandler)
+	}
+	w.Header().Set("Id", r.Header.Get("Id"))
+	w.Header().Set("Signature", "x")
+	_, _ = io.WriteString(w, "answer to "+r.Header.Get("Id"))
+}
+
+func (s *crashingServer) hasEnded() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.ended
+}
+
+// clusterDialect also maps the retry delay.
+type clusterDialect struct {
+	dialect
+}
+
+func (clusterDialect) SetRefusal(h http.Header, _ string, after time.Duration) {
+	if after > 0 {
+		h.Set("Retry-After", after.String())
+	}
+}
+
+// cluster is a set of nodes before servers of one plain service.
+type cluster struct {
+	t       *testing.T
+	store   *tables
+	servers []*crashingServer
+	nodes   []*node
+	ports   []int
+	sent    int
+}
+
+// clusterAddress returns the loopback address of a node or, for the number -1, of
+// the servers. No other process listens on it.
+func clusterAddress(number int) netip.Addr {
+	id := uint32(os.Getpid())
+	return netip.AddrFrom4([4]byte{127, byte(64*(number+1)) | byte(id>>16)&63, byte(id >> 8), byte(id)})
+}
+
+// newCluster returns a running cluster of up to three nodes. cutOff lists the
+// nodes that can't reach the store.
+func newCluster(t *testing.T, nodes, servers int, cutOff ...int) *cluster {
+	t.Helper()
+	c := &cluster{t: t, store: newTables(), ports: freePorts(t, clusterAddress(0), 4)}
+	for i := range servers {
+		c.addServer(i)
+	}
+	c.store.put(configurationTable, "only", nil, false)
+	for i := range nodes {
+		c.nodes = append(c.nodes, c.startNode(i, slices.Contains(cutOff, i)))
+	}
+	for _, n := range c.nodes {
+		await(n.ready)
+	}
+	return c
+}
+
+// addServer starts and registers a server.
+func (c *cluster) addServer(number int) {
+	l, err := net.Listen("tcp", netip.AddrPortFrom(clusterAddress(-1), 0).String())
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	s := &crashingServer{id: fmt.Sprintf("server-%02d", number), listener: l}
+	s.http = &http.Server{Handler: s}
+	s.serving.Go(func() error { return s.http.Serve(l) })
+	c.t.Cleanup(func() {
+		_ = s.http.Close()
+		if err := s.serving.Wait(); !errors.Is(err, http.ErrServerClosed) {
+			c.t.Errorf("server %s: %v", s.id, err)
+		}
+	})
+	c.servers = append(c.servers, s)
+	c.store.put(serversTable, s.id, []byte(l.Addr().String()), false)
+}
+
+// startNode starts a node.
+func (c *cluster) startNode(number int, cutOff bool) *node {
+	address := clusterAddress(number)
+	listen := func(port int) string { return netip.AddrPortFrom(address, uint16(port)).String() }
+	core, lines := observer.New(zap.InfoLevel)
+	n := &node{
+		t: c.t, lines: lines, callers: listen(c.ports[0]), readiness: listen(c.ports[1]), stopped: make(chan struct{}),
+	}
+	running, err := entry.New(entry.Config{
+		Settings: deployment.Settings{
+			Node: fmt.Sprintf("node-%d", number), Address: address, FailureDomain: "a", FailureDomains: []string{"a"},
+			CallerListen: n.callers, ReadinessListen: n.readiness, PeerPort: c.ports[2], MetricsPort: c.ports[3], Cores: 1,
+			Heartbeat: time.Second,
+			Bounds: deployment.Bounds{
+				Grace: grace, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second,
+			},
+		},
+		Clock: clockwork.NewRealClock(), Logger: zap.New(core), Store: clusterStore{tables: c.store, cutOff: cutOff}, Orders: noOrders{}, Dialect: clusterDialect{},
+		Codec: entry.Codec{
+			ServersTable: serversTable, ConfigurationTable: configurationTable, ConfigurationKey: "only",
+			DecodeServer: func(id string, value []byte) *registry.Server {
+				return &registry.Server{ID: id, Service: "svc", Address: string(value), FailureDomain: "a", Slots: 9, Incarnation: 1}
+			},
+			DecodeConfiguration: func([]byte) (*routes.Configuration, error) { return clusterConfiguration(), nil },
+			Unwrap:              func(body []byte) (string, []byte, error) { return "", body, nil },
+		},
+		Dial:         (&net.Dialer{}).DialContext,
+		DroppedLines: func() uint64 { return 0 },
+		ReadyPath:    "/ready",
+	})
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	n.stop = stop
+	n.group.Go(func() error {
+		defer close(n.stopped)
+		return running.Run(ctx)
+	})
+	c.t.Cleanup(func() {
+		stop()
+		await(n.hasStopped)
+	})
+	return n
+}
+
+// clusterConfiguration has a route for each kind of request.
+func clusterConfiguration() *routes.Configuration {
+	c := &routes.Configuration{
+		Version: 1, Services: map[string]routes.Service{"svc": {Name: "svc"}},
+		Routes: []routes.Route{
+			{Name: "once", Host: "h", Prefix: "/once/", Kind: routes.KindNonIdempotent, MaxAttempts: 1, Objective: time.Hour, Targets: targets("svc")},
+			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routes.KindIdempotent, MaxAttempts: 2, Objective: time.Hour, Targets: targets("svc")},
+		},
+	}
+	c.Index()
+	return c
+}
+
+// await waits until the condition holds.
+func await(condition func() bool) {
+	for !condition() {
+		runtime.Gosched()
+	}
+}
+
+// reply is what a caller received.
+type reply struct {
+	status     int
+	retryAfter string
+	body       string
+}
+
+// send sends a request to a node under a new ID.
+func (c *cluster) send(node int, path, body string) reply {
+	c.t.Helper()
+	c.sent++
+	request, err := http.NewRequest(http.MethodPost, "http://"+c.nodes[node].callers+path, strings.NewReader(body))
+	if err != nil {
+		c.t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("Id", fmt.Sprint("request-", c.sent))
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		c.t.Fatalf("request to node %d: %v", node, err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		c.t.Fatalf("read answer of node %d: %v", node, err)
+	}
+	return reply{status: response.StatusCode, retryAfter: response.Header.Get("Retry-After"), body: string(text)}
+}
+
+// ended returns the number of servers that ended.
+func (c *cluster) ended() int {
+	count := 0
+	for _, s := range c.servers {
+		if s.hasEnded() {
+			count++
+		}
+	}
+	return count
+}
+
+// awaitEnds waits until a node has found out about a number of ended servers.
+func (c *cluster) awaitEnds(node, count int) {
+	await(func() bool { return c.nodes[node].lines.FilterMessage(event.ServerEnded.Message).Len() >= count })
+}
