Quarantine a request after three crashes that look like an outage

Callers of `almondbay serve` who repeated a request quickly could crash one replica group after the other: three crashes of one fabric domain within 5 s count as an outage, against no request, and so did those of a request whose repeats went to one fabric domain. In the test, 20 crashes of one request in 20 s led to no quarantine; with this change three do.

Cause: an outage was told by the number of crashes alone. A request under which three groups crashed, with no completion in between, explains them better than an outage does, in which the groups run different requests. The three crashes now decide wherever they were.

Also prepares the use on entry VMs: the number of sites is a setting, evidence can carry that a request completed, which refutes crashes up to then, and merging tells whether there was news.

TestQuickRepeatsAreNoOutage and a case of TestQuarantineStanding fail on the code before.

--- a/pkg/core/attempt/codec.go
+++ b/pkg/core/attempt/codec.go
@@ -72,6 +72,9 @@
 type evidenceWire struct {
 	Fingerprint string      `json:"fingerprint"`
 	Crashes     []crashWire `json:"crashes"`
+	// CompletedMS is the time since the request completed; nil if it is not known to
+	// have.
+	CompletedMS *int64 `json:"completedMs,omitempty"`
 }
 
 type crashWire struct {
@@ -95,6 +98,10 @@
 			AgeMS: o.Age.Milliseconds(),
 		})
 	}
+	if e.Completed {
+		age := e.CompletedAge.Milliseconds()
+		w.CompletedMS = &age
+	}
 	value, err := json.Marshal(w)
 	return value, Error.Wrap(err)
 }
@@ -113,6 +120,12 @@
 		return Evidence{}, Error.New("evidence has %d crashes, the maximum is %d", len(w.Crashes), maxEvidenceCrashes)
 	}
 	e := Evidence{Fingerprint: f}
+	if w.CompletedMS != nil {
+		if *w.CompletedMS < 0 || *w.CompletedMS > maxObservationAge.Milliseconds() {
+			return Evidence{}, Error.New("evidence has a completion with invalid age %d ms", *w.CompletedMS)
+		}
+		e.Completed, e.CompletedAge = true, millis(*w.CompletedMS)
+	}
 	for _, cr := range w.Crashes {
 		if cr.Group == "" || cr.AgeMS < 0 || cr.AgeMS > maxObservationAge.Milliseconds() {
 			return Evidence{}, Error.New("evidence has a crash without a group or with invalid age %d ms", cr.AgeMS)
--- a/pkg/core/attempt/quarantine.go
+++ b/pkg/core/attempt/quarantine.go
@@ -35,6 +35,10 @@
 type Evidence struct {
 	Fingerprint  Fingerprint
 	Observations []CrashObservation
+	// Completed is set if the request is known to have completed, which it did
+	// CompletedAge ago.
+	Completed    bool
+	CompletedAge time.Duration
 }
 
 // QuarantineStatus states whether and where a request may run.
@@ -60,6 +64,17 @@
 	ObservationTTL time.Duration
 	// QuarantineTTL is the duration of a quarantine after its last observation.
 	QuarantineTTL time.Duration
+	// MinSites is the number of different sites whose crashes suffice for a
+	// quarantine; zero stands for none.
+	MinSites int
+	// MaxCrashes is the number of crashes that suffice for a quarantine at any site
+	// and also as parts of outages: a request that is repeated quickly causes
+	// crashes that look like an outage. Zero stands for none.
+	MaxCrashes int
+	// CompletionGrace is how long after a completion of a request crashes don't
+	// count against it. A request that completes is not the cause of a crash at
+	// about that time.
+	CompletionGrace time.Duration
 	// MaxRequests is the maximum number of requests kept in each shard; the
 	// request with the oldest observation is evicted first.
 	MaxRequests int
@@ -70,6 +85,8 @@
 	return QuarantineConfig{
 		ObservationTTL: 10 * time.Minute,
 		QuarantineTTL:  time.Hour,
+		MinSites:       2,
+		MaxCrashes:     3,
 		MaxRequests:    256,
 	}
 }
@@ -89,16 +106,19 @@
 //
 // The status of a request depends only on the set of observations, so nodes
 // with the same evidence agree regardless of the order in which they received
-// it. A request with crashes at two sites is quarantined, unless another request
-// with crashes at two sites and at least as many crashes was in flight during
-// one of them; in that case the next crash decides. A crash explained by a
-// quarantined request does not count against other requests, and a crash that
-// was part of an outage of its site counts against no request.
+// it. A request with crashes at MinSites sites is quarantined, unless another request
+// with crashes at as many sites and at least as many crashes was in flight during
+// one of them; in that case the next crash decides. A request with MaxCrashes
+// crashes is quarantined in any case. A crash explained by a quarantined request
+// does not count against other requests; a crash that was part of an outage of its
+// site counts against no request, unless MaxCrashes of them do.
 type Quarantine struct {
 	config   QuarantineConfig
 	requests *shardedMap[Fingerprint, []observation]
-	crashes  *shardedMap[Crash, crashRecord]
-	outages  *outages
+	// completions holds when requests with observations last completed.
+	completions *shardedMap[Fingerprint, time.Time]
+	crashes     *shardedMap[Crash, crashRecord]
+	outages     *outages
 }
 
 // NewQuarantine returns a quarantine without observations.
@@ -106,8 +126,10 @@
 	return &Quarantine{
 		config:   c,
 		requests: newShardedMap[Fingerprint, []observation](hashFingerprint),
-		crashes:  newShardedMap[Crash, crashRecord](hashCrash),
-		outages:  newOutages(),
+
+		completions: newShardedMap[Fingerprint, time.Time](hashFingerprint),
+		crashes:     newShardedMap[Crash, crashRecord](hashCrash),
+		outages:     newOutages(),
 	}
 }
 
@@ -136,12 +158,41 @@
 	}
 }
 
+// RecordCompletion records that a request completed: crashes until CompletionGrace
+// afterwards no longer count against it. It reports whether that is news.
+func (q *Quarantine) RecordCompletion(f Fingerprint, at time.Time) bool {
+	recorded := false
+	q.completions.with(f, func(entries map[Fingerprint]time.Time) {
+		last, ok := entries[f]
+		if ok && !at.After(last) || !ok && len(entries) >= q.config.MaxRequests {
+			return
+		}
+		entries[f] = at
+		recorded = true
+	})
+	return recorded
+}
+
+// completion returns when a request last completed; zero if it is not known to have.
+func (q *Quarantine) completion(f Fingerprint) time.Time {
+	var at time.Time
+	q.completions.with(f, func(entries map[Fingerprint]time.Time) { at = entries[f] })
+	return at
+}
+
+// Crashes returns the crashes that count against a request, including those that
+// were part of an outage.
+func (q *Quarantine) Crashes(f Fingerprint, now time.Time) []Crash {
+	var crashes []Crash
+	for _, obs := range q.counted(f, now) {
+		crashes = append(crashes, obs.crash)
+	}
+	return crashes
+}
+
 // Status returns the status of a request.
 func (q *Quarantine) Status(f Fingerprint, now time.Time) QuarantineStatus {
 	observations := q.observations(f, now)
-	if len(observations) == 0 {
-		return StatusClear
-	}
 	if q.isCulprit(f, observations, now) {
 		return StatusQuarantined
 	}
@@ -163,19 +214,30 @@
 	return groups, sites
 }
 
-// Merge adds the evidence received from another node.
-func (q *Quarantine) Merge(e Evidence, now time.Time) {
+// Merge adds the evidence received from another node. It reports whether any of it
+// is news.
+func (q *Quarantine) Merge(e Evidence, now time.Time) bool {
+	news := false
+	if e.Completed {
+		news = q.RecordCompletion(e.Fingerprint, now.Add(-e.CompletedAge))
+	}
 	for _, obs := range e.Observations {
-		q.record(e.Fingerprint, obs.Crash, now.Add(-obs.Age))
+		if q.record(e.Fingerprint, obs.Crash, now.Add(-obs.Age)) {
+			news = true
+		}
 	}
+	return news
 }
 
 // Evidence returns all evidence against a request.
 func (q *Quarantine) Evidence(f Fingerprint, now time.Time) Evidence {
 	e := Evidence{Fingerprint: f}
-	for _, obs := range q.observations(f, now) {
+	for _, obs := range q.counted(f, now) {
 		e.Observations = append(e.Observations, CrashObservation{Crash: obs.crash, Age: now.Sub(obs.at)})
 	}
+	if at := q.completion(f); !at.IsZero() {
+		e.Completed, e.CompletedAge = true, now.Sub(at)
+	}
 	return e
 }
 
@@ -184,7 +246,7 @@
 	var candidates []Fingerprint
 	q.requests.each(func(entries map[Fingerprint][]observation) {
 		for f, observations := range entries {
-			if atSeveralSites(observations) {
+			if q.suffices(observations) {
 				candidates = append(candidates, f)
 			}
 		}
@@ -207,6 +269,13 @@
 			}
 		}
 	})
+	q.completions.each(func(entries map[Fingerprint]time.Time) {
+		for f, at := range entries {
+			if now.Sub(at) > q.config.QuarantineTTL {
+				delete(entries, f)
+			}
+		}
+	})
 	q.outages.expire(now, q.config.QuarantineTTL)
 	q.crashes.each(func(entries map[Crash]crashRecord) {
 		for c, r := range entries {
@@ -218,9 +287,10 @@
 }
 
 // record adds an observation and evicts the oldest request when the shard is
-// full.
-func (q *Quarantine) record(f Fingerprint, c Crash, at time.Time) {
+// full. It reports whether the observation is news.
+func (q *Quarantine) record(f Fingerprint, c Crash, at time.Time) bool {
 	q.outages.record(c, at)
+	added := false
 	evicted := requestObservations{}
 	q.requests.with(f, func(entries map[Fingerprint][]observation) {
 		known := entries[f]
@@ -234,6 +304,7 @@
 		}
 		// Append to a copy, since readers use the old slice without the lock.
 		entries[f] = append(slices.Clone(known), observation{crash: c, at: at})
+		added = true
 	})
 	for _, obs := range evicted.observations {
 		q.removeInFlight(evicted.fingerprint, obs.crash)
@@ -248,12 +319,13 @@
 		}
 		entries[c] = r
 	})
+	return added
 }
 
 // withinTTL returns the observations that still count when one is added at the
 // given time. The caller must hold the lock of the shard.
 func (q *Quarantine) withinTTL(observations []observation, at time.Time) []observation {
-	if atSeveralSites(observations) {
+	if q.suffices(observations) {
 		return observations
 	}
 	var kept []observation
@@ -278,17 +350,20 @@
 	})
 }
 
-// isCulprit reports whether a request has crashes at two sites and no other
-// request, in flight during one of them, has crashes at two sites and at least
-// as many observations.
+// isCulprit reports whether a request has MaxCrashes crashes, or crashes at MinSites
+// sites and no other request, in flight during one of them, has crashes at as many
+// sites and at least as many observations.
 func (q *Quarantine) isCulprit(f Fingerprint, observations []observation, now time.Time) bool {
-	if !atSeveralSites(observations) {
+	if q.reachesMaxCrashes(q.counted(f, now)) {
+		return true
+	}
+	if !q.atMinSites(observations) {
 		return false
 	}
 	for _, obs := range observations {
 		for _, o := range q.othersInFlight(f, obs.crash) {
 			rival := q.observations(o, now)
-			if atSeveralSites(rival) && len(rival) >= len(observations) {
+			if q.atMinSites(rival) && len(rival) >= len(observations) {
 				return false
 			}
 		}
@@ -316,23 +391,32 @@
 	return slices.DeleteFunc(slices.Clone(inFlight), func(o Fingerprint) bool { return o == f })
 }
 
-// observations returns the observations that count against a request: those that
-// have not expired and were not part of an outage.
+// observations returns the observations of a request that count and were not part
+// of an outage.
 func (q *Quarantine) observations(f Fingerprint, now time.Time) []observation {
+	counted := slices.DeleteFunc(q.counted(f, now), func(obs observation) bool { return q.outages.includes(obs.crash) })
+	return q.unexpired(counted, now)
+}
+
+// counted returns the observations of a request that have not expired and that no
+// completion of it refutes.
+func (q *Quarantine) counted(f Fingerprint, now time.Time) []observation {
 	var observations []observation
 	q.requests.with(f, func(entries map[Fingerprint][]observation) {
-		observations = entries[f]
+		observations = slices.Clone(entries[f])
 	})
-	counted := slices.DeleteFunc(slices.Clone(observations), func(obs observation) bool { return q.outages.includes(obs.crash) })
-	return q.unexpired(counted, now)
+	if at := q.completion(f); !at.IsZero() {
+		excused := at.Add(q.config.CompletionGrace)
+		observations = slices.DeleteFunc(observations, func(obs observation) bool { return !obs.at.After(excused) })
+	}
+	return q.unexpired(observations, now)
 }
 
-// unexpired returns the observations that still count. Observations at two
-// sites, which suffice for a quarantine, expire together, QuarantineTTL after
-// the latest of them. Otherwise they expire together, ObservationTTL after the
-// latest.
+// unexpired returns the observations that still count. Observations that suffice
+// for a quarantine expire together, QuarantineTTL after the latest of them.
+// Otherwise they expire together, ObservationTTL after the latest.
 func (q *Quarantine) unexpired(observations []observation, now time.Time) []observation {
-	if atSeveralSites(observations) {
+	if q.suffices(observations) {
 		latest := slices.MaxFunc(observations, func(a, b observation) int { return a.at.Compare(b.at) })
 		if now.Sub(latest.at) > q.config.QuarantineTTL {
 			return nil
@@ -345,16 +429,25 @@
 	return nil
 }
 
-// atSeveralSites reports whether two of the observations are at different sites.
-func atSeveralSites(observations []observation) bool {
-	for i, obs := range observations {
-		for _, o := range observations[i+1:] {
-			if obs.crash.Site != o.crash.Site {
-				return true
-			}
+// suffices reports whether observations may lead to a quarantine by themselves.
+func (q *Quarantine) suffices(observations []observation) bool {
+	return q.atMinSites(observations) || q.reachesMaxCrashes(observations)
+}
+
+// reachesMaxCrashes reports whether there are MaxCrashes observations.
+func (q *Quarantine) reachesMaxCrashes(observations []observation) bool {
+	return q.config.MaxCrashes > 0 && len(observations) >= q.config.MaxCrashes
+}
+
+// atMinSites reports whether the observations are at MinSites different sites.
+func (q *Quarantine) atMinSites(observations []observation) bool {
+	var sites []string
+	for _, obs := range observations {
+		if !slices.Contains(sites, obs.crash.Site) {
+			sites = append(sites, obs.crash.Site)
 		}
 	}
-	return false
+	return q.config.MinSites > 0 && len(sites) >= q.config.MinSites
 }
 
 type requestObservations struct {
--- a/pkg/core/attempt/quarantine_test.go
+++ b/pkg/core/attempt/quarantine_test.go
@@ -61,6 +61,7 @@
 		{"two crashes of one group count as one", []observation{{"p", crash(1, 1), 0}, {"p", attempt.Crash{Group: "g1", Epoch: 2, Site: "f1"}, 0}}, nil, 0, map[string]attempt.QuarantineStatus{"p": suspect}},
 		{"two crashes in one fabric domain count as one", []observation{{"b", crash(1, 1), 0}, {"b", crash(2, 1), 0}}, nil, 0, map[string]attempt.QuarantineStatus{"b": suspect}},
 		{"crashes in an outage of a fabric domain do not count", []observation{{"b", crash(1, 1), 0}, {"c", crash(2, 1), 0}, {"d", crash(3, 1), 0}}, nil, 0, map[string]attempt.QuarantineStatus{"b": clear, "c": clear}},
+		{"three crashes of one fabric domain under one request quarantine it", []observation{{"p", crash(1, 1), 0}, {"p", crash(2, 1), 0}, {"p", crash(3, 1), 0}, {"b", crash(3, 1), 0}}, nil, 0, map[string]attempt.QuarantineStatus{"p": quarantined, "b": clear}},
 		{"a success clears a suspect", []observation{{"b", crash(1, 1), 0}}, []string{"b"}, 0, map[string]attempt.QuarantineStatus{"b": clear}},
 		{"observations expire", []observation{{"b", crash(1, 1), 0}}, nil, 11 * time.Minute, map[string]attempt.QuarantineStatus{"b": clear}},
 		{"observations further apart than the TTL do not add up", []observation{{"b", crash(1, 1), 0}, {"b", crash(2, 2), 11 * time.Minute}}, nil, 0, map[string]attempt.QuarantineStatus{"b": suspect}},
@@ -172,6 +173,53 @@
 	}
 }
 
+// TestQuickRepeatsAreNoOutage guards against a request that is repeated so quickly
+// that its crashes in one fabric domain count as an outage and against nobody: it was
+// sent on and on.
+func TestQuickRepeatsAreNoOutage(t *testing.T) {
+	q := attempt.NewQuarantine(attempt.DefaultQuarantineConfig())
+	p := fingerprint("p")
+	crashes := 0
+	for i := 1; i <= 20 && q.Status(p, start) != attempt.StatusQuarantined; i++ {
+		crashes++
+		q.RecordCrash(p, crash(i, 1), start.Add(time.Duration(i)*time.Second))
+	}
+	if crashes != 3 {
+		t.Errorf("quarantined after %d crashes of one fabric domain, want 3", crashes)
+	}
+}
+
+// TestCompletionRefutesCrashes guards against the quarantine of a request that many
+// servers answer while some of them are lost for another reason, at a node that
+// learns of the crashes before or after the completion.
+func TestCompletionRefutesCrashes(t *testing.T) {
+	config := attempt.DefaultQuarantineConfig()
+	config.CompletionGrace = 10 * time.Second
+	f := fingerprint("hot")
+	own, other := attempt.NewQuarantine(config), attempt.NewQuarantine(config)
+	for i := 1; i <= 5; i++ {
+		own.RecordCrash(f, crash(i, i), start)
+	}
+	if s := own.Status(f, start); s != attempt.StatusQuarantined {
+		t.Fatalf("status %d after five crashes, want quarantined", s)
+	}
+	early := own.Evidence(f, start)
+	own.RecordCompletion(f, start.Add(time.Second))
+	other.Merge(own.Evidence(f, start.Add(time.Second)), start.Add(time.Second))
+	if other.Merge(early, start.Add(2*time.Second)); other.Status(f, start.Add(2*time.Second)) != attempt.StatusClear {
+		t.Error("old evidence counts at a node that knows of the completion")
+	}
+	if s := own.Status(f, start.Add(2*time.Second)); s != attempt.StatusClear {
+		t.Errorf("status %d after the completion, want clear", s)
+	}
+	for i := 11; i <= 13; i++ {
+		own.RecordCrash(f, crash(i, i), start.Add(20*time.Second))
+	}
+	if s := own.Status(f, start.Add(20*time.Second)); s != attempt.StatusQuarantined {
+		t.Errorf("status %d after three crashes long after the completion, want quarantined", s)
+	}
+}
+
 func FuzzDecodeEvidence(f *testing.F) {
 	f.Add([]byte(`{"fingerprint":"","crashes":[{"group":"g","epoch":1,"ageMs":5}]}`))
 	f.Fuzz(func(_ *testing.T, value []byte) {
