Don't send a request on under which three servers ended

Callers' requests that crash the servers that run them were sent to a further server each time that they were repeated: 7 of 8 servers ended under one content in the test, every repeat ending one or two more, and other callers lost their requests with them.

Cause: an entry VM forgot a request once it had ended. The counts that limit tries belong to one request with one ID; the decision on requests that crash servers (core/attempt) was used by `almondbay serve` only. Ruled out by runs through one node on a route with one try: too many tries of one request, and nodes that don't learn from each other.

Change: the ends of servers that a node finds out about count against the content of the requests that they ran: workspace, path, query, body. Three ends without an answer in between, and the node rejects such requests with 503, at once, without a retry delay, and tries them nowhere else. An answer at any node refutes the evidence, also from 10 s before an end, so that content that many callers send is not blamed for a fault that takes many servers. Evidence goes to the nodes of the failure domain with the next report, is passed on by the collector and the reporter, and is written to the nodes table, which all nodes follow anyway, from the second end on. A try stops at the third connection that a head ends, before anybody knows why it did. A request without evidence costs one cheap hash.

TestAllNodesLearnOfCrashingRequest: each way by itself (peers without the store, the store without peers). TestRestartedNodesKnowCrashingRequest, TestNodesAgree, TestFrequentRequestIsNotBlamed and others in routing/quarantine; FuzzDecodeEvidence.

--- a/internal/node/entry/cluster_test.go
+++ b/internal/node/entry/cluster_test.go
@@ -70,17 +70,40 @@
 	return c, s.changed
 }
 
+// has reports whether a table has a row whose key starts with a prefix.
+func (s *tables) has(table, prefix string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for key, row := range s.rows {
+		if strings.HasPrefix(key, table+"//"+prefix) && !row.Deleted {
+			return true
+		}
+	}
+	return false
+}
+
 // errCutOff is the error of calls of a node that is cut off from the store.
 var errCutOff = &platform.UnknownError{Reason: "store unreachable"}
 
 // clusterStore is the store as one node reaches it.
 type clusterStore struct {
 	*tables
-	cutOff bool
+	// cut is closed once the node can't reach the store any more.
+	cut chan struct{}
+}
+
+func (s clusterStore) cutOff() bool {
+	select {
+	case <-s.cut:
+		return true
+	default:
+		return false
+	}
 }
 
 func (s clusterStore) Read(_ context.Context, key string) (platform.Row, error) {
-	if s.cutOff {
+	if s.cutOff() {
 		return platform.Row{}, errCutOff
 	}
 	s.mu.Lock()
@@ -94,7 +117,7 @@
 }
 
 func (s clusterStore) Range(context.Context, string) ([]platform.Row, error) {
-	if s.cutOff {
+	if s.cutOff() {
 		return nil, errCutOff
 	}
 	return nil, nil
@@ -106,7 +129,7 @@
 }
 
 func (s clusterStore) CommitVersion(_ context.Context, t platform.Transaction) (uint64, error) {
-	if s.cutOff {
+	if s.cutOff() {
 		return 0, errCutOff
 	}
 	for _, w := range t.Writes {
@@ -117,7 +140,7 @@
 }
 
 func (s clusterStore) Scan(_ context.Context, table string) (platform.Changes, error) {
-	if s.cutOff {
+	if s.cutOff() {
 		return platform.Changes{}, errCutOff
 	}
 	c, _ := s.since(table, 0)
@@ -126,7 +149,7 @@
 }
 
 func (s clusterStore) Changes(ctx context.Context, table string, after uint64, _ time.Duration) (platform.Changes, error) {
-	if s.cutOff {
+	if s.cutOff() {
 		return platform.Changes{}, errCutOff
 	}
 	for {
@@ -136,6 +159,8 @@
 		}
 		select {
 		case <-changed:
+		case <-s.cut:
+			return platform.Changes{}, errCutOff
 		case <-ctx.Done():
 			return platform.Changes{Version: after}, nil
 		}
@@ -196,11 +221,14 @@
 // cluster is a set of nodes before servers of one plain service.
 type cluster struct {
 	t       *testing.T
+	config  clusterConfig
 	store   *tables
 	servers []*crashingServer
 	nodes   []*node
-	ports   []int
-	sent    int
+	// cuts holds the channel for each node that cuts it off from the store.
+	cuts  []chan struct{}
+	ports []int
+	sent  int
 }
 
 // clusterAddress returns the loopback address of a node or, for the number -1, of
@@ -210,22 +238,51 @@
 	return netip.AddrFrom4([4]byte{127, byte(64*(number+1)) | byte(id>>16)&63, byte(id >> 8), byte(id)})
 }
 
-// newCluster returns a running cluster of up to three nodes. cutOff lists the
-// nodes that can't reach the store.
-func newCluster(t *testing.T, nodes, servers int, cutOff ...int) *cluster {
+// clusterConfig describes a cluster.
+type clusterConfig struct {
+	// Nodes is at most three.
+	Nodes, Servers int
+	// WithoutStore lists the nodes that can't reach the store once all are ready.
+	WithoutStore []int
+	// Apart is set if the nodes can't reach each other.
+	Apart bool
+}
+
+// newCluster returns a running cluster.
+func newCluster(t *testing.T, config clusterConfig) *cluster {
 	t.Helper()
-	c := &cluster{t: t, store: newTables(), ports: freePorts(t, clusterAddress(0), 4)}
-	for i := range servers {
+	c := &cluster{t: t, config: config, store: newTables(), ports: freePorts(t, clusterAddress(0), 4+config.Nodes)}
+	for i := range config.Servers {
 		c.addServer(i)
 	}
 	c.store.put(configurationTable, "only", nil, false)
-	for i := range nodes {
-		c.nodes = append(c.nodes, c.startNode(i, slices.Contains(cutOff, i)))
+	c.start()
+	return c
+}
+
+// start starts the nodes and waits until they are ready.
+func (c *cluster) start() {
+	c.nodes, c.cuts = nil, nil
+	for i := range c.config.Nodes {
+		c.nodes = append(c.nodes, c.startNode(i))
 	}
 	for _, n := range c.nodes {
 		await(n.ready)
 	}
-	return c
+	for _, i := range c.config.WithoutStore {
+		close(c.cuts[i])
+	}
+}
+
+// restart stops all nodes and starts them again.
+func (c *cluster) restart() {
+	for _, n := range c.nodes {
+		n.stop()
+	}
+	for _, n := range c.nodes {
+		await(n.hasStopped)
+	}
+	c.start()
 }
 
 // addServer starts and registers a server.
@@ -247,8 +304,14 @@
 	c.store.put(serversTable, s.id, []byte(l.Addr().String()), false)
 }
 
-// startNode starts a node.
-func (c *cluster) startNode(number int, cutOff bool) *node {
+// startNode starts a node. Nodes with different peer ports can't reach each other.
+func (c *cluster) startNode(number int) *node {
+	cut := make(chan struct{})
+	c.cuts = append(c.cuts, cut)
+	peerPort := c.ports[2]
+	if c.config.Apart {
+		peerPort = c.ports[4+number]
+	}
 	address := clusterAddress(number)
 	listen := func(port int) string { return netip.AddrPortFrom(address, uint16(port)).String() }
 	core, lines := observer.New(zap.InfoLevel)
@@ -258,13 +321,13 @@
 	running, err := entry.New(entry.Config{
 		Settings: deployment.Settings{
 			Node: fmt.Sprintf("node-%d", number), Address: address, FailureDomain: "a", FailureDomains: []string{"a"},
-			CallerListen: n.callers, ReadinessListen: n.readiness, PeerPort: c.ports[2], MetricsPort: c.ports[3], Cores: 1,
+			CallerListen: n.callers, ReadinessListen: n.readiness, PeerPort: peerPort, MetricsPort: c.ports[3], Cores: 1,
 			Heartbeat: time.Second,
 			Bounds: deployment.Bounds{
 				Grace: grace, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second,
 			},
 		},
-		Clock: clockwork.NewRealClock(), Logger: zap.New(core), Store: clusterStore{tables: c.store, cutOff: cutOff}, Orders: noOrders{}, Dialect: clusterDialect{},
+		Clock: clockwork.NewRealClock(), Logger: zap.New(core), Store: clusterStore{tables: c.store, cut: cut}, Orders: noOrders{}, Dialect: clusterDialect{},
 		Codec: entry.Codec{
 			ServersTable: serversTable, ConfigurationTable: configurationTable, ConfigurationKey: "only",
 			DecodeServer: func(id string, value []byte) *registry.Server {
@@ -354,7 +417,12 @@
 	return count
 }
 
+// count returns the number of lines of an event that a node logged.
+func (n *node) count(d event.Definition) int {
+	return n.lines.FilterMessage(d.Message).Len()
+}
+
 // awaitEnds waits until a node has found out about a number of ended servers.
 func (c *cluster) awaitEnds(node, count int) {
-	await(func() bool { return c.nodes[node].lines.FilterMessage(event.ServerEnded.Message).Len() >= count })
+	await(func() bool { return c.nodes[node].count(event.ServerEnded) >= count })
 }
--- a/internal/node/entry/crash_test.go
+++ b/internal/node/entry/crash_test.go
@@ -3,6 +3,8 @@
 import (
 	"net/http"
 	"testing"
+
+	"almondbay.example/serving/event"
 )
 
 // TestRequestThatEndedThreeServersIsNotSentOn guards against the failure of the BUDGET
@@ -19,7 +21,7 @@
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
-			c := newCluster(t, 1, 8)
+			c := newCluster(t, clusterConfig{Nodes: 1, Servers: 8})
 			for range tt.repeats {
 				c.send(0, tt.path, poison)
 				c.awaitEnds(0, c.ended())
@@ -38,3 +40,61 @@
 		})
 	}
 }
+
+// TestAllNodesLearnOfCrashingRequest guards against a request that is sent on by nodes
+// that did not see it end servers. Each of the ways on which they learn of it is enough.
+func TestAllNodesLearnOfCrashingRequest(t *testing.T) {
+	tests := []struct {
+		name   string
+		config clusterConfig
+		// at lists the nodes that the request is sent to until it has ended three
+		// servers.
+		at []int
+	}{
+		{"each node sees one end", clusterConfig{Nodes: 3, Servers: 8}, []int{0, 1, 2}},
+		{"one node sees all ends", clusterConfig{Nodes: 3, Servers: 8}, []int{0, 0, 0}},
+		{"nodes that see the ends can't reach the store", clusterConfig{Nodes: 3, Servers: 8, WithoutStore: []int{1, 2}}, []int{1, 2, 1}},
+		{"nodes can't reach each other", clusterConfig{Nodes: 3, Servers: 8, Apart: true}, []int{0, 1, 1}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, tt.config)
+			seen := map[int]int{}
+			for _, node := range tt.at {
+				c.send(node, "/once/x", poison)
+				seen[node]++
+				c.awaitEnds(node, seen[node])
+			}
+			for i, n := range c.nodes {
+				await(func() bool { return n.count(event.RequestQuarantined) > 0 })
+				if r := c.send(i, "/once/x", poison); r.status != http.StatusServiceUnavailable {
+					t.Errorf("node %d: answer %+v, want status 503", i, r)
+				}
+			}
+			if n := c.ended(); n != 3 {
+				t.Errorf("%d servers ended under the request, want 3", n)
+			}
+		})
+	}
+}
+
+// TestRestartedNodesKnowCrashingRequest guards against a request that is sent on after
+// all nodes have restarted.
+func TestRestartedNodesKnowCrashingRequest(t *testing.T) {
+	c := newCluster(t, clusterConfig{Nodes: 2, Servers: 8})
+	for i := range 3 {
+		c.send(0, "/once/x", poison)
+		c.awaitEnds(0, i+1)
+	}
+	await(func() bool { return c.store.has("nodes", "quarantine/") })
+	c.restart()
+	for i, n := range c.nodes {
+		await(func() bool { return n.count(event.RequestQuarantined) > 0 })
+		if r := c.send(i, "/once/x", poison); r.status != http.StatusServiceUnavailable {
+			t.Errorf("node %d: answer %+v, want status 503", i, r)
+		}
+	}
+	if n := c.ended(); n != 3 {
+		t.Errorf("%d servers ended under the request, want 3", n)
+	}
+}
--- a/internal/node/entry/losses.go
+++ b/internal/node/entry/losses.go
@@ -57,9 +57,15 @@
 	n.recordEnds(n.losses.RecordCheck(head, startedAt, errors.Is(err, syscall.ECONNREFUSED), err == nil))
 }
 
-// recordEnds logs and counts servers that ended.
+// recordEnds logs and counts servers that ended, and records the evidence against
+// the requests that they ran.
 func (n *Node) recordEnds(ends []quarantine.End) {
+	now := n.config.Clock.Now()
 	for _, e := range ends {
+		for _, news := range n.suspects.guard.RecordEnd(e, now) {
+			n.noteEvidence(news.Fingerprint, sourceOwn, now)
+			n.tellAll(news.Fingerprint)
+		}
 		n.metrics.ServerEnds.WithLabelValues(string(e.Proof)).Inc()
 		event.ServerEnded.Log(n.config.Logger, zap.String("server", e.Server.ID), zap.Int64("incarnation", e.Server.Incarnation),
 			zap.String("group", e.Crash.Group), zap.Uint64("epoch", e.Crash.Epoch), zap.String("proof", string(e.Proof)),
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -85,6 +85,7 @@
 	socket        *gossip.Socket
 	handler       *ingress.Handler
 	losses        *quarantine.Tracker
+	suspects      *suspects
 	// checks are the connections to heads that may have ended.
 	checks     errgroup.Group
 	controller *control.Controller
@@ -245,6 +246,7 @@
 		CheckInterval: checkInterval,
 		MaxLosses:     maxLosses,
 	})
+	n.suspects = newSuspects()
 	n.checks.SetLimit(maxChecks)
 	n.peers = gossip.NewPeerSet(gossip.Config{
 		Self: n.self(), Interval: reportInterval, IntervalPerPeer: reportIntervalPerPeer, DeadAfter: peerTimeout,
@@ -289,6 +291,8 @@
 		Configuration: n.configuration.Load,
 		Observe:       n.observe,
 		OnLoss:        n.losses.Add,
+		OnAnswer:      n.recordAnswer,
+		Guard:         n.suspects.guard,
 		MaxTries:      maxTries,
 		StallAfter:    stallAfter,
 		AttemptStall:  attemptStallAfter,
--- a/internal/node/entry/refresh.go
+++ b/internal/node/entry/refresh.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"strings"
 	"time"
 
 	"go.uber.org/zap"
@@ -16,7 +17,8 @@
 )
 
 const (
-	// nodesTable is the table in which nodes register for peer discovery.
+	// nodesTable is the table in which nodes register for peer discovery. It also has
+	// the evidence against requests that crash servers.
 	nodesTable = "nodes"
 
 	// serversInterval is the minimum time between two reads of registrations from
@@ -203,6 +205,12 @@
 // applyNodes applies changed rows of nodes to known and updates the peers.
 func (n *Node) applyNodes(known map[string]gossip.Peer, c platform.Changes) {
 	for _, row := range c.Rows {
+		if strings.HasPrefix(row.Key, quarantinePrefix) {
+			if err := n.applySuspect(row); err != nil {
+				n.eventLog.stepFailed(err, 1)
+			}
+			continue
+		}
 		if row.Deleted {
 			delete(known, row.Key)
 			continue
--- a/internal/node/entry/reports.go
+++ b/internal/node/entry/reports.go
@@ -129,6 +129,7 @@
 		n.socket.Send(n.reportMessage(n.board.LocalReport(now, now)), []gossip.Peer{{Node: m.Node, Address: m.Address}})
 	}
 	n.observeLeases(m.Leases)
+	n.mergeEvidence(m.Evidence, local, now)
 	if m.Digest != nil {
 		n.handleDigest(m, now)
 		return
@@ -215,15 +216,18 @@
 	if hasCollector && since < unchangedInterval && len(report.Progressed)+len(report.Loads)+len(n.lastSent.loads) == 0 {
 		due = false
 	}
-	if !due && !urgent {
+	if !due && !urgent && !n.suspects.reports.Urgent() {
 		return nil
 	}
 	n.lastSent = sentReport{at: now, storeUnreachable: unreachable, stalled: report.Stalled, loads: report.Loads}
 	receivers := n.peers.ReportReceivers(now)
 	if len(receivers) == 0 {
+		n.suspects.reports.Clear()
 		return nil
 	}
-	sequence := n.socket.Send(n.reportMessage(report), receivers)
+	m := n.reportMessage(report)
+	m.Evidence = n.evidence(n.suspects.reports, now)
+	sequence := n.socket.Send(m, receivers)
 	n.reportMu.Lock()
 	defer n.reportMu.Unlock()
 
@@ -265,6 +269,7 @@
 	if len(receivers) == 0 {
 		// A later digest must not pass on what is old by then.
 		n.collected.clear()
+		n.suspects.digests.Clear()
 		return
 	}
 	since := now.Sub(n.digestSentAt)
@@ -273,7 +278,7 @@
 	if idle {
 		wait = max(wait, unchangedInterval)
 	}
-	urgent = urgent || n.collected.urgent
+	urgent = urgent || n.collected.urgent || n.suspects.digests.Urgent()
 	if since < wait && !urgent {
 		return
 	}
@@ -291,6 +296,7 @@
 	}
 	m.Digest = n.peers.Digest(n.board.DomainReport(sources, now).Loads, n.demand.Local(), maps.Clone(n.collected.remote), urgent, now)
 	n.collected.clear()
+	m.Evidence = n.evidence(n.suspects.digests, now)
 	n.socket.Send(m, receivers)
 }
 
@@ -353,10 +359,12 @@
 func (n *Node) sendDomainReport(context.Context) error {
 	now := n.config.Clock.Now()
 	if !n.peers.IsReporter(now) {
+		n.suspects.domains.Clear()
 		return nil
 	}
 	m := n.baseMessage()
 	m.DomainLoads = n.board.DomainReport(n.localSources(now), now).Loads
+	m.Evidence = n.evidence(n.suspects.domains, now)
 	m.DomainDemand = n.demand.DomainTotal(n.peers.Demand(n.config.Settings.FailureDomain, now))
 	n.socket.Send(m, n.peers.DomainReportReceivers(now))
 	return nil
--- a/internal/node/entry/reports_test.go
+++ b/internal/node/entry/reports_test.go
@@ -32,6 +32,7 @@
 		demand:    newDemand(),
 		metrics:   metric.NewEntry(),
 		collected: newCollected(),
+		suspects:  newSuspects(),
 		peers: gossip.NewPeerSet(gossip.Config{
 			Self: self, DeadAfter: time.Second, MeshPeers: 1, CollectInterval: time.Second, CollectorTimeout: time.Minute,
 		}),
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -115,6 +115,7 @@
 	})
 	n.addLoop(g, every(demandInterval), n.sampleDemand)
 	n.addLoop(g, every(domainReportInterval), n.sendDomainReport)
+	n.addLoop(g, every(suspectsInterval), n.saveSuspects)
 	n.addLoop(g, every(summaryInterval), func(context.Context) error {
 		n.eventLog.logSuppressed()
 		return nil
--- a/internal/node/explain/explain.go
+++ b/internal/node/explain/explain.go
@@ -51,12 +51,15 @@
 	eventRequest       = 901
 	eventConfiguration = 903
 	eventReadiness     = 906
+	eventQuarantined   = 910
+	eventWithdrawn     = 911
 	eventHeads         = 951
 	eventGroupPlanned  = 952
 	eventGroupReleased = 953
 	eventOrder         = 954
 	eventHeadProbed    = 955
 	eventFleetCounted  = 956
+	eventServerEnded   = 957
 )
 
 const (
@@ -149,6 +152,10 @@
 			latest[key] = line
 			continue
 		}
+		if concernsContent(line, end.Get("digest")) {
+			selected = append(selected, line)
+			continue
+		}
 		if line.At.Before(end.At.Add(-windowBefore)) {
 			continue
 		}
@@ -174,6 +181,19 @@
 	return selected
 }
 
+// concernsContent reports whether a line is about the servers that ended under
+// requests with the given digest. It may be much older than the request.
+func concernsContent(line Line, digest string) bool {
+	switch line.Event {
+	case eventQuarantined, eventWithdrawn:
+		return digest != "" && line.Get("digest") == digest
+	case eventServerEnded:
+		return digest != "" && slices.Contains(strings.Split(line.Get("digests"), ","), digest)
+	default:
+		return false
+	}
+}
+
 // state returns a key for lines that describe a state, of which only the latest
 // before the end of the request is relevant. It returns false for other lines and
 // for those that don't concern the request.
@@ -223,6 +243,11 @@
 		headCount = fmt.Sprintf("%s heads of model %q were known", h.Get("heads"), end.Get("model"))
 	}
 	switch {
+	case end.Get("outcome") == "refused" && strings.Contains(end.Get("cause"), "ends the backend servers"):
+		if q, ok := last(eventQuarantined); ok {
+			return fmt.Sprintf("refused before it ran: servers had ended under requests with its content, as this node knew from source %q: %s", q.Get("source"), q.Get("crashes"))
+		}
+		return "refused before it ran: servers had ended under requests with its content; the quarantine was not logged"
 	case end.Get("outcome") == "refused":
 		return fmt.Sprintf("refused before it ran: %s; %s", end.Get("cause"), headCount)
 	case strings.Contains(tries, "stands still"):
--- a/internal/node/explain/explain_test.go
+++ b/internal/node/explain/explain_test.go
@@ -24,6 +24,12 @@
 	small    = `{"ts":95.0,"msg":"heads changed","event":951,"service":"llm","model":"small","heads":9}`
 )
 
+const (
+	ended            = `{"ts":20.0,"msg":"backend server ended","event":957,"server":"s1","digests":"d0,d1"}`
+	quarantined      = `{"ts":21.0,"msg":"request quarantined","event":910,"digest":"d1","source":"peer","crashes":"s1 age=2s; s2 age=1s"}`
+	othersQuarantine = `{"ts":22.0,"msg":"request quarantined","event":910,"digest":"d2","source":"own","crashes":"s3 age=1s"}`
+)
+
 // TestCauses checks the cause and the number of related lines of requests with
 // different outcomes.
 func TestCauses(t *testing.T) {
@@ -55,6 +61,11 @@
 			[]string{endedLine("failed", "EOF", "head inFlight=1 took=4ms cause=may have run: EOF")},
 			"may have run: EOF", 0,
 		},
+		{
+			"quarantined",
+			[]string{strings.Replace(endedLine("refused", "request ends the backend servers that run it", ""), `"model"`, `"digest":"d1","model"`, 1), ended, quarantined, othersQuarantine},
+			`from source "peer": s1 age=2s; s2 age=1s`, 2,
+		},
 		{"denied", []string{endedLine("denied", "no such route", "")}, "no such route", 0},
 		{"answered", []string{endedLine("answered", "", "head inFlight=9 took=2s"), heads}, "answered by the first head", 1},
 	}
--- a/internal/peer/gossip/gossip.go
+++ b/internal/peer/gossip/gossip.go
@@ -1,7 +1,7 @@
 // Package gossip exchanges UDP datagrams in which nodes report their requests in
 // flight, the heads that they found progressing or stalled, their demand and the
 // leases that they hold. Datagrams may be lost, so each one holds the complete
-// state and the next one replaces it.
+// state and the next one replaces it; evidence against requests is sent in several.
 //
 // In a small failure domain every node sends to every other. In a larger one the
 // nodes send to a collector, one of them, which answers with a digest of all
@@ -19,6 +19,8 @@
 	"time"
 
 	"github.com/zeebo/errs"
+
+	"almondbay.example/internal/routing/quarantine"
 )
 
 // Error is the class of all errors of this package.
@@ -77,6 +79,8 @@
 	// Leases lists the leases that the sender holds, so that other candidates need
 	// not read them from the store.
 	Leases []Lease
+	// Evidence lists news about requests that crash servers.
+	Evidence []quarantine.Evidence
 	// Leaving is set once the sender is shutting down.
 	Leaving bool
 	// StoreUnreachable is set while the sender can't reach the store.
--- a/internal/peer/gossip/message_wire.go
+++ b/internal/peer/gossip/message_wire.go
@@ -3,6 +3,8 @@
 import (
 	"encoding/json"
 	"time"
+
+	"almondbay.example/internal/routing/quarantine"
 )
 
 // messageWire is the JSON form of a Message.
@@ -19,6 +21,7 @@
 	Demand           map[string]float64 `json:"demand,omitempty"`
 	DomainDemand     map[string]float64 `json:"domainDemand,omitempty"`
 	Leases           []leaseWire        `json:"leases,omitempty"`
+	Evidence         []json.RawMessage  `json:"evidence,omitempty"`
 	Leaving          bool               `json:"leaving,omitempty"`
 	StoreUnreachable bool               `json:"blind,omitempty"`
 	Digest           *digestWire        `json:"digest,omitempty"`
@@ -82,6 +85,13 @@
 			Sequence: l.Sequence, DurationMs: l.Duration.Milliseconds(), Version: l.Version,
 		})
 	}
+	for _, e := range m.Evidence {
+		body, err := quarantine.EncodeEvidence(e)
+		if err != nil {
+			return nil, Error.Wrap(err)
+		}
+		w.Evidence = append(w.Evidence, body)
+	}
 	if m.Digest != nil {
 		w.Digest = fromDigest(*m.Digest, now)
 	}
@@ -168,6 +178,13 @@
 		Leaving:          w.Leaving,
 		StoreUnreachable: w.StoreUnreachable,
 	}
+	for _, body := range w.Evidence {
+		e, err := quarantine.DecodeEvidence(body)
+		if err != nil {
+			return Message{}, Error.New("message of node %q: %w", w.Node, err)
+		}
+		m.Evidence = append(m.Evidence, e)
+	}
 	if w.Digest != nil {
 		m.Digest = toDigest(*w.Digest, now)
 	}
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -37,6 +37,10 @@
 	Observe func(Result)
 	// OnLoss is called for each try that its head left without a complete response.
 	OnLoss func(quarantine.Loss)
+	// Guard decides which requests may be sent to servers.
+	Guard *quarantine.Guard
+	// OnAnswer is called with the content of each request that a server answered.
+	OnAnswer func(*quarantine.Content)
 	// MaxTries is the maximum number of tries for one request, including those
 	// that a head rejected.
 	MaxTries int
@@ -130,6 +134,7 @@
 	if !q.readBody(c.Limits.MaxBodyBytes) {
 		return
 	}
+	q.content = &quarantine.Content{Workspace: q.workspace, Target: q.http.URL.RequestURI(), Body: q.body}
 	ctx, cancel := q.deadline()
 	defer cancel()
 	q.run(ctx)
--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -16,6 +16,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"almondbay.example/core/attempt"
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/routing/backend"
 	"almondbay.example/internal/routing/balance"
@@ -214,6 +215,8 @@
 		Configuration: func() *routes.Configuration { return configuration },
 		Observe:       func(result ingress.Result) { r.results <- result },
 		OnLoss:        func(quarantine.Loss) {},
+		OnAnswer:      func(*quarantine.Content) {},
+		Guard:         quarantine.NewGuard(quarantine.GuardConfig{Quarantine: attempt.QuarantineConfig{MaxCrashes: 3}}),
 		MaxTries:      3, StallAfter: 400 * time.Millisecond, AttemptStall: time.Hour,
 	})
 	r.front = httptest.NewServer(r.handler)
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -67,6 +67,9 @@
 		return q.handleReadError(ctx, a, err)
 	}
 	a.recordData(now)
+	if answer.Signed {
+		q.handler.config.OnAnswer(q.content)
+	}
 	h := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	switch {
 	case success(response.StatusCode):
@@ -226,6 +229,7 @@
 	q.sendHeaders(response, q.handler.config.Clock.Now())
 	q.response.complete()
 	a.pool.RecordSuccess(a.head, took)
+	q.handler.config.OnAnswer(q.content)
 	q.result.Outcome = OutcomeAnswered
 	return TryAnswered, ""
 }
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -100,6 +100,10 @@
 
 	// possibleRuns is the number of tries that may have run at a backend server.
 	possibleRuns int
+	// content identifies the request and its repeats.
+	content *quarantine.Content
+	// lostHeads lists the heads that ended the connection of a try.
+	lostHeads []registry.Head
 	// exclude lists the heads that were tried and are not to be tried again.
 	exclude []string
 	// lastEvent is the highest ID of the events that were written to the caller.
@@ -128,6 +132,10 @@
 			return
 		}
 		now := c.Clock.Now()
+		if q.quarantined(now) {
+			q.endWithoutResponse(ctx, causeQuarantined, 0)
+			return
+		}
 		choice := pool.Choose(balance.Request{
 			Rank:      q.route.Rank,
 			Objective: q.route.Objective,
@@ -197,6 +205,7 @@
 		return q.handler.config.Budget.Acquire(q.service, now)
 	default:
 		return q.route.Repeatable() && !q.unresumable.Load() && q.possibleRuns < q.route.MaxAttempts &&
+			q.handler.config.Guard.MayTryAgain(q.content, q.lostHeads, now) &&
 			(q.retryReserved.Swap(false) || q.handler.config.Budget.Acquire(q.service, now))
 	}
 }
@@ -296,19 +305,28 @@
 		// The head was sending data when the try was canceled.
 		return
 	}
-	if q.result.Digest == (quarantine.Digest{}) {
-		q.result.Digest = q.identity().Digest()
+	if a.abrupt {
+		q.lostHeads = append(q.lostHeads, head)
 	}
+	q.result.Digest = q.content.Digest()
 	q.handler.config.OnLoss(quarantine.Loss{
 		Digest: q.result.Digest, Head: head, Since: progressAt, At: now, Abrupt: a.abrupt,
 	})
 }
 
-// identity returns the content of the request that its repeats share.
-func (q *request) identity() quarantine.Identity {
-	return quarantine.Identity{Workspace: q.workspace, Target: q.http.URL.RequestURI(), Body: q.body}
+// quarantined reports whether the request must not be sent to a server.
+func (q *request) quarantined(now time.Time) bool {
+	if !q.handler.config.Guard.Quarantined(q.content, now) {
+		return false
+	}
+	q.result.Digest = q.content.Digest()
+	return true
 }
 
+// causeQuarantined is the cause of requests that are not sent to a server because
+// servers ended under them.
+const causeQuarantined = "request ends the backend servers that run it"
+
 // watchedAttempt runs an attempt that the watchdog may cancel.
 func (q *request) watchedAttempt(ctx context.Context, a *attempt, head registry.Head) (TryEnd, string) {
 	q.handler.watchdog.add(a)
--- a/internal/routing/quarantine/digest.go
+++ b/internal/routing/quarantine/digest.go
@@ -9,16 +9,6 @@
 	"almondbay.example/core/attempt"
 )
 
-// Identity is what makes two requests the same one, repeated by its caller: their
-// IDs differ, their content does not.
-type Identity struct {
-	// Workspace is empty if the request needs no key.
-	Workspace string
-	// Target is the path and query.
-	Target string
-	Body   []byte
-}
-
 // Digest identifies the content of a request.
 type Digest struct {
 	Fingerprint attempt.Fingerprint
@@ -27,25 +17,45 @@
 	Quick uint64
 }
 
-// Quick returns the cheap hash of the request.
-func (i Identity) Quick() uint64 {
-	var size [8]byte
-	h := xxhash.New()
-	for _, part := range [][]byte{[]byte(i.Workspace), []byte(i.Target), i.Body} {
-		binary.BigEndian.PutUint64(size[:], uint64(len(part)))
-		// Writing to a hash cannot fail.
-		_, _ = h.Write(size[:])
-		_, _ = h.Write(part)
+// Content is what makes two requests the same one, repeated by its caller: their
+// IDs differ, their content does not. Its hashes are computed once, when they are
+// first needed. It is not safe for concurrent use.
+type Content struct {
+	// Workspace is empty if the request needs no key.
+	Workspace string
+	// Target is the path and query.
+	Target string
+	Body   []byte
+
+	// quick and fingerprint are nil until they are computed.
+	quick       *uint64
+	fingerprint *attempt.Fingerprint
+}
+
+// Quick returns the cheap hash of the content.
+func (c *Content) Quick() uint64 {
+	if c.quick == nil {
+		var size [8]byte
+		h := xxhash.New()
+		for _, part := range [][]byte{[]byte(c.Workspace), []byte(c.Target), c.Body} {
+			binary.BigEndian.PutUint64(size[:], uint64(len(part)))
+			// Writing to a hash cannot fail.
+			_, _ = h.Write(size[:])
+			_, _ = h.Write(part)
+		}
+		sum := h.Sum64()
+		c.quick = &sum
 	}
-	return h.Sum64()
+	return *c.quick
 }
 
-// Digest returns the digest of the request.
-func (i Identity) Digest() Digest {
-	return Digest{
-		Fingerprint: attempt.NewFingerprint([]byte(i.Workspace), []byte(i.Target), i.Body),
-		Quick:       i.Quick(),
+// Digest returns the digest of the content.
+func (c *Content) Digest() Digest {
+	if c.fingerprint == nil {
+		f := attempt.NewFingerprint([]byte(c.Workspace), []byte(c.Target), c.Body)
+		c.fingerprint = &f
 	}
+	return Digest{Fingerprint: *c.fingerprint, Quick: c.Quick()}
 }
 
 // shownBytes is the number of bytes of a fingerprint that logs show.
--- /dev/null
+++ b/internal/routing/quarantine/evidence_wire.go
@@ -0,0 +1,41 @@
+package quarantine
+
+import (
+	"encoding/json"
+
+	"github.com/zeebo/errs"
+
+	"almondbay.example/core/attempt"
+)
+
+// Error is the class of all errors of this package.
+var Error = errs.Class("quarantine")
+
+// evidenceWire is the JSON form of Evidence, in messages between nodes and in rows.
+type evidenceWire struct {
+	Quick    uint64          `json:"quick,string"`
+	Evidence json.RawMessage `json:"evidence"`
+}
+
+// EncodeEvidence returns evidence as JSON.
+func EncodeEvidence(e Evidence) ([]byte, error) {
+	body, err := attempt.EncodeEvidence(e.Evidence)
+	if err != nil {
+		return nil, Error.Wrap(err)
+	}
+	value, err := json.Marshal(evidenceWire{Quick: e.Quick, Evidence: body})
+	return value, Error.Wrap(err)
+}
+
+// DecodeEvidence parses evidence from JSON.
+func DecodeEvidence(value []byte) (Evidence, error) {
+	var w evidenceWire
+	if err := json.Unmarshal(value, &w); err != nil {
+		return Evidence{}, Error.Wrap(err)
+	}
+	e, err := attempt.DecodeEvidence(w.Evidence)
+	if err != nil {
+		return Evidence{}, Error.Wrap(err)
+	}
+	return Evidence{Evidence: e, Quick: w.Quick}, nil
+}
--- a/internal/routing/quarantine/tracker_test.go
+++ b/internal/routing/quarantine/tracker_test.go
@@ -20,8 +20,8 @@
 	})
 }
 
-func identity(body string) quarantine.Identity {
-	return quarantine.Identity{Workspace: "ws", Target: "/x", Body: []byte(body)}
+func content(body string) *quarantine.Content {
+	return &quarantine.Content{Workspace: "ws", Target: "/x", Body: []byte(body)}
 }
 
 // member is a server of group g; the head has rank 0.
@@ -71,7 +71,7 @@
 		head.Group, head.Epoch, head.FabricDomain, head.Model = "g", 3, "d0", "m"
 	}
 	f.tracker.Add(quarantine.Loss{
-		Digest: identity(body).Digest(), Head: head, Since: noon.Add(time.Second), At: noon.Add(at), Abrupt: abrupt,
+		Digest: content(body).Digest(), Head: head, Since: noon.Add(time.Second), At: noon.Add(at), Abrupt: abrupt,
 	})
 }
 
@@ -197,11 +197,11 @@
 // TestDigestTellsRequestsApart guards against one digest for two requests, whose
 // parts may concatenate to the same bytes, and against two for one.
 func TestDigestTellsRequestsApart(t *testing.T) {
-	base := quarantine.Identity{Workspace: "ab", Target: "/c", Body: []byte("d")}
-	if base.Digest() != (quarantine.Identity{Workspace: "ab", Target: "/c", Body: []byte("d")}).Digest() {
+	base := &quarantine.Content{Workspace: "ab", Target: "/c", Body: []byte("d")}
+	if base.Digest() != (&quarantine.Content{Workspace: "ab", Target: "/c", Body: []byte("d")}).Digest() {
 		t.Error("the same request has two digests")
 	}
-	for _, other := range []quarantine.Identity{
+	for _, other := range []*quarantine.Content{
 		{Workspace: "a", Target: "b/c", Body: []byte("d")},
 		{Workspace: "ab", Target: "/cd"},
 		{Workspace: "ab", Target: "/c", Body: []byte("e")},
--- a/pkg/core/attempt/fingerprint.go
+++ b/pkg/core/attempt/fingerprint.go
@@ -30,6 +30,11 @@
 	return hex.EncodeToString(f[:])
 }
 
+// ParseFingerprint parses the hexadecimal form of a fingerprint.
+func ParseFingerprint(text string) (Fingerprint, error) {
+	return decodeFingerprint(text)
+}
+
 func hashFingerprint(f Fingerprint) uint64 {
 	return binary.BigEndian.Uint64(f[:8])
 }
--- a/pkg/core/attempt/quarantine.go
+++ b/pkg/core/attempt/quarantine.go
@@ -192,10 +192,10 @@
 
 // Status returns the status of a request.
 func (q *Quarantine) Status(f Fingerprint, now time.Time) QuarantineStatus {
-	observations := q.observations(f, now)
-	if q.isCulprit(f, observations, now) {
+	if q.Quarantined(f, now) {
 		return StatusQuarantined
 	}
+	observations := q.observations(f, now)
 	for _, obs := range observations {
 		if !q.explained(f, obs.crash, now) {
 			return StatusSuspect
@@ -204,6 +204,11 @@
 	return StatusClear
 }
 
+// Quarantined reports whether the request must be refused. It is cheaper than Status.
+func (q *Quarantine) Quarantined(f Fingerprint, now time.Time) bool {
+	return q.isCulprit(f, q.observations(f, now), now)
+}
+
 // Groups returns the groups on which the request was in flight when they
 // crashed, and their sites.
 func (q *Quarantine) Groups(f Fingerprint, now time.Time) (groups, sites []string) {
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -279,7 +279,7 @@
 	Number: 957, Level: zapcore.WarnLevel, Message: "backend server ended",
 	Fields:  []string{"server", "incarnation", "group", "epoch", "proof", "requests", "digests"},
 	Meaning: "A backend server ended, not as planned, while it or its group ran requests of this node; proof tells how the node found out: the server's address refused a connection, it registered with another start time, or its registration lapsed. digests lists the content of these requests as in event 901.",
-	Action:  "Look for a digest that is listed with several servers: its request may be what ends them.",
+	Action:  "Look for a digest that is listed with several servers: its request may be what ends them, and event 910 follows.",
 }
 
 // CollectorChosen is logged by a node of a large failure domain.
@@ -290,6 +290,22 @@
 	Action:  "None, unless nodes choose different ones for long: compare the events of the nodes of the failure domain, and look for lost datagrams between them.",
 }
 
+// Events of requests that crash backend servers.
+var (
+	RequestQuarantined = Definition{
+		Number: 910, Level: zapcore.WarnLevel, Message: "request quarantined",
+		Fields:  []string{"digest", "source", "crashes"},
+		Meaning: "Backend servers ended under the requests with this digest, and none of these requests was answered in between; the node rejects further ones. crashes lists the replica groups, or the servers of plain services, with the age of what is known; source tells from whom the last of it came: this node itself, a peer or the store.",
+		Action:  "Find the caller by the digest in event 901. The quarantine ends an hour after the last crash, or once a server answers such a request.",
+	}
+	QuarantineWithdrawn = Definition{
+		Number: 911, Level: zapcore.InfoLevel, Message: "quarantine withdrawn",
+		Fields:  []string{"digest", "source"},
+		Meaning: "A server answered a request with this digest, so it did not cause the crashes; the node accepts further ones.",
+		Action:  noAction,
+	}
+)
+
 var areas = []area{
 	{"Node", []Definition{NodeStarted, NodeListening, NodeDraining, NodeStopped, NodeFailed, StepFailed}},
 	{"Certificates", []Definition{CertificateLoaded, CertificateRefused}},
@@ -302,7 +318,7 @@
 	{"Scheduling", []Definition{OwnerUnreachable}},
 	{"Entry VMs", []Definition{
 		RequestEnded, RequestsCounted, ConfigurationInForce, ConfigurationUnreadable, SettingsReloaded, ReadinessChanged, DatagramFailed,
-		HTTPErrorReported, CollectorChosen,
+		HTTPErrorReported, CollectorChosen, RequestQuarantined, QuarantineWithdrawn,
 	}},
 	{"Backend servers", []Definition{HeadsChanged, GroupPlanned, GroupReleased, OrderSent, HeadProbed, FleetCounted, ServerEnded}},
 }
--- a/pkg/serving/metric/entry.go
+++ b/pkg/serving/metric/entry.go
@@ -66,6 +66,10 @@
 		Name: "almondbay_entry_server_ends_total", Kind: KindCounter, Labels: []string{"proof"},
 		Help: "Ends of backend servers, not as planned, by which this node lost requests, by how it found out.",
 	}
+	entryQuarantined = Definition{
+		Name: "almondbay_entry_quarantined_requests", Kind: KindGauge,
+		Help: "Requests, by content, that the node rejects because backend servers ended under them.",
+	}
 	entryOrders = Definition{
 		Name: "almondbay_entry_orders_total", Kind: KindCounter, Labels: []string{"operation", "status"},
 		Help: "Orders sent to backend servers, by the status of the answer; 0 for no answer.",
@@ -75,7 +79,7 @@
 // entryDefinitions are the metrics of an entry VM.
 var entryDefinitions = []Definition{
 	entryRequests, entryTries, entryFirstByte, entryGap, entryDuration, entryStoreCalls, entryStoreSeconds,
-	entryHeads, entryReady, entryVersion, entryLeases, entryOrders, entryServerEnds,
+	entryHeads, entryReady, entryVersion, entryLeases, entryOrders, entryServerEnds, entryQuarantined,
 }
 
 // Entry holds the metrics of a node on an entry VM. It is safe for concurrent use.
@@ -95,6 +99,7 @@
 	Leases               prometheus.Gauge
 	Orders               *prometheus.CounterVec
 	ServerEnds           *prometheus.CounterVec
+	Quarantined          prometheus.Gauge
 
 	registry *prometheus.Registry
 }
@@ -116,9 +121,10 @@
 		Leases:               prometheus.NewGauge(gaugeOptions(entryLeases)),
 		Orders:               prometheus.NewCounterVec(counterOptions(entryOrders), entryOrders.Labels),
 		ServerEnds:           prometheus.NewCounterVec(counterOptions(entryServerEnds), entryServerEnds.Labels),
+		Quarantined:          prometheus.NewGauge(gaugeOptions(entryQuarantined)),
 	}
 	e.registry.MustRegister(e.Requests, e.Tries, e.FirstByte, e.Gap, e.Duration, e.StoreCalls, e.StoreSeconds,
-		e.Heads, e.Ready, e.ConfigurationVersion, e.Leases, e.Orders, e.ServerEnds, collectors.NewGoCollector())
+		e.Heads, e.Ready, e.ConfigurationVersion, e.Leases, e.Orders, e.ServerEnds, e.Quarantined, collectors.NewGoCollector())
 	return e
 }
 
