Tell a quarantine on, and date the end of a server by its lapsed registration

TestAllNodesLearnOfCrashingRequest hung twice (once in 600 s, once in four runs beside each other): two nodes that could not reach the store had not yet heard of each other when they were cut off from it. Each told what it saw to the third node only, which knew of three ends and kept it to itself.

A lost try was also matched with any end of a server up to 10 s later. The time between the end of a server and the lapse of its registration is known, so the end has to fall into the silence of the try; two cases of TestOnlyEndOfServerExplainsLoss fail on the code before.

--- a/internal/node/entry/losses.go
+++ b/internal/node/entry/losses.go
@@ -19,8 +19,8 @@
 	// lapseHeartbeats is the number of heartbeats after which the registration of a
 	// silent server lapses.
 	lapseHeartbeats = 3
-	// lossSlack covers the time until a node reads that a registration lapsed.
-	lossSlack = 4 * time.Second
+	// lapseReadTime covers the time until a node reads that a registration lapsed.
+	lapseReadTime = 2500 * time.Millisecond
 	// checkInterval limits the connections to one head.
 	checkInterval = 200 * time.Millisecond
 	// maxChecks limits the heads that are connected to at a time.
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -241,7 +241,9 @@
 		eventLog:      newEventLog(c.Logger, c.Clock, c.DroppedLines),
 	}
 	n.losses = quarantine.NewTracker(quarantine.TrackerConfig{
-		Retention:     lapseHeartbeats*c.Settings.Heartbeat + returnGrace + lossSlack,
+		Retention:     lapseHeartbeats*c.Settings.Heartbeat + lapseReadTime + returnGrace,
+		LapseMin:      (lapseHeartbeats - 1) * c.Settings.Heartbeat,
+		LapseMax:      lapseHeartbeats*c.Settings.Heartbeat + lapseReadTime,
 		ReturnGrace:   returnGrace,
 		CheckInterval: checkInterval,
 		MaxLosses:     maxLosses,
--- a/internal/node/entry/suspects.go
+++ b/internal/node/entry/suspects.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"strings"
 	"sync"
@@ -39,6 +40,8 @@
 	// maxMessageEvidence bounds the size of a message: evidence of one request takes
 	// about 300 bytes.
 	maxMessageEvidence = 16
+	// unsavedDelay gives the nodes that contributed to evidence time to write it.
+	unsavedDelay = 600 * time.Millisecond
 	// suspectsInterval is the time between two writes of evidence.
 	suspectsInterval = 250 * time.Millisecond
 	// expireInterval is the time between two removals of old evidence.
@@ -61,6 +64,9 @@
 	contributed map[attempt.Fingerprint]bool
 	// changed holds those of them with new evidence since the last write.
 	changed map[attempt.Fingerprint]bool
+	// unsaved holds the quarantined requests that only peers contributed to, with the
+	// time at which this node writes the evidence if none of them has.
+	unsaved map[attempt.Fingerprint]time.Time
 	// own holds the requests that this node wrote a row for, with the number of
 	// crashes in it.
 	own map[attempt.Fingerprint]int
@@ -85,6 +91,7 @@
 		domains:     quarantine.NewOutbox(evidenceRepeats),
 		contributed: map[attempt.Fingerprint]bool{},
 		changed:     map[attempt.Fingerprint]bool{},
+		unsaved:     map[attempt.Fingerprint]time.Time{},
 		own:         map[attempt.Fingerprint]int{},
 		rows:        map[string]time.Time{},
 		quarantined: map[attempt.Fingerprint]bool{},
@@ -152,6 +159,9 @@
 		s.changed[f] = true
 	}
 	was := s.quarantined[f]
+	if quarantined && !was && source == sourcePeer {
+		s.unsaved[f] = now.Add(unsavedDelay + rand.N(unsavedDelay))
+	}
 	if quarantined {
 		s.quarantined[f] = true
 	} else {
@@ -160,6 +170,8 @@
 	s.mu.Unlock()
 	switch {
 	case quarantined && !was:
+		// Told on whoever it came from: the nodes that found it out may not reach all.
+		n.tellAll(f)
 		event.RequestQuarantined.Log(n.config.Logger, zap.String("digest", quarantine.Short(f)),
 			zap.String("source", source), zap.String("crashes", formatCrashes(s.guard.Evidence(f, now))))
 	case was && !quarantined:
@@ -187,6 +199,15 @@
 	}
 	s := n.suspects
 	s.mu.Lock()
+	for f, at := range s.unsaved {
+		if now.Before(at) {
+			continue
+		}
+		delete(s.unsaved, f)
+		if len(s.rowsOf(f)) == 0 {
+			s.changed[f] = true
+		}
+	}
 	due := slices.Collect(maps.Keys(s.changed))
 	s.mu.Unlock()
 	for _, f := range due {
@@ -230,16 +251,10 @@
 func (n *Node) saveSuspect(ctx context.Context, f attempt.Fingerprint, now time.Time) error {
 	s := n.suspects
 	e := s.guard.Evidence(f, now)
-	prefix := quarantinePrefix + f.String() + "/"
-	key := prefix + n.config.Settings.Node
+	key := rowPrefix(f) + n.config.Settings.Node
 	s.mu.Lock()
 	written, ok := s.own[f]
-	var rows []string
-	for row := range s.rows {
-		if strings.HasPrefix(row, prefix) {
-			rows = append(rows, row)
-		}
-	}
+	rows := s.rowsOf(f)
 	s.mu.Unlock()
 	switch {
 	case len(e.Observations) == 0:
@@ -271,6 +286,23 @@
 	return nil
 }
 
+// rowPrefix returns the start of the keys of the rows about a request, which end in
+// the name of the node that wrote them.
+func rowPrefix(f attempt.Fingerprint) string {
+	return quarantinePrefix + f.String() + "/"
+}
+
+// rowsOf returns the keys of the known rows about a request. It is called with mu held.
+func (s *suspects) rowsOf(f attempt.Fingerprint) []string {
+	var rows []string
+	for row := range s.rows {
+		if strings.HasPrefix(row, rowPrefix(f)) {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
 // commitSuspect writes or deletes rows with evidence.
 func (n *Node) commitSuspect(ctx context.Context, writes ...platform.Write) error {
 	return Error.Wrap(n.config.Store.Commit(ctx, platform.Transaction{Operation: n.operation("quarantine"), Writes: writes}))
--- a/internal/routing/quarantine/tracker.go
+++ b/internal/routing/quarantine/tracker.go
@@ -59,6 +59,9 @@
 	// Retention is how long a loss waits for proof that a server ended: the time
 	// until the registration of a dead server lapses, and some slack.
 	Retention time.Duration
+	// LapseMin and LapseMax are the least and greatest time from the end of a server
+	// until this node reads that its registration lapsed.
+	LapseMin, LapseMax time.Duration
 	// ReturnGrace is how long after an outage of the store a missing registration
 	// may still reappear.
 	ReturnGrace time.Duration
@@ -203,7 +206,7 @@
 	var lives []registry.Life
 	for _, p := range t.losses {
 		for _, life := range p.candidates() {
-			if proof, ok := t.ended(v, life, p.Since, now); ok && ended[life] == "" {
+			if proof, ok := t.ended(v, life, p.Loss, now); ok && ended[life] == "" {
 				ended[life] = proof
 				lives = append(lives, life)
 			}
@@ -212,7 +215,7 @@
 	var ends []End
 	for _, life := range lives {
 		ends = append(ends, t.end(life, ended[life], func(p *pendingLoss) bool {
-			_, ok := t.ended(v, life, p.Since, now)
+			_, ok := t.ended(v, life, p.Loss, now)
 			return ok && slices.Contains(p.candidates(), life)
 		})...)
 	}
@@ -241,17 +244,20 @@
 	return append([]registry.Life{p.Head.Life()}, p.members...)
 }
 
-// ended reports whether a server ended after a try last received data from its
-// head, and not as planned.
-func (t *Tracker) ended(v registry.View, life registry.Life, since, now time.Time) (Proof, bool) {
+// ended reports whether a server ended during the silence before a try was lost, and
+// not as planned.
+func (t *Tracker) ended(v registry.View, life registry.Life, l Loss, now time.Time) (Proof, bool) {
 	r, ok := v.Find(life.ID)
 	switch {
 	case !ok || r.Draining && r.Incarnation == life.Incarnation:
 		return "", false
 	case r.Incarnation != life.Incarnation:
-		return ProofRestarted, r.SeenAt.After(since)
+		return ProofRestarted, r.SeenAt.After(l.Since)
+	case r.MissingSince.IsZero():
+		return "", false
 	default:
-		return ProofUnregistered, r.MissingSince.After(since) && v.Missing(r, now, t.config.ReturnGrace)
+		earliest, latest := r.MissingSince.Add(-t.config.LapseMax), r.MissingSince.Add(-t.config.LapseMin)
+		return ProofUnregistered, !l.At.Before(earliest) && !l.Since.After(latest) && v.Missing(r, now, t.config.ReturnGrace)
 	}
 }
 
--- a/internal/routing/quarantine/tracker_test.go
+++ b/internal/routing/quarantine/tracker_test.go
@@ -16,7 +16,7 @@
 
 func newTracker() *quarantine.Tracker {
 	return quarantine.NewTracker(quarantine.TrackerConfig{
-		Retention: 10 * time.Second, ReturnGrace: grace, CheckInterval: 200 * time.Millisecond, MaxLosses: 4,
+		Retention: 10 * time.Second, LapseMin: 2 * time.Second, LapseMax: 5 * time.Second, ReturnGrace: grace, CheckInterval: 200 * time.Millisecond, MaxLosses: 4,
 	})
 }
 
@@ -106,6 +106,8 @@
 			f.set(noon.Add(5*time.Second), "a", nil)
 			f.set(noon.Add(5*time.Second), "b", nil)
 		}, []string{"a: registration lapsed"}},
+		{"registration lapses too soon after the try received data", func(f *fleet) { f.set(noon.Add(2500*time.Millisecond), "a", nil) }, nil},
+		{"registration lapses too late for an end before the loss", func(f *fleet) { f.set(noon.Add(7100*time.Millisecond), "a", nil) }, nil},
 		{"registration had lapsed before", func(f *fleet) { f.set(noon.Add(500*time.Millisecond), "a", nil) }, nil},
 		{"head leaves as planned", func(f *fleet) {
 			leaving := member("a", 0)
@@ -125,7 +127,7 @@
 				f := newFleet()
 				f.lose("a", "body", 2*time.Second, abrupt)
 				tt.then(f)
-				now := noon.Add(5500 * time.Millisecond)
+				now := noon.Add(7500 * time.Millisecond)
 				if diff := cmp.Diff(tt.want, proofs(f.tracker.Match(f.cache.View(now), now))); diff != "" {
 					t.Errorf("ends (-want +got):\n%s", diff)
 				}
