Hear servers that say they are leaving or want a pause

A server that is about to shut down says so in all its answers, and a server that rejects a request with 503 may ask for no further ones for some time. The node read neither header: it went on sending to a leaving server until its registration said so, and to a server that had asked for a pause after 100 ms.

It is read from the headers of every answer, streams included, and from reports. The head of a group with such a member is not chosen either. Formation of groups does not use it, since only this node knows.

A pause belongs to a run of a server too, across the groups that it heads. The longest one holds. It is no failure and no lack of slots. If all heads of a pool are in a pause, requests are rejected at once with the time until the first of them ends, spread over the mean duration of a request. Other nodes are not told.

--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -36,6 +36,8 @@
 	// Incarnation is zero if the server doesn't report it.
 	Incarnation int64
 	Group       registry.Membership
+	// Leaving is set when the server states that it is about to shut down.
+	Leaving bool
 }
 
 // Orders sends orders and state queries to backend servers.
--- a/internal/fleet/registry/cache.go
+++ b/internal/fleet/registry/cache.go
@@ -38,6 +38,9 @@
 	readAt time.Time
 	// lastFailureAt is when a call to the store last failed.
 	lastFailureAt time.Time
+	// leaving holds the servers that said that they are about to shut down, with the
+	// time at which they last said so or were registered.
+	leaving map[Life]time.Time
 	// generation is incremented on every change that may affect routing.
 	generation uint64
 	// ordered holds the records in the order of their IDs; nil after a change. Views
@@ -47,7 +50,7 @@
 
 // NewCache returns an empty cache.
 func NewCache(c CacheConfig) *Cache {
-	return &Cache{config: c, records: map[string]Record{}}
+	return &Cache{config: c, records: map[string]Record{}, leaving: map[Life]time.Time{}}
 }
 
 // Replace applies a full list of registrations. Servers that aren't in the list
@@ -80,6 +83,29 @@
 	c.recordRead(version, now)
 }
 
+// RecordLeaving records that a server said that it is about to shut down. That holds
+// for this run of the server, whatever its registration says. It reports whether that
+// is news.
+func (c *Cache) RecordLeaving(life Life, now time.Time) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	_, known := c.leaving[life]
+	c.leaving[life] = now
+	r, ok := c.records[life.ID]
+	if ok && r.Life() == life && !r.Leaving {
+		r.Leaving = true
+		c.records[life.ID] = r
+		c.ordered = nil
+		c.generation++
+	}
+	return !known
+}
+
+// leavingRetention is how long a server that said that it is about to shut down is
+// remembered after it was last registered.
+const leavingRetention = 10 * time.Minute
+
 // RecordFailure records that a call to the store failed.
 func (c *Cache) RecordFailure(now time.Time) {
 	c.mu.Lock()
@@ -100,6 +126,11 @@
 			c.ordered = nil
 		}
 	}
+	for life, at := range c.leaving {
+		if now.Sub(at) > leavingRetention {
+			delete(c.leaving, life)
+		}
+	}
 }
 
 // apply applies one change unless a newer version of the row is known. The caller
@@ -130,7 +161,17 @@
 		seenAt = old.SeenAt
 	}
 	c.ordered = nil
-	c.records[u.ID] = Record{Server: *u.Server, Version: u.Version, SeenAt: seenAt, ChangedAt: now}
+	life := u.Server.Life()
+	_, leaving := c.leaving[life]
+	if leaving && life.Incarnation == 0 && known && !old.MissingSince.IsZero() {
+		// Its restart can be told only by the gap in its registration.
+		delete(c.leaving, life)
+		leaving = false
+	}
+	if leaving {
+		c.leaving[life] = now
+	}
+	c.records[u.ID] = Record{Server: *u.Server, Version: u.Version, SeenAt: seenAt, ChangedAt: now, Leaving: leaving}
 }
 
 // changed reports whether a registration differs in more than its heartbeat, or
--- a/internal/fleet/registry/cache_test.go
+++ b/internal/fleet/registry/cache_test.go
@@ -100,3 +100,89 @@
 		t.Errorf("got heads %v, want none", got)
 	}
 }
+
+// TestLeavingBelongsToRunOfServer guards against requests to a server that said that it
+// is about to shut down: neither a registration that says otherwise nor a snapshot
+// that is read again brings it back, and only a restart does.
+func TestLeavingBelongsToRunOfServer(t *testing.T) {
+	server := func(incarnation int64, slots int) *registry.Server {
+		return &registry.Server{ID: "p", Service: "plain", Slots: slots, Incarnation: incarnation}
+	}
+	tests := []struct {
+		name string
+		then func(c *registry.Cache)
+		want []string
+	}{
+		{"nothing else happens", func(*registry.Cache) {}, nil},
+		{"registration is renewed", func(c *registry.Cache) {
+			c.Apply([]registry.Update{{ID: "p", Version: 2, Server: server(1, 7)}}, 2, noon)
+		}, nil},
+		{"table is read again", func(c *registry.Cache) {
+			c.Replace([]registry.Update{{ID: "p", Version: 2, Server: server(1, 6)}}, 2, noon)
+		}, nil},
+		{"registration lapses and is back", func(c *registry.Cache) {
+			c.Replace(nil, 2, noon)
+			c.Replace([]registry.Update{{ID: "p", Version: 3, Server: server(1, 6)}}, 3, noon)
+		}, nil},
+		{"record is forgotten and the registration is back", func(c *registry.Cache) {
+			c.Replace(nil, 2, noon)
+			c.Replace(nil, 3, noon.Add(2*time.Minute))
+			c.Replace([]registry.Update{{ID: "p", Version: 4, Server: server(1, 6)}}, 4, noon.Add(2*time.Minute))
+		}, nil},
+		{"server restarts", func(c *registry.Cache) {
+			c.Apply([]registry.Update{{ID: "p", Version: 2, Server: server(2, 6)}}, 2, noon)
+		}, []string{"p"}},
+		{"older registration after the restart", func(c *registry.Cache) {
+			c.Apply([]registry.Update{{ID: "p", Version: 3, Server: server(2, 6)}}, 3, noon)
+			c.Apply([]registry.Update{{ID: "p", Version: 2, Server: server(1, 6)}}, 3, noon)
+		}, []string{"p"}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCache()
+			c.Replace([]registry.Update{{ID: "p", Version: 1, Server: server(1, 6)}}, 1, noon)
+			before := c.Generation()
+			if !c.RecordLeaving(registry.Life{ID: "p", Incarnation: 1}, noon) {
+				t.Error("the first statement is no news")
+			}
+			if c.RecordLeaving(registry.Life{ID: "p", Incarnation: 1}, noon) {
+				t.Error("the second statement is news")
+			}
+			if c.Generation() == before {
+				t.Error("the heads are not rebuilt")
+			}
+			tt.then(c)
+			if diff := cmp.Diff(tt.want, heads(c, noon.Add(5*time.Second))); diff != "" {
+				t.Errorf("heads (-want +got):\n%s", diff)
+			}
+		})
+	}
+}
+
+// TestLeavingServerWithoutIncarnationReturns guards against a server that is left alone
+// for ever because its restarts can't be told apart.
+func TestLeavingServerWithoutIncarnationReturns(t *testing.T) {
+	c := newCache()
+	server := &registry.Server{ID: "p", Service: "plain", Slots: 6}
+	c.Replace([]registry.Update{{ID: "p", Version: 1, Server: server}}, 1, noon)
+	c.RecordLeaving(server.Life(), noon)
+	c.Apply([]registry.Update{{ID: "p", Version: 2}}, 2, noon.Add(time.Second))
+	c.Apply([]registry.Update{{ID: "p", Version: 3, Server: server}}, 3, noon.Add(5*time.Second))
+	if diff := cmp.Diff([]string{"p"}, heads(c, noon.Add(5*time.Second))); diff != "" {
+		t.Errorf("heads (-want +got):\n%s", diff)
+	}
+}
+
+// TestGroupOfLeavingMemberHasNoHead guards against sending requests to a group that a
+// member is about to leave.
+func TestGroupOfLeavingMemberHasNoHead(t *testing.T) {
+	c := newCache()
+	c.Replace([]registry.Update{
+		{ID: "a", Version: 1, Server: member("a", 0, registry.StateOpen)},
+		{ID: "b", Version: 2, Server: member("b", 1, registry.StateReady)},
+	}, 2, noon)
+	c.RecordLeaving(registry.Life{ID: "b", Incarnation: 1}, noon)
+	if got := heads(c, noon); len(got) != 0 {
+		t.Errorf("got heads %v, want none", got)
+	}
+}
--- a/internal/fleet/registry/server.go
+++ b/internal/fleet/registry/server.go
@@ -86,6 +86,9 @@
 	SeenAt time.Time
 	// ChangedAt is when this node observed Version.
 	ChangedAt time.Time
+	// Leaving is set once the server said in an answer to this node that it is about
+	// to shut down.
+	Leaving bool
 	// MissingSince is when this node observed that the row was deleted; zero while
 	// the row exists.
 	MissingSince time.Time
--- a/internal/node/entry/cluster_test.go
+++ b/internal/node/entry/cluster_test.go
@@ -25,6 +25,7 @@
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/node/deployment"
 	"almondbay.example/internal/node/entry"
+	"almondbay.example/internal/routing/exchange"
 	"almondbay.example/internal/routing/routes"
 	"almondbay.example/serving/event"
 	"almondbay.example/serving/platform"
@@ -180,6 +181,9 @@
 
 	mu    sync.Mutex
 	ended bool
+	// leaving is set if all answers say that the server is about to shut down.
+	leaving  bool
+	answered int
 }
 
 func (s *crashingServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -195,11 +199,33 @@
 		_ = s.http.Close()
 		panic(http.ErrAbortHandler)
 	}
+	s.mu.Lock()
+	s.answered++
+	if s.leaving {
+		w.Header().Set("Leaving", "1")
+	}
+	s.mu.Unlock()
 	w.Header().Set("Id", r.Header.Get("Id"))
 	w.Header().Set("Signature", "x")
 	_, _ = io.WriteString(w, "answer to "+r.Header.Get("Id"))
 }
 
+// leave makes the server say that it is about to shut down.
+func (s *crashingServer) leave() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.leaving = true
+}
+
+// answers returns the number of requests that the server answered.
+func (s *crashingServer) answers() int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	return s.answered
+}
+
 func (s *crashingServer) hasEnded() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -207,11 +233,17 @@
 	return s.ended
 }
 
-// clusterDialect also maps the retry delay.
+// clusterDialect also maps the retry delay and what servers say.
 type clusterDialect struct {
 	dialect
 }
 
+func (d clusterDialect) Answer(status int, h http.Header) exchange.Answer {
+	a := d.dialect.Answer(status, h)
+	a.Leaving = h.Get("Leaving") != ""
+	return a
+}
+
 func (clusterDialect) SetRefusal(h http.Header, _ string, after time.Duration) {
 	if after > 0 {
 		h.Set("Retry-After", after.String())
--- a/internal/node/entry/crash_test.go
+++ b/internal/node/entry/crash_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"fmt"
 	"net/http"
 	"testing"
 
@@ -78,6 +79,36 @@
 	}
 }
 
+// TestLeavingServerGetsNoNewRequests guards against requests to a server that said in an
+// answer that it is about to shut down, while its registration still says that it is
+// ready.
+func TestLeavingServerGetsNoNewRequests(t *testing.T) {
+	c := newCluster(t, clusterConfig{Nodes: 1, Servers: 2})
+	for i, s := range c.servers {
+		for s.answers() == 0 {
+			c.send(0, "/once/x", fmt.Sprint("to find server ", i))
+		}
+	}
+	leaving := c.servers[0]
+	leaving.leave()
+	before := leaving.answers()
+	for leaving.answers() == before {
+		c.send(0, "/once/x", "until it answers")
+	}
+	c.store.put(serversTable, leaving.id, []byte(leaving.listener.Addr().String()), false)
+	for range 20 {
+		if r := c.send(0, "/once/x", "later"); r.status != http.StatusOK {
+			t.Errorf("answer %+v, want status 200 from the other server", r)
+		}
+	}
+	if n := leaving.answers() - before; n != 1 {
+		t.Errorf("%d requests reached the server after it began to leave, want the one that told so", n)
+	}
+	if n := c.nodes[0].count(event.ServerLeaving); n != 1 {
+		t.Errorf("%d lines about it, want 1", n)
+	}
+}
+
 // TestRestartedNodesKnowCrashingRequest guards against a request that is sent on after
 // all nodes have restarted.
 func TestRestartedNodesKnowCrashingRequest(t *testing.T) {
--- a/internal/node/entry/event_log.go
+++ b/internal/node/entry/event_log.go
@@ -9,6 +9,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/routing/ingress"
 	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/serving/event"
@@ -40,6 +41,8 @@
 	// httpErrors counts the errors that net/http reported, except unsolicited
 	// responses.
 	httpErrors int
+	// pauses counts the servers that asked for a pause.
+	pauses int
 	// unsolicited counts the unsolicited responses that net/http reported.
 	unsolicited int
 }
@@ -127,6 +130,18 @@
 	}
 }
 
+// serverPaused logs that a server asked for a pause unless it is rate limited.
+func (l *eventLog) serverPaused(h registry.Head, pause time.Duration) {
+	l.mu.Lock()
+	l.pauses++
+	count := l.pauses
+	l.mu.Unlock()
+	if event.ShouldLog(count) {
+		event.ServerPaused.Log(l.logger, zap.String("server", h.ID), zap.Int64("incarnation", h.Incarnation),
+			zap.Duration("pause", pause), zap.Int("count", count))
+	}
+}
+
 // stepFailed logs a failure unless it is rate limited; failures is the number of
 // consecutive failures.
 func (l *eventLog) stepFailed(err error, failures int) {
--- a/internal/node/entry/instrumented.go
+++ b/internal/node/entry/instrumented.go
@@ -131,6 +131,9 @@
 type instrumentedOrders struct {
 	control.Orders
 	metrics *metric.Entry
+	// onLeaving is called when a server states in a report that it is about to shut
+	// down.
+	onLeaving func(registry.Life)
 }
 
 // Send implements control.Orders.
@@ -148,5 +151,8 @@
 		status = "0"
 	}
 	o.metrics.Orders.WithLabelValues("report", status).Inc()
+	if state.Leaving {
+		o.onLeaving(registry.Life{ID: s.ID, Incarnation: state.Incarnation})
+	}
 	return state, err
 }
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -256,7 +256,7 @@
 	})
 	n.store = &instrumentedStore{store: c.Store, clock: c.Clock, metrics: n.metrics}
 	n.config.Store = n.store
-	n.config.Orders = &instrumentedOrders{Orders: c.Orders, metrics: n.metrics}
+	n.config.Orders = &instrumentedOrders{Orders: c.Orders, metrics: n.metrics, onLeaving: n.recordLeaving}
 	var err error
 	n.socket, err = gossip.Listen(gossip.SocketConfig{
 		Clock:       c.Clock,
@@ -294,6 +294,8 @@
 		Observe:       n.observe,
 		OnLoss:        n.losses.Add,
 		OnAnswer:      n.recordAnswer,
+		OnLeaving:     func(h registry.Head) { n.recordLeaving(h.Life()) },
+		OnPause:       n.recordPause,
 		Guard:         n.suspects.guard,
 		MaxTries:      maxTries,
 		StallAfter:    stallAfter,
--- a/internal/routing/balance/board.go
+++ b/internal/routing/balance/board.go
@@ -13,7 +13,8 @@
 // Board holds the pools of all services and models, and the load reports of
 // other nodes.
 type Board struct {
-	policy Policy
+	policy   Policy
+	backoffs *backoffs
 
 	mu    sync.RWMutex
 	pools map[Key]*Pool
@@ -51,7 +52,7 @@
 	if policy.Random == nil {
 		policy.Random = rand.Float64
 	}
-	return &Board{policy: policy, pools: map[Key]*Pool{}, reports: map[string]report{}}
+	return &Board{policy: policy, backoffs: newBackoffs(), pools: map[Key]*Pool{}, reports: map[string]report{}}
 }
 
 // SetHeads replaces the heads of all pools.
@@ -64,7 +65,7 @@
 	b.mu.Lock()
 	for k := range byKey {
 		if b.pools[k] == nil {
-			b.pools[k] = newPool(k, b.policy)
+			b.pools[k] = newPool(k, b.policy, b.backoffs)
 		}
 	}
 	pools := slices.Collect(maps.Values(b.pools))
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -80,6 +80,8 @@
 type Pool struct {
 	key    Key
 	policy Policy
+	// backoffs holds until when servers want no requests, by their own word.
+	backoffs *backoffs
 
 	mu    sync.Mutex
 	heads map[string]*head
@@ -107,8 +109,8 @@
 	refused int
 }
 
-func newPool(key Key, policy Policy) *Pool {
-	return &Pool{key: key, policy: policy, heads: map[string]*head{}, meanDuration: policy.MeanDuration}
+func newPool(key Key, policy Policy, b *backoffs) *Pool {
+	return &Pool{key: key, policy: policy, backoffs: b, heads: map[string]*head{}, meanDuration: policy.MeanDuration}
 }
 
 // setHeads replaces the heads. A head keeps its state unless its server
@@ -172,8 +174,9 @@
 	// OK is false when the request is rejected.
 	OK bool
 	// Known is the number of heads, Usable the number of those that were neither
-	// in Request.Exclude nor suspended, full or stalled.
-	Known, Usable int
+	// in Request.Exclude nor suspended, full, stalled or in a pause that they asked
+	// for. Paused is the number of the last.
+	Known, Usable, Paused int
 	// InFlight is the estimated number of requests in flight at the selected
 	// head, not counting this one, or at the best candidate when rejected.
 	InFlight int
@@ -194,17 +197,21 @@
 
 	p.urgent.record(r.Rank, now)
 	c := Choice{Known: len(p.heads)}
-	var earliest time.Time
+	var earliest, pauseEnd time.Time
 	p.candidates = p.candidates[:0]
 	least, inFlight, slots := math.MaxInt, 0, 0
 	for _, h := range p.ordered {
 		if slices.Contains(r.Exclude, h.ID) {
 			continue
 		}
+		pausedUntil := p.backoffs.of(h.Life())
+		if now.Before(pausedUntil) {
+			c.Paused++
+			pauseEnd = earlier(pauseEnd, pausedUntil)
+			continue
+		}
 		if until := h.blockedUntil(); now.Before(until) {
-			if earliest.IsZero() || until.Before(earliest) {
-				earliest = until
-			}
+			earliest = earlier(earliest, until)
 			continue
 		}
 		c.Usable++
@@ -218,6 +225,9 @@
 	if c.Usable == 0 {
 		p.refused++
 		c.RetryAfter = p.blockedRetryAfter(earliest, now)
+		if earliest.IsZero() && !pauseEnd.IsZero() {
+			c.RetryAfter = p.pauseRetryAfter(pauseEnd, now)
+		}
 		return c
 	}
 	c.Load = float64(inFlight) / float64(max(1, slots))
@@ -277,6 +287,21 @@
 	return min(max(earliest.Sub(now), minRetryAfter), noHeadRetryAfter)
 }
 
+// earlier returns the earlier of two times, of which the zero time is none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// pauseRetryAfter returns the retry delay when all heads asked for a pause: until the
+// first one ends, and a random part of the time after it in which requests end, so
+// that rejected callers don't all return at once.
+func (p *Pool) pauseRetryAfter(end, now time.Time) time.Duration {
+	return max(end.Sub(now), minRetryAfter) + time.Duration(float64(p.meanDuration)*p.policy.Random())
+}
+
 // Done removes a request from those in flight at a head.
 func (p *Pool) Done(id string) {
 	p.mu.Lock()
@@ -426,6 +451,13 @@
 	}
 }
 
+// RecordPause records that a head, with its rejection, asked for no requests for some
+// time. It is no failure of the head. It reports whether the time is longer than what
+// was known.
+func (p *Pool) RecordPause(life registry.Life, pause time.Duration, now time.Time) bool {
+	return p.backoffs.record(life, now.Add(pause), now)
+}
+
 // RecordStall records that this node found the head stalled.
 func (p *Pool) RecordStall(id string, now time.Time) {
 	p.mu.Lock()
--- a/internal/routing/exchange/exchange.go
+++ b/internal/routing/exchange/exchange.go
@@ -54,6 +54,11 @@
 	// FaultyMember is the ID of the replica group member that caused the failure;
 	// empty when not stated.
 	FaultyMember string
+	// Leaving is set when the server states that it is about to shut down.
+	Leaving bool
+	// RetryAfter is how long the server wants no requests from this node, with a
+	// rejection for lack of capacity; zero when not stated.
+	RetryAfter time.Duration
 	// Encoded is set when the body was compressed or otherwise encoded, so that
 	// its bytes are not those that the server produced.
 	Encoded bool
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -15,6 +15,7 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
+	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/routing/backend"
 	"almondbay.example/internal/routing/balance"
 	"almondbay.example/internal/routing/exchange"
@@ -37,6 +38,10 @@
 	Observe func(Result)
 	// OnLoss is called for each try that its head left without a complete response.
 	OnLoss func(quarantine.Loss)
+	// OnLeaving is called when a head states in a response that it is about to shut
+	// down, OnPause when it asks with a rejection for a longer pause than was known.
+	OnLeaving func(registry.Head)
+	OnPause   func(registry.Head, time.Duration)
 	// Guard decides which requests may be sent to servers.
 	Guard *quarantine.Guard
 	// OnAnswer is called with the content of each request that a server answered.
--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -46,7 +46,12 @@
 }
 
 func (dialect) Answer(_ int, h http.Header) exchange.Answer {
+	pause, err := time.ParseDuration(h.Get("Pause"))
+	if err != nil {
+		pause = 0
+	}
 	return exchange.Answer{
+		Leaving: h.Get("Leaving") != "", RetryAfter: pause,
 		ID: h.Get("Id"), Signed: h.Get("Signature") != "", NotExecuted: h.Get("Not-Run") != "",
 		Encoded: h.Get("Content-Encoding") != "",
 	}
@@ -173,6 +178,8 @@
 	front   *httptest.Server
 	results chan ingress.Result
 	clock   *clockwork.FakeClock
+	// leaving lists the heads that stated that they are about to shut down.
+	leaving []string
 	board   *balance.Board
 	// dial opens the connections to the servers.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
@@ -216,6 +223,8 @@
 		Observe:       func(result ingress.Result) { r.results <- result },
 		OnLoss:        func(quarantine.Loss) {},
 		OnAnswer:      func(*quarantine.Content) {},
+		OnLeaving:     func(h registry.Head) { r.leaving = append(r.leaving, h.ID) },
+		OnPause:       func(registry.Head, time.Duration) {},
 		Guard:         quarantine.NewGuard(quarantine.GuardConfig{Quarantine: attempt.QuarantineConfig{MaxCrashes: 3}}),
 		MaxTries:      3, StallAfter: 400 * time.Millisecond, AttemptStall: time.Hour,
 	})
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net/http"
 	"strconv"
 	"sync/atomic"
@@ -168,6 +169,8 @@
 	switch {
 	case c.Known == 0:
 		return "no backend server registered"
+	case c.Usable == 0 && c.Paused > 0:
+		return fmt.Sprintf("no backend server usable, %d of %d asked for a pause", c.Paused, c.Known)
 	case c.Usable == 0:
 		return "all backend servers excluded, suspended, full or stalled"
 	default:
@@ -367,6 +370,12 @@
 	a.status = response.StatusCode
 	answer := c.Dialect.Answer(response.StatusCode, response.Header)
 	now := c.Clock.Now()
+	if answer.Leaving {
+		c.OnLeaving(head)
+	}
+	if answer.RetryAfter > 0 && a.pool.RecordPause(head.Life(), answer.RetryAfter, now) {
+		c.OnPause(head, answer.RetryAfter)
+	}
 	switch {
 	case response.StatusCode < http.StatusOK:
 		a.pool.RecordError(a.head)
@@ -413,12 +422,13 @@
 const latePriority = 8
 
 // recordRefusal records in the pool that a head rejected the request before it
-// ran: as a failure if the head or its group is at fault, otherwise as full.
+// ran: as a failure if the head or its group is at fault, otherwise as full, unless the
+// head asked for a pause, which is recorded already.
 func (q *request) recordRefusal(a *attempt, answer exchange.Answer, status int, now time.Time) {
 	switch {
 	case status == http.StatusMisdirectedRequest || answer.FaultyMember != "":
 		a.pool.RecordFailure(a.head, now)
-	default:
+	case answer.RetryAfter == 0:
 		a.pool.RecordFull(a.head, now)
 	}
 }
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -282,6 +282,22 @@
 	Action:  "Look for a digest that is listed with several servers: its request may be what ends them, and event 910 follows.",
 }
 
+// Events of what backend servers say in their answers.
+var (
+	ServerLeaving = Definition{
+		Number: 958, Level: zapcore.InfoLevel, Message: "backend server leaving",
+		Fields:  []string{"server", "incarnation"},
+		Meaning: "A backend server said in an answer to this node that it is about to shut down. The node sends it no new requests until it has restarted, whatever its registration says.",
+		Action:  noAction,
+	}
+	ServerPaused = Definition{
+		Number: 959, Level: zapcore.InfoLevel, Message: "backend server asked for a pause",
+		Fields:  []string{"server", "incarnation", "pause", "count"},
+		Meaning: "A backend server rejected a request and asked for no further ones from this node for the time in pause. Of such answers, those with numbers 1, 2, 4, 8 and so on are logged; count is the number so far.",
+		Action:  "None, unless requests are rejected because servers asked for pauses; then the servers lack capacity.",
+	}
+)
+
 // CollectorChosen is logged by a node of a large failure domain.
 var CollectorChosen = Definition{
 	Number: 909, Level: zapcore.InfoLevel, Message: "collector chosen",
@@ -320,5 +336,5 @@
 		RequestEnded, RequestsCounted, ConfigurationInForce, ConfigurationUnreadable, SettingsReloaded, ReadinessChanged, DatagramFailed,
 		HTTPErrorReported, CollectorChosen, RequestQuarantined, QuarantineWithdrawn,
 	}},
-	{"Backend servers", []Definition{HeadsChanged, GroupPlanned, GroupReleased, OrderSent, HeadProbed, FleetCounted, ServerEnded}},
+	{"Backend servers", []Definition{HeadsChanged, GroupPlanned, GroupReleased, OrderSent, HeadProbed, FleetCounted, ServerEnded, ServerLeaving, ServerPaused}},
 }
--- a/pkg/serving/metric/metric_test.go
+++ b/pkg/serving/metric/metric_test.go
@@ -113,6 +113,7 @@
 	e.Heads.WithLabelValues("llm", "draft").Set(3)
 	e.Orders.WithLabelValues("join", "202").Inc()
 	e.ServerEnds.WithLabelValues("restarted").Inc()
+	e.Statements.WithLabelValues("leaving").Inc()
 	response := httptest.NewRecorder()
 	e.Handler().ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	return response.Body.String()
