Make a test of lapsed registrations say what it means, and test that a quarantine is told on

TestQuarantineIsToldOn fails if a node keeps a quarantine to itself, which the test of whole nodes showed by chance only.

--- a/internal/node/entry/reports_test.go
+++ b/internal/node/entry/reports_test.go
@@ -10,9 +10,11 @@
 	"go.uber.org/zap"
 	"go.uber.org/zap/zaptest/observer"
 
+	"almondbay.example/core/attempt"
 	"almondbay.example/internal/node/deployment"
 	"almondbay.example/internal/peer/gossip"
 	"almondbay.example/internal/routing/balance"
+	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/serving/event"
 	"almondbay.example/serving/metric"
 )
@@ -129,3 +131,29 @@
 		t.Errorf("kept to pass on: %+v", n.collected)
 	}
 }
+
+// TestQuarantineIsToldOn guards against a quarantine that a node keeps to itself: those
+// that found out about the ends may not reach all others.
+func TestQuarantineIsToldOn(t *testing.T) {
+	n := newReportingNode(t)
+	n.peers.Record(gossip.Message{Node: "c", FailureDomain: "a", Address: "127.0.0.2", Sequence: 1}, n.config.Clock.Now())
+	bad := quarantine.Digest{Fingerprint: attempt.NewFingerprint([]byte("bad")), Quick: 7}
+	told := func(server string) []attempt.Fingerprint {
+		n.mergeEvidence([]quarantine.Evidence{{
+			Evidence: attempt.Evidence{
+				Fingerprint:  bad.Fingerprint,
+				Observations: []attempt.CrashObservation{{Crash: attempt.Crash{Group: server, Epoch: 1, Site: server}}},
+			},
+			Quick: bad.Quick,
+		}}, true, n.config.Clock.Now())
+		return n.suspects.reports.Take(9)
+	}
+	for _, server := range []string{"s1", "s2"} {
+		if got := told(server); len(got) != 0 {
+			t.Errorf("evidence of a peer is told on after the end of %s", server)
+		}
+	}
+	if got := told("s3"); len(got) != 1 || got[0] != bad.Fingerprint {
+		t.Errorf("told on after the third end: %v, want the request", got)
+	}
+}
--- a/internal/routing/quarantine/tracker_test.go
+++ b/internal/routing/quarantine/tracker_test.go
@@ -115,10 +115,15 @@
 			f.set(noon.Add(2500*time.Millisecond), "a", leaving)
 			f.set(noon.Add(5*time.Second), "a", nil)
 		}, nil},
-		{"registration lapses during an outage of the store", func(f *fleet) {
+		{"registration lapses during an outage of the store and is back", func(f *fleet) {
 			f.cache.RecordFailure(noon.Add(5 * time.Second))
 			f.set(noon.Add(5*time.Second), "a", nil)
+			f.set(noon.Add(6500*time.Millisecond), "a", member("a", 0))
 		}, nil},
+		{"registration lapses during an outage of the store and is not back", func(f *fleet) {
+			f.cache.RecordFailure(noon.Add(5 * time.Second))
+			f.set(noon.Add(5*time.Second), "a", nil)
+		}, []string{"a: registration lapsed"}},
 		{"another server ends", func(f *fleet) { f.set(noon.Add(5*time.Second), "p", nil) }, nil},
 	}
 	for _, tt := range tests {
@@ -136,6 +141,19 @@
 	}
 }
 
+// TestLapseInOutageWaitsForReturn guards against counting a registration that lapsed
+// during an outage of the store as the end of its server before it can be back.
+func TestLapseInOutageWaitsForReturn(t *testing.T) {
+	f := newFleet()
+	f.lose("a", "body", 2*time.Second, true)
+	f.cache.RecordFailure(noon.Add(5 * time.Second))
+	f.set(noon.Add(5*time.Second), "a", nil)
+	now := noon.Add(5500 * time.Millisecond)
+	if ends := f.tracker.Match(f.cache.View(now), now); len(ends) != 0 {
+		t.Errorf("ends %+v within the grace after the outage", ends)
+	}
+}
+
 // TestConnectionTellsWhetherHeadEnded guards against waiting for the registration of
 // a head to lapse, and against blaming a head that lives.
 func TestConnectionTellsWhetherHeadEnded(t *testing.T) {
