--- a/internal/node/entry/event_log.go
+++ b/internal/node/entry/event_log.go
@@ -79,19 +79,20 @@
 	}
 	event.RequestEnded.Log(l.logger,
 		zap.String("request", r.ID), zap.String("route", r.Route), zap.String("service", r.Service),
-		zap.String("model", r.Model), zap.String("digest", formatDigest(r.Digest)), zap.Uint64("version", r.Version), zap.String("outcome", string(r.Outcome)),
+		zap.String("model", r.Model), zap.String("fingerprint", formatFingerprint(r.Content)), zap.Uint64("version", r.Version), zap.String("outcome", string(r.Outcome)),
 		zap.Int("status", r.Status), zap.Bool("cutOff", r.CutOff), zap.String("cause", r.Cause), zap.String("tries", formatTries(r.Tries)),
 		zap.Duration("retryAfter", r.RetryAfter), zap.Duration("firstByte", r.FirstByte),
 		zap.Float64("load", r.Load), zap.Duration("maxGap", r.MaxGap), zap.Duration("duration", r.Duration), zap.Int("events", r.Events),
 		zap.Duration("registryAge", registryAge))
 }
 
-// formatDigest returns the start of a digest, or nothing if it was not computed.
-func formatDigest(d quarantine.Digest) string {
-	if d == (quarantine.Digest{}) {
+// formatFingerprint returns the start of a request's fingerprint, or nothing if it was
+// not computed.
+func formatFingerprint(h quarantine.Hash) string {
+	if h == (quarantine.Hash{}) {
 		return ""
 	}
-	return quarantine.Short(d.Fingerprint)
+	return quarantine.Short(h.Fingerprint)
 }
 
 // formatTries renders the tries of a request: head, requests in flight there,
--- a/internal/node/entry/losses.go
+++ b/internal/node/entry/losses.go
@@ -69,20 +69,21 @@
 		n.metrics.ServerEnds.WithLabelValues(string(e.Proof)).Inc()
 		event.ServerEnded.Log(n.config.Logger, zap.String("server", e.Server.ID), zap.Int64("incarnation", e.Server.Incarnation),
 			zap.String("group", e.Crash.Group), zap.Uint64("epoch", e.Crash.Epoch), zap.String("proof", string(e.Proof)),
-			zap.Int("requests", len(e.Requests)), zap.String("digests", formatDigests(e.Requests)))
+			zap.Int("requests", len(e.Requests)), zap.String("fingerprints", formatFingerprints(e.Requests)))
 	}
 }
 
-// maxShownDigests limits the digests in one line of the log.
-const maxShownDigests = 20
+// maxShownFingerprints limits the fingerprints in one line of the log.
+const maxShownFingerprints = 20
 
-// formatDigests lists the digests of requests, and the number of those left out.
-func formatDigests(digests []quarantine.Digest) string {
-	shown := make([]string, 0, maxShownDigests+1)
-	for _, d := range digests[:min(len(digests), maxShownDigests)] {
-		shown = append(shown, quarantine.Short(d.Fingerprint))
+// formatFingerprints lists the fingerprints of requests, and the number of those left
+// out.
+func formatFingerprints(requests []quarantine.Hash) string {
+	shown := make([]string, 0, maxShownFingerprints+1)
+	for _, r := range requests[:min(len(requests), maxShownFingerprints)] {
+		shown = append(shown, quarantine.Short(r.Fingerprint))
 	}
-	if rest := len(digests) - len(shown); rest > 0 {
+	if rest := len(requests) - len(shown); rest > 0 {
 		shown = append(shown, "and "+strconv.Itoa(rest)+" more")
 	}
 	return strings.Join(shown, ",")
--- a/internal/node/entry/reports_test.go
+++ b/internal/node/entry/reports_test.go
@@ -137,7 +137,7 @@
 func TestQuarantineIsToldOn(t *testing.T) {
 	n := newReportingNode(t)
 	n.peers.Record(gossip.Message{Node: "c", FailureDomain: "a", Address: "127.0.0.2", Sequence: 1}, n.config.Clock.Now())
-	bad := quarantine.Digest{Fingerprint: attempt.NewFingerprint([]byte("bad")), Quick: 7}
+	bad := quarantine.Hash{Fingerprint: attempt.NewFingerprint([]byte("bad")), Quick: 7}
 	told := func(server string) []attempt.Fingerprint {
 		n.mergeEvidence([]quarantine.Evidence{{
 			Evidence: attempt.Evidence{
--- a/internal/node/entry/suspects.go
+++ b/internal/node/entry/suspects.go
@@ -172,10 +172,10 @@
 	case quarantined && !was:
 		// Told on whoever it came from: the nodes that found it out may not reach all.
 		n.tellAll(f)
-		event.RequestQuarantined.Log(n.config.Logger, zap.String("digest", quarantine.Short(f)),
+		event.RequestQuarantined.Log(n.config.Logger, zap.String("fingerprint", quarantine.Short(f)),
 			zap.String("source", source), zap.String("crashes", formatCrashes(s.guard.Evidence(f, now))))
 	case was && !quarantined:
-		event.QuarantineWithdrawn.Log(n.config.Logger, zap.String("digest", quarantine.Short(f)), zap.String("source", source))
+		event.QuarantineWithdrawn.Log(n.config.Logger, zap.String("fingerprint", quarantine.Short(f)), zap.String("source", source))
 	}
 }
 
--- a/internal/node/explain/explain.go
+++ b/internal/node/explain/explain.go
@@ -152,7 +152,7 @@
 			latest[key] = line
 			continue
 		}
-		if concernsContent(line, end.Get("digest")) {
+		if concernsContent(line, end.Get("fingerprint")) {
 			selected = append(selected, line)
 			continue
 		}
@@ -182,13 +182,13 @@
 }
 
 // concernsContent reports whether a line is about the servers that ended under
-// requests with the given digest. It may be much older than the request.
-func concernsContent(line Line, digest string) bool {
+// requests with the given fingerprint. It may be much older than the request.
+func concernsContent(line Line, fingerprint string) bool {
 	switch line.Event {
 	case eventQuarantined, eventWithdrawn:
-		return digest != "" && line.Get("digest") == digest
+		return fingerprint != "" && line.Get("fingerprint") == fingerprint
 	case eventServerEnded:
-		return digest != "" && slices.Contains(strings.Split(line.Get("digests"), ","), digest)
+		return fingerprint != "" && slices.Contains(strings.Split(line.Get("fingerprints"), ","), fingerprint)
 	default:
 		return false
 	}
--- a/internal/node/explain/explain_test.go
+++ b/internal/node/explain/explain_test.go
@@ -25,9 +25,9 @@
 )
 
 const (
-	ended            = `{"ts":20.0,"msg":"backend server ended","event":957,"server":"s1","digests":"d0,d1"}`
-	quarantined      = `{"ts":21.0,"msg":"request quarantined","event":910,"digest":"d1","source":"peer","crashes":"s1 age=2s; s2 age=1s"}`
-	othersQuarantine = `{"ts":22.0,"msg":"request quarantined","event":910,"digest":"d2","source":"own","crashes":"s3 age=1s"}`
+	ended            = `{"ts":20.0,"msg":"backend server ended","event":957,"server":"s1","fingerprints":"d0,d1"}`
+	quarantined      = `{"ts":21.0,"msg":"request quarantined","event":910,"fingerprint":"d1","source":"peer","crashes":"s1 age=2s; s2 age=1s"}`
+	othersQuarantine = `{"ts":22.0,"msg":"request quarantined","event":910,"fingerprint":"d2","source":"own","crashes":"s3 age=1s"}`
 )
 
 // TestCauses checks the cause and the number of related lines of requests with
@@ -63,7 +63,7 @@
 		},
 		{
 			"quarantined",
-			[]string{strings.Replace(endedLine("refused", "request ends the backend servers that run it", ""), `"model"`, `"digest":"d1","model"`, 1), ended, quarantined, othersQuarantine},
+			[]string{strings.Replace(endedLine("refused", "request ends the backend servers that run it", ""), `"model"`, `"fingerprint":"d1","model"`, 1), ended, quarantined, othersQuarantine},
 			`from source "peer": s1 age=2s; s2 age=1s`, 2,
 		},
 		{"denied", []string{endedLine("denied", "no such route", "")}, "no such route", 0},
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -54,10 +54,10 @@
 	Route   string
 	Service string
 	Model   string
-	// Digest identifies the content of the request, which it shares with repeats of
-	// it under other IDs. It is computed only if a try was lost; otherwise it is the
-	// zero value.
-	Digest quarantine.Digest
+	// Content identifies the content of the request, which it shares with repeats of
+	// it under other IDs. It is computed only if a try was lost or there is evidence
+	// against the request; otherwise it is the zero value.
+	Content quarantine.Hash
 	// Version is the version of the configuration that the request was handled
 	// under.
 	Version uint64
@@ -311,9 +311,9 @@
 	if a.abrupt {
 		q.lostHeads = append(q.lostHeads, head)
 	}
-	q.result.Digest = q.content.Digest()
+	q.result.Content = q.content.Hash()
 	q.handler.config.OnLoss(quarantine.Loss{
-		Digest: q.result.Digest, Head: head, Since: progressAt, At: now, Abrupt: a.abrupt,
+		Content: q.result.Content, Head: head, Since: progressAt, At: now, Abrupt: a.abrupt,
 	})
 }
 
@@ -322,7 +322,7 @@
 	if !q.handler.config.Guard.Quarantined(q.content, now) {
 		return false
 	}
-	q.result.Digest = q.content.Digest()
+	q.result.Content = q.content.Hash()
 	return true
 }
 
--- a/internal/routing/quarantine/digest.go
+++ b/internal/routing/quarantine/content.go
@@ -9,8 +9,8 @@
 	"almondbay.example/core/attempt"
 )
 
-// Digest identifies the content of a request.
-type Digest struct {
+// Hash identifies the content of a request.
+type Hash struct {
 	Fingerprint attempt.Fingerprint
 	// Quick is a hash that is cheap to compute and the same on all nodes. Requests
 	// with different hashes are different; others are told apart by Fingerprint.
@@ -49,13 +49,13 @@
 	return *c.quick
 }
 
-// Digest returns the digest of the content.
-func (c *Content) Digest() Digest {
+// Hash returns both hashes of the content.
+func (c *Content) Hash() Hash {
 	if c.fingerprint == nil {
 		f := attempt.NewFingerprint([]byte(c.Workspace), []byte(c.Target), c.Body)
 		c.fingerprint = &f
 	}
-	return Digest{Fingerprint: *c.fingerprint, Quick: c.Quick()}
+	return Hash{Fingerprint: *c.fingerprint, Quick: c.Quick()}
 }
 
 // shownBytes is the number of bytes of a fingerprint that logs show.
--- a/internal/routing/quarantine/tracker.go
+++ b/internal/routing/quarantine/tracker.go
@@ -20,8 +20,8 @@
 
 // Loss is a try of a request that ended without a complete response.
 type Loss struct {
-	Digest Digest
-	Head   registry.Head
+	Content Hash
+	Head    registry.Head
 	// Since is when the try last received data, or when it was sent; At is when it
 	// ended.
 	Since, At time.Time
@@ -51,7 +51,7 @@
 	// service the server with its start time.
 	Crash    attempt.Crash
 	Proof    Proof
-	Requests []Digest
+	Requests []Hash
 }
 
 // TrackerConfig configures a Tracker.
@@ -265,14 +265,14 @@
 // nothing if it explains none. Losses of several groups, which a server was a member
 // of one after the other, are ends of several groups. The caller must hold mu.
 func (t *Tracker) end(life registry.Life, proof Proof, explains func(*pendingLoss) bool) []End {
-	byCrash := map[attempt.Crash][]Digest{}
+	byCrash := map[attempt.Crash][]Hash{}
 	t.losses = slices.DeleteFunc(t.losses, func(p *pendingLoss) bool {
 		if !explains(p) {
 			return false
 		}
 		c := crashOf(p.Head)
-		if !slices.Contains(byCrash[c], p.Digest) {
-			byCrash[c] = append(byCrash[c], p.Digest)
+		if !slices.Contains(byCrash[c], p.Content) {
+			byCrash[c] = append(byCrash[c], p.Content)
 		}
 		return true
 	})
--- a/internal/routing/quarantine/tracker_test.go
+++ b/internal/routing/quarantine/tracker_test.go
@@ -71,7 +71,7 @@
 		head.Group, head.Epoch, head.FabricDomain, head.Model = "g", 3, "d0", "m"
 	}
 	f.tracker.Add(quarantine.Loss{
-		Digest: content(body).Digest(), Head: head, Since: noon.Add(time.Second), At: noon.Add(at), Abrupt: abrupt,
+		Content: content(body).Hash(), Head: head, Since: noon.Add(time.Second), At: noon.Add(at), Abrupt: abrupt,
 	})
 }
 
@@ -214,21 +214,21 @@
 	}
 }
 
-// TestDigestTellsRequestsApart guards against one digest for two requests, whose
+// TestHashTellsRequestsApart guards against one hash for two requests, whose
 // parts may concatenate to the same bytes, and against two for one.
-func TestDigestTellsRequestsApart(t *testing.T) {
+func TestHashTellsRequestsApart(t *testing.T) {
 	base := &quarantine.Content{Workspace: "ab", Target: "/c", Body: []byte("d")}
-	if base.Digest() != (&quarantine.Content{Workspace: "ab", Target: "/c", Body: []byte("d")}).Digest() {
-		t.Error("the same request has two digests")
+	if base.Hash() != (&quarantine.Content{Workspace: "ab", Target: "/c", Body: []byte("d")}).Hash() {
+		t.Error("the same request has two hashes")
 	}
 	for _, other := range []*quarantine.Content{
 		{Workspace: "a", Target: "b/c", Body: []byte("d")},
 		{Workspace: "ab", Target: "/cd"},
 		{Workspace: "ab", Target: "/c", Body: []byte("e")},
 	} {
-		d := other.Digest()
-		if d.Fingerprint == base.Digest().Fingerprint || d.Quick == base.Digest().Quick {
-			t.Errorf("%+v and %+v share a digest", other, base)
+		d := other.Hash()
+		if d.Fingerprint == base.Hash().Fingerprint || d.Quick == base.Hash().Quick {
+			t.Errorf("%+v and %+v share a hash", other, base)
 		}
 	}
 }
