Ask a head for its start time before calling it alive

A head that ended under a request, and whose address takes connections again when the node checks it some 50 ms later, counted as living, so that its end was never found out: a quick restart, another server at its address, or anything in between that accepts connections.

The check is now the state query that probes of heads use: the same start time means that the head lives, another one or another server's answer that it ended, a refused connection as before. No usable answer leaves the verdict to the registration, for servers of plain services too, which may give no report.

--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -5,6 +5,7 @@
 package control
 
 import (
+	"errors"
 	"context"
 	"time"
 
@@ -40,6 +41,10 @@
 	Leaving bool
 }
 
+// ErrOtherServer is the error of a state query that another server answered: the one
+// that was asked is no longer at its address.
+var ErrOtherServer = errors.New("another server answered")
+
 // Orders sends orders and state queries to backend servers.
 type Orders interface {
 	// Send sends one order and returns the HTTP status of the reply, zero without
--- a/internal/node/entry/cluster_test.go
+++ b/internal/node/entry/cluster_test.go
@@ -22,6 +22,7 @@
 	"go.uber.org/zap/zaptest/observer"
 	"golang.org/x/sync/errgroup"
 
+	"almondbay.example/internal/fleet/control"
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/node/deployment"
 	"almondbay.example/internal/node/entry"
@@ -233,6 +234,20 @@
 	return s.ended
 }
 
+// refusableOrders rejects all orders, and queries without a report as a server of a
+// plain service does.
+type refusableOrders struct {
+	noOrders
+}
+
+func (refusableOrders) QueryState(ctx context.Context, s registry.Server) (control.State, error) {
+	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", s.Address)
+	if err != nil {
+		return control.State{}, err
+	}
+	return control.State{}, errors.Join(errors.New("server gives no report"), conn.Close())
+}
+
 // clusterDialect also maps the retry delay and what servers say.
 type clusterDialect struct {
 	dialect
@@ -359,7 +374,7 @@
 				Grace: grace, RetryRatio: 1, RetrySlack: 100, RetryWindow: 10 * time.Second, LoadWindow: 5 * time.Second,
 			},
 		},
-		Clock: clockwork.NewRealClock(), Logger: zap.New(core), Store: clusterStore{tables: c.store, cut: cut}, Orders: noOrders{}, Dialect: clusterDialect{},
+		Clock: clockwork.NewRealClock(), Logger: zap.New(core), Store: clusterStore{tables: c.store, cut: cut}, Orders: refusableOrders{}, Dialect: clusterDialect{},
 		Codec: entry.Codec{
 			ServersTable: serversTable, ConfigurationTable: configurationTable, ConfigurationKey: "only",
 			DecodeServer: func(id string, value []byte) *registry.Server {
--- a/internal/node/entry/losses.go
+++ b/internal/node/entry/losses.go
@@ -10,6 +10,7 @@
 
 	"go.uber.org/zap"
 
+	"almondbay.example/internal/fleet/control"
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/serving/event"
@@ -21,9 +22,9 @@
 	lapseHeartbeats = 3
 	// lapseReadTime covers the time until a node reads that a registration lapsed.
 	lapseReadTime = 2500 * time.Millisecond
-	// checkInterval limits the connections to one head.
+	// checkInterval limits the checks of one head.
 	checkInterval = 200 * time.Millisecond
-	// maxChecks limits the heads that are connected to at a time.
+	// maxChecks limits the heads that are checked at a time.
 	maxChecks = 16
 	// maxLosses is about the number of requests that a node has in flight at peak
 	// load, several times over.
@@ -44,17 +45,27 @@
 	}
 }
 
-// checkHead connects to a head that ended a connection, to find out whether it
-// ended itself.
+// checkHead asks a head that ended a connection for its start time, to find out whether
+// it ended itself.
 func (n *Node) checkHead(ctx context.Context, head registry.Head) {
 	startedAt := n.config.Clock.Now()
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
-	conn, err := n.config.Dial(ctx, "tcp", head.Address)
-	if err == nil {
-		_ = conn.Close()
+	state, err := n.config.Orders.QueryState(ctx, registry.Server{ID: head.ID, Address: head.Address, Incarnation: head.Incarnation})
+	result := quarantine.CheckUnknown
+	switch {
+	case errors.Is(err, syscall.ECONNREFUSED):
+		result = quarantine.CheckRefused
+	case errors.Is(err, control.ErrOtherServer):
+		result = quarantine.CheckRestarted
+	case err != nil || state.Incarnation == 0:
+		// Servers of plain services may give no report.
+	case state.Incarnation == head.Incarnation:
+		result = quarantine.CheckLives
+	default:
+		result = quarantine.CheckRestarted
 	}
-	n.recordEnds(n.losses.RecordCheck(head, startedAt, errors.Is(err, syscall.ECONNREFUSED), err == nil))
+	n.recordEnds(n.losses.RecordCheck(head, startedAt, result))
 }
 
 // recordEnds logs and counts servers that ended, and records the evidence against
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -86,7 +86,7 @@
 	handler       *ingress.Handler
 	losses        *quarantine.Tracker
 	suspects      *suspects
-	// checks are the connections to heads that may have ended.
+	// checks are the calls to heads that may have ended.
 	checks     errgroup.Group
 	controller *control.Controller
 	eventLog   *eventLog
--- a/internal/routing/quarantine/tracker.go
+++ b/internal/routing/quarantine/tracker.go
@@ -3,7 +3,7 @@
 //
 // A try that its server left without a complete response is a loss. A loss counts
 // against its request only if a server ended then: the connection to it is refused,
-// it registered again after a restart, or its registration lapsed. A server that
+// it has another start time, or its registration lapsed. A server that
 // resets a connection, stalls, cuts off a response or leaves as planned has not
 // crashed. The package does no I/O and reads no clock.
 package quarantine
@@ -37,7 +37,7 @@
 const (
 	// ProofRefused means that the server's address refused a connection.
 	ProofRefused Proof = "connection refused"
-	// ProofRestarted means that the server registered with another start time.
+	// ProofRestarted means that the server reported or registered another start time.
 	ProofRestarted Proof = "restarted"
 	// ProofUnregistered means that the registration lapsed without an
 	// announcement.
@@ -65,8 +65,7 @@
 	// ReturnGrace is how long after an outage of the store a missing registration
 	// may still reappear.
 	ReturnGrace time.Duration
-	// CheckInterval is the minimum time between two connections to a head to find
-	// out whether it lives.
+	// CheckInterval is the minimum time between two checks of a head.
 	CheckInterval time.Duration
 	// MaxLosses bounds the losses kept; the oldest is dropped first.
 	MaxLosses int
@@ -75,9 +74,9 @@
 // pendingLoss is a loss that no end explains yet.
 type pendingLoss struct {
 	Loss
-	// headLives is set once the head accepted a connection after the loss.
+	// headLives is set once the head answered a check after the loss.
 	headLives bool
-	// headChecked is set once a connection to the head was tried after the loss.
+	// headChecked is set once the head was checked after the loss.
 	headChecked bool
 	// members are the servers of the head's group, without the head.
 	members []registry.Life
@@ -154,8 +153,8 @@
 	t.losses = append(t.losses, p)
 }
 
-// Due returns the heads that should be connected to, to find out whether they
-// ended, and counts them as checked.
+// Due returns the heads that should be checked, to find out whether they ended, and
+// counts them as checked.
 func (t *Tracker) Due(now time.Time) []registry.Head {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -172,25 +171,44 @@
 	return due
 }
 
-// RecordCheck records the result of a connection to a head that was begun at a
-// time: it was refused, or else accepted or not answered. It returns the end of the
-// head if it was refused.
-func (t *Tracker) RecordCheck(head registry.Head, startedAt time.Time, refused, accepted bool) []End {
+// CheckResult is what a node found out about a head by calling it.
+type CheckResult uint8
+
+// Results of checks.
+const (
+	// CheckUnknown means that the head gave no answer that tells.
+	CheckUnknown CheckResult = iota
+	// CheckLives means that the head answered, and has not restarted.
+	CheckLives
+	// CheckRefused means that the head's address refused the connection.
+	CheckRefused
+	// CheckRestarted means that the head answered, and has restarted.
+	CheckRestarted
+)
+
+// RecordCheck records the result of a check of a head that was begun at a time. It
+// returns the end of the head if that is the result.
+func (t *Tracker) RecordCheck(head registry.Head, startedAt time.Time, result CheckResult) []End {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 
+	explains := func(p *pendingLoss) bool {
+		return p.Head.Life() == head.Life() && !p.At.After(startedAt)
+	}
 	for _, p := range t.losses {
-		if p.Head.Life() == head.Life() && !p.At.After(startedAt) {
+		if explains(p) {
 			p.headChecked = true
-			p.headLives = accepted
+			p.headLives = result == CheckLives
 		}
 	}
-	if !refused {
+	switch result {
+	case CheckRefused:
+		return t.end(head.Life(), ProofRefused, explains)
+	case CheckRestarted:
+		return t.end(head.Life(), ProofRestarted, explains)
+	default:
 		return nil
 	}
-	return t.end(head.Life(), ProofRefused, func(p *pendingLoss) bool {
-		return p.Head.Life() == head.Life() && !p.At.After(startedAt)
-	})
 }
 
 // Match compares the losses with the registrations, returns the ends of servers
--- a/internal/routing/quarantine/tracker_test.go
+++ b/internal/routing/quarantine/tracker_test.go
@@ -167,7 +167,7 @@
 		t.Fatalf("heads to check %+v, want a once", due)
 	}
 	f.lose("a", "later", 3*time.Second, true)
-	ends := f.tracker.RecordCheck(due[0], now, true, false)
+	ends := f.tracker.RecordCheck(due[0], now, quarantine.CheckRefused)
 	if len(ends) != 1 || ends[0].Proof != quarantine.ProofRefused || len(ends[0].Requests) != 3 {
 		t.Fatalf("ends %+v, want one with the three requests lost before the connection", ends)
 	}
@@ -179,13 +179,32 @@
 	}
 }
 
-// TestLivingHeadIsNotBlamed guards against blaming a head that accepted a connection
-// after a loss and whose registration lapses afterwards, as in a network partition.
+// TestQuickRestartIsFoundOut guards against a head that takes connections again, or
+// whose address does, before it is checked, and so seems never to have ended.
+func TestQuickRestartIsFoundOut(t *testing.T) {
+	now := noon.Add(2010 * time.Millisecond)
+	f := newFleet()
+	f.lose("a", "body", 2*time.Second, true)
+	ends := f.tracker.RecordCheck(f.tracker.Due(now)[0], now, quarantine.CheckRestarted)
+	if diff := cmp.Diff([]string{"a: restarted"}, proofs(ends)); diff != "" {
+		t.Errorf("ends after a report of another start time (-want +got):\n%s", diff)
+	}
+	f.lose("a", "body", 2*time.Second, true)
+	now = now.Add(time.Second)
+	f.tracker.RecordCheck(f.tracker.Due(now)[0], now, quarantine.CheckUnknown)
+	f.set(noon.Add(5*time.Second), "a", nil)
+	now = noon.Add(7500 * time.Millisecond)
+	if diff := cmp.Diff([]string{"a: registration lapsed"}, proofs(f.tracker.Match(f.cache.View(now), now))); diff != "" {
+		t.Errorf("ends after a connection without an answer (-want +got):\n%s", diff)
+	}
+}
+
+// TestLivingHeadIsNotBlamed guards against blaming a head that answered after a loss and whose registration lapses afterwards, as in a network partition.
 func TestLivingHeadIsNotBlamed(t *testing.T) {
 	f := newFleet()
 	f.lose("a", "body", 2*time.Second, true)
 	now := noon.Add(2010 * time.Millisecond)
-	f.tracker.RecordCheck(f.tracker.Due(now)[0], now, false, true)
+	f.tracker.RecordCheck(f.tracker.Due(now)[0], now, quarantine.CheckLives)
 	f.set(noon.Add(5*time.Second), "a", nil)
 	now = noon.Add(5500 * time.Millisecond)
 	if ends := f.tracker.Match(f.cache.View(now), now); len(ends) != 0 {
