--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -5,8 +5,8 @@
 package control
 
 import (
-	"errors"
 	"context"
+	"errors"
 	"time"
 
 	"github.com/jonboulle/clockwork"
