Write evidence that comes while an older state of it is written

A node that wrote the row of a request under which two servers had ended, and learned of the third end during the write, took that for written. Nodes that hear only the store would not have learned of it. Found by reading the change once more; TestEvidenceThatComesDuringWriteIsWritten fails if a request is marked as written after its write and not before.

The code that writes and reads rows moves to a file of its own, and what belongs to pauses from pool.go to backoff.go; neither changes.

--- a/internal/node/entry/reports_test.go
+++ b/internal/node/entry/reports_test.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"context"
 	"net/netip"
 	"slices"
 	"testing"
@@ -11,12 +12,14 @@
 	"go.uber.org/zap/zaptest/observer"
 
 	"almondbay.example/core/attempt"
+	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/node/deployment"
 	"almondbay.example/internal/peer/gossip"
 	"almondbay.example/internal/routing/balance"
 	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/serving/event"
 	"almondbay.example/serving/metric"
+	"almondbay.example/serving/platform"
 )
 
 // newReportingNode returns a node that has reported loads to the collector "c" of its
@@ -157,3 +160,51 @@
 		t.Errorf("told on after the third end: %v, want the request", got)
 	}
 }
+
+// recordingStore counts the writes of evidence and runs a function during the first.
+type recordingStore struct {
+	Store
+	during  func()
+	written []quarantine.Evidence
+}
+
+func (s *recordingStore) CommitVersion(_ context.Context, t platform.Transaction) (uint64, error) {
+	for _, w := range t.Writes {
+		e, err := quarantine.DecodeEvidence(w.Value)
+		if err != nil {
+			return 0, err
+		}
+		s.written = append(s.written, e)
+	}
+	if s.during != nil {
+		during := s.during
+		s.during = nil
+		during()
+	}
+	return 1, nil
+}
+
+// TestEvidenceThatComesDuringWriteIsWritten guards against evidence that is taken for
+// written because an older state of it was being written when it came.
+func TestEvidenceThatComesDuringWriteIsWritten(t *testing.T) {
+	n := newReportingNode(t)
+	end := func(server string) {
+		n.recordEnds([]quarantine.End{{
+			Server: registry.Life{ID: server, Incarnation: 1}, Crash: attempt.Crash{Group: server, Epoch: 1, Site: server},
+			Proof: quarantine.ProofRefused, Requests: []quarantine.Hash{{Fingerprint: attempt.NewFingerprint([]byte("bad")), Quick: 7}},
+		}})
+	}
+	s := &recordingStore{during: func() { end("s3") }}
+	n.store = &instrumentedStore{store: s, clock: n.config.Clock, metrics: n.metrics}
+	n.config.Store = n.store
+	end("s1")
+	end("s2")
+	for range 2 {
+		if err := n.saveSuspects(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if len(s.written) != 2 || len(s.written[1].Observations) != 3 {
+		t.Errorf("written %+v, want evidence of two ends and then of three", s.written)
+	}
+}
--- /dev/null
+++ b/internal/node/entry/suspect_rows.go
@@ -0,0 +1,226 @@
+package entry
+
+import (
+	"context"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"almondbay.example/core/attempt"
+	"almondbay.example/internal/routing/quarantine"
+	"almondbay.example/serving/platform"
+)
+
+// saveSuspects writes the evidence that this node contributed to, so that it reaches
+// nodes that hear nothing of this one, and those that start later. It deletes rows
+// whose evidence no longer counts.
+func (n *Node) saveSuspects(ctx context.Context) error {
+	now := n.config.Clock.Now()
+	n.expireSuspects(now)
+	if n.storeUnreachable() {
+		return nil
+	}
+	s := n.suspects
+	s.mu.Lock()
+	for f, at := range s.unsaved {
+		if now.Before(at) {
+			continue
+		}
+		delete(s.unsaved, f)
+		if len(s.rowsOf(f)) == 0 {
+			s.changed[f] = true
+		}
+	}
+	due := s.changed
+	s.changed = map[attempt.Fingerprint]bool{}
+	s.mu.Unlock()
+	var failed error
+	for f := range due {
+		if failed == nil {
+			failed = n.saveSuspect(ctx, f, now)
+		}
+		if failed != nil {
+			// This and the rest are left for the next step.
+			s.mu.Lock()
+			s.changed[f] = true
+			s.mu.Unlock()
+		}
+	}
+	if failed != nil {
+		return failed
+	}
+	return n.deleteOldRows(ctx, now)
+}
+
+// expireSuspects forgets old evidence and has the rows of this node about it deleted.
+func (n *Node) expireSuspects(now time.Time) {
+	s := n.suspects
+	if now.Sub(s.expiredAt) < expireInterval {
+		return
+	}
+	s.expiredAt = now
+	s.guard.Expire(now)
+	_, quarantined := s.guard.Count(now)
+	n.metrics.Quarantined.Set(float64(quarantined))
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	for f := range s.contributed {
+		if _, suspected := s.guard.Verdict(f, now); suspected {
+			continue
+		}
+		delete(s.contributed, f)
+		if _, ok := s.own[f]; ok {
+			s.changed[f] = true
+		}
+	}
+	maps.DeleteFunc(s.quarantined, func(f attempt.Fingerprint, _ bool) bool {
+		quarantined, _ := s.guard.Verdict(f, now)
+		return !quarantined
+	})
+}
+
+// saveSuspect writes the row of this node about one request, or deletes all rows
+// about it if nothing counts against it.
+func (n *Node) saveSuspect(ctx context.Context, f attempt.Fingerprint, now time.Time) error {
+	s := n.suspects
+	e := s.guard.Evidence(f, now)
+	key := rowPrefix(f) + n.config.Settings.Node
+	s.mu.Lock()
+	written, ok := s.own[f]
+	rows := s.rowsOf(f)
+	s.mu.Unlock()
+	switch {
+	case len(e.Observations) == 0:
+		if ok && !slices.Contains(rows, key) {
+			rows = append(rows, key)
+		}
+		if err := n.deleteSuspectRows(ctx, rows); err != nil {
+			return err
+		}
+	case len(e.Observations) >= savedCrashes && (!ok || len(e.Observations) > written):
+		value, err := quarantine.EncodeEvidence(e)
+		if err != nil {
+			return Error.Wrap(err)
+		}
+		if err := n.commitSuspect(ctx, platform.Write{Key: nodesTable + "//" + key, Value: value}); err != nil {
+			return err
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	switch {
+	case len(e.Observations) == 0:
+		delete(s.own, f)
+	case len(e.Observations) >= savedCrashes:
+		s.own[f] = len(e.Observations)
+	}
+	return nil
+}
+
+// rowPrefix returns the start of the keys of the rows about a request, which end in
+// the name of the node that wrote them.
+func rowPrefix(f attempt.Fingerprint) string {
+	return quarantinePrefix + f.String() + "/"
+}
+
+// rowsOf returns the keys of the known rows about a request. It is called with mu held.
+func (s *suspects) rowsOf(f attempt.Fingerprint) []string {
+	var rows []string
+	for row := range s.rows {
+		if strings.HasPrefix(row, rowPrefix(f)) {
+			rows = append(rows, row)
+		}
+	}
+	return rows
+}
+
+// commitSuspect writes or deletes rows with evidence.
+func (n *Node) commitSuspect(ctx context.Context, writes ...platform.Write) error {
+	return Error.Wrap(n.config.Store.Commit(ctx, platform.Transaction{Operation: n.operation("quarantine"), Writes: writes}))
+}
+
+// deleteSuspectRows deletes rows with evidence, in several transactions if there are
+// many.
+func (n *Node) deleteSuspectRows(ctx context.Context, keys []string) error {
+	slices.Sort(keys)
+	for part := range slices.Chunk(keys, maxRowsDeleted) {
+		var writes []platform.Write
+		for _, key := range part {
+			writes = append(writes, platform.Write{Key: nodesTable + "//" + key, Delete: true})
+		}
+		if err := n.commitSuspect(ctx, writes...); err != nil {
+			return err
+		}
+		n.suspects.mu.Lock()
+		for _, key := range part {
+			delete(n.suspects.rows, key)
+		}
+		n.suspects.mu.Unlock()
+	}
+	return nil
+}
+
+// maxRowsDeleted is below the number of entries that the store takes in one
+// transaction.
+const maxRowsDeleted = 50
+
+// deleteOldRows deletes the rows that this node has known for longer than a
+// quarantine lasts: the node that wrote them may be gone.
+func (n *Node) deleteOldRows(ctx context.Context, now time.Time) error {
+	s := n.suspects
+	s.mu.Lock()
+	var old []string
+	for key, at := range s.rows {
+		if now.Sub(at) > quarantineTTL {
+			old = append(old, key)
+		}
+	}
+	s.mu.Unlock()
+	return n.deleteSuspectRows(ctx, old)
+}
+
+// applySuspect applies a changed row with evidence.
+func (n *Node) applySuspect(row platform.Change) error {
+	s := n.suspects
+	now := n.config.Clock.Now()
+	s.mu.Lock()
+	_, known := s.rows[row.Key]
+	switch {
+	case row.Deleted:
+		delete(s.rows, row.Key)
+	case !known:
+		s.rows[row.Key] = now
+	}
+	s.mu.Unlock()
+	if row.Deleted {
+		return n.withdraw(row.Key, now)
+	}
+	_, value, err := n.config.Codec.Unwrap(row.Value)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	e, err := quarantine.DecodeEvidence(value)
+	if err != nil {
+		return Error.Wrap(err)
+	}
+	if s.guard.Merge(e, now) {
+		n.noteEvidence(e.Fingerprint, sourceStore, now)
+	}
+	return nil
+}
+
+// withdraw takes back the evidence of a row that was deleted.
+func (n *Node) withdraw(key string, now time.Time) error {
+	text, _, _ := strings.Cut(strings.TrimPrefix(key, quarantinePrefix), "/")
+	f, err := attempt.ParseFingerprint(text)
+	if err != nil {
+		return Error.New("key %q: %w", key, err)
+	}
+	if n.suspects.guard.Withdraw(f, now) {
+		n.noteEvidence(f, sourceStore, now)
+	}
+	return nil
+}
--- a/internal/routing/balance/backoff.go
+++ b/internal/routing/balance/backoff.go
@@ -45,3 +45,25 @@
 
 	return b.until[life]
 }
+
+// RecordPause records that a head, with its rejection, asked for no requests for some
+// time. It is no failure of the head. It reports whether the time is longer than what
+// was known.
+func (p *Pool) RecordPause(life registry.Life, pause time.Duration, now time.Time) bool {
+	return p.backoffs.record(life, now.Add(pause), now)
+}
+
+// earlier returns the earlier of two times, of which the zero time is none.
+func earlier(a, b time.Time) time.Time {
+	if a.IsZero() || b.Before(a) {
+		return b
+	}
+	return a
+}
+
+// pauseRetryAfter returns the retry delay when all heads asked for a pause: until the
+// first one ends, and a random part of the time after it in which requests end, so
+// that rejected callers don't all return at once.
+func (p *Pool) pauseRetryAfter(end, now time.Time) time.Duration {
+	return max(end.Sub(now), minRetryAfter) + time.Duration(float64(p.meanDuration)*p.policy.Random())
+}
