--- a/internal/node/entry/reports_test.go
+++ b/internal/node/entry/reports_test.go
@@ -208,3 +208,16 @@
 		t.Errorf("written %+v, want evidence of two ends and then of three", s.written)
 	}
 }
+
+// FuzzSuspectRow checks that no row of the nodes table that looks like evidence makes a
+// node panic.
+func FuzzSuspectRow(f *testing.F) {
+	f.Add("quarantine/", []byte("{}"), false)
+	f.Add("quarantine/00/node", []byte(`{"quick":"1","evidence":{"fingerprint":"00"}}`), true)
+	f.Fuzz(func(t *testing.T, key string, value []byte, deleted bool) {
+		n := newReportingNode(t)
+		n.config.Codec.Unwrap = func(body []byte) (string, []byte, error) { return "", body, nil }
+		// An unreadable row is an error that is logged.
+		_ = n.applySuspect(platform.Change{Key: key, Value: value, Deleted: deleted, Version: 1})
+	})
+}
--- a/internal/node/entry/shutdown_test.go
+++ b/internal/node/entry/shutdown_test.go
@@ -1,6 +1,7 @@
 package entry_test
 
 import (
+	"errors"
 	"io"
 	"net/http"
 	"net/http/httptest"
@@ -66,6 +67,67 @@
 	}
 }
 
+// TestShutdownWaitsForArrivingBody guards against a request that is cut off because its
+// body was still arriving when the node was told to stop.
+func TestShutdownWaitsForArrivingBody(t *testing.T) {
+	backend := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		body, err := io.ReadAll(r.Body)
+		if err != nil {
+			return
+		}
+		w.Header().Set("Id", r.Header.Get("Id"))
+		w.Header().Set("Signature", "x")
+		_, _ = w.Write(body)
+	}))
+	defer backend.Close()
+	n := startNode(t, strings.TrimPrefix(backend.URL, "http://"))
+	n.advanceUntil(n.ready)
+	body, rest := io.Pipe()
+	request, err := http.NewRequest(http.MethodPost, "http://"+n.callers+"/x", body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "h"
+	request.Header.Set("Id", "slow")
+	answer := make(chan string, 1)
+	var caller errgroup.Group
+	caller.Go(func() error {
+		response, err := http.DefaultClient.Do(request)
+		if err != nil {
+			return err
+		}
+		got, err := io.ReadAll(response.Body)
+		answer <- string(got)
+		return errors.Join(err, response.Body.Close())
+	})
+	// The second write returns once the first one was passed on to the node.
+	for _, part := range []string{"first ", "second "} {
+		if _, err := io.WriteString(rest, part); err != nil {
+			t.Fatal(err)
+		}
+	}
+	n.stop()
+	for n.ready() {
+		// Another goroutine handles the signal.
+		continue
+	}
+	stoppedAt := n.clock.Now()
+	n.advanceUntil(func() bool { return n.clock.Since(stoppedAt) >= grace/2 })
+	if _, err := io.WriteString(rest, "last"); err != nil {
+		t.Fatal(err)
+	}
+	if err := rest.Close(); err != nil {
+		t.Fatal(err)
+	}
+	if err := caller.Wait(); err != nil {
+		t.Fatal(err)
+	}
+	if got := <-answer; got != "first second last" {
+		t.Errorf("answer %q, want the whole body", got)
+	}
+	n.advanceUntil(n.hasStopped)
+}
+
 // TestRequestAbortedAtEndOfGraceIsLogged guards against a request without a line in
 // the log: the node stopped without waiting for the requests that it aborts.
 func TestRequestAbortedAtEndOfGraceIsLogged(t *testing.T) {
