Log the parts of prompts of lost requests

Requests under which servers end may have nothing in common but a part of their prompts, and no line showed it. Events 901 and 957 list them beside the fingerprints of contents. Nothing is decided by them yet.

--- a/internal/node/entry/event_log.go
+++ b/internal/node/entry/event_log.go
@@ -11,7 +11,6 @@
 
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/routing/ingress"
-	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/serving/event"
 )
 
@@ -79,22 +78,13 @@
 	}
 	event.RequestEnded.Log(l.logger,
 		zap.String("request", r.ID), zap.String("route", r.Route), zap.String("service", r.Service),
-		zap.String("model", r.Model), zap.String("fingerprint", formatFingerprint(r.Content)), zap.Uint64("version", r.Version), zap.String("outcome", string(r.Outcome)),
+		zap.String("model", r.Model), zap.String("fingerprint", formatFingerprints(r.Marks)), zap.String("parts", formatParts(r.Marks)), zap.Uint64("version", r.Version), zap.String("outcome", string(r.Outcome)),
 		zap.Int("status", r.Status), zap.Bool("cutOff", r.CutOff), zap.String("cause", r.Cause), zap.String("tries", formatTries(r.Tries)),
 		zap.Duration("retryAfter", r.RetryAfter), zap.Duration("firstByte", r.FirstByte),
 		zap.Float64("load", r.Load), zap.Duration("maxGap", r.MaxGap), zap.Duration("duration", r.Duration), zap.Int("events", r.Events),
 		zap.Duration("registryAge", registryAge))
 }
 
-// formatFingerprint returns the start of a request's fingerprint, or nothing if it was
-// not computed.
-func formatFingerprint(h quarantine.Hash) string {
-	if h == (quarantine.Hash{}) {
-		return ""
-	}
-	return quarantine.Short(h.Fingerprint)
-}
-
 // formatTries renders the tries of a request: head, requests in flight there,
 // duration, status of the head's response, events sent to the caller and cause of
 // failure.
--- a/internal/node/entry/losses.go
+++ b/internal/node/entry/losses.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"strconv"
 	"strings"
 	"syscall"
@@ -80,21 +81,45 @@
 		n.metrics.ServerEnds.WithLabelValues(string(e.Proof)).Inc()
 		event.ServerEnded.Log(n.config.Logger, zap.String("server", e.Server.ID), zap.Int64("incarnation", e.Server.Incarnation),
 			zap.String("group", e.Crash.Group), zap.Uint64("epoch", e.Crash.Epoch), zap.String("proof", string(e.Proof)),
-			zap.Int("requests", len(e.Requests)), zap.String("fingerprints", formatFingerprints(e.Requests)))
+			zap.Int("requests", countContents(e.Marks)), zap.String("fingerprints", formatFingerprints(e.Marks)), zap.String("parts", formatParts(e.Marks)))
 	}
 }
 
-// maxShownFingerprints limits the fingerprints in one line of the log.
-const maxShownFingerprints = 20
+// maxShownMarks limits the fingerprints, and the parts of prompts, in one line of the
+// log.
+const maxShownMarks = 20
 
-// formatFingerprints lists the fingerprints of requests, and the number of those left
-// out.
-func formatFingerprints(requests []quarantine.Hash) string {
-	shown := make([]string, 0, maxShownFingerprints+1)
-	for _, r := range requests[:min(len(requests), maxShownFingerprints)] {
-		shown = append(shown, quarantine.Short(r.Fingerprint))
+// countContents returns the number of marks that are contents.
+func countContents(marks []quarantine.Mark) int {
+	return len(slices.DeleteFunc(slices.Clone(marks), func(m quarantine.Mark) bool { return m.Part != "" }))
+}
+
+// formatFingerprints lists the fingerprints of contents.
+func formatFingerprints(marks []quarantine.Mark) string {
+	var all []string
+	for _, m := range marks {
+		if m.Part == "" {
+			all = append(all, quarantine.Short(m.Fingerprint))
+		}
 	}
-	if rest := len(requests) - len(shown); rest > 0 {
+	return formatShown(all)
+}
+
+// formatParts lists the IDs of parts of prompts.
+func formatParts(marks []quarantine.Mark) string {
+	var all []string
+	for _, m := range marks {
+		if m.Part != "" {
+			all = append(all, m.Part)
+		}
+	}
+	return formatShown(all)
+}
+
+// formatShown lists the first of some texts and the number of those left out.
+func formatShown(all []string) string {
+	shown := slices.Clone(all[:min(len(all), maxShownMarks)])
+	if rest := len(all) - len(shown); rest > 0 {
 		shown = append(shown, "and "+strconv.Itoa(rest)+" more")
 	}
 	return strings.Join(shown, ",")
--- a/internal/node/entry/reports_test.go
+++ b/internal/node/entry/reports_test.go
@@ -140,7 +140,7 @@
 func TestQuarantineIsToldOn(t *testing.T) {
 	n := newReportingNode(t)
 	n.peers.Record(gossip.Message{Node: "c", FailureDomain: "a", Address: "127.0.0.2", Sequence: 1}, n.config.Clock.Now())
-	bad := quarantine.Hash{Fingerprint: attempt.NewFingerprint([]byte("bad")), Quick: 7}
+	bad := quarantine.Mark{Fingerprint: attempt.NewFingerprint([]byte("bad")), Quick: 7}
 	told := func(server string) []attempt.Fingerprint {
 		n.mergeEvidence([]quarantine.Evidence{{
 			Evidence: attempt.Evidence{
@@ -191,7 +191,7 @@
 	end := func(server string) {
 		n.recordEnds([]quarantine.End{{
 			Server: registry.Life{ID: server, Incarnation: 1}, Crash: attempt.Crash{Group: server, Epoch: 1, Site: server},
-			Proof: quarantine.ProofRefused, Requests: []quarantine.Hash{{Fingerprint: attempt.NewFingerprint([]byte("bad")), Quick: 7}},
+			Proof: quarantine.ProofRefused, Marks: []quarantine.Mark{{Fingerprint: attempt.NewFingerprint([]byte("bad")), Quick: 7}},
 		}})
 	}
 	s := &recordingStore{during: func() { end("s3") }}
--- a/internal/routing/exchange/exchange.go
+++ b/internal/routing/exchange/exchange.go
@@ -23,6 +23,9 @@
 	// of the output, in tokens; zero when not stated.
 	PromptTokens int
 	MaxTokens    int
+	// SharedParts lists the IDs of the parts of the prompt that other requests may
+	// share, without duplicates: all but the last, which is the request's own.
+	SharedParts []string
 	// ResumeAfter is the ID of the last event that the caller received; empty
 	// unless it resumes a stream.
 	ResumeAfter string
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -139,7 +139,9 @@
 	if !q.readBody(c.Limits.MaxBodyBytes) {
 		return
 	}
-	q.content = &quarantine.Content{Workspace: q.workspace, Target: q.http.URL.RequestURI(), Body: q.body}
+	q.content = &quarantine.Content{
+		Workspace: q.workspace, Target: q.http.URL.RequestURI(), Body: q.body, Parts: quarantine.NewParts(q.call.SharedParts),
+	}
 	ctx, cancel := q.deadline()
 	defer cancel()
 	q.run(ctx)
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -54,10 +54,9 @@
 	Route   string
 	Service string
 	Model   string
-	// Content identifies the content of the request, which it shares with repeats of
-	// it under other IDs. It is computed only if a try was lost or there is evidence
-	// against the request; otherwise it is the zero value.
-	Content quarantine.Hash
+	// Marks is what the request has in common with others, beginning with its content.
+	// It is set only if a try was lost or there is evidence against the request.
+	Marks []quarantine.Mark
 	// Version is the version of the configuration that the request was handled
 	// under.
 	Version uint64
@@ -311,9 +310,9 @@
 	if a.abrupt {
 		q.lostHeads = append(q.lostHeads, head)
 	}
-	q.result.Content = q.content.Hash()
+	q.result.Marks = q.content.Marks()
 	q.handler.config.OnLoss(quarantine.Loss{
-		Content: q.result.Content, Head: head, Since: progressAt, At: now, Abrupt: a.abrupt,
+		Marks: q.result.Marks, Head: head, Since: progressAt, At: now, Abrupt: a.abrupt,
 	})
 }
 
@@ -322,7 +321,7 @@
 	if !q.handler.config.Guard.Quarantined(q.content, now) {
 		return false
 	}
-	q.result.Content = q.content.Hash()
+	q.result.Marks = q.content.Marks()
 	return true
 }
 
--- a/internal/routing/quarantine/content.go
+++ b/internal/routing/quarantine/content.go
@@ -9,53 +9,97 @@
 	"almondbay.example/core/attempt"
 )
 
-// Hash identifies the content of a request.
-type Hash struct {
+// Mark is something that requests have in common and that crashes may be blamed on:
+// their whole content, or a part of their prompts.
+type Mark struct {
 	Fingerprint attempt.Fingerprint
 	// Quick is a hash that is cheap to compute and the same on all nodes. Requests
 	// with different hashes are different; others are told apart by Fingerprint.
 	Quick uint64
+	// Part is the ID of the part of a prompt; empty if the mark is the content.
+	Part string
 }
 
-// Content is what makes two requests the same one, repeated by its caller: their
-// IDs differ, their content does not. Its hashes are computed once, when they are
-// first needed. It is not safe for concurrent use.
+// Part is a part of a prompt that other requests may share.
+type Part struct {
+	ID string
+	// Quick is the cheap hash of the part's mark.
+	Quick uint64
+}
+
+// partDomain keeps the hashes of parts apart from those of contents.
+const partDomain = "part of a prompt"
+
+// NewParts returns the parts with the given IDs.
+func NewParts(ids []string) []Part {
+	parts := make([]Part, 0, len(ids))
+	for _, id := range ids {
+		parts = append(parts, Part{ID: id, Quick: quickHash([]byte(partDomain), []byte(id))})
+	}
+	return parts
+}
+
+// Mark returns the mark of the part.
+func (p Part) Mark() Mark {
+	return Mark{Fingerprint: attempt.NewFingerprint([]byte(partDomain), []byte(p.ID)), Quick: p.Quick, Part: p.ID}
+}
+
+// Content is what a request has in common with others. Two with the same workspace,
+// target and body are the same one, repeated by its caller under another ID. Its hashes
+// are computed once, when they are first needed. Only its fields are safe for concurrent
+// use.
 type Content struct {
 	// Workspace is empty if the request needs no key.
 	Workspace string
 	// Target is the path and query.
 	Target string
 	Body   []byte
+	// Parts lists the parts of the prompt that other requests may share.
+	Parts []Part
 
 	// quick and fingerprint are nil until they are computed.
 	quick       *uint64
 	fingerprint *attempt.Fingerprint
 }
 
-// Quick returns the cheap hash of the content.
+// Quick returns the cheap hash of the whole content.
 func (c *Content) Quick() uint64 {
 	if c.quick == nil {
-		var size [8]byte
-		h := xxhash.New()
-		for _, part := range [][]byte{[]byte(c.Workspace), []byte(c.Target), c.Body} {
-			binary.BigEndian.PutUint64(size[:], uint64(len(part)))
-			// Writing to a hash cannot fail.
-			_, _ = h.Write(size[:])
-			_, _ = h.Write(part)
-		}
-		sum := h.Sum64()
+		sum := quickHash([]byte(c.Workspace), []byte(c.Target), c.Body)
 		c.quick = &sum
 	}
 	return *c.quick
 }
 
-// Hash returns both hashes of the content.
-func (c *Content) Hash() Hash {
+// quickHash returns the cheap hash of some texts.
+func quickHash(texts ...[]byte) uint64 {
+	var size [8]byte
+	h := xxhash.New()
+	for _, text := range texts {
+		binary.BigEndian.PutUint64(size[:], uint64(len(text)))
+		// Writing to a hash cannot fail.
+		_, _ = h.Write(size[:])
+		_, _ = h.Write(text)
+	}
+	return h.Sum64()
+}
+
+// Mark returns the mark of the whole content.
+func (c *Content) Mark() Mark {
 	if c.fingerprint == nil {
 		f := attempt.NewFingerprint([]byte(c.Workspace), []byte(c.Target), c.Body)
 		c.fingerprint = &f
 	}
-	return Hash{Fingerprint: *c.fingerprint, Quick: c.Quick()}
+	return Mark{Fingerprint: *c.fingerprint, Quick: c.Quick()}
+}
+
+// Marks returns the marks of the content and of its parts.
+func (c *Content) Marks() []Mark {
+	marks := []Mark{c.Mark()}
+	for _, p := range c.Parts {
+		marks = append(marks, p.Mark())
+	}
+	return marks
 }
 
 // shownBytes is the number of bytes of a fingerprint that logs show.
--- a/internal/routing/quarantine/guard.go
+++ b/internal/routing/quarantine/guard.go
@@ -56,7 +56,7 @@
 
 // Quarantined reports whether a request must not be sent to a server.
 func (g *Guard) Quarantined(c *Content, now time.Time) bool {
-	return g.suspected(c) && g.quarantine.Quarantined(c.Hash().Fingerprint, now)
+	return g.suspected(c) && g.quarantine.Quarantined(c.Mark().Fingerprint, now)
 }
 
 // MayTryAgain reports whether a request may be tried at another server after the
@@ -65,7 +65,7 @@
 func (g *Guard) MayTryAgain(c *Content, lost []registry.Head, now time.Time) bool {
 	var crashes []attempt.Crash
 	if g.suspected(c) {
-		f := c.Hash().Fingerprint
+		f := c.Mark().Fingerprint
 		if g.quarantine.Quarantined(f, now) {
 			return false
 		}
@@ -102,7 +102,7 @@
 	if !suspected {
 		return Evidence{}, false
 	}
-	f := c.Hash().Fingerprint
+	f := c.Mark().Fingerprint
 	if len(g.quarantine.Crashes(f, now)) == 0 || !g.quarantine.RecordCompletion(f, now) {
 		return Evidence{}, false
 	}
@@ -128,7 +128,10 @@
 // and returns what is news to the other nodes.
 func (g *Guard) RecordEnd(e End, now time.Time) []Evidence {
 	var news []Evidence
-	for _, d := range e.Requests {
+	for _, d := range e.Marks {
+		if d.Part != "" {
+			continue
+		}
 		own := attempt.Evidence{Fingerprint: d.Fingerprint, Observations: []attempt.CrashObservation{{Crash: e.Crash}}}
 		if g.Merge(Evidence{Evidence: own, Quick: d.Quick}, now) {
 			news = append(news, g.Evidence(d.Fingerprint, now))
--- a/internal/routing/quarantine/guard_test.go
+++ b/internal/routing/quarantine/guard_test.go
@@ -32,7 +32,7 @@
 		Proof: quarantine.ProofRefused,
 	}
 	for _, c := range requests {
-		e.Requests = append(e.Requests, c.Hash())
+		e.Marks = append(e.Marks, c.Mark())
 	}
 	return e
 }
@@ -232,7 +232,7 @@
 	for i := range 2 {
 		g.RecordEnd(end(fmt.Sprint("later", i), c), noon.Add(time.Minute))
 	}
-	want := g.Evidence(c.Hash().Fingerprint, noon.Add(time.Minute))
+	want := g.Evidence(c.Mark().Fingerprint, noon.Add(time.Minute))
 	body, err := quarantine.EncodeEvidence(want)
 	if err != nil {
 		t.Fatal(err)
@@ -288,7 +288,7 @@
 // and against messages that grow with the number of requests.
 func TestOutboxTellsNewsSeveralTimes(t *testing.T) {
 	o := quarantine.NewOutbox(3)
-	a, b := content("a").Hash().Fingerprint, content("b").Hash().Fingerprint
+	a, b := content("a").Mark().Fingerprint, content("b").Mark().Fingerprint
 	o.Add(a)
 	o.Add(b)
 	told := map[attempt.Fingerprint]int{}
--- a/internal/routing/quarantine/tracker.go
+++ b/internal/routing/quarantine/tracker.go
@@ -20,8 +20,9 @@
 
 // Loss is a try of a request that ended without a complete response.
 type Loss struct {
-	Content Hash
-	Head    registry.Head
+	// Marks lists the marks of the request, beginning with its content.
+	Marks []Mark
+	Head  registry.Head
 	// Since is when the try last received data, or when it was sent; At is when it
 	// ended.
 	Since, At time.Time
@@ -44,14 +45,15 @@
 	ProofUnregistered Proof = "registration lapsed"
 )
 
-// End is the end of a server, with the requests that lost a try by it.
+// End is the end of a server, with the marks of the requests that lost a try by it.
 type End struct {
 	Server registry.Life
 	// Crash is the same on all nodes: the group with its epoch, or for a plain
 	// service the server with its start time.
-	Crash    attempt.Crash
-	Proof    Proof
-	Requests []Hash
+	Crash attempt.Crash
+	Proof Proof
+	// Marks holds no mark twice.
+	Marks []Mark
 }
 
 // TrackerConfig configures a Tracker.
@@ -283,20 +285,22 @@
 // nothing if it explains none. Losses of several groups, which a server was a member
 // of one after the other, are ends of several groups. The caller must hold mu.
 func (t *Tracker) end(life registry.Life, proof Proof, explains func(*pendingLoss) bool) []End {
-	byCrash := map[attempt.Crash][]Hash{}
+	byCrash := map[attempt.Crash][]Mark{}
 	t.losses = slices.DeleteFunc(t.losses, func(p *pendingLoss) bool {
 		if !explains(p) {
 			return false
 		}
 		c := crashOf(p.Head)
-		if !slices.Contains(byCrash[c], p.Content) {
-			byCrash[c] = append(byCrash[c], p.Content)
+		for _, m := range p.Marks {
+			if !slices.Contains(byCrash[c], m) {
+				byCrash[c] = append(byCrash[c], m)
+			}
 		}
 		return true
 	})
 	ends := make([]End, 0, len(byCrash))
-	for c, requests := range byCrash {
-		ends = append(ends, End{Server: life, Crash: c, Proof: proof, Requests: requests})
+	for c, marks := range byCrash {
+		ends = append(ends, End{Server: life, Crash: c, Proof: proof, Marks: marks})
 	}
 	slices.SortFunc(ends, func(a, b End) int {
 		return cmp.Or(cmp.Compare(a.Crash.Group, b.Crash.Group), cmp.Compare(a.Crash.Epoch, b.Crash.Epoch))
--- a/internal/routing/quarantine/tracker_test.go
+++ b/internal/routing/quarantine/tracker_test.go
@@ -71,7 +71,7 @@
 		head.Group, head.Epoch, head.FabricDomain, head.Model = "g", 3, "d0", "m"
 	}
 	f.tracker.Add(quarantine.Loss{
-		Content: content(body).Hash(), Head: head, Since: noon.Add(time.Second), At: noon.Add(at), Abrupt: abrupt,
+		Marks: []quarantine.Mark{content(body).Mark()}, Head: head, Since: noon.Add(time.Second), At: noon.Add(at), Abrupt: abrupt,
 	})
 }
 
@@ -168,7 +168,7 @@
 	}
 	f.lose("a", "later", 3*time.Second, true)
 	ends := f.tracker.RecordCheck(due[0], now, quarantine.CheckRefused)
-	if len(ends) != 1 || ends[0].Proof != quarantine.ProofRefused || len(ends[0].Requests) != 3 {
+	if len(ends) != 1 || ends[0].Proof != quarantine.ProofRefused || len(ends[0].Marks) != 3 {
 		t.Fatalf("ends %+v, want one with the three requests lost before the connection", ends)
 	}
 	if ends[0].Crash.Group != "g" || ends[0].Crash.Epoch != 3 || ends[0].Crash.Site != "d0" {
@@ -237,7 +237,7 @@
 // parts may concatenate to the same bytes, and against two for one.
 func TestHashTellsRequestsApart(t *testing.T) {
 	base := &quarantine.Content{Workspace: "ab", Target: "/c", Body: []byte("d")}
-	if base.Hash() != (&quarantine.Content{Workspace: "ab", Target: "/c", Body: []byte("d")}).Hash() {
+	if base.Mark() != (&quarantine.Content{Workspace: "ab", Target: "/c", Body: []byte("d")}).Mark() {
 		t.Error("the same request has two hashes")
 	}
 	for _, other := range []*quarantine.Content{
@@ -245,8 +245,8 @@
 		{Workspace: "ab", Target: "/cd"},
 		{Workspace: "ab", Target: "/c", Body: []byte("e")},
 	} {
-		d := other.Hash()
-		if d.Fingerprint == base.Hash().Fingerprint || d.Quick == base.Hash().Quick {
+		d := other.Mark()
+		if d.Fingerprint == base.Mark().Fingerprint || d.Quick == base.Mark().Quick {
 			t.Errorf("%+v and %+v share a hash", other, base)
 		}
 	}
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -183,8 +183,8 @@
 var (
 	RequestEnded = Definition{
 		Number: 901, Level: zapcore.InfoLevel, Message: "request ended",
-		Fields:  []string{"request", "route", "service", "model", "fingerprint", "version", "outcome", "status", "cutOff", "cause", "tries", "retryAfter", "firstByte", "load", "maxGap", "duration", "events", "registryAge"},
-		Meaning: "A request of a caller ended. The field tries lists each head that the request was sent to, with the number of requests that the node counted in flight there, the duration, the status of its response, the number of its events that were sent to the caller, and the reason when the head gave no answer; status is the one that the caller received, and cutOff is set if the connection was closed in place of the end of the response; load is the number of requests in flight at the usable heads at the last choice of one, as a fraction of their slots: requests are rejected by it; fingerprint identifies the content of a request that lost a try, which it shares with repeats of it under other IDs; version is the version of the configuration in force, and registryAge the age of the node's copy of the registrations of backend servers.",
+		Fields:  []string{"request", "route", "service", "model", "fingerprint", "parts", "version", "outcome", "status", "cutOff", "cause", "tries", "retryAfter", "firstByte", "load", "maxGap", "duration", "events", "registryAge"},
+		Meaning: "A request of a caller ended. The field tries lists each head that the request was sent to, with the number of requests that the node counted in flight there, the duration, the status of its response, the number of its events that were sent to the caller, and the reason when the head gave no answer; status is the one that the caller received, and cutOff is set if the connection was closed in place of the end of the response; load is the number of requests in flight at the usable heads at the last choice of one, as a fraction of their slots: requests are rejected by it; fingerprint identifies the content of a request that lost a try, which it shares with repeats of it under other IDs, and parts lists the parts of its prompt that other requests may share; version is the version of the configuration in force, and registryAge the age of the node's copy of the registrations of backend servers.",
 		Action:  "To find the cause from the ID of a request, see OPERATIONS.md.",
 	}
 	RequestsCounted = Definition{
@@ -277,9 +277,9 @@
 // ServerEnded is logged by each node that lost requests by the end of a server.
 var ServerEnded = Definition{
 	Number: 957, Level: zapcore.WarnLevel, Message: "backend server ended",
-	Fields:  []string{"server", "incarnation", "group", "epoch", "proof", "requests", "fingerprints"},
-	Meaning: "A backend server ended, not as planned, while it or its group ran requests of this node; proof tells how the node found out: the server's address refused a connection, it registered with another start time, or its registration lapsed. fingerprints lists the content of these requests as in event 901.",
-	Action:  "Look for a fingerprint that is listed with several servers: its request may be what ends them, and event 910 follows.",
+	Fields:  []string{"server", "incarnation", "group", "epoch", "proof", "requests", "fingerprints", "parts"},
+	Meaning: "A backend server ended, not as planned, while it or its group ran requests of this node; proof tells how the node found out: the server's address refused a connection, it registered with another start time, or its registration lapsed. fingerprints lists the contents of these requests and parts the parts of their prompts, as in event 901.",
+	Action:  "Look for a fingerprint or a part that is listed with several servers: it may be what ends them, and event 910 follows.",
 }
 
 // Events of what backend servers say in their answers.
