--- a/internal/node/entry/cluster_test.go
+++ b/internal/node/entry/cluster_test.go
@@ -439,6 +439,13 @@
 	}
 }
 
+// awaitNextEpisode waits until a further end of a server can't have the cause of one
+// before.
+func (c *cluster) awaitNextEpisode() {
+	since := time.Now()
+	await(func() bool { return time.Since(since) > entry.CommonCause })
+}
+
 // reply is what a caller received.
 type reply struct {
 	status     int
--- a/internal/node/entry/crash_test.go
+++ b/internal/node/entry/crash_test.go
@@ -102,9 +102,12 @@
 			if tt.known {
 				c.sendParts(0, "/once/x", "first")
 			}
-			for range 10 {
-				c.sendParts(0, tt.path, "first", crashingPart)
-				c.awaitEnds(0, c.ended())
+			for _, first := range []string{"first", "other", "third"} {
+				for range 4 {
+					c.sendParts(0, tt.path, first, crashingPart)
+					c.awaitEnds(0, c.ended())
+					c.awaitNextEpisode()
+				}
 			}
 			if n := c.ended(); n > maxEndsUnderPart {
 				t.Errorf("%d servers ended, want at most %d", n, maxEndsUnderPart)
@@ -121,6 +124,52 @@
 	}
 }
 
+// TestAllNodesLearnOfCrashingPart guards against requests with a crashing part in their
+// prompts that are sent on by nodes that did not see it end servers, also after all nodes
+// have restarted. Each of the ways on which they learn of it is enough.
+func TestAllNodesLearnOfCrashingPart(t *testing.T) {
+	tests := []struct {
+		name   string
+		config clusterConfig
+		// at lists the nodes that requests are sent to until three servers have ended.
+		at      []int
+		restart bool
+	}{
+		{"each node sees one end", clusterConfig{Nodes: 3, Servers: 8}, []int{0, 1, 2}, false},
+		{"nodes that see the ends can't reach the store", clusterConfig{Nodes: 3, Servers: 8, WithoutStore: []int{1, 2}}, []int{1, 2, 1}, false},
+		{"nodes can't reach each other", clusterConfig{Nodes: 3, Servers: 8, Apart: true}, []int{0, 1, 1}, false},
+		{"all nodes restart", clusterConfig{Nodes: 2, Servers: 8}, []int{0, 0, 0}, true},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCluster(t, tt.config)
+			seen := map[int]int{}
+			for i, node := range tt.at {
+				c.sendParts(node, "/once/x", fmt.Sprint("first-", i), crashingPart)
+				seen[node]++
+				c.awaitEnds(node, seen[node])
+				c.awaitNextEpisode()
+			}
+			if tt.restart {
+				await(func() bool { return c.store.has("nodes", "quarantine/") })
+				c.restart()
+			}
+			for i, n := range c.nodes {
+				await(func() bool { return n.count(event.RequestQuarantined) > 0 })
+				if r := c.sendParts(i, "/once/x", "first-0", crashingPart); r.status != http.StatusServiceUnavailable {
+					t.Errorf("node %d: answer %+v, want status 503", i, r)
+				}
+				if r := c.sendParts(i, "/once/x", "first-0"); r.status != http.StatusOK {
+					t.Errorf("node %d: answer %+v to a request without the part, want status 200", i, r)
+				}
+			}
+			if n := c.ended(); n != 3 {
+				t.Errorf("%d servers ended under the part, want 3", n)
+			}
+		})
+	}
+}
+
 // TestLeavingServerGetsNoNewRequests guards against requests to a server that said in an
 // answer that it is about to shut down, while its registration still says that it is
 // ready.
--- a/internal/node/entry/export_test.go
+++ b/internal/node/entry/export_test.go
@@ -18,3 +18,6 @@
 func NewErrorLog(logger *zap.Logger) *log.Logger {
 	return log.New(newEventLog(logger, clockwork.NewFakeClock(), func() uint64 { return 0 }), "", 0)
 }
+
+// CommonCause is the time within which ends of servers may have one cause.
+const CommonCause = commonCause
--- a/internal/node/entry/reports_test.go
+++ b/internal/node/entry/reports_test.go
@@ -191,7 +191,7 @@
 	end := func(server string) {
 		n.recordEnds([]quarantine.End{{
 			Server: registry.Life{ID: server, Incarnation: 1}, Crash: attempt.Crash{Group: server, Epoch: 1, Site: server},
-			Proof: quarantine.ProofRefused, Marks: []quarantine.Mark{{Fingerprint: attempt.NewFingerprint([]byte("bad")), Quick: 7}},
+			Proof: quarantine.ProofRefused, At: n.config.Clock.Now(), Marks: []quarantine.Mark{{Fingerprint: attempt.NewFingerprint([]byte("bad")), Quick: 7}},
 		}})
 	}
 	s := &recordingStore{during: func() { end("s3") }}
--- a/internal/node/entry/suspect_rows.go
+++ b/internal/node/entry/suspect_rows.go
@@ -1,6 +1,7 @@
 package entry
 
 import (
+	"cmp"
 	"context"
 	"maps"
 	"slices"
@@ -18,6 +19,7 @@
 func (n *Node) saveSuspects(ctx context.Context) error {
 	now := n.config.Clock.Now()
 	n.expireSuspects(now)
+	n.reviewParts(now)
 	if n.storeUnreachable() {
 		return nil
 	}
@@ -35,6 +37,7 @@
 	due := s.changed
 	s.changed = map[attempt.Fingerprint]bool{}
 	s.mu.Unlock()
+	n.postpone(due, now)
 	var failed error
 	for f := range due {
 		if failed == nil {
@@ -53,6 +56,28 @@
 	return n.deleteOldRows(ctx, now)
 }
 
+// postpone leaves the parts of prompts among the changed marks for later that an answer
+// may still acquit: nearly all parts that ran during a crash are answered soon after it.
+func (n *Node) postpone(changed map[attempt.Fingerprint]bool, now time.Time) {
+	s := n.suspects
+	maps.DeleteFunc(changed, func(f attempt.Fingerprint, _ bool) bool {
+		e := s.guard.Evidence(f, now)
+		if e.Part == "" || len(e.Observations) < savedCrashes {
+			return false
+		}
+		v := s.guard.Verdict(f, now)
+		newest := slices.MinFunc(e.Observations, func(a, b attempt.CrashObservation) int { return cmp.Compare(a.Age, b.Age) })
+		if v.Blamed || v.New && newest.Age >= partSaveDelay {
+			return false
+		}
+		s.mu.Lock()
+		defer s.mu.Unlock()
+
+		s.changed[f] = true
+		return true
+	})
+}
+
 // expireSuspects forgets old evidence and has the rows of this node about it deleted.
 func (n *Node) expireSuspects(now time.Time) {
 	s := n.suspects
@@ -61,13 +86,14 @@
 	}
 	s.expiredAt = now
 	s.guard.Expire(now)
-	_, quarantined := s.guard.Count(now)
-	n.metrics.Quarantined.Set(float64(quarantined))
+	counts := s.guard.Count(now)
+	n.metrics.Quarantined.Set(float64(counts.BlamedContents))
+	n.metrics.QuarantinedParts.Set(float64(counts.BlamedParts))
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
 	for f := range s.contributed {
-		if _, suspected := s.guard.Verdict(f, now); suspected {
+		if s.guard.Verdict(f, now).Suspected {
 			continue
 		}
 		delete(s.contributed, f)
@@ -76,8 +102,7 @@
 		}
 	}
 	maps.DeleteFunc(s.quarantined, func(f attempt.Fingerprint, _ bool) bool {
-		quarantined, _ := s.guard.Verdict(f, now)
-		return !quarantined
+		return !s.guard.Verdict(f, now).Blamed
 	})
 }
 
@@ -206,7 +231,7 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	if s.guard.Merge(e, now) {
+	if s.guard.Merge(e, now).News {
 		n.noteEvidence(e.Fingerprint, sourceStore, now)
 	}
 	return nil
--- a/internal/node/entry/suspects.go
+++ b/internal/node/entry/suspects.go
@@ -16,6 +16,9 @@
 const (
 	// maxCrashes is the number of servers that may end under one request.
 	maxCrashes = 3
+	// maxCrashesUnderPart is the number of servers that may end under requests with one
+	// part in their prompts.
+	maxCrashesUnderPart = 5
 	// savedCrashes is the number of crashes from which evidence is written to the
 	// store: nodes that can't reach each other may know of the others.
 	savedCrashes = 2
@@ -26,10 +29,24 @@
 	// completionGrace is some times the time between two requests with the same
 	// content, where these are frequent.
 	completionGrace = 10 * time.Second
-	// maxSuspects bounds the requests with evidence in each of 64 shards.
+	// maxSuspects bounds the contents, and the parts of prompts, with evidence in each of
+	// 64 shards.
 	maxSuspects = 256
-	// maxRecentAnswers exceeds the answers of a node in half of completionGrace.
+	// maxRecentAnswers exceeds the answers of a node in half of completionGrace, and the
+	// different parts of prompts that it answers in answeredFor.
 	maxRecentAnswers = 4096
+	// partTTL is how long crashes count against a part of prompts. It is shorter than for
+	// contents, since a wrong verdict falls on many requests.
+	partTTL = 10 * time.Minute
+	// answeredFor is how long a part of prompts counts as answered before.
+	answeredFor = time.Minute
+	// commonCause exceeds the time in which nodes see the ends of servers by one fault.
+	commonCause = 50 * time.Millisecond
+	// decisiveCrashes tolerates one crash by another cause.
+	decisiveCrashes = 2
+	// answeredSilence exceeds the duration of most requests, whose answers would acquit
+	// the part.
+	answeredSilence = 2 * time.Second
 	// evidenceRepeats is the number of messages that tell news, so that the loss of
 	// two in a row is tolerated.
 	evidenceRepeats = 3
@@ -38,6 +55,9 @@
 	maxMessageEvidence = 16
 	// unsavedDelay gives the nodes that contributed to evidence time to write it.
 	unsavedDelay = 600 * time.Millisecond
+	// partSaveDelay is the time in which most parts of prompts that are innocent of a crash
+	// are answered.
+	partSaveDelay = 500 * time.Millisecond
 	// suspectsInterval is the time between two writes of evidence.
 	suspectsInterval = 250 * time.Millisecond
 	// expireInterval is the time between two removals of old evidence.
@@ -48,7 +68,7 @@
 )
 
 // suspects is what this node knows of requests that crash servers, and what it has
-// yet to tell of it.
+// yet to tell of it. Its maps are by the fingerprint of a content or of a part of prompts.
 type suspects struct {
 	guard *quarantine.Guard
 	// reports holds what to tell the nodes of the failure domain, digests what to
@@ -80,6 +100,13 @@
 				ObservationTTL: observationTTL, QuarantineTTL: quarantineTTL, MaxCrashes: maxCrashes,
 				CompletionGrace: completionGrace, MaxRequests: maxSuspects,
 			},
+			Parts: quarantine.PartPolicy{
+				Quarantine: attempt.QuarantineConfig{ObservationTTL: partTTL, QuarantineTTL: partTTL, MaxRequests: maxSuspects},
+				New:        quarantine.PartThreshold{Crashes: maxCrashes, Episodes: 2},
+				Answered:   quarantine.PartThreshold{Crashes: maxCrashesUnderPart, Episodes: 3, Silence: answeredSilence},
+
+				AnsweredFor: answeredFor, CommonCause: commonCause, Decisive: decisiveCrashes,
+			},
 			MaxRecent: maxRecentAnswers,
 		}),
 		reports:     quarantine.NewOutbox(evidenceRepeats),
@@ -99,12 +126,14 @@
 	sourceOwn   = "own"
 	sourcePeer  = "peer"
 	sourceStore = "store"
+	// sourceTime means that there was no news but time without an answer.
+	sourceTime = "time"
 )
 
-// recordAnswer records that a server answered a request.
-func (n *Node) recordAnswer(c *quarantine.Content) {
+// recordAnswer records that a server answered a request that was sent to it at a time.
+func (n *Node) recordAnswer(c *quarantine.Content, sentAt time.Time) {
 	now := n.config.Clock.Now()
-	if e, news := n.suspects.guard.RecordAnswer(c, now); news {
+	for _, e := range n.suspects.guard.RecordAnswer(c, sentAt, now) {
 		n.noteEvidence(e.Fingerprint, sourceOwn, now)
 		n.tellAll(e.Fingerprint)
 	}
@@ -122,10 +151,15 @@
 // nodes that send such messages do so.
 func (n *Node) mergeEvidence(all []quarantine.Evidence, local bool, now time.Time) {
 	for _, e := range all {
-		if !n.suspects.guard.Merge(e, now) {
+		merged := n.suspects.guard.Merge(e, now)
+		if !merged.News {
 			continue
 		}
 		n.noteEvidence(e.Fingerprint, sourcePeer, now)
+		if merged.Answered {
+			n.tellAll(e.Fingerprint)
+			continue
+		}
 		n.suspects.digests.Add(e.Fingerprint)
 		if local {
 			n.suspects.domains.Add(e.Fingerprint)
@@ -146,7 +180,7 @@
 // written if this node contributed to it.
 func (n *Node) noteEvidence(f attempt.Fingerprint, source string, now time.Time) {
 	s := n.suspects
-	quarantined, _ := s.guard.Verdict(f, now)
+	quarantined := s.guard.Verdict(f, now).Blamed
 	s.mu.Lock()
 	if source == sourceOwn {
 		s.contributed[f] = true
@@ -164,14 +198,31 @@
 		delete(s.quarantined, f)
 	}
 	s.mu.Unlock()
-	switch {
-	case quarantined && !was:
-		// Told on whoever it came from: the nodes that found it out may not reach all.
-		n.tellAll(f)
-		event.RequestQuarantined.Log(n.config.Logger, zap.String("fingerprint", quarantine.Short(f)),
-			zap.String("source", source), zap.String("crashes", formatCrashes(s.guard.Evidence(f, now))))
-	case was && !quarantined:
-		event.QuarantineWithdrawn.Log(n.config.Logger, zap.String("fingerprint", quarantine.Short(f)), zap.String("source", source))
+	if quarantined == was {
+		return
+	}
+	e := s.guard.Evidence(f, now)
+	if !quarantined {
+		event.QuarantineWithdrawn.Log(n.config.Logger, zap.String("fingerprint", quarantine.Short(f)), zap.String("part", e.Part), zap.String("source", source))
+		return
+	}
+	// Told on whoever it came from: the nodes that found it out may not reach all.
+	n.tellAll(f)
+	event.RequestQuarantined.Log(n.config.Logger, zap.String("fingerprint", quarantine.Short(f)), zap.String("part", e.Part),
+		zap.String("source", source), zap.String("crashes", formatCrashes(e)))
+}
+
+// reviewParts notes the parts of prompts that are blamed by now: those that were
+// answered before are only after some time without an answer.
+func (n *Node) reviewParts(now time.Time) {
+	for _, m := range n.suspects.guard.BlamableParts() {
+		blamed := n.suspects.guard.Verdict(m.Fingerprint, now).Blamed
+		n.suspects.mu.Lock()
+		was := n.suspects.quarantined[m.Fingerprint]
+		n.suspects.mu.Unlock()
+		if blamed != was {
+			n.noteEvidence(m.Fingerprint, sourceTime, now)
+		}
 	}
 }
 
--- a/internal/node/explain/explain.go
+++ b/internal/node/explain/explain.go
@@ -152,7 +152,7 @@
 			latest[key] = line
 			continue
 		}
-		if concernsContent(line, end.Get("fingerprint")) {
+		if concernsMarks(line, end) {
 			selected = append(selected, line)
 			continue
 		}
@@ -181,19 +181,34 @@
 	return selected
 }
 
-// concernsContent reports whether a line is about the servers that ended under
-// requests with the given fingerprint. It may be much older than the request.
-func concernsContent(line Line, fingerprint string) bool {
+// concernsMarks reports whether a line is about the servers that ended under requests
+// with the same content as one, or with a part of its prompt. It may be much older than
+// the request.
+func concernsMarks(line, end Line) bool {
+	part := culprit(end)
 	switch line.Event {
 	case eventQuarantined, eventWithdrawn:
-		return fingerprint != "" && line.Get("fingerprint") == fingerprint
+		return overlap(line.Get("fingerprint"), end.Get("fingerprint")) || overlap(line.Get("part"), part)
 	case eventServerEnded:
-		return fingerprint != "" && slices.Contains(strings.Split(line.Get("fingerprints"), ","), fingerprint)
+		return overlap(line.Get("fingerprints"), end.Get("fingerprint")) || overlap(line.Get("parts"), part)
 	default:
 		return false
 	}
 }
 
+// overlap reports whether two lists, whose items are separated by commas, share an item.
+func overlap(a, b string) bool {
+	items := strings.Split(b, ",")
+	return slices.ContainsFunc(strings.Split(a, ","), func(item string) bool { return item != "" && slices.Contains(items, item) })
+}
+
+// culprit returns the part of its prompt for which a request was rejected, or an empty
+// string.
+func culprit(end Line) string {
+	_, part, _ := strings.Cut(end.Get("cause"), "a part of the prompt ends the backend servers that run it: ")
+	return part
+}
+
 // state returns a key for lines that describe a state, of which only the latest
 // before the end of the request is relevant. It returns false for other lines and
 // for those that don't concern the request.
@@ -244,10 +259,14 @@
 	}
 	switch {
 	case end.Get("outcome") == "refused" && strings.Contains(end.Get("cause"), "ends the backend servers"):
+		shared := "its content"
+		if part := culprit(end); part != "" {
+			shared = fmt.Sprintf("part %s in their prompts", part)
+		}
 		if q, ok := last(eventQuarantined); ok {
-			return fmt.Sprintf("refused before it ran: servers had ended under requests with its content, as this node knew from source %q: %s", q.Get("source"), q.Get("crashes"))
+			return fmt.Sprintf("refused before it ran: servers had ended under requests with %s, as this node knew from source %q: %s", shared, q.Get("source"), q.Get("crashes"))
 		}
-		return "refused before it ran: servers had ended under requests with its content; the quarantine was not logged"
+		return fmt.Sprintf("refused before it ran: servers had ended under requests with %s; the quarantine was not logged", shared)
 	case end.Get("outcome") == "refused":
 		return fmt.Sprintf("refused before it ran: %s; %s", end.Get("cause"), headCount)
 	case strings.Contains(tries, "stands still"):
--- a/internal/node/explain/explain_test.go
+++ b/internal/node/explain/explain_test.go
@@ -66,6 +66,15 @@
 			[]string{strings.Replace(endedLine("refused", "request ends the backend servers that run it", ""), `"model"`, `"fingerprint":"d1","model"`, 1), ended, quarantined, othersQuarantine},
 			`from source "peer": s1 age=2s; s2 age=1s`, 2,
 		},
+		{
+			"part of the prompt quarantined",
+			[]string{
+				strings.Replace(endedLine("refused", "a part of the prompt ends the backend servers that run it: b2", ""), `"model"`, `"fingerprint":"d7","parts":"a1,b2","model"`, 1),
+				strings.Replace(ended, `"fingerprints"`, `"parts":"a1,b2","fingerprints"`, 1),
+				strings.Replace(quarantined, `"source"`, `"part":"b2","source"`, 1), strings.Replace(othersQuarantine, `"source"`, `"part":"a1","source"`, 1),
+			},
+			`part b2 in their prompts, as this node knew from source "peer": s1 age=2s; s2 age=1s`, 2,
+		},
 		{"denied", []string{endedLine("denied", "no such route", "")}, "no such route", 0},
 		{"answered", []string{endedLine("answered", "", "head inFlight=9 took=2s"), heads}, "answered by the first head", 1},
 	}
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -44,8 +44,9 @@
 	OnPause   func(registry.Head, time.Duration)
 	// Guard decides which requests may be sent to servers.
 	Guard *quarantine.Guard
-	// OnAnswer is called with the content of each request that a server answered.
-	OnAnswer func(*quarantine.Content)
+	// OnAnswer is called with the content of each request that a server answered, and
+	// when it was sent to that server.
+	OnAnswer func(c *quarantine.Content, sentAt time.Time)
 	// MaxTries is the maximum number of tries for one request, including those
 	// that a head rejected.
 	MaxTries int
--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -222,7 +222,7 @@
 		Configuration: func() *routes.Configuration { return configuration },
 		Observe:       func(result ingress.Result) { r.results <- result },
 		OnLoss:        func(quarantine.Loss) {},
-		OnAnswer:      func(*quarantine.Content) {},
+		OnAnswer:      func(*quarantine.Content, time.Time) {},
 		OnLeaving:     func(h registry.Head) { r.leaving = append(r.leaving, h.ID) },
 		OnPause:       func(registry.Head, time.Duration) {},
 		Guard:         quarantine.NewGuard(quarantine.GuardConfig{Quarantine: attempt.QuarantineConfig{MaxCrashes: 3}}),
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -68,7 +68,7 @@
 	}
 	a.recordData(now)
 	if answer.Signed {
-		q.handler.config.OnAnswer(q.content)
+		q.handler.config.OnAnswer(q.content, a.sentAt)
 	}
 	h := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	switch {
@@ -229,7 +229,7 @@
 	q.sendHeaders(response, q.handler.config.Clock.Now())
 	q.response.complete()
 	a.pool.RecordSuccess(a.head, took)
-	q.handler.config.OnAnswer(q.content)
+	q.handler.config.OnAnswer(q.content, a.sentAt)
 	q.result.Outcome = OutcomeAnswered
 	return TryAnswered, ""
 }
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -132,8 +132,8 @@
 			return
 		}
 		now := c.Clock.Now()
-		if q.quarantined(now) {
-			q.endWithoutResponse(ctx, causeQuarantined, 0)
+		if cause := q.quarantined(now); cause != "" {
+			q.endWithoutResponse(ctx, cause, 0)
 			return
 		}
 		choice := pool.Choose(balance.Request{
@@ -311,23 +311,40 @@
 		q.lostHeads = append(q.lostHeads, head)
 	}
 	q.result.Marks = q.content.Marks()
+	marks := q.result.Marks
+	if !a.abrupt || a.writingSince(now) > maxCrashDelay {
+		// A part of a prompt ends a server when that begins to write.
+		marks = marks[:1]
+	}
 	q.handler.config.OnLoss(quarantine.Loss{
-		Marks: q.result.Marks, Head: head, Since: progressAt, At: now, Abrupt: a.abrupt,
+		Marks: marks, Head: head, Since: progressAt, At: now, Abrupt: a.abrupt,
 	})
 }
 
-// quarantined reports whether the request must not be sent to a server.
-func (q *request) quarantined(now time.Time) bool {
-	if !q.handler.config.Guard.Quarantined(q.content, now) {
-		return false
+// maxCrashDelay is the time from the first event of a response until a part of the prompt
+// has ended the server, if it does.
+const maxCrashDelay = time.Second
+
+// quarantined returns the cause for which the request must not be sent to a server;
+// empty if there is none.
+func (q *request) quarantined(now time.Time) string {
+	m, ok := q.handler.config.Guard.Culprit(q.content, now)
+	if !ok {
+		return ""
 	}
 	q.result.Marks = q.content.Marks()
-	return true
+	if m.Part != "" {
+		return causePartQuarantined + m.Part
+	}
+	return causeQuarantined
 }
 
-// causeQuarantined is the cause of requests that are not sent to a server because
-// servers ended under them.
-const causeQuarantined = "request ends the backend servers that run it"
+// Causes of requests that are not sent to a server because servers ended under them.
+const (
+	causeQuarantined = "request ends the backend servers that run it"
+	// causePartQuarantined is followed by the ID of the part.
+	causePartQuarantined = "a part of the prompt ends the backend servers that run it: "
+)
 
 // watchedAttempt runs an attempt that the watchdog may cancel.
 func (q *request) watchedAttempt(ctx context.Context, a *attempt, head registry.Head) (TryEnd, string) {
--- a/internal/routing/ingress/watch.go
+++ b/internal/routing/ingress/watch.go
@@ -56,8 +56,8 @@
 	// progressAt is when the attempt last received data; initially when it was
 	// sent.
 	progressAt time.Time
-	// started is set when the first event is received.
-	started bool
+	// startedAt is when the first event was received; zero until then.
+	startedAt time.Time
 	// callerBlocked is set while the stream is blocked by a write to the caller,
 	// so that no stall of the head is assumed.
 	callerBlocked bool
@@ -68,9 +68,11 @@
 // recordData records that an event or a complete response was received.
 func (a *attempt) recordData(now time.Time) {
 	a.mu.Lock()
-	first := !a.started
+	first := a.startedAt.IsZero()
 	a.progressAt = now
-	a.started = true
+	if first {
+		a.startedAt = now
+	}
 	a.mu.Unlock()
 	if first {
 		a.pool.RecordFirstByte(balance.FirstByte{
@@ -88,6 +90,17 @@
 	return a.progressAt
 }
 
+// writingSince returns the time since the first event; zero if there was none.
+func (a *attempt) writingSince(now time.Time) time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if a.startedAt.IsZero() {
+		return 0
+	}
+	return now.Sub(a.startedAt)
+}
+
 // setCallerBlocked records whether the stream is blocked by a write to the
 // caller. That time does not count as time without data.
 func (a *attempt) setCallerBlocked(callerBlocked bool, now time.Time) {
@@ -106,7 +119,7 @@
 // within its limits.
 func (a *attempt) cancelCause(now time.Time) error {
 	a.mu.Lock()
-	progressAt, started, callerBlocked := a.progressAt, a.started, a.callerBlocked
+	progressAt, started, callerBlocked := a.progressAt, !a.startedAt.IsZero(), a.callerBlocked
 	a.mu.Unlock()
 	idle := now.Sub(progressAt)
 	limit := a.limits.First
--- a/internal/routing/quarantine/evidence_wire.go
+++ b/internal/routing/quarantine/evidence_wire.go
@@ -13,7 +13,10 @@
 
 // evidenceWire is the JSON form of Evidence, in messages between nodes and in rows.
 type evidenceWire struct {
-	Quick    uint64          `json:"quick,string"`
+	Quick uint64 `json:"quick,string"`
+	// Part is the ID of a part of a prompt; without it, the evidence is that against a
+	// content.
+	Part     string          `json:"part,omitempty"`
 	Evidence json.RawMessage `json:"evidence"`
 }
 
@@ -23,7 +26,7 @@
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
-	value, err := json.Marshal(evidenceWire{Quick: e.Quick, Evidence: body})
+	value, err := json.Marshal(evidenceWire{Quick: e.Quick, Part: e.Part, Evidence: body})
 	return value, Error.Wrap(err)
 }
 
@@ -37,5 +40,10 @@
 	if err != nil {
 		return Evidence{}, Error.Wrap(err)
 	}
-	return Evidence{Evidence: e, Quick: w.Quick}, nil
+	if w.Part != "" {
+		if m := NewParts([]string{w.Part})[0].Mark(); m.Fingerprint != e.Fingerprint || m.Quick != w.Quick {
+			return Evidence{}, Error.New("evidence against part %.20q has the fingerprint of something else", w.Part)
+		}
+	}
+	return Evidence{Evidence: e, Quick: w.Quick, Part: w.Part}, nil
 }
--- a/internal/routing/quarantine/guard.go
+++ b/internal/routing/quarantine/guard.go
@@ -9,207 +9,368 @@
 	"almondbay.example/internal/fleet/registry"
 )
 
-// Evidence is what is known against a request, as nodes tell it to each other.
+// Evidence is what is known against a mark, as nodes tell it to each other.
 type Evidence struct {
 	attempt.Evidence
-	// Quick is the cheap hash of the request.
+	// Quick and Part are those of the mark.
 	Quick uint64
+	Part  string
 }
 
 // GuardConfig configures a Guard.
 type GuardConfig struct {
+	// Quarantine is when crashes are blamed on the content of a request.
 	Quarantine attempt.QuarantineConfig
-	// MaxRecent bounds the answered requests that are remembered in each half of
-	// Quarantine.CompletionGrace.
+	Parts      PartPolicy
+	// MaxRecent bounds the answered contents that are remembered in each half of
+	// Quarantine.CompletionGrace, and the answered parts of prompts in each
+	// Parts.AnsweredFor.
 	MaxRecent int
 }
 
 // Guard decides from the evidence of all nodes which requests may be sent to
-// servers. Requests without evidence cost it one cheap hash. It is safe for
-// concurrent use.
+// servers. Requests without evidence cost it one cheap hash and some look-ups. It is
+// safe for concurrent use.
 type Guard struct {
-	config     GuardConfig
-	quarantine *attempt.Quarantine
+	config GuardConfig
+	// contents and parts hold the evidence against the two kinds of marks.
+	contents, parts *attempt.Quarantine
 
 	mu sync.Mutex
-	// known holds the fingerprints of the requests with evidence by cheap hash,
-	// quick the cheap hash by fingerprint.
+	// known holds the fingerprints of the marks with evidence by cheap hash.
 	known map[uint64][]attempt.Fingerprint
-	quick map[attempt.Fingerprint]uint64
-	// recent and older hold the cheap hashes of the requests that were answered in
-	// the current and the previous half of CompletionGrace.
-	recent, older map[uint64]struct{}
-	rotatedAt     time.Time
+	marks map[attempt.Fingerprint]Mark
+	// blamable holds the parts whose crashes may suffice to blame them.
+	blamable map[attempt.Fingerprint]Mark
+	// contentAnswers and partAnswers hold the answers that this node returned.
+	contentAnswers, partAnswers *answers
 }
 
 // NewGuard returns a guard without evidence.
 func NewGuard(c GuardConfig) *Guard {
 	return &Guard{
-		config:     c,
-		quarantine: attempt.NewQuarantine(c.Quarantine),
-		known:      map[uint64][]attempt.Fingerprint{},
-		quick:      map[attempt.Fingerprint]uint64{},
-		recent:     map[uint64]struct{}{},
-		older:      map[uint64]struct{}{},
+		config:         c,
+		contents:       attempt.NewQuarantine(c.Quarantine),
+		parts:          attempt.NewQuarantine(c.Parts.Quarantine),
+		known:          map[uint64][]attempt.Fingerprint{},
+		marks:          map[attempt.Fingerprint]Mark{},
+		blamable:       map[attempt.Fingerprint]Mark{},
+		contentAnswers: newAnswers(c.Quarantine.CompletionGrace/2, c.MaxRecent),
+		partAnswers:    newAnswers(c.Parts.AnsweredFor, c.MaxRecent),
 	}
 }
 
-// Quarantined reports whether a request must not be sent to a server.
-func (g *Guard) Quarantined(c *Content, now time.Time) bool {
-	return g.suspected(c) && g.quarantine.Quarantined(c.Mark().Fingerprint, now)
+// evidenceOf returns where the evidence against a mark is kept.
+func (g *Guard) evidenceOf(part string) *attempt.Quarantine {
+	if part != "" {
+		return g.parts
+	}
+	return g.contents
+}
+
+// Culprit returns the mark for which a request must not be sent to a server, if there
+// is one.
+func (g *Guard) Culprit(c *Content, now time.Time) (Mark, bool) {
+	if g.suspectedContent(c) && g.contents.Quarantined(c.Mark().Fingerprint, now) {
+		return c.Mark(), true
+	}
+	return g.CulpritPart(c, now)
+}
+
+// CulpritPart returns the part of its prompt for which a request must not be sent to a
+// server, if there is one. It may be called for one content at several places at a time.
+//
+// Parts that were in flight during the same crashes can't be told apart. A request that
+// has one of them, and lacks another that explains its crashes as well, is therefore let
+// through: its answer acquits the part, or its crash tells the two apart.
+func (g *Guard) CulpritPart(c *Content, now time.Time) (Mark, bool) {
+	for _, m := range g.suspectedParts(c) {
+		e := g.parts.Evidence(m.Fingerprint, now)
+		if g.config.Parts.blames(e) && !g.explained(e, c, now) {
+			return m, true
+		}
+	}
+	return Mark{}, false
+}
+
+// explained reports whether another part, one that a request lacks, may be to blame for
+// the crashes in the evidence against a part.
+func (g *Guard) explained(e attempt.Evidence, c *Content, now time.Time) bool {
+	g.mu.Lock()
+	var others []Mark
+	for _, m := range g.blamable {
+		if !c.hasPart(m.Part) {
+			others = append(others, m)
+		}
+	}
+	g.mu.Unlock()
+	return slices.ContainsFunc(others, func(m Mark) bool {
+		other := g.parts.Evidence(m.Fingerprint, now)
+		return g.config.Parts.blames(other) && crashesOutside(e, other) < g.config.Parts.Decisive
+	})
 }
 
 // MayTryAgain reports whether a request may be tried at another server after the
 // given heads ended its tries. That they crashed is not known yet, so heads that
-// ended a connection for another reason count as well.
+// ended a connection for another reason count as well. A request with a new part under
+// which another server crashed is not tried again.
 func (g *Guard) MayTryAgain(c *Content, lost []registry.Head, now time.Time) bool {
+	var own []attempt.Crash
+	for _, h := range lost {
+		own = append(own, crashOf(h))
+	}
 	var crashes []attempt.Crash
-	if g.suspected(c) {
-		f := c.Mark().Fingerprint
-		if g.quarantine.Quarantined(f, now) {
+	if g.suspectedContent(c) {
+		if g.contents.Quarantined(c.Mark().Fingerprint, now) {
 			return false
 		}
-		crashes = g.quarantine.Crashes(f, now)
+		crashes = g.contents.Crashes(c.Mark().Fingerprint, now)
 	}
-	for _, h := range lost {
-		if crash := crashOf(h); !slices.Contains(crashes, crash) {
+	for _, crash := range own {
+		if !slices.Contains(crashes, crash) {
 			crashes = append(crashes, crash)
 		}
 	}
-	return len(crashes) < g.config.Quarantine.MaxCrashes
+	if len(crashes) >= g.config.Quarantine.MaxCrashes {
+		return false
+	}
+	return !slices.ContainsFunc(g.suspectedParts(c), func(m Mark) bool {
+		e := g.parts.Evidence(m.Fingerprint, now)
+		return g.config.Parts.isNew(e) && slices.ContainsFunc(e.Observations, func(obs attempt.CrashObservation) bool {
+			return !slices.Contains(own, obs.Crash)
+		})
+	})
 }
 
-// suspected reports whether there may be evidence against a request.
-func (g *Guard) suspected(c *Content) bool {
+// suspectedContent reports whether there may be evidence against the content of a
+// request.
+func (g *Guard) suspectedContent(c *Content) bool {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
 	return len(g.known) > 0 && len(g.known[c.Quick()]) > 0
 }
 
-// RecordAnswer records that a server answered a request. If there is evidence
-// against it, the answer refutes that; the second result is then true and the first
-// is what to tell the other nodes.
-func (g *Guard) RecordAnswer(c *Content, now time.Time) (Evidence, bool) {
+// suspectedParts returns the parts of a request's prompt with evidence against them.
+func (g *Guard) suspectedParts(c *Content) []Mark {
 	g.mu.Lock()
-	g.rotate(now)
-	quick := c.Quick()
-	if len(g.recent) < g.config.MaxRecent {
-		g.recent[quick] = struct{}{}
-	}
-	suspected := len(g.known[quick]) > 0
-	g.mu.Unlock()
-	if !suspected {
-		return Evidence{}, false
+	defer g.mu.Unlock()
+
+	if len(g.known) == 0 {
+		return nil
 	}
-	f := c.Mark().Fingerprint
-	if len(g.quarantine.Crashes(f, now)) == 0 || !g.quarantine.RecordCompletion(f, now) {
-		return Evidence{}, false
+	var suspected []Mark
+	for _, p := range c.Parts {
+		if len(g.known[p.Quick]) > 0 {
+			suspected = append(suspected, p.Mark())
+		}
 	}
-	return g.Evidence(f, now), true
+	return suspected
 }
 
-// rotate forgets answers that are older than CompletionGrace. The caller must hold
-// mu.
-func (g *Guard) rotate(now time.Time) {
-	half := g.config.Quarantine.CompletionGrace / 2
-	if now.Sub(g.rotatedAt) < half {
-		return
+// RecordAnswer records that a server answered a request that was sent to it at a time. It
+// returns the evidence that the answer refutes or weakens, as it stands now, to tell it to
+// the other nodes. Crashes count against parts of the prompt if they came after that time:
+// a part that begins to crash servers does not end those that write already.
+func (g *Guard) RecordAnswer(c *Content, sentAt, now time.Time) []Evidence {
+	g.mu.Lock()
+	g.contentAnswers.record(c.Quick(), sentAt, now)
+	for _, p := range c.Parts {
+		g.partAnswers.record(p.Quick, sentAt, now)
 	}
-	g.older, g.recent = g.recent, g.older
-	clear(g.recent)
-	if now.Sub(g.rotatedAt) >= 2*half {
-		clear(g.older)
+	g.mu.Unlock()
+	var refuted []Evidence
+	if g.suspectedContent(c) && g.Withdraw(c.Mark().Fingerprint, now) {
+		refuted = append(refuted, g.Evidence(c.Mark().Fingerprint, now))
+	}
+	for _, m := range g.suspectedParts(c) {
+		before := g.parts.Evidence(m.Fingerprint, now)
+		g.parts.RecordCompletion(m.Fingerprint, sentAt)
+		if matters(g.config.Parts, before, now.Sub(sentAt)) {
+			refuted = append(refuted, g.Evidence(m.Fingerprint, now))
+		}
 	}
-	g.rotatedAt = now
+	return refuted
 }
 
-// RecordEnd records the end of a server against the requests that lost a try by it,
-// and returns what is news to the other nodes.
+// RecordEnd records the end of a server against the marks of the requests that lost a
+// try by it, and returns what is news to the other nodes.
 func (g *Guard) RecordEnd(e End, now time.Time) []Evidence {
 	var news []Evidence
-	for _, d := range e.Marks {
-		if d.Part != "" {
-			continue
+	for _, m := range e.Marks {
+		own := attempt.Evidence{
+			Fingerprint:  m.Fingerprint,
+			Observations: []attempt.CrashObservation{{Crash: e.Crash, Age: max(0, now.Sub(e.At))}},
 		}
-		own := attempt.Evidence{Fingerprint: d.Fingerprint, Observations: []attempt.CrashObservation{{Crash: e.Crash}}}
-		if g.Merge(Evidence{Evidence: own, Quick: d.Quick}, now) {
-			news = append(news, g.Evidence(d.Fingerprint, now))
+		if g.Merge(Evidence{Evidence: own, Quick: m.Quick, Part: m.Part}, now).News {
+			news = append(news, g.Evidence(m.Fingerprint, now))
 		}
 	}
 	return news
 }
 
-// Merge adds the evidence of another node and reports whether any of it is news. If
-// this node knows that the request was answered about then, that is part of the
-// evidence from now on.
-func (g *Guard) Merge(e Evidence, now time.Time) bool {
-	news := g.quarantine.Merge(e.Evidence, now)
+// Merged is what came of merging evidence.
+type Merged struct {
+	// News is set if any of it is news to this node.
+	News bool
+	// Answered is set if this node has returned an answer that may refute some of it, or
+	// that makes the part one that was answered before, and other nodes may not know.
+	Answered bool
+}
+
+// Merge adds the evidence of another node. If this node knows that requests with the
+// mark were answered, that is part of the evidence from now on.
+func (g *Guard) Merge(e Evidence, now time.Time) Merged {
+	q := g.evidenceOf(e.Part)
+	if !q.Merge(e.Evidence, now) {
+		g.register(e, now)
+		return Merged{}
+	}
+	merged := Merged{News: true}
 	g.mu.Lock()
-	if _, ok := g.quick[e.Fingerprint]; !ok {
-		g.quick[e.Fingerprint] = e.Quick
-		g.known[e.Quick] = append(g.known[e.Quick], e.Fingerprint)
+	remembered := g.contentAnswers
+	if e.Part != "" {
+		remembered = g.partAnswers
 	}
-	g.rotate(now)
-	_, recent := g.recent[e.Quick]
-	_, older := g.older[e.Quick]
+	at, ok := remembered.last(e.Quick, now)
 	g.mu.Unlock()
-	if news && (recent || older) {
-		g.quarantine.RecordCompletion(e.Fingerprint, now)
+	if ok && e.Part == "" {
+		q.RecordCompletion(e.Fingerprint, now)
+	}
+	if ok && e.Part != "" {
+		q.RecordCompletion(e.Fingerprint, at)
+		merged.Answered = matters(g.config.Parts, e.Evidence, now.Sub(at))
+	}
+	g.register(e, now)
+	return merged
+}
+
+// matters reports whether an answer to a request that was sent an age ago changes the
+// evidence against a part: it refutes a crash, or the part is taken for a new one and may
+// be blamed soon.
+func matters(p PartPolicy, e attempt.Evidence, age time.Duration) bool {
+	refutes := slices.ContainsFunc(e.Observations, func(obs attempt.CrashObservation) bool { return obs.Age >= age })
+	known := e
+	known.Completed, known.CompletedAge = true, age
+	return refutes || len(e.Observations) > 1 && p.isNew(e) && !p.isNew(known)
+}
+
+// register adds the mark of evidence to the maps that find it.
+func (g *Guard) register(e Evidence, now time.Time) {
+	blamable := e.Part != "" && len(g.parts.Crashes(e.Fingerprint, now)) >= g.config.Parts.New.Crashes
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	m := Mark{Fingerprint: e.Fingerprint, Quick: e.Quick, Part: e.Part}
+	if _, ok := g.marks[e.Fingerprint]; !ok {
+		g.marks[e.Fingerprint] = m
+		g.known[e.Quick] = append(g.known[e.Quick], e.Fingerprint)
+	}
+	if blamable {
+		g.blamable[e.Fingerprint] = m
 	}
-	return news
 }
 
-// Withdraw takes back all evidence against a request. It reports whether there was
-// any.
+// mark returns the mark with a fingerprint, if there was evidence against it.
+func (g *Guard) mark(f attempt.Fingerprint) Mark {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return g.marks[f]
+}
+
+// Withdraw takes back all evidence against a mark. It reports whether there was any.
 func (g *Guard) Withdraw(f attempt.Fingerprint, now time.Time) bool {
-	return len(g.quarantine.Crashes(f, now)) > 0 && g.quarantine.RecordCompletion(f, now)
+	q := g.evidenceOf(g.mark(f).Part)
+	return len(q.Crashes(f, now)) > 0 && q.RecordCompletion(f, now)
 }
 
-// Evidence returns what is known of a request.
+// Evidence returns what is known of a mark.
 func (g *Guard) Evidence(f attempt.Fingerprint, now time.Time) Evidence {
-	g.mu.Lock()
-	quick := g.quick[f]
-	g.mu.Unlock()
-	return Evidence{Evidence: g.quarantine.Evidence(f, now), Quick: quick}
+	m := g.mark(f)
+	return Evidence{Evidence: g.evidenceOf(m.Part).Evidence(f, now), Quick: m.Quick, Part: m.Part}
+}
+
+// Verdict is what the evidence against a mark amounts to.
+type Verdict struct {
+	// Suspected is set if there is evidence, Blamed if it suffices: requests with the mark
+	// are rejected, unless they lack another mark that explains the same crashes.
+	Suspected, Blamed bool
+	// New is set if there is evidence against a part of prompts that was not answered
+	// before.
+	New bool
+}
+
+// Verdict returns the verdict on a mark.
+func (g *Guard) Verdict(f attempt.Fingerprint, now time.Time) Verdict {
+	e := g.Evidence(f, now)
+	v := Verdict{Suspected: len(e.Observations) > 0}
+	if e.Part == "" {
+		v.Blamed = g.contents.Quarantined(f, now)
+		return v
+	}
+	v.Blamed = g.config.Parts.blames(e.Evidence)
+	v.New = v.Suspected && g.config.Parts.isNew(e.Evidence)
+	return v
 }
 
-// Verdict returns whether a request is quarantined and whether there is evidence
-// against it at all.
-func (g *Guard) Verdict(f attempt.Fingerprint, now time.Time) (quarantined, suspected bool) {
-	return g.quarantine.Quarantined(f, now), len(g.quarantine.Crashes(f, now)) > 0
+// Counts are numbers of marks.
+type Counts struct {
+	Suspected, BlamedContents, BlamedParts int
 }
 
-// Count returns the numbers of requests with evidence and of those quarantined.
-func (g *Guard) Count(now time.Time) (suspected, quarantined int) {
+// Count returns the numbers of marks with evidence.
+func (g *Guard) Count(now time.Time) Counts {
 	g.mu.Lock()
-	fingerprints := make([]attempt.Fingerprint, 0, len(g.quick))
-	for f := range g.quick {
-		fingerprints = append(fingerprints, f)
+	marks := make([]Mark, 0, len(g.marks))
+	for _, m := range g.marks {
+		marks = append(marks, m)
 	}
 	g.mu.Unlock()
-	for _, f := range fingerprints {
-		if g.quarantine.Quarantined(f, now) {
-			quarantined++
+	c := Counts{Suspected: len(marks)}
+	for _, m := range marks {
+		switch {
+		case !g.Verdict(m.Fingerprint, now).Blamed:
+		case m.Part == "":
+			c.BlamedContents++
+		default:
+			c.BlamedParts++
 		}
 	}
-	return len(fingerprints), quarantined
+	return c
+}
+
+// BlamableParts returns the parts of prompts whose crashes may suffice to blame them.
+func (g *Guard) BlamableParts() []Mark {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	parts := make([]Mark, 0, len(g.blamable))
+	for _, m := range g.blamable {
+		parts = append(parts, m)
+	}
+	return parts
 }
 
 // Expire forgets evidence that no longer counts.
 func (g *Guard) Expire(now time.Time) {
-	g.quarantine.Expire(now)
+	g.contents.Expire(now)
+	g.parts.Expire(now)
 	g.mu.Lock()
 	defer g.mu.Unlock()
 
-	for f, quick := range g.quick {
-		if len(g.quarantine.Crashes(f, now)) > 0 {
+	for f, m := range g.marks {
+		crashes := len(g.evidenceOf(m.Part).Crashes(f, now))
+		if crashes < g.config.Parts.New.Crashes {
+			delete(g.blamable, f)
+		}
+		if crashes > 0 {
 			continue
 		}
-		delete(g.quick, f)
-		g.known[quick] = slices.DeleteFunc(g.known[quick], func(o attempt.Fingerprint) bool { return o == f })
-		if len(g.known[quick]) == 0 {
-			delete(g.known, quick)
+		delete(g.marks, f)
+		g.known[m.Quick] = slices.DeleteFunc(g.known[m.Quick], func(o attempt.Fingerprint) bool { return o == f })
+		if len(g.known[m.Quick]) == 0 {
+			delete(g.known, m.Quick)
 		}
 	}
 }
--- a/internal/routing/quarantine/guard_test.go
+++ b/internal/routing/quarantine/guard_test.go
@@ -15,16 +15,39 @@
 
 const maxCrashes = 3
 
+// partPolicy is the policy of an entry VM.
+var partPolicy = quarantine.PartPolicy{
+	Quarantine:  attempt.QuarantineConfig{ObservationTTL: 10 * time.Minute, MaxRequests: 256},
+	New:         quarantine.PartThreshold{Crashes: 3, Episodes: 2},
+	Answered:    quarantine.PartThreshold{Crashes: 5, Episodes: 3, Silence: 2 * time.Second},
+	AnsweredFor: time.Minute,
+	Decisive:    2,
+	CommonCause: 50 * time.Millisecond,
+}
+
 func newGuard() *quarantine.Guard {
 	return quarantine.NewGuard(quarantine.GuardConfig{
 		Quarantine: attempt.QuarantineConfig{
 			ObservationTTL: 10 * time.Minute, QuarantineTTL: time.Hour, MaxCrashes: maxCrashes,
 			CompletionGrace: 10 * time.Second, MaxRequests: 256,
 		},
+		Parts:     partPolicy,
 		MaxRecent: 64,
 	})
 }
 
+// quarantined reports whether a request is rejected.
+func quarantined(g *quarantine.Guard, c *quarantine.Content, now time.Time) bool {
+	_, ok := g.Culprit(c, now)
+	return ok
+}
+
+// recordEnd records an end that was found out as soon as it happened.
+func recordEnd(g *quarantine.Guard, e quarantine.End, now time.Time) []quarantine.Evidence {
+	e.At = now
+	return g.RecordEnd(e, now)
+}
+
 // end returns the end of a plain server under some requests.
 func end(server string, requests ...*quarantine.Content) quarantine.End {
 	e := quarantine.End{
@@ -42,20 +65,20 @@
 func TestThirdEndQuarantines(t *testing.T) {
 	g := newGuard()
 	for i := range maxCrashes {
-		if g.Quarantined(content("bad"), noon) {
+		if quarantined(g, content("bad"), noon) {
 			t.Errorf("quarantined after %d ends", i)
 		}
-		g.RecordEnd(end(fmt.Sprint("s", i), content("bad"), content(fmt.Sprint("bystander", i))), noon)
+		recordEnd(g, end(fmt.Sprint("s", i), content("bad"), content(fmt.Sprint("bystander", i))), noon)
 	}
-	if !g.Quarantined(content("bad"), noon) {
+	if !quarantined(g, content("bad"), noon) {
 		t.Error("not quarantined after three ends")
 	}
 	for i := range maxCrashes {
-		if g.Quarantined(content(fmt.Sprint("bystander", i)), noon) {
+		if quarantined(g, content(fmt.Sprint("bystander", i)), noon) {
 			t.Errorf("bystander %d is quarantined", i)
 		}
 	}
-	if g.Quarantined(content("bad"), noon.Add(2*time.Hour)) {
+	if quarantined(g, content("bad"), noon.Add(2*time.Hour)) {
 		t.Error("quarantined for ever")
 	}
 }
@@ -65,12 +88,12 @@
 func TestEndOfOneServerCountsOnce(t *testing.T) {
 	g, other := newGuard(), newGuard()
 	for range 5 {
-		for _, e := range other.RecordEnd(end("s0", content("x")), noon) {
+		for _, e := range recordEnd(other, end("s0", content("x")), noon) {
 			g.Merge(e, noon)
 		}
-		g.RecordEnd(end("s0", content("x")), noon)
+		recordEnd(g, end("s0", content("x")), noon)
 	}
-	if g.Quarantined(content("x"), noon) {
+	if quarantined(g, content("x"), noon) {
 		t.Error("quarantined by the end of one server")
 	}
 }
@@ -97,7 +120,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			c := content(tt.name)
 			for i := range tt.known {
-				g.RecordEnd(end(fmt.Sprint("s", i), c), noon)
+				recordEnd(g, end(fmt.Sprint("s", i), c), noon)
 			}
 			if got := g.MayTryAgain(c, tt.lost, noon); got != tt.want {
 				t.Errorf("may try again: %v, want %v", got, tt.want)
@@ -111,21 +134,21 @@
 func TestFrequentRequestIsNotBlamed(t *testing.T) {
 	g, other := newGuard(), newGuard()
 	hot := content("hot")
-	g.RecordAnswer(hot, noon)
+	g.RecordAnswer(hot, noon, noon)
 	for fault := range 3 {
 		now := noon.Add(time.Duration(fault) * 2 * time.Second)
 		for i := range 5 {
-			for _, e := range g.RecordEnd(end(fmt.Sprint("fault", fault, "server", i), hot, content("bad")), now) {
+			for _, e := range recordEnd(g, end(fmt.Sprint("fault", fault, "server", i), hot, content("bad")), now) {
 				other.Merge(e, now)
 			}
 		}
 	}
 	now := noon.Add(5 * time.Second)
 	for name, guard := range map[string]*quarantine.Guard{"node that answered it": g, "other node": other} {
-		if guard.Quarantined(hot, now) {
+		if quarantined(guard, hot, now) {
 			t.Errorf("%s: the frequent request is quarantined", name)
 		}
-		if !guard.Quarantined(content("bad"), now) {
+		if !quarantined(guard, content("bad"), now) {
 			t.Errorf("%s: the request that was never answered is not quarantined", name)
 		}
 	}
@@ -137,18 +160,18 @@
 	g, other := newGuard(), newGuard()
 	c := content("x")
 	for i := range maxCrashes {
-		for _, e := range g.RecordEnd(end(fmt.Sprint("s", i), c), noon) {
+		for _, e := range recordEnd(g, end(fmt.Sprint("s", i), c), noon) {
 			other.Merge(e, noon)
 		}
 	}
-	e, news := g.RecordAnswer(content("x"), noon.Add(time.Second))
-	if !news {
-		t.Fatal("the answer is no news")
+	refuted := g.RecordAnswer(content("x"), noon.Add(time.Second), noon.Add(time.Second))
+	if len(refuted) != 1 {
+		t.Fatalf("the answer refutes %d marks, want 1", len(refuted))
 	}
-	if !other.Merge(e, noon.Add(2*time.Second)) || other.Quarantined(c, noon.Add(2*time.Second)) || g.Quarantined(c, noon.Add(2*time.Second)) {
+	if !other.Merge(refuted[0], noon.Add(2*time.Second)).News || quarantined(other, c, noon.Add(2*time.Second)) || quarantined(g, c, noon.Add(2*time.Second)) {
 		t.Error("quarantined after an answer")
 	}
-	if _, news := g.RecordAnswer(content("x"), noon.Add(3*time.Second)); news {
+	if refuted := g.RecordAnswer(content("x"), noon.Add(3*time.Second), noon.Add(3*time.Second)); len(refuted) > 0 {
 		t.Error("a second answer is news")
 	}
 }
@@ -181,9 +204,7 @@
 			c := content(fmt.Sprint(r.request))
 			if r.answer {
 				answered[r.request] = now.Sub(noon)
-				if e, news := guards[r.node].RecordAnswer(c, now); news {
-					told = append(told, e)
-				}
+				told = append(told, guards[r.node].RecordAnswer(c, now, now)...)
 				continue
 			}
 			if ends[r.request] == nil {
@@ -192,7 +213,7 @@
 			if _, ok := ends[r.request][r.server]; !ok {
 				ends[r.request][r.server] = now.Sub(noon)
 			}
-			told = append(told, guards[r.node].RecordEnd(end(fmt.Sprint("s", r.server), c), now)...)
+			told = append(told, recordEnd(guards[r.node], end(fmt.Sprint("s", r.server), c), now)...)
 		}
 		for i, g := range guards {
 			for _, e := range rapid.Permutation(told).Draw(t, fmt.Sprint("order of node ", i)) {
@@ -205,14 +226,14 @@
 			c := content(fmt.Sprint(request))
 			if len(ends[request]) < maxCrashes {
 				for i, g := range guards {
-					if g.Quarantined(c, now) {
+					if quarantined(g, c, now) {
 						t.Fatalf("node %d quarantines request %d after %d ends", i, request, len(ends[request]))
 					}
 				}
 			}
 			if _, ok := answered[request]; !ok && len(ends[request]) >= maxCrashes {
 				for i, g := range guards {
-					if !g.Quarantined(c, now) {
+					if !quarantined(g, c, now) {
 						t.Fatalf("node %d does not quarantine request %d after %d ends", i, request, len(ends[request]))
 					}
 				}
@@ -226,11 +247,11 @@
 	g := newGuard()
 	c := content("x")
 	for i := range 2 {
-		g.RecordEnd(end(fmt.Sprint("s", i), c), noon)
+		recordEnd(g, end(fmt.Sprint("s", i), c), noon)
 	}
-	g.RecordAnswer(c, noon.Add(time.Second))
+	g.RecordAnswer(c, noon.Add(time.Second), noon.Add(time.Second))
 	for i := range 2 {
-		g.RecordEnd(end(fmt.Sprint("later", i), c), noon.Add(time.Minute))
+		recordEnd(g, end(fmt.Sprint("later", i), c), noon.Add(time.Minute))
 	}
 	want := g.Evidence(c.Mark().Fingerprint, noon.Add(time.Minute))
 	body, err := quarantine.EncodeEvidence(want)
@@ -260,7 +281,7 @@
 		}
 		g := newGuard()
 		g.Merge(e, noon)
-		g.Quarantined(content("x"), noon)
+		quarantined(g, content("x"), noon)
 		g.Expire(noon)
 	})
 }
@@ -271,15 +292,15 @@
 	g := newGuard()
 	for i := range 40_000 {
 		c := content(fmt.Sprint(i))
-		g.RecordEnd(end(fmt.Sprint("s", i%100), c), noon)
-		g.RecordAnswer(content(fmt.Sprint("answered ", i)), noon)
+		recordEnd(g, end(fmt.Sprint("s", i%100), c), noon)
+		g.RecordAnswer(content(fmt.Sprint("answered ", i)), noon, noon)
 	}
 	g.Expire(noon)
-	if suspected, _ := g.Count(noon); suspected > 64*256 {
+	if suspected := g.Count(noon).Suspected; suspected > 64*256 {
 		t.Errorf("%d requests with evidence, want at most 64 shards of 256", suspected)
 	}
 	g.Expire(noon.Add(time.Hour))
-	if suspected, _ := g.Count(noon.Add(time.Hour)); suspected != 0 {
+	if suspected := g.Count(noon.Add(time.Hour)).Suspected; suspected != 0 {
 		t.Errorf("%d requests with evidence after its expiry, want none", suspected)
 	}
 }
--- /dev/null
+++ b/internal/routing/quarantine/part_simulation_test.go
@@ -0,0 +1,425 @@
+package quarantine_test
+
+import (
+	"container/heap"
+	"flag"
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"slices"
+	"testing"
+	"time"
+
+	"almondbay.example/core/attempt"
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/routing/quarantine"
+)
+
+var simulatedSeeds = flag.Int("seeds", 5, "number of seeds of the simulation of crashing parts")
+
+// scenario describes a simulated fleet and its requests.
+type scenario struct {
+	name string
+	// nodes are spread over domains.
+	nodes, domains, heads int
+	// crashing is the number of requests a second with a crashing part, in the time from
+	// crashingFrom on; sound that of others.
+	crashing, sound float64
+	// firstParts is the number of different first parts; requests with the crashing part
+	// have one of them, or the same one if sameFirst is set.
+	firstParts int
+	sameFirst  bool
+	// turns is set if the crashing part was answered until crashingFrom.
+	turns bool
+	// waves is the number of faults a second that end several heads at once.
+	waves float64
+	// tries is the number of servers that a request may be sent to.
+	tries int
+	// withoutAnswers is set if answers acquit nothing.
+	withoutAnswers bool
+	// slowDomains is set if other domains are told at the usual interval, keepQueued if
+	// requests that wait at a head stay there when their part is blamed.
+	slowDomains, keepQueued bool
+	// policy is that of all nodes.
+	policy quarantine.PartPolicy
+}
+
+const (
+	simulatedTime = 12 * time.Second
+	crashingFrom  = 4 * time.Second
+	// headRestart is the time until a head that ended serves again.
+	headRestart = 3 * time.Second
+)
+
+// outcome is what was seen of a simulation.
+type outcome struct {
+	// ended is the number of heads that ended under the crashing part, late that of
+	// requests with it that reached heads more than three seconds after the fifth.
+	ended, late int
+	// soundSent, soundRejected and soundLost count the requests without the crashing part.
+	soundSent, soundRejected, soundLost int
+	// blamed is the number of innocent parts for which a request was rejected.
+	blamed int
+}
+
+// occurrence is something that happens at a time.
+type occurrence struct {
+	at     time.Time
+	number int
+	do     func()
+}
+
+type occurrences []occurrence
+
+func (o occurrences) Len() int { return len(o) }
+func (o occurrences) Less(i, j int) bool {
+	return o[i].at.Before(o[j].at) || o[i].at.Equal(o[j].at) && o[i].number < o[j].number
+}
+func (o occurrences) Swap(i, j int) { o[i], o[j] = o[j], o[i] }
+func (o *occurrences) Push(x any)   { *o = append(*o, x.(occurrence)) }
+func (o *occurrences) Pop() any {
+	last := (*o)[len(*o)-1]
+	*o = (*o)[:len(*o)-1]
+	return last
+}
+
+// simulatedRequest is a request in flight.
+type simulatedRequest struct {
+	node     int
+	content  *quarantine.Content
+	crashing bool
+	lost     []registry.Head
+	// head and writes are the head that runs it and when it begins to write.
+	head   int
+	writes time.Time
+	// left is set once the request has left its head.
+	left *bool
+}
+
+type simulation struct {
+	scenario scenario
+	random   *rand.Rand
+	now      time.Time
+	queue    occurrences
+	number   int
+	guards   []*quarantine.Guard
+	// epoch and downUntil describe the heads, inFlight what runs there.
+	epoch     []uint64
+	downUntil []time.Time
+	inFlight  []map[*simulatedRequest]bool
+	requests  int
+	fifth     time.Time
+	innocent  map[string]bool
+	outcome   outcome
+}
+
+// simulate plays a scenario.
+func simulate(s scenario, seed uint64) outcome {
+	r := &simulation{
+		scenario: s, random: rand.New(rand.NewPCG(seed, 7)), now: noon, epoch: make([]uint64, s.heads),
+		downUntil: make([]time.Time, s.heads), inFlight: make([]map[*simulatedRequest]bool, s.heads), innocent: map[string]bool{},
+	}
+	for range s.nodes {
+		r.guards = append(r.guards, quarantine.NewGuard(quarantine.GuardConfig{
+			Quarantine: attempt.QuarantineConfig{
+				ObservationTTL: 10 * time.Minute, QuarantineTTL: time.Hour, MaxCrashes: maxCrashes, CompletionGrace: 10 * time.Second, MaxRequests: 256,
+			},
+			Parts: s.policy, MaxRecent: 4096,
+		}))
+	}
+	for i := range r.inFlight {
+		r.inFlight[i] = map[*simulatedRequest]bool{}
+	}
+	r.arrive(s.sound, 0, func() { r.send(false) })
+	r.arrive(s.crashing, crashingFrom, func() { r.send(true) })
+	if s.turns {
+		r.arrive(s.crashing, 0, func() {
+			if r.now.Before(noon.Add(crashingFrom)) {
+				r.send(true)
+			}
+		})
+	}
+	r.arrive(s.waves, crashingFrom/2, r.wave)
+	for len(r.queue) > 0 && r.queue[0].at.Before(noon.Add(simulatedTime)) {
+		next := heap.Pop(&r.queue).(occurrence)
+		r.now = next.at
+		next.do()
+	}
+	r.outcome.blamed = len(r.innocent)
+	return r.outcome
+}
+
+func (r *simulation) after(d time.Duration, do func()) {
+	r.number++
+	heap.Push(&r.queue, occurrence{at: r.now.Add(d), number: r.number, do: do})
+}
+
+// between returns a random duration.
+func (r *simulation) between(low, high time.Duration) time.Duration {
+	return low + time.Duration(r.random.Int64N(int64(high-low)))
+}
+
+// arrive lets something happen at random times, at a rate from a time on.
+func (r *simulation) arrive(rate float64, from time.Duration, do func()) {
+	if rate == 0 {
+		return
+	}
+	var next func()
+	next = func() {
+		do()
+		r.after(time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), next)
+	}
+	r.after(from+time.Duration(r.random.ExpFloat64()/rate*float64(time.Second)), next)
+}
+
+// send sends a new request to a node.
+func (r *simulation) send(crashing bool) {
+	r.requests++
+	// Few of the first parts are in most requests.
+	first := int(math.Pow(r.random.Float64(), 2) * float64(r.scenario.firstParts))
+	parts := []string{fmt.Sprint("first", first)}
+	if crashing && r.scenario.sameFirst {
+		parts[0] = "first7"
+	}
+	if crashing {
+		parts = append(parts, "bad")
+	} else {
+		r.outcome.soundSent++
+	}
+	q := &simulatedRequest{node: r.random.IntN(r.scenario.nodes), content: prompt(fmt.Sprint(r.requests), parts...), crashing: crashing}
+	r.try(q)
+}
+
+// try sends a request to a head that is up.
+func (r *simulation) try(q *simulatedRequest) {
+	if m, ok := r.guards[q.node].Culprit(q.content, r.now); ok {
+		if !q.crashing {
+			r.outcome.soundRejected++
+			r.innocent[m.Part] = true
+		}
+		return
+	}
+	var up []int
+	for i, until := range r.downUntil {
+		if !r.now.Before(until) {
+			up = append(up, i)
+		}
+	}
+	if len(up) == 0 {
+		return
+	}
+	q.head = up[r.random.IntN(len(up))]
+	if q.crashing && !r.fifth.IsZero() && r.now.Sub(r.fifth) > 3*time.Second {
+		r.outcome.late++
+	}
+	queued := r.between(20*time.Millisecond, 400*time.Millisecond)
+	q.writes = r.now.Add(queued)
+	left, sentAt := false, r.now
+	q.left = &left
+	r.inFlight[q.head][q] = true
+	if q.crashing && !r.now.Add(queued).Before(noon.Add(crashingFrom)) {
+		r.after(queued+r.between(50*time.Millisecond, 90*time.Millisecond), func() {
+			if left {
+				return
+			}
+			r.outcome.ended++
+			if r.outcome.ended == 5 {
+				r.fifth = r.now
+			}
+			r.end([]int{q.head})
+		})
+		return
+	}
+	r.after(queued+r.between(200*time.Millisecond, 1200*time.Millisecond), func() {
+		if left {
+			return
+		}
+		left = true
+		delete(r.inFlight[q.head], q)
+		if r.scenario.withoutAnswers {
+			return
+		}
+		for _, e := range r.guards[q.node].RecordAnswer(q.content, sentAt, r.now) {
+			r.tell(q.node, e)
+		}
+	})
+}
+
+// cancel takes the requests of a node that wait at heads from there if their part is
+// blamed. A request that was answered until now is not.
+func (r *simulation) cancel(node int) {
+	if r.scenario.keepQueued {
+		return
+	}
+	for _, requests := range r.inFlight {
+		for q := range requests {
+			if q.node != node || !r.now.Before(q.writes) {
+				continue
+			}
+			if _, ok := r.guards[node].CulpritPart(q.content, r.now); ok {
+				*q.left = true
+				delete(requests, q)
+				if !q.crashing {
+					r.outcome.soundRejected++
+				}
+			}
+		}
+	}
+}
+
+// wave ends several heads at once.
+func (r *simulation) wave() {
+	r.end(r.random.Perm(r.scenario.heads)[:r.scenario.heads/4])
+}
+
+// end ends heads. Their nodes find out, and try the requests that ran there elsewhere.
+func (r *simulation) end(heads []int) {
+	for _, h := range heads {
+		if r.now.Before(r.downUntil[h]) {
+			continue
+		}
+		r.downUntil[h] = r.now.Add(headRestart)
+		head := registry.Head{ID: fmt.Sprint("head", h), Group: fmt.Sprint("group", h), Epoch: r.epoch[h], Incarnation: int64(r.epoch[h])}
+		r.epoch[h]++
+		marks := map[int][]quarantine.Mark{}
+		var lost []*simulatedRequest
+		for q := range r.inFlight[h] {
+			lost = append(lost, q)
+		}
+		slices.SortFunc(lost, func(a, b *simulatedRequest) int { return a.writes.Compare(b.writes) })
+		clear(r.inFlight[h])
+		for _, q := range lost {
+			*q.left = true
+			if r.now.Sub(q.writes) <= time.Second {
+				marks[q.node] = append(marks[q.node], q.content.Marks()...)
+			}
+			r.lose(q, head)
+		}
+		at := r.now
+		for node := range r.scenario.nodes {
+			if len(marks[node]) == 0 {
+				continue
+			}
+			e := quarantine.End{Crash: attempt.Crash{Group: head.Group, Epoch: head.Epoch, Site: head.ID}, At: at, Marks: marks[node]}
+			r.after(r.between(5*time.Millisecond, 60*time.Millisecond), func() {
+				for _, news := range r.guards[node].RecordEnd(e, r.now) {
+					r.tell(node, news)
+				}
+				r.cancel(node)
+			})
+		}
+	}
+}
+
+// lose tries a lost request again, if it may be.
+func (r *simulation) lose(q *simulatedRequest, head registry.Head) {
+	lost := append(slices.Clone(q.lost), head)
+	if len(lost) < r.scenario.tries && r.guards[q.node].MayTryAgain(q.content, lost, r.now) {
+		r.after(time.Millisecond, func() {
+			r.try(&simulatedRequest{node: q.node, content: q.content, crashing: q.crashing, lost: lost})
+		})
+		return
+	}
+	if !q.crashing {
+		r.outcome.soundLost++
+	}
+}
+
+// tell sends evidence from a node to the others, to those of other domains later.
+func (r *simulation) tell(from int, e quarantine.Evidence) {
+	taken := r.now
+	for node, g := range r.guards {
+		if node == from {
+			continue
+		}
+		delay := r.between(10*time.Millisecond, 60*time.Millisecond)
+		if node%r.scenario.domains != from%r.scenario.domains {
+			delay += domainDelay(r)
+		}
+		r.after(delay, func() {
+			aged := e
+			aged.CompletedAge += r.now.Sub(taken)
+			aged.Observations = slices.Clone(e.Observations)
+			for i := range aged.Observations {
+				aged.Observations[i].Age += r.now.Sub(taken)
+			}
+			if g.Merge(aged, r.now).Answered {
+				r.tell(node, g.Evidence(e.Fingerprint, r.now))
+			}
+			r.cancel(node)
+		})
+	}
+}
+
+// domainDelay is the time until evidence is told to other domains.
+func domainDelay(r *simulation) time.Duration {
+	if r.scenario.slowDomains {
+		return r.between(0, 500*time.Millisecond)
+	}
+	return r.between(0, 60*time.Millisecond)
+}
+
+// scenarios returns those of the table in docs/SCHEDULING.md.
+func scenarios() []scenario {
+	base := scenario{nodes: 15, domains: 3, heads: 20, crashing: 7, sound: 140, firstParts: 60, tries: 2, policy: partPolicy}
+	with := func(name string, change func(*scenario)) scenario {
+		s := base
+		s.name = name
+		change(&s)
+		return s
+	}
+	return []scenario{
+		with("as recorded", func(*scenario) {}),
+		with("always the same first part", func(s *scenario) { s.sameFirst = true }),
+		with("30 requests a second with the part", func(s *scenario) { s.crashing = 30 }),
+		with("1 request a second with the part", func(s *scenario) { s.crashing = 1 }),
+		with("part answered until then", func(s *scenario) { s.turns = true }),
+		with("a quarter of the servers ends every 2 s", func(s *scenario) { s.waves = 0.5 }),
+		with("only such faults", func(s *scenario) { s.waves, s.crashing = 0.5, 0 }),
+		with("only such faults, 5 first parts", func(s *scenario) { s.waves, s.crashing, s.firstParts = 0.5, 0, 5 }),
+		with("only such faults, 1,000 first parts", func(s *scenario) { s.waves, s.crashing, s.firstParts = 0.5, 0, 1000 }),
+		with("150 nodes, 5 domains", func(s *scenario) { s.nodes, s.domains, s.heads, s.sound = 150, 5, 100, 700 }),
+	}
+}
+
+// TestCrashingPartsInSimulation guards against parts of prompts that end server after
+// server, and against innocent parts that are blamed. It logs the table of
+// docs/SCHEDULING.md.
+func TestCrashingPartsInSimulation(t *testing.T) {
+	contentOnly := partPolicy
+	contentOnly.New.Crashes, contentOnly.Answered.Crashes = math.MaxInt32, math.MaxInt32
+	for _, s := range scenarios() {
+		baselines := map[string]func(*scenario){
+			"policy": func(*scenario) {}, "content only": func(s *scenario) { s.policy = contentOnly },
+			"without answers": func(s *scenario) { s.withoutAnswers = true }, "domains told each 0.5 s": func(s *scenario) { s.slowDomains = true },
+			"queued requests kept": func(s *scenario) { s.keepQueued = true },
+		}
+		for _, name := range []string{"policy", "content only", "without answers", "domains told each 0.5 s", "queued requests kept"} {
+			if name != "policy" && *simulatedSeeds < 20 {
+				continue
+			}
+			played := s
+			baselines[name](&played)
+			seeds := *simulatedSeeds
+			if s.nodes > 100 {
+				seeds = max(1, seeds/20)
+			}
+			var ended, late []int
+			sum := outcome{}
+			for seed := range seeds {
+				o := simulate(played, uint64(seed))
+				ended, late = append(ended, o.ended), append(late, o.late)
+				sum.soundSent += o.soundSent
+				sum.soundRejected += o.soundRejected
+				sum.soundLost += o.soundLost
+				sum.blamed += o.blamed
+			}
+			slices.Sort(ended)
+			t.Logf("%s, %s: %d seeds, ended median %d, most %d, late at most %d, sound rejected %.4f%%, lost %.2f%%, innocent parts blamed %.3f a seed", s.name, name, seeds,
+				ended[seeds/2], ended[seeds-1], slices.Max(late), 100*float64(sum.soundRejected)/float64(sum.soundSent), 100*float64(sum.soundLost)/float64(sum.soundSent), float64(sum.blamed)/float64(seeds))
+			if name == "policy" && slices.Max(late) > 3 {
+				t.Errorf("%s: %d requests with the part reached servers more than 3 s after the fifth end, want at most 3", s.name, slices.Max(late))
+			}
+		}
+	}
+}
--- a/internal/routing/quarantine/tracker.go
+++ b/internal/routing/quarantine/tracker.go
@@ -52,10 +52,24 @@
 	// service the server with its start time.
 	Crash attempt.Crash
 	Proof Proof
+	// At is when the first of these tries was lost.
+	At time.Time
 	// Marks holds no mark twice.
 	Marks []Mark
 }
 
+// add adds a loss.
+func (e *End) add(l Loss) {
+	if l.At.Before(e.At) {
+		e.At = l.At
+	}
+	for _, m := range l.Marks {
+		if !slices.Contains(e.Marks, m) {
+			e.Marks = append(e.Marks, m)
+		}
+	}
+}
+
 // TrackerConfig configures a Tracker.
 type TrackerConfig struct {
 	// Retention is how long a loss waits for proof that a server ended: the time
@@ -285,22 +299,21 @@
 // nothing if it explains none. Losses of several groups, which a server was a member
 // of one after the other, are ends of several groups. The caller must hold mu.
 func (t *Tracker) end(life registry.Life, proof Proof, explains func(*pendingLoss) bool) []End {
-	byCrash := map[attempt.Crash][]Mark{}
+	byCrash := map[attempt.Crash]*End{}
 	t.losses = slices.DeleteFunc(t.losses, func(p *pendingLoss) bool {
 		if !explains(p) {
 			return false
 		}
 		c := crashOf(p.Head)
-		for _, m := range p.Marks {
-			if !slices.Contains(byCrash[c], m) {
-				byCrash[c] = append(byCrash[c], m)
-			}
+		if byCrash[c] == nil {
+			byCrash[c] = &End{Server: life, Crash: c, Proof: proof, At: p.At}
 		}
+		byCrash[c].add(p.Loss)
 		return true
 	})
 	ends := make([]End, 0, len(byCrash))
-	for c, marks := range byCrash {
-		ends = append(ends, End{Server: life, Crash: c, Proof: proof, Marks: marks})
+	for _, e := range byCrash {
+		ends = append(ends, *e)
 	}
 	slices.SortFunc(ends, func(a, b End) int {
 		return cmp.Or(cmp.Compare(a.Crash.Group, b.Crash.Group), cmp.Compare(a.Crash.Epoch, b.Crash.Epoch))
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -310,14 +310,14 @@
 var (
 	RequestQuarantined = Definition{
 		Number: 910, Level: zapcore.WarnLevel, Message: "request quarantined",
-		Fields:  []string{"fingerprint", "source", "crashes"},
-		Meaning: "Backend servers ended under the requests with this fingerprint, and none of these requests was answered in between; the node rejects further ones. crashes lists the replica groups, or the servers of plain services, with the age of what is known; source tells from whom the last of it came: this node itself, a peer or the store.",
-		Action:  "Find the caller by the fingerprint in event 901. The quarantine ends an hour after the last crash, or once a server answers such a request.",
+		Fields:  []string{"fingerprint", "part", "source", "crashes"},
+		Meaning: "Backend servers ended under the requests with this fingerprint or, if part is set, with this part in their prompts, and none of these requests was answered in between; the node rejects further ones. crashes lists the replica groups, or the servers of plain services, with the age of what is known; source tells from whom the last of it came: this node itself, a peer, the store, or time that passed without an answer.",
+		Action:  "Find the callers by the fingerprint or the part in event 901. The quarantine ends an hour after the last crash (ten minutes for a part), or once a server answers such a request.",
 	}
 	QuarantineWithdrawn = Definition{
 		Number: 911, Level: zapcore.InfoLevel, Message: "quarantine withdrawn",
-		Fields:  []string{"fingerprint", "source"},
-		Meaning: "A server answered a request with this fingerprint, so it did not cause the crashes; the node accepts further ones.",
+		Fields:  []string{"fingerprint", "part", "source"},
+		Meaning: "A server answered a request with this fingerprint, or with this part in its prompt, so it did not cause the crashes; the node accepts further ones.",
 		Action:  noAction,
 	}
 )
--- a/pkg/serving/metric/entry.go
+++ b/pkg/serving/metric/entry.go
@@ -70,6 +70,10 @@
 		Name: "almondbay_entry_quarantined_requests", Kind: KindGauge,
 		Help: "Requests, by content, that the node rejects because backend servers ended under them.",
 	}
+	entryQuarantinedParts = Definition{
+		Name: "almondbay_entry_quarantined_prompt_parts", Kind: KindGauge,
+		Help: "Parts of prompts for which the node rejects requests because backend servers ended under them.",
+	}
 	entryStatements = Definition{
 		Name: "almondbay_entry_server_statements_total", Kind: KindCounter, Labels: []string{"statement"},
 		Help: "Answers in which a backend server said that it is about to shut down (leaving, once for each start of it), or asked for a pause (pause).",
@@ -83,7 +87,7 @@
 // entryDefinitions are the metrics of an entry VM.
 var entryDefinitions = []Definition{
 	entryRequests, entryTries, entryFirstByte, entryGap, entryDuration, entryStoreCalls, entryStoreSeconds,
-	entryHeads, entryReady, entryVersion, entryLeases, entryOrders, entryServerEnds, entryQuarantined, entryStatements,
+	entryHeads, entryReady, entryVersion, entryLeases, entryOrders, entryServerEnds, entryQuarantined, entryQuarantinedParts, entryStatements,
 }
 
 // Entry holds the metrics of a node on an entry VM. It is safe for concurrent use.
@@ -104,6 +108,7 @@
 	Orders               *prometheus.CounterVec
 	ServerEnds           *prometheus.CounterVec
 	Quarantined          prometheus.Gauge
+	QuarantinedParts     prometheus.Gauge
 	Statements           *prometheus.CounterVec
 
 	registry *prometheus.Registry
@@ -127,10 +132,11 @@
 		Orders:               prometheus.NewCounterVec(counterOptions(entryOrders), entryOrders.Labels),
 		ServerEnds:           prometheus.NewCounterVec(counterOptions(entryServerEnds), entryServerEnds.Labels),
 		Quarantined:          prometheus.NewGauge(gaugeOptions(entryQuarantined)),
+		QuarantinedParts:     prometheus.NewGauge(gaugeOptions(entryQuarantinedParts)),
 		Statements:           prometheus.NewCounterVec(counterOptions(entryStatements), entryStatements.Labels),
 	}
 	e.registry.MustRegister(e.Requests, e.Tries, e.FirstByte, e.Gap, e.Duration, e.StoreCalls, e.StoreSeconds,
-		e.Heads, e.Ready, e.ConfigurationVersion, e.Leases, e.Orders, e.ServerEnds, e.Quarantined, e.Statements, collectors.NewGoCollector())
+		e.Heads, e.Ready, e.ConfigurationVersion, e.Leases, e.Orders, e.ServerEnds, e.Quarantined, e.QuarantinedParts, e.Statements, collectors.NewGoCollector())
 	return e
 }
 
