Check the server at the end of an answer without a length or chunks

Such an answer ends with its connection, as it does when its server ends.

The node now asks the server for its start time before it completes the response. If the server has ended, the try is lost, and evidence; if that is not known, the answer is returned and acquits nobody.

--- a/internal/node/entry/cluster_test.go
+++ b/internal/node/entry/cluster_test.go
@@ -183,6 +183,10 @@
 	http     *http.Server
 	serving  errgroup.Group
 
+	// cutOff is set if the server sends the beginning of an answer before it ends, without
+	// a length or chunks.
+	cutOff bool
+
 	mu    sync.Mutex
 	ended bool
 	// leaving is set if all answers say that the server is about to shut down.
@@ -199,6 +203,9 @@
 		s.mu.Lock()
 		s.ended = true
 		s.mu.Unlock()
+		if s.cutOff {
+			s.answerInPart(w, r)
+		}
 		// A server that ends closes its listener and all connections.
 		_ = s.http.Close()
 		panic(http.ErrAbortHandler)
@@ -214,6 +221,17 @@
 	_, _ = io.WriteString(w, "answer to "+r.Header.Get("Id"))
 }
 
+// answerInPart sends the beginning of an answer that has neither a length nor chunks.
+func (s *crashingServer) answerInPart(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\n\r\nid: 1\ndata: piece\n\n", r.Header.Get("Id"))
+	_ = s.http.Close()
+	_ = conn.Close()
+}
+
 // leave makes the server say that it is about to shut down.
 func (s *crashingServer) leave() {
 	s.mu.Lock()
@@ -309,6 +327,8 @@
 	WithoutStore []int
 	// Apart is set if the nodes can't reach each other.
 	Apart bool
+	// CutOff is set if servers that end send the beginning of an answer.
+	CutOff bool
 }
 
 // newCluster returns a running cluster.
@@ -354,7 +374,7 @@
 	if err != nil {
 		c.t.Fatal(err)
 	}
-	s := &crashingServer{id: fmt.Sprintf("server-%02d", number), listener: l}
+	s := &crashingServer{id: fmt.Sprintf("server-%02d", number), listener: l, cutOff: c.config.CutOff}
 	s.http = &http.Server{Handler: s}
 	s.serving.Go(func() error { return s.http.Serve(l) })
 	c.t.Cleanup(func() {
@@ -425,6 +445,7 @@
 		Version: 1, Services: map[string]routes.Service{"svc": {Name: "svc"}},
 		Routes: []routes.Route{
 			{Name: "once", Host: "h", Prefix: "/once/", Kind: routes.KindNonIdempotent, MaxAttempts: 1, Objective: time.Hour, Targets: targets("svc")},
+			{Name: "stream", Host: "h", Prefix: "/stream/", Kind: routes.KindStreaming, MaxAttempts: 1, Objective: time.Hour, Targets: targets("svc")},
 			{Name: "safe", Host: "h", Prefix: "/safe/", Kind: routes.KindIdempotent, MaxAttempts: 2, Objective: time.Hour, Targets: targets("svc")},
 		},
 	}
@@ -451,6 +472,8 @@
 	status     int
 	retryAfter string
 	body       string
+	// cutOff is set if the body ended early.
+	cutOff bool
 }
 
 // send sends a request to a node under a new ID.
@@ -485,10 +508,7 @@
 	}
 	defer func() { _ = response.Body.Close() }()
 	text, err := io.ReadAll(response.Body)
-	if err != nil {
-		c.t.Fatalf("read answer of node %d: %v", node, err)
-	}
-	return reply{status: response.StatusCode, retryAfter: response.Header.Get("Retry-After"), body: string(text)}
+	return reply{status: response.StatusCode, retryAfter: response.Header.Get("Retry-After"), body: string(text), cutOff: err != nil}
 }
 
 // ended returns the number of servers that ended.
--- a/internal/node/entry/crash_test.go
+++ b/internal/node/entry/crash_test.go
@@ -124,6 +124,27 @@
 	}
 }
 
+// TestCutOffAnswerWithoutLengthIsNoAnswer guards against an answer that ends with its
+// connection, since its server has just ended, and counts as a complete one: it went to the
+// caller, and acquitted what had ended the server.
+func TestCutOffAnswerWithoutLengthIsNoAnswer(t *testing.T) {
+	for _, path := range []string{"/once/x", "/safe/x", "/stream/x"} {
+		t.Run(path, func(t *testing.T) {
+			c := newCluster(t, clusterConfig{Nodes: 1, Servers: 8, CutOff: true})
+			for range 6 {
+				if r := c.send(0, path, poison); r.status == http.StatusOK && !r.cutOff {
+					t.Errorf("answer %+v of a server that ended counts as complete", r)
+					continue
+				}
+				c.awaitEnds(0, min(c.ended(), 3))
+			}
+			if n := c.ended(); n != 3 {
+				t.Errorf("%d servers ended under the request, want 3", n)
+			}
+		})
+	}
+}
+
 // TestAllNodesLearnOfCrashingPart guards against requests with a crashing part in their
 // prompts that are sent on by nodes that did not see it end servers, also after all nodes
 // have restarted. Each of the ways on which they learn of it is enough.
--- a/internal/node/entry/losses.go
+++ b/internal/node/entry/losses.go
@@ -46,27 +46,31 @@
 	}
 }
 
-// checkHead asks a head that ended a connection for its start time, to find out whether
-// it ended itself.
+// checkHead finds out whether a head that ended a connection ended itself.
 func (n *Node) checkHead(ctx context.Context, head registry.Head) {
 	startedAt := n.config.Clock.Now()
+	result := n.checkServer(ctx, head)
+	n.recordEnds(n.losses.RecordCheck(head, startedAt, result))
+}
+
+// checkServer asks a head for its start time, to find out whether it has ended.
+func (n *Node) checkServer(ctx context.Context, head registry.Head) quarantine.CheckResult {
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	state, err := n.config.Orders.QueryState(ctx, registry.Server{ID: head.ID, Address: head.Address, Incarnation: head.Incarnation})
-	result := quarantine.CheckUnknown
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
-		result = quarantine.CheckRefused
+		return quarantine.CheckRefused
 	case errors.Is(err, control.ErrOtherServer):
-		result = quarantine.CheckRestarted
+		return quarantine.CheckRestarted
 	case err != nil || state.Incarnation == 0:
 		// Servers of plain services may give no report.
+		return quarantine.CheckUnknown
 	case state.Incarnation == head.Incarnation:
-		result = quarantine.CheckLives
+		return quarantine.CheckLives
 	default:
-		result = quarantine.CheckRestarted
+		return quarantine.CheckRestarted
 	}
-	n.recordEnds(n.losses.RecordCheck(head, startedAt, result))
 }
 
 // recordEnds logs and counts servers that ended, and records the evidence against
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -293,6 +293,7 @@
 		Configuration: n.configuration.Load,
 		Observe:       n.observe,
 		OnLoss:        n.losses.Add,
+		CheckServer:   n.checkServer,
 		OnAnswer:      n.recordAnswer,
 		OnLeaving:     func(h registry.Head) { n.recordLeaving(h.Life()) },
 		OnPause:       n.recordPause,
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -44,6 +44,8 @@
 	OnPause   func(registry.Head, time.Duration)
 	// Guard decides which requests may be sent to servers.
 	Guard *quarantine.Guard
+	// CheckServer asks a head whether it still runs.
+	CheckServer func(context.Context, registry.Head) quarantine.CheckResult
 	// OnAnswer is called with the content of each request that a server answered, and
 	// when it was sent to that server.
 	OnAnswer func(c *quarantine.Content, sentAt time.Time)
--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -181,6 +182,9 @@
 	// leaving lists the heads that stated that they are about to shut down.
 	leaving []string
 	board   *balance.Board
+	// check is the result of checks of heads; answered is set once an answer counted.
+	check    quarantine.CheckResult
+	answered atomic.Bool
 	// dial opens the connections to the servers.
 	dial func(ctx context.Context, network, address string) (net.Conn, error)
 }
@@ -222,7 +226,8 @@
 		Configuration: func() *routes.Configuration { return configuration },
 		Observe:       func(result ingress.Result) { r.results <- result },
 		OnLoss:        func(quarantine.Loss) {},
-		OnAnswer:      func(*quarantine.Content, time.Time) {},
+		CheckServer:   func(context.Context, registry.Head) quarantine.CheckResult { return r.check },
+		OnAnswer:      func(*quarantine.Content, time.Time) { r.answered.Store(true) },
 		OnLeaving:     func(h registry.Head) { r.leaving = append(r.leaving, h.ID) },
 		OnPause:       func(registry.Head, time.Duration) {},
 		Guard:         quarantine.NewGuard(quarantine.GuardConfig{Quarantine: attempt.QuarantineConfig{MaxCrashes: 3}}),
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -8,7 +8,9 @@
 	"strconv"
 	"time"
 
+	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/routing/exchange"
+	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/internal/routing/stream"
 )
 
@@ -55,7 +57,7 @@
 
 // relayBuffered reads the complete response before it sends any of it to the
 // caller, so that a truncated one can be retried elsewhere.
-func (q *request) relayBuffered(ctx context.Context, a *attempt, response *http.Response, answer exchange.Answer) (TryEnd, string) {
+func (q *request) relayBuffered(ctx context.Context, a *attempt, head registry.Head, response *http.Response, answer exchange.Answer) (TryEnd, string) {
 	body, counted, err := q.handler.buffers.read(response.Body)
 	q.buffered += counted
 	now := q.handler.config.Clock.Now()
@@ -67,7 +69,11 @@
 		return q.handleReadError(ctx, a, err)
 	}
 	a.recordData(now)
-	if answer.Signed {
+	lives, err := q.confirmEnd(ctx, head, response)
+	if err != nil {
+		return q.handleReadError(ctx, a, err)
+	}
+	if answer.Signed && lives {
 		q.handler.config.OnAnswer(q.content, a.sentAt)
 	}
 	h := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
@@ -104,6 +110,28 @@
 	return TryFailed, "backend server did not resume the stream: " + strconv.Itoa(status)
 }
 
+// errServerEnded reports a response without a length or chunks whose server has ended:
+// the response need not be complete.
+var errServerEnded = errors.New("server ended at the end of a response without a length or chunks")
+
+// confirmEnd reports whether the server of a response that was read to its end is known
+// to run. A response without a length or chunks ends with its connection, as it does when
+// the server ends: the server is then asked, and if it has ended, errServerEnded is
+// returned.
+func (q *request) confirmEnd(ctx context.Context, head registry.Head, response *http.Response) (lives bool, err error) {
+	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || q.http.Method == http.MethodHead {
+		return true, nil
+	}
+	switch q.handler.config.CheckServer(ctx, head) {
+	case quarantine.CheckRefused, quarantine.CheckRestarted:
+		return false, errServerEnded
+	case quarantine.CheckLives:
+		return true, nil
+	default:
+		return false, nil
+	}
+}
+
 // impliesNotRun reports whether callers take a status to mean that the request
 // has not run.
 func impliesNotRun(status int) bool {
@@ -130,7 +158,7 @@
 
 // relayStream forwards a stream to the caller in whole events. After a
 // resumption it skips events that the caller already has.
-func (q *request) relayStream(ctx context.Context, a *attempt, response *http.Response) (TryEnd, string) {
+func (q *request) relayStream(ctx context.Context, a *attempt, head registry.Head, response *http.Response) (TryEnd, string) {
 	reader := stream.NewReader(response.Body)
 	sentAt := q.handler.config.Clock.Now()
 	resumed := q.lastEvent != ""
@@ -142,7 +170,11 @@
 		now := q.handler.config.Clock.Now()
 		switch {
 		case errors.Is(err, io.EOF) && len(reader.Rest()) == 0 && !replaying:
-			return q.endStream(a, response, now.Sub(sentAt))
+			lives, err := q.confirmEnd(ctx, head, response)
+			if err != nil {
+				return q.handleReadError(ctx, a, err)
+			}
+			return q.endStream(a, response, now.Sub(sentAt), lives)
 		case err != nil:
 			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
@@ -224,12 +256,14 @@
 }
 
 // endStream records the end of a complete stream. It sends the status and
-// headers if the stream had no events.
-func (q *request) endStream(a *attempt, response *http.Response, took time.Duration) (TryEnd, string) {
+// headers if the stream had no events. lives is set if its server is known to run.
+func (q *request) endStream(a *attempt, response *http.Response, took time.Duration, lives bool) (TryEnd, string) {
 	q.sendHeaders(response, q.handler.config.Clock.Now())
 	q.response.complete()
 	a.pool.RecordSuccess(a.head, took)
-	q.handler.config.OnAnswer(q.content, a.sentAt)
+	if lives {
+		q.handler.config.OnAnswer(q.content, a.sentAt)
+	}
 	q.result.Outcome = OutcomeAnswered
 	return TryAnswered, ""
 }
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -406,11 +406,11 @@
 		a.pool.RecordError(a.head)
 		return TryFailed, "response is not signed by the backend server or was re-encoded"
 	case q.route.Kind == routes.KindStreaming && success(response.StatusCode):
-		return q.relayStream(ctx, a, response)
+		return q.relayStream(ctx, a, head, response)
 	case q.response.begun():
 		return q.rejectResumption(a, response.StatusCode)
 	default:
-		return q.relayBuffered(ctx, a, response, answer)
+		return q.relayBuffered(ctx, a, head, response, answer)
 	}
 }
 
--- a/internal/routing/ingress/resumption_test.go
+++ b/internal/routing/ingress/resumption_test.go
@@ -15,6 +15,7 @@
 	"github.com/google/go-cmp/cmp/cmpopts"
 
 	"almondbay.example/internal/routing/ingress"
+	"almondbay.example/internal/routing/quarantine"
 )
 
 // cut closes the connection of a backend server.
@@ -349,3 +350,55 @@
 	}
 	<-f.results
 }
+
+// TestAnswersWithoutLengthOrChunks guards against answers that end with their connection
+// and are taken for complete though their server has ended, or the connection was reset, or
+// a stream ended inside an event; and against complete ones that are cut off.
+func TestAnswersWithoutLengthOrChunks(t *testing.T) {
+	const event = "id: 1\ndata: piece\n\n"
+	tests := []struct {
+		name, path, body string
+		reset            bool
+		check            quarantine.CheckResult
+		// complete is set if the caller gets a complete answer, answered if it acquits.
+		complete, answered bool
+	}{
+		{"plain, server lives", "/once/x", "good", false, quarantine.CheckLives, true, true},
+		{"plain, not known whether the server lives", "/once/x", "good", false, quarantine.CheckUnknown, true, false},
+		{"plain, server ended", "/once/x", "good", false, quarantine.CheckRefused, false, false},
+		{"plain, server restarted", "/once/x", "good", false, quarantine.CheckRestarted, false, false},
+		{"plain, reset", "/once/x", "good", true, quarantine.CheckLives, false, false},
+		{"plain, empty, server ended", "/once/x", "", false, quarantine.CheckRefused, false, false},
+		{"stream, server lives", "/stream/x", event, false, quarantine.CheckLives, true, true},
+		{"stream, not known whether the server lives", "/stream/x", event, false, quarantine.CheckUnknown, true, false},
+		{"stream, server ended", "/stream/x", event, false, quarantine.CheckRefused, false, false},
+		{"stream, reset", "/stream/x", event, true, quarantine.CheckLives, false, false},
+		{"stream ends inside an event", "/stream/x", event + "id: 2\nda", false, quarantine.CheckLives, false, false},
+		{"stream ends before any event, server ended", "/stream/x", "", false, quarantine.CheckRefused, false, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				_, _ = fmt.Fprintf(conn, "HTTP/1.1 200 OK\r\nId: %s\r\nSignature: x\r\n\r\n%s", r.Header.Get("Id"), tt.body)
+				if tt.reset {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+				_ = conn.Close()
+			})
+			f := newFixture(t, 0, s)
+			f.check = tt.check
+			a := f.call(t, http.MethodPost, tt.path)
+			if complete := a.status == http.StatusOK && !a.broken; complete != tt.complete {
+				t.Errorf("answer %+v, want a complete one: %v", a, tt.complete)
+			}
+			if f.answered.Load() != tt.answered {
+				t.Errorf("counts as answered: %v, want %v", f.answered.Load(), tt.answered)
+			}
+		})
+	}
+}
