--- /dev/null
+++ b/internal/routing/ingress/blame_test.go
@@ -0,0 +1,94 @@
+package ingress_test
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"net/http"
+	"runtime"
+	"testing"
+	"time"
+
+	"almondbay.example/core/attempt"
+	"almondbay.example/internal/routing/quarantine"
+)
+
+// blame records three crashes under a part of prompts.
+func (f *fixture) blame(part string) {
+	now := f.clock.Now()
+	for i := range 3 {
+		f.guard.RecordEnd(quarantine.End{
+			Crash: attempt.Crash{Group: fmt.Sprint("g", i)}, At: now.Add(-time.Duration(i) * time.Second),
+			Marks: []quarantine.Mark{quarantine.NewParts([]string{part})[0].Mark()},
+		}, now)
+	}
+}
+
+// TestWaitingRequestWithBlamedPartIsCanceled guards against requests that wait at servers
+// when it becomes known that a part of their prompts ends servers, and end those too.
+func TestWaitingRequestWithBlamedPartIsCanceled(t *testing.T) {
+	tests := []struct {
+		name, path, part string
+		begun, canceled  bool
+	}{
+		{"waits", "/safe/x", "bad", false, true},
+		{"stream that waits", "/stream/x", "bad", false, true},
+		{"other part", "/safe/x", "other", false, false},
+		{"may not run again", "/once/x", "bad", false, false},
+		{"stream that has begun", "/stream/x", "bad", true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			arrived, proceed, gone := make(chan struct{}), make(chan struct{}), make(chan struct{})
+			s := newServer(t, func(w http.ResponseWriter, r *http.Request) {
+				w.Header().Set("Signature", "x")
+				if tt.begun {
+					_, _ = fmt.Fprint(w, numbered(1, 1))
+					_ = http.NewResponseController(w).Flush()
+				}
+				close(arrived)
+				select {
+				case <-proceed:
+					_, _ = fmt.Fprint(w, numbered(2, 2))
+				case <-r.Context().Done():
+					close(gone)
+				}
+			})
+			f := newFixture(t, 9, s)
+			request := f.request(t, http.MethodPost, tt.path)
+			request.Header.Set("Shared-Part", tt.part)
+			status := make(chan int, 1)
+			f.group.Go(func() error {
+				response, err := http.DefaultClient.Do(request)
+				if err != nil {
+					return err
+				}
+				status <- response.StatusCode
+				_, err = io.Copy(io.Discard, response.Body)
+				return errors.Join(err, response.Body.Close())
+			})
+			<-arrived
+			if tt.begun {
+				for f.board.LocalReport(f.clock.Now().Add(-time.Hour), f.clock.Now()).Progressed == nil {
+					runtime.Gosched()
+				}
+			}
+			f.blame("bad")
+			f.handler.Check(f.clock.Now())
+			if tt.canceled {
+				<-gone
+			} else {
+				close(proceed)
+			}
+			if err := f.group.Wait(); err != nil {
+				t.Fatal(err)
+			}
+			if got := <-status; (got == http.StatusBadGateway) != tt.canceled {
+				t.Errorf("status %d, want a canceled request: %v", got, tt.canceled)
+			}
+			if result := <-f.results; len(result.Tries) != 1 {
+				t.Errorf("%d tries, want 1", len(result.Tries))
+			}
+		})
+	}
+}
--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
+	"golang.org/x/sync/errgroup"
 
 	"almondbay.example/core/attempt"
 	"almondbay.example/internal/fleet/registry"
@@ -32,7 +33,11 @@
 type dialect struct{}
 
 func (dialect) Call(h http.Header) exchange.Call {
-	return exchange.Call{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), ResumeAfter: h.Get("Resume")}
+	call := exchange.Call{ID: h.Get("Id"), Key: h.Get("Key"), Model: h.Get("Model"), ResumeAfter: h.Get("Resume")}
+	if part := h.Get("Shared-Part"); part != "" {
+		call.SharedParts = []string{part}
+	}
+	return call
 }
 
 func (dialect) Forward(from http.Header, f exchange.Forward) http.Header {
@@ -182,6 +187,9 @@
 	// leaving lists the heads that stated that they are about to shut down.
 	leaving []string
 	board   *balance.Board
+	guard   *quarantine.Guard
+	// group runs requests of callers.
+	group errgroup.Group
 	// check is the result of checks of heads; answered is set once an answer counted.
 	check    quarantine.CheckResult
 	answered atomic.Bool
@@ -215,7 +223,15 @@
 		},
 	}
 	configuration.Index()
-	r := &fixture{results: make(chan ingress.Result, 10), clock: clockwork.NewFakeClock(), board: board, dial: (&net.Dialer{}).DialContext}
+	r := &fixture{
+		results: make(chan ingress.Result, 10), clock: clockwork.NewFakeClock(), board: board, dial: (&net.Dialer{}).DialContext,
+		guard: quarantine.NewGuard(quarantine.GuardConfig{
+			Quarantine: attempt.QuarantineConfig{MaxCrashes: 3},
+			Parts: quarantine.PartPolicy{
+				Quarantine: attempt.QuarantineConfig{ObservationTTL: time.Hour, MaxRequests: 9}, New: quarantine.PartThreshold{Crashes: 3, Episodes: 2},
+			},
+		}),
+	}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		return r.dial(ctx, network, address)
 	}
@@ -230,7 +246,7 @@
 		OnAnswer:      func(*quarantine.Content, time.Time) { r.answered.Store(true) },
 		OnLeaving:     func(h registry.Head) { r.leaving = append(r.leaving, h.ID) },
 		OnPause:       func(registry.Head, time.Duration) {},
-		Guard:         quarantine.NewGuard(quarantine.GuardConfig{Quarantine: attempt.QuarantineConfig{MaxCrashes: 3}}),
+		Guard:         r.guard,
 		MaxTries:      3, StallAfter: 400 * time.Millisecond, AttemptStall: time.Hour,
 	})
 	r.front = httptest.NewServer(r.handler)
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -273,6 +273,12 @@
 		pool: pool, head: choice.Head.ID, inFlight: choice.InFlight, cancel: cancel,
 		sentAt: sentAt, progressAt: sentAt, limits: q.waitLimits(), reserveRetry: q.reserveRetry,
 	}
+	if q.route.Repeatable() && len(q.content.Parts) > 0 {
+		a.blamed = func(now time.Time) bool {
+			_, ok := c.Guard.CulpritPart(q.content, now)
+			return ok
+		}
+	}
 	if !q.late(sentAt) {
 		a.objective = q.route.Objective
 	}
@@ -302,6 +308,9 @@
 // recordLoss reports a try that its head left without a complete response, in case
 // the head ended.
 func (q *request) recordLoss(a *attempt, head registry.Head, now time.Time) {
+	if a.withdrawn.Load() {
+		return
+	}
 	progressAt := a.lastProgress()
 	if !a.abrupt && now.Sub(progressAt) < q.handler.config.StallAfter {
 		// The head was sending data when the try was canceled.
--- a/internal/routing/ingress/watch.go
+++ b/internal/routing/ingress/watch.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"almondbay.example/internal/routing/balance"
@@ -13,6 +14,7 @@
 var (
 	errStalled        = errors.New("backend server stands still")
 	errAttemptTimeout = errors.New("no response data in time")
+	errPartBlamed     = errors.New("a part of the prompt, as other nodes or requests found out, ends the backend servers that run it")
 )
 
 // WaitLimits bounds the time that an attempt may receive no data. The zero value
@@ -43,6 +45,9 @@
 	cancel    context.CancelCauseFunc
 	// limits is zero for attempts that cannot be retried.
 	limits WaitLimits
+	// blamed reports whether a part of the request's prompt is to blame for crashes by now;
+	// nil for requests that must not be canceled.
+	blamed func(now time.Time) bool
 	// reserveRetry charges the retry budget; if it reports false, the attempt is
 	// not canceled.
 	reserveRetry func() bool
@@ -51,6 +56,8 @@
 	// lost is set if the try ended without a complete response, abrupt if the head
 	// ended the connection.
 	lost, abrupt bool
+	// withdrawn is set if the node canceled the try without any fault of the head.
+	withdrawn atomic.Bool
 
 	mu sync.Mutex
 	// progressAt is when the attempt last received data; initially when it was
@@ -101,6 +108,14 @@
 	return now.Sub(a.startedAt)
 }
 
+// waits reports whether nothing was received yet.
+func (a *attempt) waits() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.startedAt.IsZero()
+}
+
 // setCallerBlocked records whether the stream is blocked by a write to the
 // caller. That time does not count as time without data.
 func (a *attempt) setCallerBlocked(callerBlocked bool, now time.Time) {
@@ -172,6 +187,11 @@
 	}
 	w.mu.Unlock()
 	for _, a := range all {
+		if a.blamed != nil && a.waits() && a.blamed(now) {
+			a.withdrawn.Store(true)
+			a.cancel(errPartBlamed)
+			continue
+		}
 		cause := a.cancelCause(now)
 		if cause == nil {
 			continue
--- a/internal/routing/quarantine/guard.go
+++ b/internal/routing/quarantine/guard.go
@@ -134,6 +134,9 @@
 	if len(crashes) >= g.config.Quarantine.MaxCrashes {
 		return false
 	}
+	if _, ok := g.CulpritPart(c, now); ok {
+		return false
+	}
 	return !slices.ContainsFunc(g.suspectedParts(c), func(m Mark) bool {
 		e := g.parts.Evidence(m.Fingerprint, now)
 		return g.config.Parts.isNew(e) && slices.ContainsFunc(e.Observations, func(obs attempt.CrashObservation) bool {
