Tell other failure domains at once of evidence against a new part of prompts

They heard of it with the next report, up to 0.5 s later, while their nodes went on sending such requests. The report is sent after 100 ms at the least if the part was not answered before, which few parts are; other evidence waits as before.

--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -95,14 +95,17 @@
 	lastSent sentReport
 	// collector is the name of the node that this one reports to; empty if the nodes of
 	// its failure domain all send to each other.
-	collector   string
-	demand      *demand
-	metrics     *metric.Entry
-	tableLogs   map[string]*peerrelay.Log
-	feed        *peerrelay.Feed
-	peerClient  *peerrelay.Client
-	incarnation int64
-	startedAt   time.Time
+	collector string
+	// domainReportAt is when a report to other failure domains was last due. It is used
+	// only by the loop that runs sendDomainReport.
+	domainReportAt time.Time
+	demand         *demand
+	metrics        *metric.Entry
+	tableLogs      map[string]*peerrelay.Log
+	feed           *peerrelay.Feed
+	peerClient     *peerrelay.Client
+	incarnation    int64
+	startedAt      time.Time
 
 	configuration atomic.Pointer[routes.Configuration]
 	stopping      atomic.Bool
--- a/internal/node/entry/reports.go
+++ b/internal/node/entry/reports.go
@@ -354,10 +354,32 @@
 	return sources
 }
 
+// urgentDomainInterval is the minimum time between two reports to other failure domains.
+const urgentDomainInterval = 100 * time.Millisecond
+
+// domainReportDue reports whether it is time for a report to other failure domains: once
+// per interval, or soon if there is urgent evidence.
+func (n *Node) domainReportDue(now time.Time) bool {
+	wait := domainReportInterval
+	if n.suspects.domainsUrgent.Load() {
+		wait = urgentDomainInterval
+	}
+	if now.Sub(n.domainReportAt) < wait-reportInterval/2 {
+		return false
+	}
+	n.domainReportAt = now
+	n.suspects.domainsUrgent.Store(false)
+	return true
+}
+
 // sendDomainReport reports the requests in flight and the demand of the whole
-// failure domain to the other failure domains, if this node is its reporter.
+// failure domain to the other failure domains when that is due, if this node is its
+// reporter.
 func (n *Node) sendDomainReport(context.Context) error {
 	now := n.config.Clock.Now()
+	if !n.domainReportDue(now) {
+		return nil
+	}
 	if !n.peers.IsReporter(now) {
 		n.suspects.domains.Clear()
 		return nil
--- a/internal/node/entry/reports_test.go
+++ b/internal/node/entry/reports_test.go
@@ -161,6 +161,40 @@
 	}
 }
 
+// TestOtherDomainsAreToldSoonOfNewPart guards against evidence that other failure domains
+// learn of only with the next report, while a new part of prompts ends their servers.
+func TestOtherDomainsAreToldSoonOfNewPart(t *testing.T) {
+	tests := []struct {
+		name string
+		mark quarantine.Mark
+		want time.Duration
+	}{
+		{"content", quarantine.Mark{Fingerprint: attempt.NewFingerprint([]byte("bad")), Quick: 7}, domainReportInterval},
+		{"new part", quarantine.NewParts([]string{"bad"})[0].Mark(), urgentDomainInterval},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n := newReportingNode(t)
+			now := n.config.Clock.Now()
+			n.domainReportDue(now)
+			n.mergeEvidence([]quarantine.Evidence{{
+				Evidence: attempt.Evidence{
+					Fingerprint:  tt.mark.Fingerprint,
+					Observations: []attempt.CrashObservation{{Crash: attempt.Crash{Group: "s1", Epoch: 1, Site: "s1"}}},
+				},
+				Quick: tt.mark.Quick, Part: tt.mark.Part,
+			}}, true, now)
+			waited := reportInterval
+			for !n.domainReportDue(now.Add(waited)) {
+				waited += reportInterval
+			}
+			if waited != tt.want {
+				t.Errorf("next report after %v, want %v", waited, tt.want)
+			}
+		})
+	}
+}
+
 // recordingStore counts the writes of evidence and runs a function during the first.
 type recordingStore struct {
 	Store
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -114,7 +114,7 @@
 		return n.sendReport(ctx)
 	})
 	n.addLoop(g, every(demandInterval), n.sampleDemand)
-	n.addLoop(g, every(domainReportInterval), n.sendDomainReport)
+	n.addLoop(g, every(reportInterval), n.sendDomainReport)
 	n.addLoop(g, every(suspectsInterval), n.saveSuspects)
 	n.addLoop(g, every(summaryInterval), func(context.Context) error {
 		n.eventLog.logSuppressed()
--- a/internal/node/entry/suspects.go
+++ b/internal/node/entry/suspects.go
@@ -4,6 +4,7 @@
 	"math/rand/v2"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"go.uber.org/zap"
@@ -74,6 +75,8 @@
 	// reports holds what to tell the nodes of the failure domain, digests what to
 	// pass on to them as the collector, domains what to tell other failure domains.
 	reports, digests, domains *quarantine.Outbox
+	// domainsUrgent is set if domains must be told soon.
+	domainsUrgent atomic.Bool
 
 	mu sync.Mutex
 	// contributed holds the requests that this node found out something about itself.
@@ -143,7 +146,16 @@
 func (n *Node) tellAll(f attempt.Fingerprint) {
 	n.suspects.reports.Add(f)
 	n.suspects.digests.Add(f)
+	n.tellDomains(f)
+}
+
+// tellDomains puts what the nodes of this failure domain found out into the messages to
+// others, which don't wait for their interval if it is about a new part of prompts.
+func (n *Node) tellDomains(f attempt.Fingerprint) {
 	n.suspects.domains.Add(f)
+	if n.suspects.guard.Verdict(f, n.config.Clock.Now()).New {
+		n.suspects.domainsUrgent.Store(true)
+	}
 }
 
 // mergeEvidence records the evidence of another node. What a node of this failure
@@ -162,7 +174,7 @@
 		}
 		n.suspects.digests.Add(e.Fingerprint)
 		if local {
-			n.suspects.domains.Add(e.Fingerprint)
+			n.tellDomains(e.Fingerprint)
 		}
 	}
 }
