Let the choice of a head end in any case

A node that chose a head could hang for ever, with the pool locked and a core taken. The level to which arrivals fill the heads was computed until the number of heads below it stayed the same; with real numbers that number only falls, with rounded ones a load next to the level is below it or not by turns. The search now ends once the number does not fall. Loads so large that one request makes no difference left no head below the level; the least loaded one is chosen then.

TestChoiceOfHeadEnds does not end on the code before (killed after 8 s in pick, for arrivals 2.2 and loads 2 and 5.2). The choice is the same elsewhere: 20,000 random draws choose as before (TestChoiceIsAsBefore). FuzzChoiceOfHead: 5 s, no finding.

The same class elsewhere, by reading all loops without a fixed count in internal, platform, core and serving: formGroups ends since a group takes at least one server (sizes are at least 1 when decoded), chooseCollector since each round marks another peer, dispatch since each round takes a ticket or a class out, the search for spares since their number is bounded, waits on clocks since they are bounded by a timer or a context, reads since they end with their source or a size. None else can run on.

--- a/internal/routing/balance/pick.go
+++ b/internal/routing/balance/pick.go
@@ -36,8 +36,34 @@
 // level. With many such requests the choice is almost uniform, with none it is the
 // least loaded head.
 func pick(candidates []candidate, arrivals, point float64) *head {
-	level, count := math.Inf(1), 0
-	for {
+	level, _ := fillLevel(candidates, arrivals)
+	left := point * (arrivals + 1)
+	var last *head
+	for _, c := range candidates {
+		if !(c.load < level) {
+			continue
+		}
+		last = c.head
+		left -= level - c.load
+		if left < 0 {
+			break
+		}
+	}
+	if last == nil {
+		return leastLoaded(candidates)
+	}
+	return last
+}
+
+// fillLevel returns the level to which the arrivals and one more request fill the heads,
+// and the number of steps that it took.
+//
+// With real numbers, the number of heads below the level falls until it stays the same.
+// With rounded ones it may rise again: a load next to the level is then below it or not
+// by turns. The search ends once the number does not fall.
+func fillLevel(candidates []candidate, arrivals float64) (level float64, steps int) {
+	level = math.Inf(1)
+	for count := len(candidates) + 1; ; steps++ {
 		sum, below := 0.0, 0
 		for _, c := range candidates {
 			if c.load < level {
@@ -45,23 +71,22 @@
 				below++
 			}
 		}
-		if below == count {
-			break
+		if below >= count || below == 0 {
+			return level, steps
 		}
 		count = below
 		level = (sum + arrivals + 1) / float64(below)
 	}
-	left := point * (arrivals + 1)
-	var last *head
-	for _, c := range candidates {
-		if c.load >= level {
-			continue
-		}
-		last = c.head
-		left -= level - c.load
-		if left < 0 {
-			break
+}
+
+// leastLoaded returns the head with the least load, for loads so large that one request
+// more makes no difference.
+func leastLoaded(candidates []candidate) *head {
+	least := candidates[0]
+	for _, c := range candidates[1:] {
+		if c.load < least.load {
+			least = c
 		}
 	}
-	return last
+	return least.head
 }
