Report unready when a step that needs the locks of requests does not end

The choice of a head that ran for ever held the lock of its pool: no request to that service was answered any more, and the readiness probe, which needs no such lock, went on saying ready.

--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -90,6 +90,7 @@
 	checks     errgroup.Group
 	controller *control.Controller
 	eventLog   *eventLog
+	watch      *stepWatch
 	store      *instrumentedStore
 	// lastSent and collector are used only by the loop that runs sendReport.
 	lastSent sentReport
@@ -241,6 +242,7 @@
 		metrics:       metric.NewEntry(),
 		demand:        newDemand(),
 		collected:     newCollected(),
+		watch:         &stepWatch{clock: c.Clock},
 		eventLog:      newEventLog(c.Logger, c.Clock, c.DroppedLines),
 	}
 	n.losses = quarantine.NewTracker(quarantine.TrackerConfig{
--- a/internal/node/entry/readiness_test.go
+++ b/internal/node/entry/readiness_test.go
@@ -25,6 +25,7 @@
 		heads:         map[balance.Key]int{},
 		metrics:       metric.NewEntry(),
 		losses:        quarantine.NewTracker(quarantine.TrackerConfig{}),
+		watch:         &stepWatch{clock: clock},
 	}
 	check := func(step string, want bool) {
 		t.Helper()
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -104,13 +104,15 @@
 	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 	n.addLoop(g, every(reportInterval), func(ctx context.Context) error {
 		now := n.config.Clock.Now()
-		n.handler.Check(now)
-		n.board.Refresh(now, balance.ReportAge{
-			Peer:   n.peers.MaxLoadAge() + reportInterval,
-			Domain: domainReportInterval + reportInterval,
+		n.watch.run("check of requests in flight", func() { n.handler.Check(now) })
+		n.watch.run("refresh of loads", func() {
+			n.board.Refresh(now, balance.ReportAge{
+				Peer:   n.peers.MaxLoadAge() + reportInterval,
+				Domain: domainReportInterval + reportInterval,
+			})
 		})
-		n.refreshHeads()
-		n.matchLosses(ctx, now)
+		n.watch.run("refresh of heads", n.refreshHeads)
+		n.watch.run("match of losses", func() { n.matchLosses(ctx, now) })
 		return n.sendReport(ctx)
 	})
 	n.addLoop(g, every(demandInterval), n.sampleDemand)
@@ -281,6 +283,9 @@
 
 // ready reports whether the node can serve, and otherwise the reason.
 func (n *Node) ready() (bool, string) {
+	if step := n.watch.stuck(); step != "" {
+		return false, "step does not end: " + step
+	}
 	switch {
 	case n.stopping.Load():
 		return false, "stopping"
