--- a/internal/node/entry/losses.go
+++ b/internal/node/entry/losses.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -58,11 +59,14 @@
 	ctx, cancel := context.WithTimeout(ctx, connectTimeout)
 	defer cancel()
 	state, err := n.config.Orders.QueryState(ctx, registry.Server{ID: head.ID, Address: head.Address, Incarnation: head.Incarnation})
+	var noAnswer *url.Error
 	switch {
 	case errors.Is(err, syscall.ECONNREFUSED):
 		return quarantine.CheckRefused
 	case errors.Is(err, control.ErrOtherServer):
 		return quarantine.CheckRestarted
+	case errors.As(err, &noAnswer):
+		return quarantine.CheckNoAnswer
 	case err != nil || state.Incarnation == 0:
 		// Servers of plain services may give no report.
 		return quarantine.CheckUnknown
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -110,20 +110,20 @@
 	return TryFailed, "backend server did not resume the stream: " + strconv.Itoa(status)
 }
 
-// errServerEnded reports a response without a length or chunks whose server has ended:
-// the response need not be complete.
-var errServerEnded = errors.New("server ended at the end of a response without a length or chunks")
+// errServerEnded reports a response without a length or chunks whose server has ended, or
+// answers no more: the response need not be complete.
+var errServerEnded = errors.New("server ended, or answers no more, at the end of a response without a length or chunks")
 
 // confirmEnd reports whether the server of a response that was read to its end is known
 // to run. A response without a length or chunks ends with its connection, as it does when
-// the server ends: the server is then asked, and if it has ended, errServerEnded is
-// returned.
+// the server ends: the server is then asked, and if it has ended or gives no answer,
+// errServerEnded is returned.
 func (q *request) confirmEnd(ctx context.Context, head registry.Head, response *http.Response) (lives bool, err error) {
 	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || q.http.Method == http.MethodHead {
 		return true, nil
 	}
 	switch q.handler.config.CheckServer(ctx, head) {
-	case quarantine.CheckRefused, quarantine.CheckRestarted:
+	case quarantine.CheckRefused, quarantine.CheckRestarted, quarantine.CheckNoAnswer:
 		return false, errServerEnded
 	case quarantine.CheckLives:
 		return true, nil
--- a/internal/routing/ingress/resumption_test.go
+++ b/internal/routing/ingress/resumption_test.go
@@ -365,6 +365,7 @@
 	}{
 		{"plain, server lives", "/once/x", "good", false, quarantine.CheckLives, true, true},
 		{"plain, not known whether the server lives", "/once/x", "good", false, quarantine.CheckUnknown, true, false},
+		{"plain, server answers no more", "/once/x", "good", false, quarantine.CheckNoAnswer, false, false},
 		{"plain, server ended", "/once/x", "good", false, quarantine.CheckRefused, false, false},
 		{"plain, server restarted", "/once/x", "good", false, quarantine.CheckRestarted, false, false},
 		{"plain, reset", "/once/x", "good", true, quarantine.CheckLives, false, false},
--- a/internal/routing/quarantine/tracker.go
+++ b/internal/routing/quarantine/tracker.go
@@ -192,8 +192,10 @@
 
 // Results of checks.
 const (
-	// CheckUnknown means that the head gave no answer that tells.
+	// CheckUnknown means that the head gave an answer that does not tell.
 	CheckUnknown CheckResult = iota
+	// CheckNoAnswer means that the head gave no answer.
+	CheckNoAnswer
 	// CheckLives means that the head answered, and has not restarted.
 	CheckLives
 	// CheckRefused means that the head's address refused the connection.
