--- a/internal/routing/quarantine/part_simulation_test.go
+++ b/internal/routing/quarantine/part_simulation_test.go
@@ -382,44 +382,51 @@
 	}
 }
 
+// variants returns the policy of the nodes and what it is compared with.
+func variants() map[string]func(*scenario) {
+	return map[string]func(*scenario){
+		"policy":                    func(*scenario) {},
+		"evidence by content":       func(s *scenario) { s.policy.New.Crashes, s.policy.Answered.Crashes = math.MaxInt32, math.MaxInt32 },
+		"answers acquit nobody":     func(s *scenario) { s.withoutAnswers = true },
+		"domains told each 0.5 s":   func(s *scenario) { s.slowDomains = true },
+		"waiting requests are kept": func(s *scenario) { s.keepQueued = true },
+	}
+}
+
 // TestCrashingPartsInSimulation guards against parts of prompts that end server after
-// server, and against innocent parts that are blamed. It logs the table of
-// docs/SCHEDULING.md.
+// server. It logs the figures of docs/SCHEDULING.md; -seeds sets the number of seeds, and
+// -run selects the variants.
 func TestCrashingPartsInSimulation(t *testing.T) {
-	contentOnly := partPolicy
-	contentOnly.New.Crashes, contentOnly.Answered.Crashes = math.MaxInt32, math.MaxInt32
 	for _, s := range scenarios() {
-		baselines := map[string]func(*scenario){
-			"policy": func(*scenario) {}, "content only": func(s *scenario) { s.policy = contentOnly },
-			"without answers": func(s *scenario) { s.withoutAnswers = true }, "domains told each 0.5 s": func(s *scenario) { s.slowDomains = true },
-			"queued requests kept": func(s *scenario) { s.keepQueued = true },
-		}
-		for _, name := range []string{"policy", "content only", "without answers", "domains told each 0.5 s", "queued requests kept"} {
+		for name, change := range variants() {
 			if name != "policy" && *simulatedSeeds < 20 {
 				continue
 			}
-			played := s
-			baselines[name](&played)
-			seeds := *simulatedSeeds
-			if s.nodes > 100 {
-				seeds = max(1, seeds/20)
-			}
-			var ended, late []int
-			sum := outcome{}
-			for seed := range seeds {
-				o := simulate(played, uint64(seed))
-				ended, late = append(ended, o.ended), append(late, o.late)
-				sum.soundSent += o.soundSent
-				sum.soundRejected += o.soundRejected
-				sum.soundLost += o.soundLost
-				sum.blamed += o.blamed
-			}
-			slices.Sort(ended)
-			t.Logf("%s, %s: %d seeds, ended median %d, most %d, late at most %d, sound rejected %.4f%%, lost %.2f%%, innocent parts blamed %.3f a seed", s.name, name, seeds,
-				ended[seeds/2], ended[seeds-1], slices.Max(late), 100*float64(sum.soundRejected)/float64(sum.soundSent), 100*float64(sum.soundLost)/float64(sum.soundSent), float64(sum.blamed)/float64(seeds))
-			if name == "policy" && slices.Max(late) > 3 {
-				t.Errorf("%s: %d requests with the part reached servers more than 3 s after the fifth end, want at most 3", s.name, slices.Max(late))
-			}
+			t.Run(name+"/"+s.name, func(t *testing.T) {
+				played := s
+				change(&played)
+				seeds := *simulatedSeeds
+				if s.nodes > 100 {
+					seeds = max(1, seeds/20)
+				}
+				var ended, late []int
+				sum := outcome{}
+				for seed := range seeds {
+					o := simulate(played, uint64(seed))
+					ended, late = append(ended, o.ended), append(late, o.late)
+					sum.soundSent += o.soundSent
+					sum.soundRejected += o.soundRejected
+					sum.soundLost += o.soundLost
+					sum.blamed += o.blamed
+				}
+				slices.Sort(ended)
+				percent := func(count int) float64 { return 100 * float64(count) / float64(sum.soundSent) }
+				t.Logf("%d seeds; servers ended: median %d, most %d; late requests: at most %d; sound requests rejected %.4f%%, lost %.2f%%; innocent parts blamed: %.3f a seed",
+					seeds, ended[seeds/2], ended[seeds-1], slices.Max(late), percent(sum.soundRejected), percent(sum.soundLost), float64(sum.blamed)/float64(seeds))
+				if most := slices.Max(late); name == "policy" && most > 3 {
+					t.Errorf("%d requests with the part reached servers more than 3 s after the fifth end, want at most 3", most)
+				}
+			})
 		}
 	}
 }
