--- a/internal/routing/quarantine/blame_test.go
+++ b/internal/routing/quarantine/blame_test.go
@@ -278,6 +278,55 @@
 	}
 }
 
+// newCrash returns what a node tells of a crash under a part of prompts.
+func newCrash(part string) []quarantine.Evidence {
+	g := newGuard()
+	crash([]*quarantine.Guard{g}, "s", noon, part)
+	return []quarantine.Evidence{g.Evidence(quarantine.NewParts([]string{part})[0].Mark().Fingerprint, noon)}
+}
+
+// TestMemoryOfPartsIsBounded guards against memory that grows with the number of parts of
+// prompts that lose a try or are answered, each in one request.
+func TestMemoryOfPartsIsBounded(t *testing.T) {
+	g := newGuard()
+	for i := range 40_000 {
+		crash([]*quarantine.Guard{g}, fmt.Sprint("s", i%100), noon, fmt.Sprint("lost", i))
+		g.RecordAnswer(prompt(fmt.Sprint(i), fmt.Sprint("answered", i)), noon, noon)
+	}
+	g.Expire(noon)
+	if suspected := g.Count(noon).Suspected; suspected > 64*256 {
+		t.Errorf("%d parts with evidence, want at most 64 shards of 256", suspected)
+	}
+	later := noon.Add(partPolicy.Quarantine.ObservationTTL + time.Second)
+	g.Expire(later)
+	if c := g.Count(later); c != (quarantine.Counts{}) {
+		t.Errorf("%+v after the evidence has expired, want none", c)
+	}
+}
+
+// TestCrashingPartIsFoundAmongManyParts guards against a part that is not blamed, or
+// innocent ones that are, since requests have many parts and little in common.
+func TestCrashingPartIsFoundAmongManyParts(t *testing.T) {
+	g := newGuard()
+	parts := func(request int) []string {
+		var all []string
+		for i := range 63 {
+			all = append(all, fmt.Sprintf("request%dpart%d", request, i))
+		}
+		return all
+	}
+	for i := range 3 {
+		crash([]*quarantine.Guard{g}, fmt.Sprint("s", i), noon.Add(time.Duration(i)*time.Second), append(parts(i), "bad")...)
+	}
+	now := noon.Add(3 * time.Second)
+	if m, ok := g.Culprit(prompt("x", append(parts(9), "bad")...), now); !ok || m.Part != "bad" {
+		t.Errorf("blamed %+v, %v, want the part that all requests had", m, ok)
+	}
+	if m, ok := g.Culprit(prompt("x", parts(0)...), now); ok {
+		t.Errorf("blamed %+v, which one request had", m)
+	}
+}
+
 // BenchmarkCulprit measures the check of a request without evidence against it, while
 // there is evidence against others.
 func BenchmarkCulprit(b *testing.B) {
--- a/internal/routing/quarantine/guard_test.go
+++ b/internal/routing/quarantine/guard_test.go
@@ -274,6 +274,13 @@
 func FuzzDecodeEvidence(f *testing.F) {
 	f.Add([]byte(`{"quick":"7","evidence":{"fingerprint":"","crashes":[{"group":"g","epoch":1,"site":"s","ageMs":5}],"completedMs":3}}`))
 	f.Add([]byte(`{"quick":7}`))
+	for _, e := range newCrash("bad") {
+		body, err := quarantine.EncodeEvidence(e)
+		if err != nil {
+			f.Fatal(err)
+		}
+		f.Add(body)
+	}
 	f.Fuzz(func(_ *testing.T, body []byte) {
 		e, err := quarantine.DecodeEvidence(body)
 		if err != nil {
