Try requests with a new part again unless two other servers crashed under it

At a node, most shared parts are new for some time, since it answers few requests of each; after a server had crashed under one, requests with it got no second try, and their callers came back at the crest and were rejected. Nodes that answered a part say so to those that hold two crashes against it, so two other crashes are asked for now.

--- a/internal/node/entry/suspects.go
+++ b/internal/node/entry/suspects.go
@@ -43,6 +43,8 @@
 	answeredFor = time.Minute
 	// commonCause exceeds the time in which nodes see the ends of servers by one fault.
 	commonCause = 50 * time.Millisecond
+	// suspectCrashes is one less than suffices to blame a new part.
+	suspectCrashes = maxCrashes - 1
 	// decisiveCrashes tolerates one crash by another cause.
 	decisiveCrashes = 2
 	// answeredSilence exceeds the duration of most requests, whose answers would acquit
@@ -108,7 +110,7 @@
 				New:        quarantine.PartThreshold{Crashes: maxCrashes, Episodes: 2},
 				Answered:   quarantine.PartThreshold{Crashes: maxCrashesUnderPart, Episodes: 3, Silence: answeredSilence},
 
-				AnsweredFor: answeredFor, CommonCause: commonCause, Decisive: decisiveCrashes,
+				AnsweredFor: answeredFor, CommonCause: commonCause, Decisive: decisiveCrashes, SuspectCrashes: suspectCrashes,
 			},
 			MaxRecent: maxRecentAnswers,
 		}),
--- a/internal/routing/quarantine/blame.go
+++ b/internal/routing/quarantine/blame.go
@@ -18,6 +18,9 @@
 	// before the first crash that counts, Answered for the others.
 	New, Answered PartThreshold
 	AnsweredFor   time.Duration
+	// SuspectCrashes is the number of crashes under a new part from which requests with it
+	// get no second try. Nodes that answered the part say so before that.
+	SuspectCrashes int
 	// Decisive is the number of crashes without another part, which is blamed too, that
 	// tells a part apart from it.
 	Decisive int
--- a/internal/routing/quarantine/guard.go
+++ b/internal/routing/quarantine/guard.go
@@ -113,7 +113,7 @@
 // MayTryAgain reports whether a request may be tried at another server after the
 // given heads ended its tries. That they crashed is not known yet, so heads that
 // ended a connection for another reason count as well. A request with a new part under
-// which another server crashed is not tried again.
+// which SuspectCrashes other servers crashed is not tried again.
 func (g *Guard) MayTryAgain(c *Content, lost []registry.Head, now time.Time) bool {
 	var own []attempt.Crash
 	for _, h := range lost {
@@ -139,9 +139,13 @@
 	}
 	return !slices.ContainsFunc(g.suspectedParts(c), func(m Mark) bool {
 		e := g.parts.Evidence(m.Fingerprint, now)
-		return g.config.Parts.isNew(e) && slices.ContainsFunc(e.Observations, func(obs attempt.CrashObservation) bool {
-			return !slices.Contains(own, obs.Crash)
-		})
+		others := 0
+		for _, obs := range e.Observations {
+			if !slices.Contains(own, obs.Crash) {
+				others++
+			}
+		}
+		return g.config.Parts.isNew(e) && others >= g.config.Parts.SuspectCrashes
 	})
 }
 
--- a/internal/routing/quarantine/guard_test.go
+++ b/internal/routing/quarantine/guard_test.go
@@ -22,7 +22,9 @@
 	Answered:    quarantine.PartThreshold{Crashes: 5, Episodes: 3, Silence: 2 * time.Second},
 	AnsweredFor: time.Minute,
 	Decisive:    2,
-	CommonCause: 50 * time.Millisecond,
+
+	SuspectCrashes: 2,
+	CommonCause:    50 * time.Millisecond,
 }
 
 func newGuard() *quarantine.Guard {
