--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -36,8 +36,10 @@
 type client struct {
 	address string
 	record  *record
-	conn    net.Conn
-	reader  *bufio.Reader
+	// rate is the rate of the client's link in bytes a second; zero for no limit.
+	rate   int
+	conn   net.Conn
+	reader *bufio.Reader
 }
 
 // newID returns the id of a client attempt.
@@ -60,7 +62,7 @@
 		method, path, host, o.id, deadline.Milliseconds(), key, headers, len(body))
 	_, o.err = io.WriteString(c.conn, head)
 	if o.err == nil && len(body) > 0 {
-		_, o.err = c.conn.Write(body)
+		o.err = c.write(body)
 	}
 	if o.err == nil {
 		c.readAnswer(&o, method)
@@ -74,6 +76,27 @@
 	return o
 }
 
+// write writes a body at the rate of the client's link.
+func (c *client) write(body []byte) error {
+	if c.rate == 0 {
+		_, err := c.conn.Write(body)
+		return err
+	}
+	const interval = 20 * time.Millisecond
+	piece := c.rate / int(time.Second/interval)
+	next := time.Now()
+	for len(body) > 0 {
+		n := min(piece, len(body))
+		if _, err := c.conn.Write(body[:n]); err != nil {
+			return err
+		}
+		body = body[n:]
+		next = next.Add(interval)
+		time.Sleep(time.Until(next))
+	}
+	return nil
+}
+
 // readAnswer reads one answer.
 func (c *client) readAnswer(o *outcome, method string) {
 	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
