--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -38,6 +38,7 @@
 var cases = map[string]func(d *deployment) (bool, error){
 	"lost-answer":    lostAnswer,
 	"late-rejection": lateRejection,
+	"uploads":        uploads,
 }
 
 func main() {
@@ -113,6 +114,7 @@
 const (
 	routeBook   = "/puxa403/"
 	routeLookup = "/cufi504/"
+	routeUpload = "/lohu930/"
 )
 
 // service is the name of the plain service.
@@ -132,6 +134,7 @@
 		"routes": []any{
 			route("r-book", routeBook, "non_idempotent", 1),
 			route("r-lookup", routeLookup, "idempotent", 2),
+			route("r-upload", routeUpload, "non_idempotent", 1),
 		},
 		"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 214, "protocol": "h1", "tls": false}},
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
