--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -32,6 +32,9 @@
 	store     *store
 	nodes     []*node
 	engines   []*engine
+	// models are the engines of the model service; the configuration has that service if
+	// there are any.
+	models []*modelEngine
 }
 
 // cases are the cases by name. Each returns whether the rule was broken.
@@ -39,6 +42,7 @@
 	"lost-answer":    lostAnswer,
 	"late-rejection": lateRejection,
 	"uploads":        uploads,
+	"silent-stream":  silentStream,
 }
 
 func main() {
@@ -115,10 +119,14 @@
 	routeBook   = "/puxa403/"
 	routeLookup = "/cufi504/"
 	routeUpload = "/lohu930/"
+	routeDraft  = "/sihu212/"
 )
 
-// service is the name of the plain service.
-const service = "wuno96b"
+// service is the name of the plain service, modelService that of the model engines.
+const (
+	service      = "wuno96b"
+	modelService = "huvo11a"
+)
 
 // start writes the first configuration, starts engines and nodes, and waits until the
 // nodes are ready and have been in touch.
@@ -129,14 +137,31 @@
 			"service": service, "maxAttempts": attempts, "public": false, "sticky": false, "resumable": false,
 		}
 	}
+	routes := []any{
+		route("r-book", routeBook, "non_idempotent", 1),
+		route("r-lookup", routeLookup, "idempotent", 2),
+		route("r-upload", routeUpload, "non_idempotent", 1),
+	}
+	services := []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 214, "protocol": "h1", "tls": false}}
+	if len(d.models) > 0 {
+		draft := route("r-draft", routeDraft, "streaming", 2)
+		draft["service"], draft["resumable"], draft["sticky"], draft["gapTargetMs"], draft["sloMs"] = modelService, true, true, 300, 400
+		routes = append(routes, draft)
+		services = append(services, map[string]any{
+			"name": modelService, "healthPath": "/healthz", "maxConns": 574, "protocol": "h1", "tls": false,
+			"engine": map[string]any{
+				"slots": modelSlots, "kvCapacity": 1860000, "kvBytes": 96256, "linkMbps": 400000.0, "stride": 5,
+				"models":  []any{map[string]any{"name": modelName, "size": 2, "share": 1.0, "pace": 0.6, "loadS": 12.0, "warmupS": 1.1}},
+				"step_ms": 7.8, "per_seq_ms": 0.0947, "context_per_k": 0.0096, "read_per_s": 45900.0, "pairs_per_m": 0.433, "chunk": 2048,
+				"report_lag_ms": 200.0, "loadsPerS": 5.0, "loads_at_once": 7, "usual": map[string]any{"prompt": 979, "answer": 154},
+				"cachedPrefixes": 1, "far_x": 2.5, "formMs": 300.0,
+			},
+		})
+	}
 	configuration, err := json.Marshal(map[string]any{
-		"version": 7,
-		"routes": []any{
-			route("r-book", routeBook, "non_idempotent", 1),
-			route("r-lookup", routeLookup, "idempotent", 2),
-			route("r-upload", routeUpload, "non_idempotent", 1),
-		},
-		"services": []any{map[string]any{"name": service, "healthPath": "/healthz", "maxConns": 214, "protocol": "h1", "tls": false}},
+		"version":  7,
+		"routes":   routes,
+		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": "hule930", "apiKeys": []string{key}, "priority": 1}},
 	})
@@ -156,6 +181,11 @@
 		}
 	}
 	d.engines = engines
+	for _, e := range d.models {
+		if err := e.start(); err != nil {
+			return err
+		}
+	}
 	if d.nodes, err = newNodes(d.dir, l.Addr().String(), nodeCount); err != nil {
 		return err
 	}
