Review case 1: members of a leaving head are joined to another group

Cause: a refused connection counts as proof that a head does not serve, though a head that leaves stops listening before its work is done. After an outage of the store, in which its registration lapsed, nodes ask it only then, release its group and give its members another. The node's code is not changed.

--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -28,6 +28,7 @@
 	signature  string
 	body       string
 	err        error
+	sentAt     time.Time
 	// kept is set if the request was sent on a channel that had been used before.
 	kept bool
 }
@@ -47,7 +48,7 @@
 
 // send sends one request and reads its answer. Headers are extra header lines.
 func (c *client) send(method, path, headers string, body []byte, deadline time.Duration) outcome {
-	o := outcome{id: newID(), kept: c.conn != nil}
+	o := outcome{id: newID(), sentAt: time.Now(), kept: c.conn != nil}
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.address, time.Second)
 		if err != nil {
--- a/review/standin/load.go
+++ b/review/standin/load.go
@@ -6,14 +6,16 @@
 	"time"
 )
 
-// load runs closed-loop clients, spread over the nodes, until the end.
-func (d *deployment) load(clients int, end time.Time, pause time.Duration, send func(c *client) outcome) *outcomes {
+// load runs closed-loop clients, spread over the nodes, until the end. They begin one after
+// the other within spread.
+func (d *deployment) load(clients int, spread time.Duration, end time.Time, pause time.Duration, send func(c *client) outcome) *outcomes {
 	var all outcomes
 	var g sync.WaitGroup
 	for i := range clients {
 		g.Go(func() {
 			c := &client{address: d.nodes[i%len(d.nodes)].frontend, record: d.record}
 			defer c.close()
+			time.Sleep(spread * time.Duration(i) / time.Duration(clients))
 			for time.Now().Before(end) {
 				o := send(c)
 				all.add(o)
--- a/review/standin/lostanswer.go
+++ b/review/standin/lostanswer.go
@@ -33,7 +33,7 @@
 			return yes
 		}
 	}
-	all := d.load(24, from.Add(length+2*time.Second), 100*time.Millisecond, func(c *client) outcome {
+	all := d.load(24, 0, from.Add(length+2*time.Second), 100*time.Millisecond, func(c *client) outcome {
 		return c.send("POST", routeBook+"2f", "Idempotency-Key: "+newID()+"\r\n", nil, 4*time.Second)
 	})
 	d.record.say("%d answers lost", lost.Load())
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -35,6 +35,8 @@
 	// models are the engines of the model service; the configuration has that service if
 	// there are any.
 	models []*modelEngine
+	// modelSize is the number of engines of a replica group.
+	modelSize int
 }
 
 // cases are the cases by name. Each returns whether the rule was broken.
@@ -43,6 +45,8 @@
 	"late-rejection": lateRejection,
 	"uploads":        uploads,
 	"silent-stream":  silentStream,
+	"first-part":     firstPart,
+	"leaving-head":   leavingHead,
 }
 
 func main() {
@@ -151,7 +155,7 @@
 			"name": modelService, "healthPath": "/healthz", "maxConns": 574, "protocol": "h1", "tls": false,
 			"engine": map[string]any{
 				"slots": modelSlots, "kvCapacity": 1860000, "kvBytes": 96256, "linkMbps": 400000.0, "stride": 5,
-				"models":  []any{map[string]any{"name": modelName, "size": 2, "share": 1.0, "pace": 0.6, "loadS": 12.0, "warmupS": 1.1}},
+				"models":  []any{map[string]any{"name": modelName, "size": d.modelSize, "share": 1.0, "pace": 0.6, "loadS": 12.0, "warmupS": 1.1}},
 				"step_ms": 7.8, "per_seq_ms": 0.0947, "context_per_k": 0.0096, "read_per_s": 45900.0, "pairs_per_m": 0.433, "chunk": 2048,
 				"report_lag_ms": 200.0, "loadsPerS": 5.0, "loads_at_once": 7, "usual": map[string]any{"prompt": 979, "answer": 154},
 				"cachedPrefixes": 1, "far_x": 2.5, "formMs": 300.0,
@@ -175,6 +179,7 @@
 	}
 	server := &http.Server{Handler: d.store, ReadHeaderTimeout: time.Minute}
 	go func() { _ = server.Serve(l) }()
+	go d.store.expire(nil)
 	for _, e := range engines {
 		if err := e.start(); err != nil {
 			return err
--- a/review/standin/silentstream.go
+++ b/review/standin/silentstream.go
@@ -26,7 +26,8 @@
 		stopAt  = 7 * time.Second
 		grace   = 8 * time.Second
 	)
-	for i := range 2 {
+	d.modelSize = 2
+	for i := range d.modelSize {
 		e := newModelEngine(fmt.Sprintf("i-7f3a91c%d", i), zones[0], modelService, d.store, d.record)
 		e.preemptAt, e.pauseTime = 10, 1800*time.Millisecond
 		d.models = append(d.models, e)
--- a/review/standin/store.go
+++ b/review/standin/store.go
@@ -3,6 +3,7 @@
 import (
 	"cmp"
 	"encoding/json"
+	"net"
 	"net/http"
 	"slices"
 	"strconv"
@@ -40,8 +41,8 @@
 	NowMs      int64  `json:"nowMs"`
 }
 
-// store is a stand-in of the platform's metadata store. It is always available and keeps
-// its whole history.
+// store is a stand-in of the platform's metadata store. It keeps its whole history. It is
+// available unless setDown is called; then it resets the channels of all calls.
 type store struct {
 	started time.Time
 
@@ -49,10 +50,64 @@
 	rows    map[rowKey]row
 	version uint64
 	changed chan struct{}
+	down    bool
+	// renewed is when each registration was last written.
+	renewed map[rowKey]time.Time
 }
 
 func newStore() *store {
-	return &store{started: time.Now(), rows: map[rowKey]row{}, changed: make(chan struct{})}
+	return &store{started: time.Now(), rows: map[rowKey]row{}, changed: make(chan struct{}), renewed: map[rowKey]time.Time{}}
+}
+
+// setDown begins or ends an outage.
+func (s *store) setDown(down bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	s.down = down
+	s.notify()
+}
+
+// notify wakes the calls that wait for a change. It is called with mu held.
+func (s *store) notify() {
+	close(s.changed)
+	s.changed = make(chan struct{})
+}
+
+// expire removes the registrations that were silent for three heartbeats, also while the
+// store is down, until stop is closed.
+func (s *store) expire(stop chan struct{}) {
+	for {
+		select {
+		case <-stop:
+			return
+		case <-time.After(50 * time.Millisecond):
+		}
+		s.mu.Lock()
+		var lapsed []row
+		for id, at := range s.renewed {
+			if time.Since(at) > 3*heartbeat {
+				lapsed = append(lapsed, s.rows[id])
+				delete(s.renewed, id)
+			}
+		}
+		if len(lapsed) > 0 {
+			s.apply(nil, lapsed)
+		}
+		s.mu.Unlock()
+	}
+}
+
+// reset resets the channel of a call.
+func reset(w http.ResponseWriter) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	if c, ok := conn.(*net.TCPConn); ok {
+		_ = c.SetLinger(0)
+	}
+	_ = conn.Close()
 }
 
 // put writes a row as the operator or a server does.
@@ -60,7 +115,23 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
-	s.apply([]row{{Table: table, Key: key, Value: value}}, nil)
+	if s.down && table == "servers" {
+		return
+	}
+	r := row{Table: table, Key: key, Value: value}
+	if table == "servers" {
+		s.renewed[r.id()] = time.Now()
+	}
+	s.apply([]row{r}, nil)
+}
+
+// has reports whether a row exists.
+func (s *store) has(table, key string) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	r, ok := s.rows[rowKey{table: table, key: key}]
+	return ok && !r.Deleted
 }
 
 // apply writes and removes rows. It is called with mu held.
@@ -74,13 +145,19 @@
 		r.RowVersion, r.Deleted, r.Value = s.version, true, nil
 		s.rows[r.id()] = r
 	}
-	close(s.changed)
-	s.changed = make(chan struct{})
+	s.notify()
 }
 
 // ServeHTTP implements http.Handler.
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	time.Sleep(storeLatency)
+	s.mu.Lock()
+	down := s.down
+	s.mu.Unlock()
+	if down {
+		reset(w)
+		return
+	}
 	w.Header().Set("Content-Type", "application/json")
 	switch r.Method + " " + r.URL.Path {
 	case "POST /-/rows-tx":
@@ -172,6 +249,11 @@
 	defer timer.Stop()
 	for expired := false; ; {
 		s.mu.Lock()
+		if s.down {
+			s.mu.Unlock()
+			reset(w)
+			return
+		}
 		rows := []row{}
 		for _, x := range s.rows {
 			if x.Table == q.Get("table") && x.RowVersion > since {
