--- a/review/standin/client.go
+++ b/review/standin/client.go
@@ -46,8 +46,8 @@
 // newID returns the id of a client attempt.
 func newID() string { return fmt.Sprintf("%016x", rand.Uint64()) }
 
-// send sends one request and reads its answer. Headers are extra header lines.
-func (c *client) send(method, path, headers string, body []byte, deadline time.Duration) outcome {
+// post sends one request and reads its answer. Headers are extra header lines.
+func (c *client) post(path, headers string, body []byte, deadline time.Duration) outcome {
 	o := outcome{id: newID(), sentAt: time.Now(), kept: c.conn != nil}
 	if c.conn == nil {
 		conn, err := net.DialTimeout("tcp", c.address, time.Second)
@@ -57,16 +57,16 @@
 		}
 		c.conn, c.reader = conn, bufio.NewReader(conn)
 	}
-	c.record.line("client sends request %s: %s %s, %d bytes, to %s", o.id, method, path, len(body), c.address)
+	c.record.line("client sends request %s: POST %s, %d bytes, to %s", o.id, path, len(body), c.address)
 	_ = c.conn.SetDeadline(time.Now().Add(deadline + 2*time.Second))
-	head := fmt.Sprintf("%s %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nX-Api-Key: %s\r\n%sContent-Length: %d\r\n\r\n",
-		method, path, host, o.id, deadline.Milliseconds(), key, headers, len(body))
+	head := fmt.Sprintf("POST %s HTTP/1.1\r\nHost: %s\r\nAttempt-Id: %s\r\nDeadline-Ms: %d\r\nX-Api-Key: %s\r\n%sContent-Length: %d\r\n\r\n",
+		path, host, o.id, deadline.Milliseconds(), key, headers, len(body))
 	_, o.err = io.WriteString(c.conn, head)
 	if o.err == nil && len(body) > 0 {
 		o.err = c.write(body)
 	}
 	if o.err == nil {
-		c.readAnswer(&o, method)
+		c.readAnswer(&o)
 	}
 	if o.err != nil {
 		c.close()
@@ -99,12 +99,13 @@
 }
 
 // readAnswer reads one answer.
-func (c *client) readAnswer(o *outcome, method string) {
-	response, err := http.ReadResponse(c.reader, &http.Request{Method: method})
+func (c *client) readAnswer(o *outcome) {
+	response, err := http.ReadResponse(c.reader, nil)
 	if err != nil {
 		o.err = err
 		return
 	}
+	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	if err != nil {
 		o.err = err
--- a/review/standin/engine.go
+++ b/review/standin/engine.go
@@ -197,7 +197,7 @@
 	_, err := reader.Peek(1)
 	_ = conn.SetReadDeadline(time.Time{})
 	var timeout net.Error
-	if err != nil && !(asNetError(err, &timeout) && timeout.Timeout()) {
+	if err != nil && (!asNetError(err, &timeout) || !timeout.Timeout()) {
 		e.free <- struct{}{}
 		return false
 	}
--- a/review/standin/firstpart.go
+++ b/review/standin/firstpart.go
@@ -23,23 +23,13 @@
 func firstPart(d *deployment) (bool, error) {
 	const (
 		length   = 45 * time.Second
-		interval = 400 * time.Millisecond
 		downTime = 3 * time.Second
-		contact  = 3 * time.Second
 		calm     = 10 * time.Second
-		needed   = 5
 	)
 	parts := defaultParts
 	if n, err := strconv.Atoi(os.Getenv("PARTS")); err == nil {
 		parts = n
 	}
-	prefix := func(first string) string {
-		list := []string{first + ":40"}
-		for i := 1; i < parts-1; i++ {
-			list = append(list, fmt.Sprintf("5c1e%04x:20", i))
-		}
-		return "Model: " + modelName + "\r\nToken-Usage: 1460,170\r\nPrefix-Hash: " + strings.Join(append(list, newID()+":80"), ",") + "\r\n"
-	}
 	var mu sync.Mutex
 	var arrivals, crashes []time.Time
 	bad := func(r *http.Request) bool { return strings.HasPrefix(r.Header.Get("Prefix-Hash"), crashingPart+":") }
@@ -78,20 +68,47 @@
 	if d.trouble {
 		g.Go(func() {
 			time.Sleep(calm)
-			for k := 0; time.Now().Before(end); k++ {
-				c := &client{address: d.nodes[rand.IntN(len(d.nodes))].frontend, record: d.record}
-				g.Go(func() {
-					c.send("POST", routeDraft+"2f", prefix(crashingPart), fmt.Appendf(nil, "prompt %d", k), 6*time.Second)
-					c.close()
-				})
-				time.Sleep(interval)
-			}
+			d.sendCrashing(end, parts)
 		})
 	}
 	sound := d.load(9, 0, end, 300*time.Millisecond, func(c *client) outcome {
-		return c.send("POST", routeDraft+"2f", prefix("5c1e07a2"), []byte("a prompt"), 6*time.Second)
+		return c.post(routeDraft+"2f", prompt("5c1e07a2", parts), []byte("a prompt"), 6*time.Second)
 	})
 	g.Wait()
+	return d.judgeParts(parts, sound, arrivals, crashes)
+}
+
+// sendCrashing sends requests with the crashing part to any node until the end.
+func (d *deployment) sendCrashing(end time.Time, parts int) {
+	const interval = 400 * time.Millisecond
+	var g sync.WaitGroup
+	defer g.Wait()
+	for k := 0; time.Now().Before(end); k++ {
+		g.Go(func() {
+			c := &client{address: d.nodes[rand.IntN(len(d.nodes))].frontend, record: d.record}
+			c.post(routeDraft+"2f", prompt(crashingPart, parts), fmt.Appendf(nil, "prompt %d", k), 6*time.Second)
+			c.close()
+		})
+		time.Sleep(interval)
+	}
+}
+
+// prompt returns the headers of a request whose prompt has some parts: the given first one,
+// shared ones, and its own.
+func prompt(first string, parts int) string {
+	list := []string{first + ":40"}
+	for i := 1; i < parts-1; i++ {
+		list = append(list, fmt.Sprintf("5c1e%04x:20", i))
+	}
+	return "Model: " + modelName + "\r\nToken-Usage: 1460,170\r\nPrefix-Hash: " + strings.Join(append(list, newID()+":80"), ",") + "\r\n"
+}
+
+// judgeParts checks BUDGET and LOST of parts of prompts that crash engines.
+func (d *deployment) judgeParts(parts int, sound *outcomes, arrivals, crashes []time.Time) (bool, error) {
+	const (
+		contact = 3 * time.Second
+		needed  = 5
+	)
 	ran := map[string]bool{}
 	for _, e := range d.models {
 		e.mu.Lock()
--- a/review/standin/laterejection.go
+++ b/review/standin/laterejection.go
@@ -30,7 +30,7 @@
 		}
 	}
 	all := d.load(48, 0, from.Add(length+2*time.Second), 30*time.Millisecond, func(c *client) outcome {
-		return c.send("POST", routeBook+"2f", "", []byte("a booking of some bytes"), 4*time.Second)
+		return c.post(routeBook+"2f", "", []byte("a booking of some bytes"), 4*time.Second)
 	})
 	answers, rejections := 0, 0
 	for _, e := range engines {
--- a/review/standin/leavinghead.go
+++ b/review/standin/leavinghead.go
@@ -41,25 +41,10 @@
 	done := make(chan error, 1)
 	go func() {
 		time.Sleep(outageAt)
-		head := d.openHeadIn(zones[0])
-		if head == nil {
-			done <- errors.New("no group is open in the first zone")
-			return
-		}
-		if d.trouble {
-			d.record.say("the store is down for %v", outage)
-			d.store.setDown(true)
-			time.AfterFunc(outage, func() {
-				d.store.setDown(false)
-				d.record.say("the store is back")
-			})
-		}
-		time.Sleep(200 * time.Millisecond)
-		head.leave()
-		done <- nil
+		done <- d.outageWithLeavingHead(outage)
 	}()
 	all := d.load(clients, streamTime, end, 100*time.Millisecond, func(c *client) outcome {
-		return c.send("POST", routeDraft+"2f", fmt.Sprintf("Model: %s\r\nToken-Usage: 1460,435\r\nPrefix-Hash: 5c1e07a2:40,%s:1420\r\n", modelName, newID()), []byte("a prompt"), 8*time.Second)
+		return c.post(routeDraft+"2f", fmt.Sprintf("Model: %s\r\nToken-Usage: 1460,435\r\nPrefix-Hash: 5c1e07a2:40,%s:1420\r\n", modelName, newID()), []byte("a prompt"), 8*time.Second)
 	})
 	if err := <-done; err != nil {
 		return false, err
@@ -82,6 +67,25 @@
 	return twos > 0, nil
 }
 
+// outageWithLeavingHead takes a head of the first zone away, in an outage of the store.
+func (d *deployment) outageWithLeavingHead(outage time.Duration) error {
+	head := d.openHeadIn(zones[0])
+	if head == nil {
+		return errors.New("no group is open in the first zone")
+	}
+	if d.trouble {
+		d.record.say("the store is down for %v", outage)
+		d.store.setDown(true)
+		time.AfterFunc(outage, func() {
+			d.store.setDown(false)
+			d.record.say("the store is back")
+		})
+	}
+	time.Sleep(200 * time.Millisecond)
+	head.leave()
+	return nil
+}
+
 // openHeadIn returns the head of an open group in a zone; nil if there is none.
 func (d *deployment) openHeadIn(zone string) *modelEngine {
 	for _, e := range d.models {
--- a/review/standin/lostanswer.go
+++ b/review/standin/lostanswer.go
@@ -34,7 +34,7 @@
 		}
 	}
 	all := d.load(24, 0, from.Add(length+2*time.Second), 100*time.Millisecond, func(c *client) outcome {
-		return c.send("POST", routeBook+"2f", "Idempotency-Key: "+newID()+"\r\n", nil, 4*time.Second)
+		return c.post(routeBook+"2f", "Idempotency-Key: "+newID()+"\r\n", nil, 4*time.Second)
 	})
 	d.record.say("%d answers lost", lost.Load())
 	if d.trouble && lost.Load() == 0 {
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -132,9 +132,8 @@
 	modelService = "huvo11a"
 )
 
-// start writes the first configuration, starts engines and nodes, and waits until the
-// nodes are ready and have been in touch.
-func (d *deployment) start(nodeCount int, engines []*engine) error {
+// configuration returns the first configuration.
+func (d *deployment) configuration() ([]byte, error) {
 	route := func(name, prefix, kind string, attempts int) map[string]any {
 		return map[string]any{
 			"name": name, "host": host, "prefix": prefix, "routeKind": kind, "timeoutMs": 8000, "sloMs": 300, "priority": 2,
@@ -162,13 +161,19 @@
 			},
 		})
 	}
-	configuration, err := json.Marshal(map[string]any{
+	return json.Marshal(map[string]any{
 		"version":  7,
 		"routes":   routes,
 		"services": services,
 		"limits":   map[string]any{"maxHeaderBytes": 16384, "maxBodyBytes": maxBodyBytes, "headerTimeoutMs": 3000, "idleTimeoutMs": 15000},
 		"tenants":  []any{map[string]any{"name": "hule930", "apiKeys": []string{key}, "priority": 1}},
 	})
+}
+
+// start writes the first configuration, starts engines and nodes, and waits until the
+// nodes are ready and have been in touch.
+func (d *deployment) start(nodeCount int, engines []*engine) error {
+	configuration, err := d.configuration()
 	if err != nil {
 		return err
 	}
--- a/review/standin/model.go
+++ b/review/standin/model.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -67,7 +68,6 @@
 	accepted uint64
 	lastSeen uint64
 	staged   bool
-	last     string
 	group    *membership
 	beats    int
 	// leaving is set once the engine has stopped its liveness reports to leave, gone once
@@ -285,19 +285,7 @@
 		if in {
 			return http.StatusOK
 		}
-		rank := 0
-		for i, m := range o.Members {
-			if m == e.id {
-				rank = i
-			}
-		}
-		wait := loadTime
-		if e.staged {
-			wait = joinTime
-		}
-		g := &membership{Name: o.Group, Epoch: o.Epoch, Rank: rank, State: "joining", members: o.Members}
-		e.lastSeen, e.group, e.last = o.Epoch, g, o.Model
-		e.after(wait, g, func() { g.State, e.staged = "ready", true })
+		e.join(o)
 	case "open":
 		switch {
 		case !in || e.group.State != "ready" && e.group.State != "open":
@@ -331,6 +319,17 @@
 	return http.StatusAccepted
 }
 
+// join replaces the membership. It is called with mu held.
+func (e *modelEngine) join(o order) {
+	wait := loadTime
+	if e.staged {
+		wait = joinTime
+	}
+	g := &membership{Name: o.Group, Epoch: o.Epoch, Rank: max(0, slices.Index(o.Members, e.id)), State: "joining", members: o.Members}
+	e.lastSeen, e.group = o.Epoch, g
+	e.after(wait, g, func() { g.State, e.staged = "ready", true })
+}
+
 // after makes a change after some time unless the group has changed. It is called with mu
 // held.
 func (e *modelEngine) after(wait time.Duration, g *membership, change func()) {
@@ -444,7 +443,7 @@
 	_, err := reader.Peek(1)
 	_ = conn.SetReadDeadline(time.Time{})
 	var timeout net.Error
-	return err != nil && !(asNetError(err, &timeout) && timeout.Timeout())
+	return err != nil && (!asNetError(err, &timeout) || !timeout.Timeout())
 }
 
 // stream sends the events of a stream in chunks, from the one after Last-Event-Id on. It
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -23,7 +23,7 @@
 	settings            string
 	process             *exec.Cmd
 	log                 *os.File
-	exited              chan error
+	exited              chan struct{}
 }
 
 // zones are the zones of the deployment.
@@ -130,8 +130,12 @@
 	if err := n.process.Start(); err != nil {
 		return err
 	}
-	n.exited = make(chan error, 1)
-	go func(p *exec.Cmd, exited chan error) { exited <- p.Wait() }(n.process, n.exited)
+	n.exited = make(chan struct{})
+	go func(p *exec.Cmd, exited chan struct{}) {
+		// How it ended is no matter.
+		_ = p.Wait()
+		close(exited)
+	}(n.process, n.exited)
 	return nil
 }
 
--- a/review/standin/silentstream.go
+++ b/review/standin/silentstream.go
@@ -49,7 +49,7 @@
 			defer c.close()
 			for time.Since(start) < length {
 				s := sent{node: d.nodes[k], sentAt: time.Now()}
-				s.outcome = c.send("POST", routeDraft+"2f", fmt.Sprintf("Model: %s\r\nToken-Usage: 1460,170\r\nPrefix-Hash: 5c1e07a2:40,%s:1420\r\n", modelName, newID()), []byte("a prompt"), 8*time.Second)
+				s.outcome = c.post(routeDraft+"2f", fmt.Sprintf("Model: %s\r\nToken-Usage: 1460,170\r\nPrefix-Hash: 5c1e07a2:40,%s:1420\r\n", modelName, newID()), []byte("a prompt"), 8*time.Second)
 				s.endedAt = time.Now()
 				mu.Lock()
 				all = append(all, s)
@@ -68,18 +68,7 @@
 	if d.trouble {
 		time.Sleep(stopAt)
 		stopped = time.Now()
-		d.record.say("SIGTERM to %s", stopping.name)
-		if err := stopping.process.Process.Signal(syscall.SIGTERM); err != nil {
-			return false, err
-		}
-		select {
-		case <-stopping.exited:
-			d.record.say("%s has ended %.1f s after it", stopping.name, time.Since(stopped).Seconds())
-		case <-time.After(grace):
-			return false, errors.New("the node has not ended in its time")
-		}
-		stopping.process = nil
-		if err := stopping.start(d.root, d.dir); err != nil {
+		if err := d.stopPlanned(stopping, grace); err != nil {
 			return false, err
 		}
 	}
@@ -87,6 +76,23 @@
 	return d.judgeStreams(all, stopping, stopped, grace)
 }
 
+// stopPlanned sends SIGTERM to a node and starts it again once it has ended.
+func (d *deployment) stopPlanned(n *node, grace time.Duration) error {
+	at := time.Now()
+	d.record.say("SIGTERM to %s", n.name)
+	if err := n.process.Process.Signal(syscall.SIGTERM); err != nil {
+		return err
+	}
+	select {
+	case <-n.exited:
+		d.record.say("%s has ended %.1f s after it", n.name, time.Since(at).Seconds())
+	case <-time.After(grace):
+		return errors.New("the node has not ended in its time")
+	}
+	n.process = nil
+	return n.start(d.root, d.dir)
+}
+
 // awaitGroup waits until a replica group is open.
 func (d *deployment) awaitGroup(limit time.Duration) error {
 	for end := time.Now().Add(limit); time.Now().Before(end); time.Sleep(100 * time.Millisecond) {
--- a/review/standin/uploads.go
+++ b/review/standin/uploads.go
@@ -32,17 +32,7 @@
 		length      = 22 * time.Second
 		burstAfter  = 10 * time.Second
 	)
-	var engines []*engine
-	for i, z := range zones {
-		e := newEngine([]string{"i-7f3a91c2", "i-02d9e6b4", "i-5ef21232"}[i], z, service, 60, 30, d.store, d.record)
-		e.work = func(r *http.Request) time.Duration {
-			if strings.HasPrefix(r.URL.Path, routeUpload) {
-				return 50 * time.Millisecond
-			}
-			return 300 * time.Millisecond
-		}
-		engines = append(engines, e)
-	}
+	engines := uploadEngines(d)
 	if err := d.start(nodeCount, engines); err != nil {
 		return false, err
 	}
@@ -64,7 +54,7 @@
 			c := &client{address: address, record: d.record, rate: linkRate}
 			defer c.close()
 			for time.Now().Before(until) {
-				o := c.send("POST", routeUpload+"2f", "", body, 8*time.Second)
+				o := c.post(routeUpload+"2f", "", body, 8*time.Second)
 				uploaded.add(o)
 				time.Sleep(max(o.retryAfter, 100*time.Millisecond))
 			}
@@ -81,15 +71,7 @@
 			}
 		}
 		for range bookers {
-			g.Go(func() {
-				c := &client{address: address, record: d.record}
-				defer c.close()
-				for time.Now().Before(end) {
-					o := c.send("POST", routeBook+"2f", "", []byte("a booking of some bytes"), 4*time.Second)
-					booked.add(o)
-					time.Sleep(max(o.retryAfter, 50*time.Millisecond))
-				}
-			})
+			g.Go(func() { d.book(address, end, &booked) })
 		}
 	}
 	g.Wait()
@@ -98,6 +80,33 @@
 	return d.judgeLost(&booked, &uploaded, killed.Load())
 }
 
+// book sends one booking after the other on a kept channel until the end.
+func (d *deployment) book(address string, end time.Time, booked *outcomes) {
+	c := &client{address: address, record: d.record}
+	defer c.close()
+	for time.Now().Before(end) {
+		o := c.post(routeBook+"2f", "", []byte("a booking of some bytes"), 4*time.Second)
+		booked.add(o)
+		time.Sleep(max(o.retryAfter, 50*time.Millisecond))
+	}
+}
+
+// uploadEngines returns the engines: a body takes them 50 ms, a booking 300 ms.
+func uploadEngines(d *deployment) []*engine {
+	var engines []*engine
+	for i, z := range zones {
+		e := newEngine([]string{"i-7f3a91c2", "i-02d9e6b4", "i-5ef21232"}[i], z, service, 60, 30, d.store, d.record)
+		e.work = func(r *http.Request) time.Duration {
+			if strings.HasPrefix(r.URL.Path, routeUpload) {
+				return 50 * time.Millisecond
+			}
+			return 300 * time.Millisecond
+		}
+		engines = append(engines, e)
+	}
+	return engines
+}
+
 // judgeLost checks LOST: a machine passes a request from a kept channel on to a sound engine
 // and closes that channel without an answer, more than three times. A process that ends for
 // its memory counts as running all the while.
