--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -3,4 +3,4 @@
 # held, 2 if the case could not run. TROUBLE=0 leaves the disruption out.
 cd "$(dirname "$0")" || exit 2
 [ -x ../bin/reviewcase ] || exit 2
-exec ../bin/reviewcase -case silent-stream -root ../.. -record record.txt
+exec ../bin/reviewcase -case first-part -root ../.. -record record.txt
