Join members elsewhere only once their head can't have work

The head had left unseen in an outage of the store: it stopped listening, finished its streams, and its address refused the probes of the holder of the lease.

Cause: a refused connection, or silence, in two probes 0.7 s apart was taken for proof that the head has no work. It proves that the head accepts nothing new. The holder's log shows it: the group was released 1.4 s after the first refusal, by one term and without late orders, which rules these out.

What proves it is asked in one place now: the head's own reply, a later incarnation, or 10.5 s since its address first refused a quorum of nodes, or since it was last heard of if it is silent. Probes of an earlier term, with a gap, or from before the registration was last there don't count. The probe asks for the group of the plan, whatever this node saw last, and the plan holds the address of the head, so that members of a head that no living node ever saw are no longer bound for ever.

--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -63,9 +63,12 @@
 	// SameDomain is the number of those in the server's failure domain. A network
 	// partition may separate the whole failure domain from the other nodes.
 	SameDomain int
-	// Reached is set if any of them got a reply, which is in State.
-	Reached bool
-	State   State
+	// Replies holds the replies of the server that they got.
+	Replies []State
+	// Refused is the number of nodes whose connection the server's address refused, or
+	// that got a reply of another server there. The server accepts nothing new then, but
+	// may still work on what it accepted before.
+	Refused int
 }
 
 // Config configures a Controller.
@@ -102,13 +105,12 @@
 	// Grace is how long a server whose registration is missing still counts as
 	// registered after an outage of the store.
 	Grace time.Duration
-	// ProbeQuorum is the number of nodes that must have failed to reach a head
-	// without a registration, in two consecutive probes, before the head counts as
-	// stopped.
+	// ProbeQuorum is the number of nodes that must fail to reach a head without a
+	// registration for a probe to show that it accepts nothing new.
 	ProbeQuorum int
 	// UnreachableTimeout is how long a head without a registration must have been
 	// unreachable before it counts as stopped even though fewer nodes, or none in
-	// its failure domain, could probe it.
+	// its failure domain, could probe it, or its address isn't known.
 	UnreachableTimeout time.Duration
 	Jitter             func(limit time.Duration) time.Duration
 }
@@ -157,7 +159,7 @@
 			}),
 			sentAt:      map[orderKey]time.Time{},
 			loading:     map[string]load{},
-			probes:      map[string]headProbe{},
+			probes:      map[string]*headProbe{},
 			orderCounts: map[string]acceptedOrders{},
 		}
 		next.tasks.SetLimit(maxTasks)
--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -68,7 +68,7 @@
 	// orderCounts holds the number of orders that each server has accepted.
 	orderCounts map[string]acceptedOrders
 	// probes holds the state of the probes of heads without a registration.
-	probes map[string]headProbe
+	probes map[string]*headProbe
 }
 
 // leaseKey returns the key of the lease row.
@@ -233,6 +233,7 @@
 		d.term = term
 		d.sentAt = map[orderKey]time.Time{}
 		d.clearOrderCounts()
+		d.clearProbes()
 		if row.Version > 0 {
 			d.loadsBlockedUntil = d.config.Clock.Now().Add(d.config.LoadWindow)
 		}
--- a/internal/fleet/control/domain_test.go
+++ b/internal/fleet/control/domain_test.go
@@ -109,6 +109,8 @@
 	serving bool
 	// loadsAtOnce defaults to seven.
 	loadsAtOnce int
+	// probe defaults to one that no node takes part in.
+	probe func(s registry.Server) control.ProbeResult
 }
 
 func newFixtureWith(t *testing.T, holder string, shared *fixture, o fixtureOptions) *fixture {
@@ -125,6 +127,9 @@
 	if o.orders == nil {
 		o.orders = f.orders
 	}
+	if o.probe == nil {
+		o.probe = func(registry.Server) control.ProbeResult { return control.ProbeResult{} }
+	}
 	configuration := &routes.Configuration{Version: 1, Services: map[string]routes.Service{
 		"llm": {Name: "llm", Engine: &routes.Engine{
 			Slots: 17, LoadsPerSecond: 5, LoadsAtOnce: cmp.Or(o.loadsAtOnce, 7), Models: []routes.Model{{Name: "small", Size: 2, Share: 1, Load: 12 * time.Second}},
@@ -133,7 +138,7 @@
 	configuration.Index()
 	f.node = control.New(control.Config{
 		Clock: f.clock, Logger: zap.NewNop(), Table: f.table, Orders: o.orders, Registrations: f.registrations,
-		ProbeHead:      func(context.Context, registry.Server) control.ProbeResult { return control.ProbeResult{} },
+		ProbeHead:      func(_ context.Context, s registry.Server) control.ProbeResult { return o.probe(s) },
 		Configuration:  func() *routes.Configuration { return configuration },
 		Rank:           func(string) int { return 0 },
 		Weights:        func(*routes.Engine) map[string]float64 { return map[string]float64{"small": 1} },
@@ -178,7 +183,7 @@
 
 // engine returns a server that has just started.
 func engine(id string) *registry.Server {
-	return &registry.Server{ID: id, Service: "llm", FailureDomain: domain, FabricDomain: "d0", Slots: 17, Incarnation: 1}
+	return &registry.Server{ID: id, Service: "llm", Address: "10.0.0.1:80" + id, FailureDomain: domain, FabricDomain: "d0", Slots: 17, Incarnation: 1}
 }
 
 // TestAnnouncedLeaseNeedsNoRead guards against load on the store from
--- /dev/null
+++ b/internal/fleet/control/head.go
@@ -0,0 +1,208 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"go.uber.org/zap"
+
+	"almondbay.example/internal/fleet/formation"
+	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/serving/event"
+)
+
+// headProbe is what the probes of one head without a registration have shown in the
+// current term. It answers whether the head can no longer have work, which must be known
+// before its members join another group.
+//
+// A head that leaves stops listening first and finishes its requests then, so that a
+// refused connection proves only that it accepts nothing new; silence and a lapsed
+// registration prove less. What proves that it has no work is its own reply, another
+// incarnation, or the time since it accepted nothing new, or for a silent one since it was
+// last heard of. spec/head.pml is a model of this.
+type headProbe struct {
+	// since is when the head was first considered for a probe.
+	since time.Time
+	// heardAt is when it may last have renewed its registration; since, if that isn't
+	// known.
+	heardAt time.Time
+	// probedAt is when the last probe ended.
+	probedAt time.Time
+	// reachedAt is when the head last replied; zero if it never did.
+	reachedAt time.Time
+	// unreachableSince and unreachableAt are when the first and the last of the latest
+	// probes ended in which a quorum of nodes failed to reach the head; zero if it has
+	// replied since.
+	unreachableSince, unreachableAt time.Time
+	// refusedSince is when the first of these probes ended in which its address refused a
+	// connection; zero if none did. A head that was silent until then may have been cut
+	// off and may have served.
+	refusedSince time.Time
+	// left is set once the head itself has shown that it doesn't serve the group.
+	left bool
+	// probing is set while a probe is in progress.
+	probing bool
+}
+
+const (
+	// probeInterval is the minimum time between two probes of a head without a
+	// registration.
+	probeInterval = 700 * time.Millisecond
+	// maxProbeGap is the longest time between two probes that still show that the head
+	// was unreachable in between.
+	maxProbeGap = 3 * time.Second
+	// maxHeadWork is how long a head that accepts nothing new may still have work.
+	maxHeadWork = 10 * time.Second
+	// headWorkMargin covers a timer of the head that fires late.
+	headWorkMargin = 500 * time.Millisecond
+)
+
+// record adds the result of a probe that ended at a time. The head has left if its replies
+// show that, or if it has obeyed an order to.
+func (p *headProbe) record(r ProbeResult, left bool, quorum int, now time.Time) {
+	p.probing = false
+	p.probedAt = now
+	p.left = left
+	switch {
+	case len(r.Replies) > 0:
+		p.reachedAt = now
+		p.unreachableSince, p.unreachableAt, p.refusedSince = time.Time{}, time.Time{}, time.Time{}
+	case r.Probed >= quorum && r.SameDomain > 0:
+		if p.unreachableSince.IsZero() || now.Sub(p.unreachableAt) > maxProbeGap {
+			p.unreachableSince, p.refusedSince = now, time.Time{}
+		}
+		if r.Refused > 0 && p.refusedSince.IsZero() {
+			p.refusedSince = now
+		}
+		p.unreachableAt = now
+	}
+}
+
+// stopped reports whether the head can no longer have work. The timeout is for one that too
+// few nodes could probe.
+func (p *headProbe) stopped(timeout time.Duration) bool {
+	last := p.since
+	if p.reachedAt.After(last) {
+		last = p.reachedAt
+	}
+	return p.left || p.unreachableFor() >= maxHeadWork+headWorkMargin || p.probedAt.Sub(last) >= timeout
+}
+
+// unreachableFor returns how long the head is known to have accepted nothing new, or to
+// have been silent.
+func (p *headProbe) unreachableFor() time.Duration {
+	switch {
+	case !p.refusedSince.IsZero():
+		return p.unreachableAt.Sub(p.refusedSince)
+	case !p.unreachableAt.IsZero() && p.unreachableSince.Sub(p.since) <= maxProbeGap && p.reachedAt.IsZero():
+		// It has been silent since its registration lapsed.
+		return p.unreachableAt.Sub(p.heardAt)
+	default:
+		return p.unreachableAt.Sub(p.unreachableSince)
+	}
+}
+
+// headStopped reports whether a head without a registration is known not to have work. What
+// probes showed before the registration was last there doesn't count.
+func (d *domain) headStopped(r registry.Record) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	p, ok := d.probes[r.ID]
+	return ok && !p.since.Before(r.MissingSince) && p.stopped(d.config.UnreachableTimeout)
+}
+
+// clearProbes discards what probes showed in an earlier term: other nodes may have reached
+// the heads since.
+func (d *domain) clearProbes() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	clear(d.probes)
+}
+
+// probeHeads probes heads without a registration and orders those that still
+// serve to leave their groups. It doesn't wait for the replies.
+func (d *domain) probeHeads(ctx context.Context, heads []registry.Record, now time.Time) {
+	listed := map[string]bool{}
+	for _, r := range heads {
+		listed[r.ID] = true
+		if p := d.startProbe(r, now); p != nil {
+			term := d.term
+			d.tasks.Go(func() error {
+				d.probeHead(ctx, r.Server, p, term)
+				return nil
+			})
+		}
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	for id, p := range d.probes {
+		if !listed[id] && !p.probing && now.Sub(p.probedAt) > leaseDuration {
+			delete(d.probes, id)
+		}
+	}
+}
+
+// startProbe marks a head that is due for a probe as being probed. It returns nil if the
+// head isn't due.
+func (d *domain) startProbe(r registry.Record, now time.Time) *headProbe {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	p, ok := d.probes[r.ID]
+	if !ok || p.since.Before(r.MissingSince) {
+		p = &headProbe{since: now, heardAt: now}
+		if !r.HeardAt.IsZero() {
+			p.heardAt = r.HeardAt
+		}
+		d.probes[r.ID] = p
+	}
+	if p.probing || now.Sub(p.probedAt) < probeInterval {
+		return nil
+	}
+	p.probing = true
+	return p
+}
+
+// probeHead probes one head and orders it to leave its group if it still serves.
+func (d *domain) probeHead(ctx context.Context, s registry.Server, p *headProbe, term uint64) {
+	probeCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	result := d.config.ProbeHead(probeCtx, s)
+	cancel()
+	now := d.config.Clock.Now()
+	left := len(result.Replies) > 0
+	for _, state := range result.Replies {
+		if serves(s, state) {
+			left = false
+			d.setOrderCount(s, state.Accepted, true)
+		}
+	}
+	if len(result.Replies) > 0 && !left {
+		left = d.sendOrder(ctx, formation.Order{
+			Server: s, Operation: formation.OperationLeave, Group: s.Group.Name, Epoch: s.Group.Epoch,
+			Model: s.Model, Reason: "registration gone, head still serves",
+		}, term)
+	}
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	p.record(result, left, d.config.ProbeQuorum, now)
+	event.HeadProbed.Log(d.config.Logger, zap.String("server", s.ID), zap.String("group", s.Group.Name), zap.Int("asked", result.Probed),
+		zap.Int("near", result.SameDomain), zap.Bool("reached", len(result.Replies) > 0), zap.Int("refused", result.Refused), zap.Bool("left", left),
+		zap.Duration("missingFor", now.Sub(p.since)), zap.Duration("unreachableFor", p.unreachableFor()),
+		zap.Bool("stopped", p.stopped(d.config.UnreachableTimeout)))
+}
+
+// serves reports whether a reply leaves open that a head is still in its group. A reply
+// that doesn't name the incarnation shows nothing if the head did.
+func serves(s registry.Server, state State) bool {
+	if state.Incarnation != 0 && s.Incarnation != 0 && state.Incarnation != s.Incarnation {
+		return false
+	}
+	if state.Incarnation == 0 && s.Incarnation != 0 {
+		return true
+	}
+	return state.Group.Name == s.Group.Name && state.Group.Epoch == s.Group.Epoch && state.Group.State != registry.StateBroken
+}
--- a/internal/fleet/control/wire.go
+++ b/internal/fleet/control/wire.go
@@ -28,6 +28,7 @@
 	Model        string       `json:"model"`
 	Epoch        uint64       `json:"epoch"`
 	Members      []memberWire `json:"members"`
+	HeadAddress  string       `json:"headAddress,omitempty"`
 	Dissolving   bool         `json:"dissolving,omitempty"`
 }
 
@@ -57,7 +58,7 @@
 func encodePlan(p formation.Plan) ([]byte, error) {
 	w := planWire{LastEpoch: p.LastEpoch, Groups: make([]groupWire, 0, len(p.Groups))}
 	for _, g := range p.Groups {
-		next := groupWire{Name: g.Name, FabricDomain: g.FabricDomain, Model: g.Model, Epoch: g.Epoch, Dissolving: g.Dissolving}
+		next := groupWire{Name: g.Name, FabricDomain: g.FabricDomain, Model: g.Model, Epoch: g.Epoch, HeadAddress: g.HeadAddress, Dissolving: g.Dissolving}
 		for _, m := range g.Members {
 			next.Members = append(next.Members, memberWire{ID: m.ID, Born: m.Incarnation})
 		}
@@ -73,7 +74,7 @@
 	}
 	p := formation.Plan{LastEpoch: w.LastEpoch}
 	for _, g := range w.Groups {
-		next := formation.Group{Name: g.Name, FabricDomain: g.FabricDomain, Model: g.Model, Epoch: g.Epoch, Dissolving: g.Dissolving}
+		next := formation.Group{Name: g.Name, FabricDomain: g.FabricDomain, Model: g.Model, Epoch: g.Epoch, HeadAddress: g.HeadAddress, Dissolving: g.Dissolving}
 		for _, m := range g.Members {
 			next.Members = append(next.Members, formation.Member{ID: m.ID, Incarnation: m.Born})
 		}
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -223,6 +223,7 @@
 		FabricDomain: domain,
 		Model:        m.Name,
 		Epoch:        p.decision.Plan.LastEpoch,
+		HeadAddress:  servers[0].Address,
 	}
 	for _, s := range servers[:m.Size] {
 		g.Members = append(g.Members, Member{ID: s.ID, Incarnation: s.Incarnation})
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -37,6 +37,9 @@
 	Epoch uint64
 	// Members is not empty; the first is the head.
 	Members []Member
+	// HeadAddress is the address of the head, at which a node that never saw its
+	// registration can probe it; empty in plans that were written before it was kept.
+	HeadAddress string
 	// Dissolving is set when a working group is to be dissolved so that its
 	// servers can serve another model.
 	Dissolving bool
@@ -107,9 +110,9 @@
 	// MissingGrace is how long a server whose registration is missing still counts
 	// as registered while the store is unstable.
 	MissingGrace time.Duration
-	// HeadStopped reports whether a head without a registration is known not to
-	// serve.
-	HeadStopped func(id string) bool
+	// HeadStopped reports whether a head without a registration is known not to have
+	// work.
+	HeadStopped func(r registry.Record) bool
 	// CloseTimeout is the time that a closing head has to finish its requests.
 	CloseTimeout time.Duration
 }
@@ -130,9 +133,9 @@
 	Released []Release
 	Orders   []Order
 	Summary  Summary
-	// UnregisteredHeads lists heads without a registration that must be probed to
-	// find out whether they still serve.
-	UnregisteredHeads []registry.Server
+	// UnregisteredHeads lists heads without a registration that must be probed to find
+	// out whether they still have work. Their Group is that of the plan.
+	UnregisteredHeads []registry.Record
 }
 
 // Summary counts servers and groups by state, for the log.
@@ -345,27 +348,44 @@
 	}
 }
 
-// headLeft reports whether the head of a group is known not to serve it. It adds
-// a head whose registration is missing to those that must be probed.
+// headLeft reports whether the head of a group is known to have no work of the group. It
+// adds a head whose registration is missing to those that must be probed.
 func (p *planner) headLeft(g Group) bool {
 	m := g.Members[0]
 	r, ok := p.records[m.ID]
 	switch {
-	case !ok || !p.alive(r):
-		if p.HeadStopped(m.ID) {
+	case ok && r.Incarnation > m.Incarnation:
+		// It has started again since.
+		return true
+	case !ok || !p.alive(r) || r.Incarnation < m.Incarnation:
+		r = p.unregisteredHead(g, r)
+		if p.HeadStopped(r) {
 			return true
 		}
-		if ok {
-			p.decision.UnregisteredHeads = append(p.decision.UnregisteredHeads, r.Server)
-		}
+		p.decision.UnregisteredHeads = append(p.decision.UnregisteredHeads, r)
 		return false
-	case r.Incarnation != m.Incarnation, !r.In(g.Name, g.Epoch):
+	case !r.In(g.Name, g.Epoch):
 		return true
 	default:
 		return r.Group.State == registry.StateBroken || r.Group.State == registry.StateJoining
 	}
 }
 
+// unregisteredHead returns the record by which the head of a group is probed. The last
+// registration that this node saw may be older than the group, or there may be none.
+func (p *planner) unregisteredHead(g Group, r registry.Record) registry.Record {
+	m := g.Members[0]
+	if r.ID == "" {
+		r.Server = registry.Server{
+			ID: m.ID, Address: g.HeadAddress, Service: p.Service, FailureDomain: p.FailureDomain, FabricDomain: g.FabricDomain,
+		}
+	}
+	r.Incarnation = m.Incarnation
+	r.Model = g.Model
+	r.Group = registry.Membership{Name: g.Name, Epoch: g.Epoch, State: registry.StateOpen}
+	return r
+}
+
 // orderHeadToLeave orders the head to leave its group: if finish is set, after it
 // has finished its requests or CloseTimeout has passed, else at once.
 func (p *planner) orderHeadToLeave(g Group, reason string, finish bool) {
--- a/internal/fleet/formation/plan_test.go
+++ b/internal/fleet/formation/plan_test.go
@@ -73,7 +73,7 @@
 		Plan:          plan,
 		LoadBudget:    10,
 		MissingGrace:  2 * time.Second,
-		HeadStopped:   func(string) bool { return false },
+		HeadStopped:   func(registry.Record) bool { return false },
 		RecentlySent:  func(formation.Order) bool { return false },
 		CloseTimeout:  6 * time.Second,
 	}
@@ -119,6 +119,7 @@
 // another group while the head of their current group may still serve.
 func TestGroupReleasedOnlyOnceHeadStopped(t *testing.T) {
 	g := group("small", 7, "a", "b")
+	g.HeadAddress = "10.0.0.1:80"
 	plan := formation.Plan{Groups: []formation.Group{g}, LastEpoch: 7}
 	tests := []struct {
 		name         string
@@ -133,13 +134,16 @@
 		{name: "out of the group", head: server("a"), released: true},
 		{name: "broken", head: server("a", in(g, 0, registry.StateBroken)), released: true},
 		{name: "other incarnation", head: server("a", func(r *registry.Record) { r.Incarnation = 2 }), released: true},
+		{name: "older incarnation, since this node reads late", head: server("a", in(g, 0, registry.StateOpen), func(r *registry.Record) { r.Incarnation = 0 }), unregistered: 1},
+		{name: "last registered before it joined, missing", head: server("a", missing), unregistered: 1},
+		{name: "never seen", unregistered: 1},
 		{name: "missing, may serve", head: server("a", in(g, 0, registry.StateOpen), missing), unregistered: 1},
 		{name: "missing, known not to serve", head: server("a", in(g, 0, registry.StateOpen), missing), stopped: true, released: true},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
 			v := view(plan, tt.head, server("b", in(g, 1, registry.StateReady), missing))
-			v.HeadStopped = func(string) bool { return tt.stopped }
+			v.HeadStopped = func(registry.Record) bool { return tt.stopped }
 			d := formation.Decide(v)
 			if released := len(d.Released) == 1; released != tt.released {
 				t.Errorf("group released: got %v, want %v", released, tt.released)
@@ -148,7 +152,12 @@
 				t.Errorf("orders (-want +got):\n%s", diff)
 			}
 			if len(d.UnregisteredHeads) != tt.unregistered {
-				t.Errorf("got unregistered heads %v, want %d", d.UnregisteredHeads, tt.unregistered)
+				t.Fatalf("got unregistered heads %v, want %d", d.UnregisteredHeads, tt.unregistered)
+			}
+			for _, r := range d.UnregisteredHeads {
+				if r.ID != "a" || !r.In(g.Name, g.Epoch) || r.Incarnation != 1 || r.Address != tt.head.Address && r.Address != g.HeadAddress {
+					t.Errorf("got head %+v to probe, want a as planned", r)
+				}
 			}
 		})
 	}
@@ -167,7 +176,7 @@
 		server("d", in(g, 3, registry.StateReady)),
 		server("standby", preloaded("large")),
 	)
-	v.HeadStopped = func(string) bool { return true }
+	v.HeadStopped = func(registry.Record) bool { return true }
 	v.LoadBudget = 0
 	d := formation.Decide(v)
 	if len(d.Formed) != 1 || d.Formed[0].Model != "large" || d.Formed[0].Epoch != 8 {
--- a/internal/fleet/formation/simulation_test.go
+++ b/internal/fleet/formation/simulation_test.go
@@ -61,7 +61,7 @@
 		v.Servers.Servers = append(v.Servers.Servers, r)
 	}
 	// A head that is partitioned from the store can still be probed.
-	v.HeadStopped = func(id string) bool { return !s.engines[id].alive }
+	v.HeadStopped = func(r registry.Record) bool { return !s.engines[r.ID].alive }
 	return v
 }
 
--- a/internal/fleet/registry/cache.go
+++ b/internal/fleet/registry/cache.go
@@ -17,6 +17,9 @@
 	// deleted, so that the head of a group can be probed to find out whether it
 	// still serves.
 	RecordRetention time.Duration
+	// LapseMin is the least time from the last heartbeat of a server until the store
+	// deletes its row.
+	LapseMin time.Duration
 }
 
 // Update is a change of one registration. Server is nil if the row was deleted
@@ -143,6 +146,7 @@
 	if u.Server == nil {
 		if known && old.MissingSince.IsZero() {
 			old.MissingSince = now
+			old.HeardAt = c.lastHeartbeat(now)
 			old.Version = u.Version
 			c.records[u.ID] = old
 			c.ordered = nil
@@ -174,6 +178,16 @@
 	c.records[u.ID] = Record{Server: *u.Server, Version: u.Version, SeenAt: seenAt, ChangedAt: now, Leaving: leaving}
 }
 
+// lastHeartbeat returns the latest time at which a server may have renewed a registration
+// whose deletion is observed now. In an outage of the store it may have tried in vain. The
+// caller must hold mu.
+func (c *Cache) lastHeartbeat(now time.Time) time.Time {
+	if at := now.Add(-c.config.LapseMin); c.lastFailureAt.Before(at) {
+		return at
+	}
+	return now
+}
+
 // changed reports whether a registration differs in more than its heartbeat, or
 // had been missing.
 func changed(old Record, next Server) bool {
--- a/internal/fleet/registry/cache_test.go
+++ b/internal/fleet/registry/cache_test.go
@@ -186,3 +186,29 @@
 		t.Errorf("got heads %v, want none", got)
 	}
 }
+
+// TestHeardAtAllowsForOutage guards against a server that counts as silent since before an
+// outage of the store, in which it may have served and renewed its registration in vain.
+func TestHeardAtAllowsForOutage(t *testing.T) {
+	const lapse = 3 * time.Second
+	missing := noon.Add(10 * time.Second)
+	tests := []struct {
+		name     string
+		failedAt time.Time
+		want     time.Time
+	}{
+		{"store answered all the while", noon, missing.Add(-lapse)},
+		{"store failed meanwhile", missing.Add(-time.Second), missing},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := registry.NewCache(registry.CacheConfig{ReturnGrace: grace, RecordRetention: time.Minute, LapseMin: lapse})
+			c.Replace([]registry.Update{{ID: "a", Version: 1, Server: member("a", 0, registry.StateOpen)}}, 1, noon)
+			c.RecordFailure(tt.failedAt)
+			c.Apply([]registry.Update{{ID: "a", Version: 2}}, 2, missing)
+			if r, _ := c.View(missing).Find("a"); !r.HeardAt.Equal(tt.want) {
+				t.Errorf("got %s, want %s", r.HeardAt, tt.want)
+			}
+		})
+	}
+}
--- a/internal/fleet/registry/server.go
+++ b/internal/fleet/registry/server.go
@@ -92,4 +92,7 @@
 	// MissingSince is when this node observed that the row was deleted; zero while
 	// the row exists.
 	MissingSince time.Time
+	// HeardAt is the latest time at which the server may have renewed a registration whose
+	// row was deleted since; zero while the row exists.
+	HeardAt time.Time
 }
--- a/internal/node/entry/losses.go
+++ b/internal/node/entry/losses.go
@@ -14,6 +14,7 @@
 
 	"almondbay.example/internal/fleet/control"
 	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/node/deployment"
 	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/serving/event"
 )
@@ -33,6 +34,12 @@
 	maxLosses = 1024
 )
 
+// lapseMin returns the least time from the last heartbeat of a server until its
+// registration lapses.
+func lapseMin(s deployment.Settings) time.Duration {
+	return (lapseHeartbeats - 1) * s.Heartbeat
+}
+
 // matchLosses looks for servers that ended while they ran requests of this node.
 func (n *Node) matchLosses(ctx context.Context, now time.Time) {
 	if n.losses.Pending() == 0 {
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -166,7 +166,7 @@
 func (n *Node) probeHead(ctx context.Context, s registry.Server) control.ProbeResult {
 	var mu sync.Mutex
 	var result control.ProbeResult
-	record := func(failureDomain string, state control.State, reached bool) {
+	record := func(failureDomain string, reply peerrelay.ProbeReply) {
 		mu.Lock()
 		defer mu.Unlock()
 
@@ -174,28 +174,33 @@
 		if failureDomain == s.FailureDomain {
 			result.SameDomain++
 		}
-		if reached {
-			result.Reached = true
-			result.State = state
+		if reply.Reached {
+			result.Replies = append(result.Replies, reply.State)
 		}
+		if reply.Refused {
+			result.Refused++
+		}
+	}
+	if s.Address == "" {
+		// Nobody knows where to probe it.
+		return result
 	}
 	var group errgroup.Group
 	group.Go(func() error {
 		probeCtx, cancel := context.WithTimeout(ctx, peerrelay.ProbeTimeout)
 		defer cancel()
-		state, err := n.config.Orders.QueryState(probeCtx, s)
-		record(n.config.Settings.FailureDomain, state, err == nil)
+		record(n.config.Settings.FailureDomain, peerrelay.Probe(probeCtx, n.config.Orders.QueryState, s))
 		return nil
 	})
 	for _, p := range n.probers() {
 		group.Go(func() error {
-			state, reached, err := n.peerClient.ProbeServer(ctx, p.Address, s)
+			reply, err := n.peerClient.ProbeServer(ctx, p.Address, s)
 			if err != nil {
 				// A peer that does not respond says nothing about the server.
 				n.eventLog.stepFailed(err, 1)
 				return nil
 			}
-			record(p.FailureDomain, state, reached)
+			record(p.FailureDomain, reply)
 			return nil
 		})
 	}
--- a/internal/peer/relay/bounds_test.go
+++ b/internal/peer/relay/bounds_test.go
@@ -31,7 +31,7 @@
 		return err
 	}},
 	{"probe", 16 << 10, func(ctx context.Context, c *relay.Client) error {
-		_, _, err := c.ProbeServer(ctx, "127.0.0.1", registry.Server{ID: "i-1"})
+		_, err := c.ProbeServer(ctx, "127.0.0.1", registry.Server{ID: "i-1"})
 		return err
 	}},
 }
--- a/internal/peer/relay/client.go
+++ b/internal/peer/relay/client.go
@@ -10,7 +10,6 @@
 	"strconv"
 	"time"
 
-	"almondbay.example/internal/fleet/control"
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/platform"
@@ -94,28 +93,23 @@
 	return changes, age, nil
 }
 
-// ProbeServer makes a node query the state of a backend server. The second result
-// is false if that node could not reach the server.
-func (c *Client) ProbeServer(ctx context.Context, address string, s registry.Server) (control.State, bool, error) {
+// ProbeServer makes a node query the state of a backend server.
+func (c *Client) ProbeServer(ctx context.Context, address string, s registry.Server) (ProbeReply, error) {
 	body, err := json.Marshal(probeWire{Server: s.ID, Address: s.Address, Born: s.Incarnation})
 	if err != nil {
-		return control.State{}, false, Error.Wrap(err)
+		return ProbeReply{}, Error.Wrap(err)
 	}
 	var w probeResultWire
 	status, err := c.call(ctx, call{
 		method: http.MethodPost, address: address, path: pathProbe, body: body, maxBytes: maxProbeBytes,
 	}, &w)
 	if err != nil {
-		return control.State{}, false, err
+		return ProbeReply{}, err
 	}
 	if status != http.StatusOK {
-		return control.State{}, false, Error.New("probe from node %s: status %d", address, status)
+		return ProbeReply{}, Error.New("probe from node %s: status %d", address, status)
 	}
-	return control.State{
-		Accepted:    w.Accepted,
-		Incarnation: w.Born,
-		Group:       registry.Membership{Name: w.Group, Epoch: w.Epoch, Rank: w.Rank, State: registry.GroupState(w.State)},
-	}, w.Reached, nil
+	return w.reply(), nil
 }
 
 // call is one request to a node.
--- a/internal/peer/relay/fuzz_test.go
+++ b/internal/peer/relay/fuzz_test.go
@@ -33,6 +33,6 @@
 		ctx := context.Background()
 		_, _, _ = c.Snapshot(ctx, address, "servers", 0)
 		_, _, _ = c.Changes(ctx, address, "servers", 1, 0)
-		_, _, _ = c.ProbeServer(ctx, address, registry.Server{ID: "s"})
+		_, _ = c.ProbeServer(ctx, address, registry.Server{ID: "s"})
 	})
 }
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -3,11 +3,13 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"net/http"
 	"net/http/httptest"
 	"strconv"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -258,20 +260,26 @@
 	server := httptest.NewServer(relay.NewServer(relay.ServerConfig{
 		Clock: clockwork.NewFakeClock(),
 		QueryState: func(_ context.Context, s registry.Server) (control.State, error) {
-			if s.ID != "reachable" {
+			switch s.ID {
+			case "unreachable":
 				return control.State{}, errors.New("unreachable")
+			case "refused":
+				return control.State{}, fmt.Errorf("connect: %w", syscall.ECONNREFUSED)
 			}
 			return control.State{Accepted: 3, Group: registry.Membership{Name: "g", Epoch: 5, State: registry.StateOpen}}, nil
 		},
 	}))
 	defer server.Close()
 	c := client(t, server.URL)
-	state, reached, err := c.ProbeServer(context.Background(), "127.0.0.1", registry.Server{ID: "reachable"})
-	if err != nil || !reached || state.Accepted != 3 || state.Group.State != registry.StateOpen {
-		t.Errorf("reachable server: state %+v, reached %v, error %v", state, reached, err)
+	reply, err := c.ProbeServer(context.Background(), "127.0.0.1", registry.Server{ID: "reachable"})
+	if err != nil || !reply.Reached || reply.Refused || reply.State.Accepted != 3 || reply.State.Group.State != registry.StateOpen {
+		t.Errorf("reachable server: reply %+v, error %v", reply, err)
 	}
-	if _, reached, err := c.ProbeServer(context.Background(), "127.0.0.1", registry.Server{ID: "unreachable"}); err != nil || reached {
-		t.Errorf("unreachable server: reached %v, error %v", reached, err)
+	if reply, err := c.ProbeServer(context.Background(), "127.0.0.1", registry.Server{ID: "unreachable"}); err != nil || reply.Reached || reply.Refused {
+		t.Errorf("unreachable server: reply %+v, error %v", reply, err)
+	}
+	if reply, err := c.ProbeServer(context.Background(), "127.0.0.1", registry.Server{ID: "refused"}); err != nil || reply.Reached || !reply.Refused {
+		t.Errorf("server that refuses connections: reply %+v, error %v", reply, err)
 	}
 }
 
--- a/internal/peer/relay/server.go
+++ b/internal/peer/relay/server.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
+	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -119,6 +121,26 @@
 	}
 }
 
+// ProbeReply is what one node found out about a server by querying its state.
+type ProbeReply struct {
+	// Reached is set if the server replied, with State.
+	Reached bool
+	State   control.State
+	// Refused is set if its address refused the connection, or another server replied.
+	Refused bool
+}
+
+// Probe queries the state of a server. The error of a query says too little for a caller
+// to act on it, so it becomes part of the reply.
+func Probe(ctx context.Context, query func(context.Context, registry.Server) (control.State, error), s registry.Server) ProbeReply {
+	state, err := query(ctx, s)
+	return ProbeReply{
+		Reached: err == nil,
+		State:   state,
+		Refused: errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, control.ErrOtherServer),
+	}
+}
+
 // ProbeTimeout limits a state query to a backend server. It allows for the loss
 // of two packets within a region.
 const ProbeTimeout = 450 * time.Millisecond
@@ -131,14 +153,5 @@
 	}
 	ctx, cancel := context.WithTimeout(c.Request().Context(), ProbeTimeout)
 	defer cancel()
-	state, err := s.config.QueryState(ctx, w.server())
-	return c.JSON(http.StatusOK, probeResultWire{
-		Reached:  err == nil,
-		Accepted: state.Accepted,
-		Born:     state.Incarnation,
-		Group:    state.Group.Name,
-		Epoch:    state.Group.Epoch,
-		Rank:     state.Group.Rank,
-		State:    string(state.Group.State),
-	})
+	return c.JSON(http.StatusOK, fromProbeReply(Probe(ctx, s.config.QueryState, w.server())))
 }
--- a/internal/peer/relay/wire.go
+++ b/internal/peer/relay/wire.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"almondbay.example/internal/fleet/control"
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/serving/platform"
 )
@@ -63,4 +64,30 @@
 	Epoch    uint64 `json:"epoch"`
 	Rank     int    `json:"rank"`
 	State    string `json:"state"`
+	Refused  bool   `json:"refused,omitempty"`
+}
+
+func fromProbeReply(r ProbeReply) probeResultWire {
+	return probeResultWire{
+		Reached:  r.Reached,
+		Accepted: r.State.Accepted,
+		Born:     r.State.Incarnation,
+		Group:    r.State.Group.Name,
+		Epoch:    r.State.Group.Epoch,
+		Rank:     r.State.Group.Rank,
+		State:    string(r.State.Group.State),
+		Refused:  r.Refused,
+	}
+}
+
+func (w probeResultWire) reply() ProbeReply {
+	return ProbeReply{
+		Reached: w.Reached,
+		State: control.State{
+			Accepted:    w.Accepted,
+			Incarnation: w.Born,
+			Group:       registry.Membership{Name: w.Group, Epoch: w.Epoch, Rank: w.Rank, State: registry.GroupState(w.State)},
+		},
+		Refused: w.Refused,
+	}
 }
--- /dev/null
+++ b/spec/head.pml
@@ -0,0 +1,129 @@
+/*
+ * When the members of a head without a registration may join another group.
+ *
+ * The head serves, then leaves without an announcement: it stops listening, works on what
+ * it has accepted for up to MAX_WORK ticks, and ends. It may crash at any time and start
+ * again. While the store is down, its registration may lapse although it serves. At most
+ * MAX_CUTS times it is cut off from all nodes, for up to CUT ticks each. The holder of the
+ * lease probes it whenever it gets to: it may be suspended, or another node may hold the
+ * lease for a time. A refused connection shows that the head accepts nothing new; silence
+ * may be a cut.
+ *
+ * Checked: members are released only once the head has no work.
+ *
+ * mutant: -DTWO_PROBES_SUFFICE
+ * mutant: -DABSENCE_SUFFICES
+ * mutant: -DGAP_IGNORED
+ * mutant: -DSILENCE_LIKE_REFUSAL
+ * mutant: -DWAIT=3
+ */
+
+#define MAX_WORK 4
+#define CUT 2
+#define MAX_CUTS 2
+#define MAX_GAP 1
+#ifndef WAIT
+#define WAIT 6
+#endif
+
+mtype = { serving, finishing, ended, restarted };
+
+mtype head = serving;
+byte work = MAX_WORK;     /* ticks that the head may work after it has stopped listening */
+bool registered = true;
+bool cut;
+byte cutLeft;
+byte cuts;
+
+/* What the holder knows. */
+bool unreachable;         /* the latest probes all failed */
+bool refused;             /* the head refused a connection in one of them */
+byte failures;            /* their number, up to 2 */
+byte elapsed;             /* ticks since the first of them, or since the first refusal if
+                             there was one, up to WAIT */
+byte gap;                 /* ticks since the last of them, up to MAX_GAP + 1 */
+bool released;
+
+#define WORKING (head == serving || head == finishing)
+#define UP(x, limit) (x < limit -> x + 1 : limit)
+
+inline forget() { unreachable = false; refused = false; failures = 0; elapsed = 0; gap = 0 }
+
+inline release() { assert(!WORKING); released = true }
+
+inline fail(byRefusal) {
+	if
+#ifndef GAP_IGNORED
+	:: unreachable && gap > MAX_GAP -> forget()
+#endif
+	:: else
+	fi;
+	if
+#ifndef SILENCE_LIKE_REFUSAL
+	:: byRefusal && !refused -> refused = true; elapsed = 0
+#endif
+	:: else
+	fi;
+	unreachable = true;
+	failures = UP(failures, 2);
+	gap = 0;
+	if
+#ifdef TWO_PROBES_SUFFICE
+	:: failures == 2 -> release()
+#endif
+	:: elapsed >= WAIT -> release()
+	:: else
+	fi
+}
+
+proctype Head() {
+	do
+	:: atomic { head == serving -> head = finishing; registered = false }
+	:: atomic { WORKING -> head = ended; registered = false }
+	:: atomic { head == ended -> head = restarted; registered = true }
+	/* An outage of the store, and its end. */
+	:: atomic { head == serving && registered -> registered = false }
+	:: atomic { head == serving && !registered -> registered = true; forget() }
+	:: atomic { !cut && cuts < MAX_CUTS -> cut = true; cutLeft = CUT; cuts++ }
+	:: atomic { cut -> cut = false }
+	od
+}
+
+proctype Time() {
+	do
+	:: atomic {
+		(head != finishing || work > 0) && (!cut || cutLeft > 0) ->
+		work = (head == finishing -> work - 1 : work);
+		cutLeft = (cut -> cutLeft - 1 : cutLeft);
+		elapsed = (unreachable -> UP(elapsed, WAIT) : 0);
+		gap = (unreachable -> UP(gap, MAX_GAP + 1) : 0)
+	}
+	od
+}
+
+proctype Holder() {
+	do
+	:: released -> break
+	:: atomic { !released && registered && head == restarted -> release() }
+	:: atomic {
+		!released && !registered ->
+		if
+#ifdef ABSENCE_SUFFICES
+		:: release()
+#endif
+		:: head == restarted && !cut -> release()
+		:: head == serving && !cut -> forget()
+		:: cut -> fail(false)
+		:: (head == finishing || head == ended) && !cut -> fail(true)
+		fi
+	}
+	od
+}
+
+init {
+	atomic {
+		run Head();
+		run Time();
+		run Holder()
+	}
+}
