Read nothing of a response before its ID is compared

A full server sent its rejection of an earlier request once more, on a connection on which the next request had been sent by then, and ran that one.

Cause: Not-Executed, Server-Leaving and Retry-After were read before the ID, so that a rejection was believed whatever request it named. Ruled out: bytes on idle connections, which are found before a request is sent, and repeats by net/http: the log has two tries with two heads.

The metadata of a response can't be read without the comparison now: the dialect makes it and returns nothing of a response to another request. The client asks before it returns the response; a foreign one is discarded and its connection closed before another request is offered it. The request may have run, so it ends with 502 or 504, or is tried again if it may be repeated. The server gets the mark of a garbled response, and the try doesn't count as lost.

--- a/internal/node/entry/cluster_test.go
+++ b/internal/node/entry/cluster_test.go
@@ -287,10 +287,10 @@
 	return strings.FieldsFunc(h.Get("Parts"), func(r rune) bool { return r == ',' })
 }
 
-func (d clusterDialect) Answer(status int, h http.Header) exchange.Answer {
-	a := d.dialect.Answer(status, h)
+func (d clusterDialect) Answer(id string, status int, h http.Header) (exchange.Answer, error) {
+	a, err := d.dialect.Answer(id, status, h)
 	a.Leaving = h.Get("Leaving") != ""
-	return a
+	return a, err
 }
 
 func (clusterDialect) SetRefusal(h http.Header, _ string, after time.Duration) {
--- a/internal/node/entry/node_test.go
+++ b/internal/node/entry/node_test.go
@@ -42,8 +42,11 @@
 
 func (dialect) Forward(from http.Header, _ exchange.Forward) http.Header { return from.Clone() }
 
-func (dialect) Answer(_ int, h http.Header) exchange.Answer {
-	return exchange.Answer{ID: h.Get("Id"), Signed: h.Get("Signature") != ""}
+func (dialect) Answer(id string, _ int, h http.Header) (exchange.Answer, error) {
+	if got := h.Get("Id"); got != id {
+		return exchange.Answer{}, &exchange.OtherRequestError{Request: id, Response: got}
+	}
+	return exchange.Answer{Signed: h.Get("Signature") != ""}, nil
 }
 
 func (dialect) CopyAnswer(to, from http.Header) { to.Set("Signature", from.Get("Signature")) }
--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -90,12 +90,16 @@
 	closed  bool
 	// wake is closed at the next call of Read or Close; nil if nothing waits.
 	wake chan struct{}
+	// settled is that of the last use; nil before the first. The transport offers the
+	// connection to the next request before if the response has no body.
+	settled chan struct{}
 }
 
 // Errors of connections that cannot take a request.
 var (
 	errUnsolicited = errors.New("connection holds bytes that no request asked for")
 	errIdleClosed  = errors.New("idle connection was closed by the server or holds bytes that no request asked for")
+	errSpoiled     = errors.New("connection had a response that belongs to another request")
 )
 
 // Write implements net.Conn. It writes nothing to a connection that the transport
@@ -159,14 +163,53 @@
 	}
 }
 
-// begin records the start of a request and returns the number of writes before
-// it.
-func (c *countedConn) begin() int64 {
+// connUse is the use of a connection for one request.
+type connUse struct {
+	conn *countedConn
+	// before is the number of writes on the connection before the request.
+	before int64
+	// settled is closed once it is known whether the response belongs to the request.
+	settled chan struct{}
+}
+
+// begin starts the use of the connection for a request, once the one before it is settled or ctx ends. The caller must
+// settle it.
+func (c *countedConn) begin(ctx context.Context) *connUse {
+	u := &connUse{conn: c, settled: make(chan struct{})}
+	c.mu.Lock()
+	previous := c.settled
+	c.settled = u.settled
+	c.mu.Unlock()
+	if previous != nil {
+		select {
+		case <-previous:
+		case <-ctx.Done():
+		}
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
 	c.before = c.writes
-	return c.before
+	u.before = c.before
+	return u
+}
+
+// settle records that the response belongs to the request, or that there was none. If it
+// belongs to another request, the connection is spoiled and closed: its next response may
+// be the one that is still due.
+func (u *connUse) settle(spoiled bool) {
+	if spoiled {
+		u.conn.spoil()
+	}
+	close(u.settled)
+}
+
+// spoil closes the connection, which takes no further request.
+func (c *countedConn) spoil() {
+	c.mu.Lock()
+	c.refusal = errSpoiled
+	c.mu.Unlock()
+	_ = c.Close()
 }
 
 // written reports whether anything was written since a call of begin that
@@ -207,6 +250,9 @@
 	Host   string
 	Header http.Header
 	Body   []byte
+	// Accept decides by the status and headers whether the response belongs to the
+	// request. If not, the response is discarded and its connection closed.
+	Accept func(status int, h http.Header) error
 }
 
 // NotSentError reports a request of which no byte was sent. Sending it again is
@@ -238,8 +284,9 @@
 func (e *SentError) Unwrap() error { return e.Err }
 
 // Attempt sends r once and returns the response as soon as its headers have
-// arrived. The caller must close the body; closing it before its end cancels the
-// request. Errors are of type *NotSentError or *SentError.
+// arrived and were accepted. The caller must close the body; closing it before its end
+// cancels the request. Errors are of type *NotSentError or *SentError; the latter wraps
+// that of Accept.
 func (c *Client) Attempt(ctx context.Context, r Request) (*http.Response, error) {
 	var tracker writeTracker
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -259,6 +306,16 @@
 		return nil, &NotSentError{Address: r.Address, Err: err}
 	}
 	response, err := c.transport.RoundTrip(request)
+	var foreign error
+	if err == nil && response.StatusCode >= http.StatusOK {
+		foreign = r.Accept(response.StatusCode, response.Header)
+	}
+	tracker.settle(foreign != nil)
+	if foreign != nil {
+		_ = response.Body.Close()
+		cancel(nil)
+		return nil, &SentError{Address: r.Address, Err: foreign}
+	}
 	if err != nil {
 		cause := context.Cause(attemptCtx)
 		cancel(nil)
@@ -294,9 +351,7 @@
 // writeTracker detects whether any byte of a request was written.
 type writeTracker struct {
 	connected atomic.Bool
-	conn      atomic.Pointer[countedConn]
-	// before is the number of writes on the connection before the request.
-	before atomic.Int64
+	use       atomic.Pointer[connUse]
 	// lost is set if the connection was closed before the request.
 	lost atomic.Bool
 }
@@ -304,20 +359,27 @@
 // begin records the connection that the request is about to be written to.
 func (t *writeTracker) begin(ctx context.Context, i httptrace.GotConnInfo) {
 	if c, ok := i.Conn.(*countedConn); ok {
-		t.before.Store(c.begin())
-		t.conn.Store(c)
+		t.settle(false)
+		t.use.Store(c.begin(ctx))
 		t.lost.Store(i.Reused && !c.awaitRead(ctx))
 	}
 	t.connected.Store(true)
 }
 
+// settle settles the use of the connection, if the request got one.
+func (t *writeTracker) settle(spoiled bool) {
+	if u := t.use.Load(); u != nil {
+		u.settle(spoiled)
+	}
+}
+
 // sent reports whether anything may have been written to the connection.
 func (t *writeTracker) sent() bool {
 	if !t.connected.Load() {
 		return false
 	}
-	c := t.conn.Load()
-	return c == nil || c.written(t.before.Load())
+	u := t.use.Load()
+	return u == nil || u.conn.written(u.before)
 }
 
 // body is a response body that cancels the context of its attempt when closed.
--- a/internal/routing/backend/client_test.go
+++ b/internal/routing/backend/client_test.go
@@ -10,6 +10,7 @@
 	"slices"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -28,10 +29,13 @@
 func newRequest(s *boundedtest.Server, id string) backend.Request {
 	return backend.Request{
 		Address: s.Address, Method: http.MethodPost, Target: "/x", Host: "h",
-		Header: http.Header{"Id": {id}}, Body: []byte("body"),
+		Header: http.Header{"Id": {id}}, Body: []byte("body"), Accept: acceptAll,
 	}
 }
 
+// acceptAll takes each response for that of the request.
+func acceptAll(int, http.Header) error { return nil }
+
 // TestHeadWithoutEnd guards against responses whose head never ends: 10 MB of
 // each were read and held in memory.
 func TestHeadWithoutEnd(t *testing.T) {
@@ -184,7 +188,7 @@
 	for i := range 100 {
 		response, err := client.Attempt(context.Background(), backend.Request{
 			Address: s.Listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h",
-			Header: http.Header{"Id": {fmt.Sprint(i % 2)}}, Body: []byte("body"),
+			Header: http.Header{"Id": {fmt.Sprint(i % 2)}}, Body: []byte("body"), Accept: acceptAll,
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -198,3 +202,46 @@
 		t.Errorf("%d connections for 100 requests in sequence, want 1", n)
 	}
 }
+
+// TestConnectionWithForeignResponseIsNotUsedAgain guards against a request that gets the
+// response that was due to the one before it on the connection: the response of another
+// request came first, without a body, so that the transport offers the connection at once.
+func TestConnectionWithForeignResponseIsNotUsedAgain(t *testing.T) {
+	var reused atomic.Int64
+	var connections sync.Map
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if _, again := connections.LoadOrStore(r.RemoteAddr, true); again {
+			reused.Add(1)
+		}
+		w.Header().Set("Id", "another")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}))
+	defer s.Close()
+	var d boundedtest.Dialer
+	client := newClient(&d)
+	foreign := errors.New("response of another request")
+	request := backend.Request{
+		Address: s.Listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("body"),
+		Accept: func(int, http.Header) error { return foreign },
+	}
+	var group sync.WaitGroup
+	for range 8 {
+		group.Go(func() {
+			for range 25 {
+				_, err := client.Attempt(context.Background(), request)
+				var sent *backend.SentError
+				var notSent *backend.NotSentError
+				switch {
+				case errors.As(err, &notSent):
+					// It was offered a connection that was spoiled by then.
+				case !errors.As(err, &sent) || !errors.Is(err, foreign):
+					t.Errorf("error %v, want a SentError that wraps the one of Accept", err)
+				}
+			}
+		})
+	}
+	group.Wait()
+	if n := reused.Load(); n > 0 {
+		t.Errorf("%d requests were sent on a connection that had the response of another request", n)
+	}
+}
--- a/internal/routing/backend/export_test.go
+++ b/internal/routing/backend/export_test.go
@@ -1,21 +1,24 @@
 package backend
 
-import "net"
+import (
+	"context"
+	"net"
+)
 
 // CountedConn exposes the connection of the client to its tests.
 type CountedConn struct {
-	conn   *countedConn
-	before int64
+	conn *countedConn
+	use  *connUse
 }
 
 // NewCountedConn returns a connection that is about to take a request.
 func NewCountedConn(conn net.Conn) *CountedConn {
 	c := &countedConn{Conn: conn}
-	return &CountedConn{conn: c, before: c.begin()}
+	return &CountedConn{conn: c, use: c.begin(context.Background())}
 }
 
 // Conn returns the connection that the transport uses.
 func (c *CountedConn) Conn() net.Conn { return c.conn }
 
 // Sent reports whether any of the request counts as sent.
-func (c *CountedConn) Sent() bool { return c.conn.written(c.before) }
+func (c *CountedConn) Sent() bool { return c.conn.written(c.use.before) }
--- a/internal/routing/exchange/exchange.go
+++ b/internal/routing/exchange/exchange.go
@@ -4,6 +4,7 @@
 package exchange
 
 import (
+	"fmt"
 	"net/http"
 	"time"
 )
@@ -46,10 +47,21 @@
 	HasPriority bool
 }
 
-// Answer is the metadata of a response of a backend server.
+// OtherRequestError reports a response that does not belong to the request that it came
+// in response to. It says nothing about this request, which may have run, nor about what
+// the server is like now.
+type OtherRequestError struct {
+	// Request is the ID of the request, Response the one in the response; empty if it has
+	// none.
+	Request, Response string
+}
+
+func (e *OtherRequestError) Error() string {
+	return fmt.Sprintf("response to request %q carries ID %q: it belongs to another request", e.Request, e.Response)
+}
+
+// Answer is the metadata of a response of a backend server that belongs to the request.
 type Answer struct {
-	// ID is the ID of the request that the response belongs to.
-	ID string
 	// Signed is set when the response has the signature of the server.
 	Signed bool
 	// NotExecuted is set when the server states that it did not run the request.
@@ -73,8 +85,9 @@
 	Call(h http.Header) Call
 	// Forward returns the headers of the request to a backend server.
 	Forward(from http.Header, f Forward) http.Header
-	// Answer reads the status and headers of a response.
-	Answer(status int, h http.Header) Answer
+	// Answer reads the status and headers of the response to the request with an ID. It
+	// returns an OtherRequestError if the response belongs to another request.
+	Answer(id string, status int, h http.Header) (Answer, error)
 	// CopyAnswer copies the response headers that are passed on to the caller.
 	CopyAnswer(to, from http.Header)
 	// SetRefusal sets the headers of a response of the node itself: the ID of the
--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -51,16 +51,18 @@
 	return to
 }
 
-func (dialect) Answer(_ int, h http.Header) exchange.Answer {
+func (dialect) Answer(id string, _ int, h http.Header) (exchange.Answer, error) {
+	if got := h.Get("Id"); got != id {
+		return exchange.Answer{}, &exchange.OtherRequestError{Request: id, Response: got}
+	}
 	pause, err := time.ParseDuration(h.Get("Pause"))
 	if err != nil {
 		pause = 0
 	}
 	return exchange.Answer{
 		Leaving: h.Get("Leaving") != "", RetryAfter: pause,
-		ID: h.Get("Id"), Signed: h.Get("Signature") != "", NotExecuted: h.Get("Not-Run") != "",
-		Encoded: h.Get("Content-Encoding") != "",
-	}
+		Signed: h.Get("Signature") != "", NotExecuted: h.Get("Not-Run") != "", Encoded: h.Get("Content-Encoding") != "",
+	}, nil
 }
 
 func (dialect) CopyAnswer(to, from http.Header) {
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -380,6 +380,7 @@
 // cause of any end other than TryAnswered, and of a write error to the caller.
 func (q *request) attempt(ctx context.Context, a *attempt, head registry.Head) (TryEnd, string) {
 	c := q.handler.config
+	var answer exchange.Answer
 	response, err := c.Backend.Attempt(ctx, backend.Request{
 		Address: head.Address,
 		Method:  q.http.Method,
@@ -387,13 +388,16 @@
 		Host:    q.http.Host,
 		Header:  q.forward(head),
 		Body:    q.body,
+		Accept: func(status int, h http.Header) (err error) {
+			answer, err = c.Dialect.Answer(q.call.ID, status, h)
+			return err
+		},
 	})
 	if err != nil {
 		return q.handleSendError(ctx, a, err)
 	}
 	defer func() { _ = response.Body.Close() }()
 	a.status = response.StatusCode
-	answer := c.Dialect.Answer(response.StatusCode, response.Header)
 	now := c.Clock.Now()
 	if answer.Leaving {
 		c.OnLeaving(head)
@@ -408,9 +412,6 @@
 	case answer.NotExecuted:
 		q.recordRefusal(a, answer, response.StatusCode, now)
 		return TryNotRun, "rejected by backend server: " + http.StatusText(response.StatusCode)
-	case answer.ID != q.call.ID:
-		a.pool.RecordError(a.head)
-		return TryFailed, "response belongs to another request"
 	case answer.Encoded || !answer.Signed && success(response.StatusCode):
 		a.pool.RecordError(a.head)
 		return TryFailed, "response is not signed by the backend server or was re-encoded"
@@ -474,6 +475,12 @@
 		}
 		return TryNotSent, err.Error()
 	}
+	var other *exchange.OtherRequestError
+	if errors.As(err, &other) {
+		// The head lives, so the try isn't lost.
+		a.pool.RecordError(a.head)
+		return TryFailed, err.Error()
+	}
 	a.lost = true
 	if cause == nil {
 		a.abrupt = true
