Look at all shared parts of a prompt, and try blamed parts now and then

Causes: the crashing part stood before the last 64 shared ones, which alone were looked at, so that the parts after it were blamed. And a verdict could not be taken back once all requests with the parts were rejected, since none was answered any more.

A request with blamed parts is sent as a trial at one node, at times that all nodes agree on by the last crash, two at most after the fifth. Full tables drop the mark with the fewest crashes and the oldest answer; they dropped the culprit and refused new answers.

--- a/internal/node/entry/event_log.go
+++ b/internal/node/entry/event_log.go
@@ -78,7 +78,7 @@
 	}
 	event.RequestEnded.Log(l.logger,
 		zap.String("request", r.ID), zap.String("route", r.Route), zap.String("service", r.Service),
-		zap.String("model", r.Model), zap.String("fingerprint", formatFingerprints(r.Marks)), zap.String("parts", formatParts(r.Marks)), zap.Uint64("version", r.Version), zap.String("outcome", string(r.Outcome)),
+		zap.String("model", r.Model), zap.String("fingerprint", formatFingerprints(r.Marks)), zap.String("parts", formatParts(r.Marks)), zap.Bool("trial", r.Trial), zap.Uint64("version", r.Version), zap.String("outcome", string(r.Outcome)),
 		zap.Int("status", r.Status), zap.Bool("cutOff", r.CutOff), zap.String("cause", r.Cause), zap.String("tries", formatTries(r.Tries)),
 		zap.Duration("retryAfter", r.RetryAfter), zap.Duration("firstByte", r.FirstByte),
 		zap.Float64("load", r.Load), zap.Duration("maxGap", r.MaxGap), zap.Duration("duration", r.Duration), zap.Int("events", r.Events),
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -305,6 +305,7 @@
 		OnLeaving:     func(h registry.Head) { n.recordLeaving(h.Life()) },
 		OnPause:       n.recordPause,
 		Guard:         n.suspects.guard,
+		SendsTrial:    n.sendsTrial,
 		MaxTries:      maxTries,
 		StallAfter:    stallAfter,
 		AttemptStall:  attemptStallAfter,
--- a/internal/node/entry/suspect_rows.go
+++ b/internal/node/entry/suspect_rows.go
@@ -39,11 +39,11 @@
 	s.mu.Unlock()
 	n.postpone(due, now)
 	var failed error
-	for f := range due {
-		if failed == nil {
+	for i, f := range n.byCrashes(due, now) {
+		if failed == nil && i < maxRowsSaved {
 			failed = n.saveSuspect(ctx, f, now)
 		}
-		if failed != nil {
+		if failed != nil || i >= maxRowsSaved {
 			// This and the rest are left for the next step.
 			s.mu.Lock()
 			s.changed[f] = true
@@ -56,6 +56,19 @@
 	return n.deleteOldRows(ctx, now)
 }
 
+// maxRowsSaved bounds the rows that this node writes in one step, so that a prompt of many
+// parts doesn't take the writes of all nodes.
+const maxRowsSaved = 32
+
+// byCrashes returns marks in descending order of the crashes that count against them.
+func (n *Node) byCrashes(marks map[attempt.Fingerprint]bool, now time.Time) []attempt.Fingerprint {
+	crashes := make(map[attempt.Fingerprint]int, len(marks))
+	for f := range marks {
+		crashes[f] = len(n.suspects.guard.Evidence(f, now).Observations)
+	}
+	return slices.SortedFunc(maps.Keys(marks), func(a, b attempt.Fingerprint) int { return cmp.Compare(crashes[b], crashes[a]) })
+}
+
 // postpone leaves the parts of prompts among the changed marks for later that an answer
 // may still acquit: nearly all parts that ran during a crash are answered soon after it.
 func (n *Node) postpone(changed map[attempt.Fingerprint]bool, now time.Time) {
--- a/internal/node/entry/suspects.go
+++ b/internal/node/entry/suspects.go
@@ -2,14 +2,18 @@
 
 import (
 	"math/rand/v2"
+	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"go.uber.org/zap"
 
 	"almondbay.example/core/attempt"
+	"almondbay.example/internal/peer/gossip"
 	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/serving/event"
 )
@@ -34,8 +38,9 @@
 	// 64 shards.
 	maxSuspects = 256
 	// maxRecentAnswers exceeds the answers of a node in half of completionGrace, and the
-	// different parts of prompts that it answers in answeredFor.
-	maxRecentAnswers = 4096
+	// different parts of prompts that it answers in answeredFor, unless most requests have
+	// hundreds of parts of their own. Both tables take some 2 MB at most.
+	maxRecentAnswers = 16384
 	// partTTL is how long crashes count against a part of prompts. It is shorter than for
 	// contents, since a wrong verdict falls on many requests.
 	partTTL = 10 * time.Minute
@@ -50,6 +55,8 @@
 	// answeredSilence exceeds the duration of most requests, whose answers would acquit
 	// the part.
 	answeredSilence = 2 * time.Second
+	// trialSlot is several times the time that news takes to reach all nodes.
+	trialSlot = 4 * time.Second
 	// evidenceRepeats is the number of messages that tell news, so that the loss of
 	// two in a row is tolerated.
 	evidenceRepeats = 3
@@ -112,6 +119,11 @@
 
 				AnsweredFor: answeredFor, CommonCause: commonCause, Decisive: decisiveCrashes, SuspectCrashes: suspectCrashes,
 			},
+			Trials: quarantine.TrialPolicy{
+				Doubtful: []time.Duration{time.Second, 2 * time.Second, 5 * time.Second, 30 * time.Second},
+				Sure:     []time.Duration{time.Minute, 4 * time.Minute},
+				Slot:     trialSlot,
+			},
 			MaxRecent: maxRecentAnswers,
 		}),
 		reports:     quarantine.NewOutbox(evidenceRepeats),
@@ -160,6 +172,16 @@
 	}
 }
 
+// sendsTrial reports whether this node is the one, among those that it knows to be alive,
+// to send the trial with a key.
+func (n *Node) sendsTrial(key uint64) bool {
+	rank := func(node string) uint64 {
+		return xxhash.Sum64String("trial/" + strconv.FormatUint(key, 16) + "/" + node)
+	}
+	own := rank(n.config.Settings.Node)
+	return !slices.ContainsFunc(n.peers.Callable(n.config.Clock.Now()), func(p gossip.Peer) bool { return rank(p.Node) > own })
+}
+
 // mergeEvidence records the evidence of another node. What a node of this failure
 // domain told is passed on to the others, and what others told to this one; only
 // nodes that send such messages do so.
--- a/internal/routing/backend/client_test.go
+++ b/internal/routing/backend/client_test.go
@@ -228,7 +228,10 @@
 	for range 8 {
 		group.Go(func() {
 			for range 25 {
-				_, err := client.Attempt(context.Background(), request)
+				response, err := client.Attempt(context.Background(), request)
+				if err == nil {
+					_ = response.Body.Close()
+				}
 				var sent *backend.SentError
 				var notSent *backend.NotSentError
 				switch {
--- a/internal/routing/ingress/blame_test.go
+++ b/internal/routing/ingress/blame_test.go
@@ -92,3 +92,25 @@
 		})
 	}
 }
+
+// TestTrialIsSentOnce guards against a request with a blamed part that ends a second server,
+// as its trial is tried again elsewhere, and against trials that follow each other at once.
+func TestTrialIsSentOnce(t *testing.T) {
+	first, second := newServer(t, reset), newServer(t, reset)
+	f := newFixture(t, 9, first, second)
+	withPart := func(r *http.Request) { r.Header.Set("Shared-Part", "bad") }
+	f.blame("bad")
+	if a := f.call(t, http.MethodPost, "/safe/x", withPart); a.status != http.StatusServiceUnavailable || a.result.Trial {
+		t.Fatalf("answer %+v before a trial is due, want status 503", a)
+	}
+	f.clock.Advance(time.Minute + 2*time.Second)
+	if a := f.call(t, http.MethodPost, "/safe/x", withPart); a.status != http.StatusBadGateway || !a.result.Trial || len(a.result.Tries) != 1 {
+		t.Errorf("answer %+v of the trial, want status 502 after one try", a)
+	}
+	if a := f.call(t, http.MethodPost, "/safe/x", withPart); a.status != http.StatusServiceUnavailable || a.result.Trial {
+		t.Errorf("answer %+v after the trial, want status 503", a)
+	}
+	if n := first.requests() + second.requests(); n != 1 {
+		t.Errorf("%d requests reached servers, want 1", n)
+	}
+}
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -44,6 +44,9 @@
 	OnPause   func(registry.Head, time.Duration)
 	// Guard decides which requests may be sent to servers.
 	Guard *quarantine.Guard
+	// SendsTrial reports whether this node, among all, is the one to send the trial with a
+	// key.
+	SendsTrial func(key uint64) bool
 	// CheckServer asks a head whether it still runs.
 	CheckServer func(context.Context, registry.Head) quarantine.CheckResult
 	// OnAnswer is called with the content of each request that a server answered, and
--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -232,6 +232,7 @@
 			Parts: quarantine.PartPolicy{
 				Quarantine: attempt.QuarantineConfig{ObservationTTL: time.Hour, MaxRequests: 9}, New: quarantine.PartThreshold{Crashes: 3, Episodes: 2},
 			},
+			Trials: quarantine.TrialPolicy{Sure: []time.Duration{time.Minute}, Slot: 4 * time.Second},
 		}),
 	}
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
@@ -249,6 +250,7 @@
 		OnLeaving:     func(h registry.Head) { r.leaving = append(r.leaving, h.ID) },
 		OnPause:       func(registry.Head, time.Duration) {},
 		Guard:         r.guard,
+		SendsTrial:    func(uint64) bool { return true },
 		MaxTries:      3, StallAfter: 400 * time.Millisecond, AttemptStall: time.Hour,
 	})
 	r.front = httptest.NewServer(r.handler)
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -57,6 +57,9 @@
 	// Marks is what the request has in common with others, beginning with its content.
 	// It is set only if a try was lost or there is evidence against the request.
 	Marks []quarantine.Mark
+	// Trial is set if the request was sent to a server although a part of its prompt is
+	// blamed for the ends of others, since its answer would acquit the part.
+	Trial bool
 	// Version is the version of the configuration that the request was handled
 	// under.
 	Version uint64
@@ -273,7 +276,7 @@
 		pool: pool, head: choice.Head.ID, inFlight: choice.InFlight, cancel: cancel,
 		sentAt: sentAt, progressAt: sentAt, limits: q.waitLimits(), reserveRetry: q.reserveRetry,
 	}
-	if q.route.Repeatable() && len(q.content.Parts) > 0 {
+	if q.route.Repeatable() && len(q.content.Parts) > 0 && !q.result.Trial {
 		a.blamed = func(now time.Time) bool {
 			_, ok := c.Guard.CulpritPart(q.content, now)
 			return ok
@@ -337,10 +340,15 @@
 // quarantined returns the cause for which the request must not be sent to a server;
 // empty if there is none.
 func (q *request) quarantined(now time.Time) string {
-	m, ok := q.handler.config.Guard.Culprit(q.content, now)
+	c := q.handler.config
+	m, ok := c.Guard.Culprit(q.content, now)
 	if !ok {
 		return ""
 	}
+	if m.Part != "" && q.possibleRuns == 0 && (q.result.Trial || c.Guard.Trial(q.content, now, c.SendsTrial)) {
+		q.result.Trial = true
+		return ""
+	}
 	q.result.Marks = q.content.Marks()
 	if m.Part != "" {
 		return causePartQuarantined + m.Part
--- a/internal/routing/quarantine/answers.go
+++ b/internal/routing/quarantine/answers.go
@@ -7,7 +7,8 @@
 type answers struct {
 	// span is how long an answer is remembered at least; it is for up to twice as long.
 	span time.Duration
-	// limit bounds the marks in each of recent and older. Those beyond it are forgotten.
+	// limit bounds the marks in each of recent and older. At the limit those of older are
+	// forgotten early: marks that are answered often are in recent again soon.
 	limit int
 	// recent holds the answers since rotatedAt, older those of the span before it.
 	recent, older map[uint64]time.Time
@@ -22,9 +23,12 @@
 func (a *answers) record(quick uint64, sentAt, now time.Time) {
 	a.rotate(now)
 	last, ok := a.recent[quick]
-	if ok && last.After(sentAt) || !ok && len(a.recent) >= a.limit {
+	if ok && last.After(sentAt) {
 		return
 	}
+	if !ok && len(a.recent) >= a.limit {
+		a.swap(now)
+	}
 	a.recent[quick] = sentAt
 }
 
@@ -45,10 +49,15 @@
 	if since < a.span {
 		return
 	}
-	a.older, a.recent = a.recent, a.older
-	clear(a.recent)
+	a.swap(now)
 	if since >= 2*a.span {
 		clear(a.older)
 	}
+}
+
+// swap forgets the older answers and makes the recent ones the older.
+func (a *answers) swap(now time.Time) {
+	a.older, a.recent = a.recent, a.older
+	clear(a.recent)
 	a.rotatedAt = now
 }
--- a/internal/routing/quarantine/content.go
+++ b/internal/routing/quarantine/content.go
@@ -3,7 +3,6 @@
 import (
 	"encoding/binary"
 	"encoding/hex"
-	"slices"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -103,11 +102,6 @@
 	return marks
 }
 
-// hasPart reports whether the prompt has a part that other requests may share.
-func (c *Content) hasPart(id string) bool {
-	return slices.ContainsFunc(c.Parts, func(p Part) bool { return p.ID == id })
-}
-
 // shownBytes is the number of bytes of a fingerprint that logs show.
 const shownBytes = 8
 
--- a/internal/routing/quarantine/guard.go
+++ b/internal/routing/quarantine/guard.go
@@ -1,6 +1,7 @@
 package quarantine
 
 import (
+	"cmp"
 	"slices"
 	"sync"
 	"time"
@@ -22,6 +23,7 @@
 	// Quarantine is when crashes are blamed on the content of a request.
 	Quarantine attempt.QuarantineConfig
 	Parts      PartPolicy
+	Trials     TrialPolicy
 	// MaxRecent bounds the answered contents that are remembered in each half of
 	// Quarantine.CompletionGrace, and the answered parts of prompts in each
 	// Parts.AnsweredFor.
@@ -42,6 +44,11 @@
 	marks map[attempt.Fingerprint]Mark
 	// blamable holds the parts whose crashes may suffice to blame them.
 	blamable map[attempt.Fingerprint]Mark
+	// blamed holds those that are blamed; nil after news. changes counts the news.
+	blamed  *blamedParts
+	changes uint64
+	// trials holds the latest trials that this node has sent.
+	trials []trial
 	// contentAnswers and partAnswers hold the answers that this node returned.
 	contentAnswers, partAnswers *answers
 }
@@ -79,35 +86,15 @@
 
 // CulpritPart returns the part of its prompt for which a request must not be sent to a
 // server, if there is one. It may be called for one content at several places at a time.
-//
-// Parts that were in flight during the same crashes can't be told apart. A request that
-// has one of them, and lacks another that explains its crashes as well, is therefore let
-// through: its answer acquits the part, or its crash tells the two apart.
 func (g *Guard) CulpritPart(c *Content, now time.Time) (Mark, bool) {
-	for _, m := range g.suspectedParts(c) {
-		e := g.parts.Evidence(m.Fingerprint, now)
-		if g.config.Parts.blames(e) && !g.explained(e, c, now) {
-			return m, true
-		}
+	if len(c.Parts) == 0 {
+		return Mark{}, false
 	}
-	return Mark{}, false
-}
-
-// explained reports whether another part, one that a request lacks, may be to blame for
-// the crashes in the evidence against a part.
-func (g *Guard) explained(e attempt.Evidence, c *Content, now time.Time) bool {
-	g.mu.Lock()
-	var others []Mark
-	for _, m := range g.blamable {
-		if !c.hasPart(m.Part) {
-			others = append(others, m)
-		}
+	b := g.blamedParts(now)
+	if parts := b.unexplained(b.of(c), g.config.Parts.Decisive); len(parts) > 0 {
+		return parts[0].Mark, true
 	}
-	g.mu.Unlock()
-	return slices.ContainsFunc(others, func(m Mark) bool {
-		other := g.parts.Evidence(m.Fingerprint, now)
-		return g.config.Parts.blames(other) && crashesOutside(e, other) < g.config.Parts.Decisive
-	})
+	return Mark{}, false
 }
 
 // MayTryAgain reports whether a request may be tried at another server after the
@@ -193,6 +180,7 @@
 	for _, m := range g.suspectedParts(c) {
 		before := g.parts.Evidence(m.Fingerprint, now)
 		g.parts.RecordCompletion(m.Fingerprint, sentAt)
+		g.acquit(m, now)
 		if matters(g.config.Parts, before, now.Sub(sentAt)) {
 			refuted = append(refuted, g.Evidence(m.Fingerprint, now))
 		}
@@ -200,8 +188,33 @@
 	return refuted
 }
 
+// acquit takes a part out of the maps that find it, as far as its crashes don't count any
+// more.
+func (g *Guard) acquit(m Mark, now time.Time) {
+	crashes := len(g.parts.Crashes(m.Fingerprint, now))
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	if _, ok := g.blamable[m.Fingerprint]; ok && crashes < g.config.Parts.New.Crashes {
+		delete(g.blamable, m.Fingerprint)
+		g.changed()
+	}
+	if crashes == 0 {
+		g.forgetQuick(m)
+	}
+}
+
+// forgetQuick removes a mark from known. The caller must hold mu.
+func (g *Guard) forgetQuick(m Mark) {
+	g.known[m.Quick] = slices.DeleteFunc(g.known[m.Quick], func(o attempt.Fingerprint) bool { return o == m.Fingerprint })
+	if len(g.known[m.Quick]) == 0 {
+		delete(g.known, m.Quick)
+	}
+}
+
 // RecordEnd records the end of a server against the marks of the requests that lost a
-// try by it, and returns what is news to the other nodes.
+// try by it, and returns what is news to the other nodes. What is most likely to matter
+// comes last: a long prompt has more parts than a message, and most were answered before.
 func (g *Guard) RecordEnd(e End, now time.Time) []Evidence {
 	var news []Evidence
 	for _, m := range e.Marks {
@@ -213,9 +226,25 @@
 			news = append(news, g.Evidence(m.Fingerprint, now))
 		}
 	}
+	slices.SortStableFunc(news, func(a, b Evidence) int {
+		return cmp.Or(cmp.Compare(g.weight(a), g.weight(b)), cmp.Compare(len(a.Observations), len(b.Observations)))
+	})
 	return news
 }
 
+// weight orders evidence by how likely it is to matter: against parts that were answered
+// before, against others, against contents.
+func (g *Guard) weight(e Evidence) int {
+	switch {
+	case e.Part == "":
+		return 2
+	case g.config.Parts.isNew(e.Evidence):
+		return 1
+	default:
+		return 0
+	}
+}
+
 // Merged is what came of merging evidence.
 type Merged struct {
 	// News is set if any of it is news to this node.
@@ -269,12 +298,19 @@
 	defer g.mu.Unlock()
 
 	m := Mark{Fingerprint: e.Fingerprint, Quick: e.Quick, Part: e.Part}
-	if _, ok := g.marks[e.Fingerprint]; !ok {
-		g.marks[e.Fingerprint] = m
+	g.marks[e.Fingerprint] = m
+	if !slices.Contains(g.known[e.Quick], e.Fingerprint) {
 		g.known[e.Quick] = append(g.known[e.Quick], e.Fingerprint)
 	}
-	if blamable {
+	_, was := g.blamable[e.Fingerprint]
+	switch {
+	case blamable:
 		g.blamable[e.Fingerprint] = m
+	case was:
+		delete(g.blamable, e.Fingerprint)
+	}
+	if blamable || was {
+		g.changed()
 	}
 }
 
@@ -288,8 +324,15 @@
 
 // Withdraw takes back all evidence against a mark. It reports whether there was any.
 func (g *Guard) Withdraw(f attempt.Fingerprint, now time.Time) bool {
-	q := g.evidenceOf(g.mark(f).Part)
-	return len(q.Crashes(f, now)) > 0 && q.RecordCompletion(f, now)
+	m := g.mark(f)
+	q := g.evidenceOf(m.Part)
+	if len(q.Crashes(f, now)) == 0 || !q.RecordCompletion(f, now) {
+		return false
+	}
+	if m.Part != "" {
+		g.acquit(m, now)
+	}
+	return true
 }
 
 // Evidence returns what is known of a mark.
@@ -375,9 +418,7 @@
 			continue
 		}
 		delete(g.marks, f)
-		g.known[m.Quick] = slices.DeleteFunc(g.known[m.Quick], func(o attempt.Fingerprint) bool { return o == f })
-		if len(g.known[m.Quick]) == 0 {
-			delete(g.known, m.Quick)
-		}
+		g.forgetQuick(m)
 	}
+	g.changed()
 }
--- a/internal/routing/quarantine/part_simulation_test.go
+++ b/internal/routing/quarantine/part_simulation_test.go
@@ -40,8 +40,19 @@
 	// slowDomains is set if other domains are told at the usual interval, keepQueued if
 	// requests that wait at a head stay there when their part is blamed.
 	slowDomains, keepQueued bool
-	// policy is that of all nodes.
+	// longPrompts is set if all prompts have the same parts, 2 to 1,300 of them by the seed,
+	// and the crashing part stands in place of one of these.
+	longPrompts bool
+	// culprits is the number of different crashing parts; zero stands for one.
+	culprits int
+	// seenParts is the number of parts that nodes look at, from the last on; zero stands
+	// for all.
+	seenParts int
+	// hidden is set if no node sees the crashing part.
+	hidden bool
+	// policy is that of all nodes, trials when blamed parts are tried.
 	policy quarantine.PartPolicy
+	trials quarantine.TrialPolicy
 }
 
 const (
@@ -60,6 +71,9 @@
 	soundSent, soundRejected, soundLost int
 	// blamed is the number of innocent parts for which a request was rejected.
 	blamed int
+	// longest is the longest time in which all requests without the crashing part were
+	// rejected.
+	longest time.Duration
 }
 
 // occurrence is something that happens at a time.
@@ -94,6 +108,8 @@
 	writes time.Time
 	// left is set once the request has left its head.
 	left *bool
+	// trial is set if it was sent although a part is blamed.
+	trial bool
 }
 
 type simulation struct {
@@ -110,7 +126,13 @@
 	requests  int
 	fifth     time.Time
 	innocent  map[string]bool
-	outcome   outcome
+	// shared holds the parts of long prompts, places those where crashing ones stand.
+	shared []string
+	places []int
+	// rejectedSince is when the first sound request since the last accepted one was
+	// rejected; zero if the last one was accepted.
+	rejectedSince time.Time
+	outcome       outcome
 }
 
 // simulate plays a scenario.
@@ -124,9 +146,15 @@
 			Quarantine: attempt.QuarantineConfig{
 				ObservationTTL: 10 * time.Minute, QuarantineTTL: time.Hour, MaxCrashes: maxCrashes, CompletionGrace: 10 * time.Second, MaxRequests: 256,
 			},
-			Parts: s.policy, MaxRecent: 4096,
+			Parts: s.policy, Trials: s.trials, MaxRecent: 4096,
 		}))
 	}
+	if s.longPrompts {
+		r.shared = sharedParts(int(2*math.Pow(650, r.random.Float64())) - 1)
+		for range max(1, s.culprits) {
+			r.places = append(r.places, r.random.IntN(len(r.shared)))
+		}
+	}
 	for i := range r.inFlight {
 		r.inFlight[i] = map[*simulatedRequest]bool{}
 	}
@@ -181,9 +209,23 @@
 	if crashing && r.scenario.sameFirst {
 		parts[0] = "first7"
 	}
-	if crashing {
+	if r.scenario.longPrompts {
+		parts = slices.Clone(r.shared)
+	}
+	switch {
+	case crashing && r.scenario.longPrompts:
+		k := r.random.IntN(len(r.places))
+		parts[r.places[k]] = fmt.Sprint("bad", k)
+		if r.scenario.hidden {
+			parts = slices.Delete(parts, r.places[k], r.places[k]+1)
+		}
+	case crashing:
 		parts = append(parts, "bad")
-	} else {
+	}
+	if n := r.scenario.seenParts; n > 0 {
+		parts = parts[max(0, len(parts)-n):]
+	}
+	if !crashing {
 		r.outcome.soundSent++
 	}
 	q := &simulatedRequest{node: r.random.IntN(r.scenario.nodes), content: prompt(fmt.Sprint(r.requests), parts...), crashing: crashing}
@@ -192,7 +234,14 @@
 
 // try sends a request to a head that is up.
 func (r *simulation) try(q *simulatedRequest) {
-	if m, ok := r.guards[q.node].Culprit(q.content, r.now); ok {
+	m, blamed := r.guards[q.node].Culprit(q.content, r.now)
+	q.trial = blamed && r.guards[q.node].Trial(q.content, r.now, func(key uint64) bool {
+		return int(key%uint64(r.scenario.nodes)) == q.node
+	})
+	if !q.crashing {
+		r.recordVerdict(blamed && !q.trial)
+	}
+	if blamed && !q.trial {
 		if !q.crashing {
 			r.outcome.soundRejected++
 			r.innocent[m.Part] = true
@@ -245,6 +294,18 @@
 	})
 }
 
+// recordVerdict records whether a sound request was rejected.
+func (r *simulation) recordVerdict(rejected bool) {
+	switch {
+	case !rejected:
+		r.rejectedSince = time.Time{}
+	case r.rejectedSince.IsZero():
+		r.rejectedSince = r.now
+	default:
+		r.outcome.longest = max(r.outcome.longest, r.now.Sub(r.rejectedSince))
+	}
+}
+
 // cancel takes the requests of a node that wait at heads from there if their part is
 // blamed. A request that was answered until now is not.
 func (r *simulation) cancel(node int) {
@@ -253,7 +314,7 @@
 	}
 	for _, requests := range r.inFlight {
 		for q := range requests {
-			if q.node != node || !r.now.Before(q.writes) {
+			if q.node != node || q.trial || !r.now.Before(q.writes) {
 				continue
 			}
 			if _, ok := r.guards[node].CulpritPart(q.content, r.now); ok {
@@ -361,7 +422,11 @@
 
 // scenarios returns those of the table in docs/SCHEDULING.md.
 func scenarios() []scenario {
-	base := scenario{nodes: 15, domains: 3, heads: 20, crashing: 7, sound: 140, firstParts: 60, tries: 2, policy: partPolicy}
+	base := scenario{nodes: 15, domains: 3, heads: 20, crashing: 7, sound: 140, firstParts: 60, tries: 2, policy: partPolicy, trials: trialPolicy}
+	// As in the review: few requests, and engines that are back soon.
+	long := func(s *scenario) {
+		s.longPrompts, s.nodes, s.heads, s.crashing, s.sound = true, 3, 9, 2.5, 30
+	}
 	with := func(name string, change func(*scenario)) scenario {
 		s := base
 		s.name = name
@@ -378,6 +443,9 @@
 		with("only such faults", func(s *scenario) { s.waves, s.crashing = 0.5, 0 }),
 		with("only such faults, 5 first parts", func(s *scenario) { s.waves, s.crashing, s.firstParts = 0.5, 0, 5 }),
 		with("only such faults, 1,000 first parts", func(s *scenario) { s.waves, s.crashing, s.firstParts = 0.5, 0, 1000 }),
+		with("long prompts", long),
+		with("long prompts, two crashing parts", func(s *scenario) { long(s); s.culprits = 2 }),
+		with("long prompts, crashing part is not seen", func(s *scenario) { long(s); s.hidden = true }),
 		with("150 nodes, 5 domains", func(s *scenario) { s.nodes, s.domains, s.heads, s.sound = 150, 5, 100, 700 }),
 	}
 }
@@ -390,6 +458,8 @@
 		"answers acquit nobody":     func(s *scenario) { s.withoutAnswers = true },
 		"domains told each 0.5 s":   func(s *scenario) { s.slowDomains = true },
 		"waiting requests are kept": func(s *scenario) { s.keepQueued = true },
+		"last 64 parts":             func(s *scenario) { s.seenParts, s.trials = 64, quarantine.TrialPolicy{} },
+		"no trials":                 func(s *scenario) { s.trials = quarantine.TrialPolicy{} },
 	}
 }
 
@@ -410,10 +480,11 @@
 					seeds = max(1, seeds/20)
 				}
 				var ended, late []int
+				var longest []time.Duration
 				sum := outcome{}
 				for seed := range seeds {
 					o := simulate(played, uint64(seed))
-					ended, late = append(ended, o.ended), append(late, o.late)
+					ended, late, longest = append(ended, o.ended), append(late, o.late), append(longest, o.longest)
 					sum.soundSent += o.soundSent
 					sum.soundRejected += o.soundRejected
 					sum.soundLost += o.soundLost
@@ -421,9 +492,9 @@
 				}
 				slices.Sort(ended)
 				percent := func(count int) float64 { return 100 * float64(count) / float64(sum.soundSent) }
-				t.Logf("%d seeds; servers ended: median %d, most %d; late requests: at most %d; sound requests rejected %.4f%%, lost %.2f%%; innocent parts blamed: %.3f a seed",
-					seeds, ended[seeds/2], ended[seeds-1], slices.Max(late), percent(sum.soundRejected), percent(sum.soundLost), float64(sum.blamed)/float64(seeds))
-				if most := slices.Max(late); name == "policy" && most > 3 {
+				t.Logf("%d seeds; servers ended: median %d, most %d; late requests: at most %d; sound requests rejected %.4f%%, lost %.2f%%; innocent parts blamed: %.3f a seed; longest wrong verdict %s",
+					seeds, ended[seeds/2], ended[seeds-1], slices.Max(late), percent(sum.soundRejected), percent(sum.soundLost), float64(sum.blamed)/float64(seeds), slices.Max(longest))
+				if most := slices.Max(late); name == "policy" && !s.hidden && most > 3 {
 					t.Errorf("%d requests with the part reached servers more than 3 s after the fifth end, want at most 3", most)
 				}
 			})
--- a/pkg/core/attempt/quarantine.go
+++ b/pkg/core/attempt/quarantine.go
@@ -76,7 +76,8 @@
 	// about that time.
 	CompletionGrace time.Duration
 	// MaxRequests is the maximum number of requests kept in each shard; the
-	// request with the oldest observation is evicted first.
+	// request with the fewest observations is evicted first, the one with the oldest among
+	// those. Completions are bounded likewise, the oldest is evicted first.
 	MaxRequests int
 }
 
@@ -164,9 +165,12 @@
 	recorded := false
 	q.completions.with(f, func(entries map[Fingerprint]time.Time) {
 		last, ok := entries[f]
-		if ok && !at.After(last) || !ok && len(entries) >= q.config.MaxRequests {
+		if ok && !at.After(last) {
 			return
 		}
+		if !ok && len(entries) >= q.config.MaxRequests {
+			evictOldest(entries)
+		}
 		entries[f] = at
 		recorded = true
 	})
@@ -304,7 +308,7 @@
 		}
 		known = q.withinTTL(known, at)
 		if known == nil && len(entries) >= q.config.MaxRequests {
-			evicted = oldestRequest(entries)
+			evicted = leastSuspect(entries)
 			delete(entries, evicted.fingerprint)
 		}
 		// Append to a copy, since readers use the old slice without the lock.
@@ -460,17 +464,32 @@
 	observations []observation
 }
 
-// oldestRequest returns the request whose first observation is the oldest.
-func oldestRequest(entries map[Fingerprint][]observation) requestObservations {
+// leastSuspect returns the request with the fewest observations, and among those the one
+// whose first observation is the oldest. One that crashes server after server is kept,
+// however many others were in flight with it once.
+func leastSuspect(entries map[Fingerprint][]observation) requestObservations {
 	var found requestObservations
 	for f, observations := range entries {
-		if found.observations == nil || observations[0].at.Before(found.observations[0].at) {
+		fewer := len(observations) - len(found.observations)
+		if found.observations == nil || fewer < 0 || fewer == 0 && observations[0].at.Before(found.observations[0].at) {
 			found = requestObservations{fingerprint: f, observations: observations}
 		}
 	}
 	return found
 }
 
+// evictOldest removes the oldest completion.
+func evictOldest(entries map[Fingerprint]time.Time) {
+	var oldest Fingerprint
+	first := true
+	for f, at := range entries {
+		if first || at.Before(entries[oldest]) {
+			oldest, first = f, false
+		}
+	}
+	delete(entries, oldest)
+}
+
 func hashCrash(c Crash) uint64 {
 	return hashString(c.Group) + c.Epoch
 }
