Keep net/http from sending requests with an idempotency key again

The server had run it and reset the kept connection in place of the answer; net/http sent it again by itself, neither counted nor asked for.

Cause: net/http takes a request without a body for repeatable if it has an Idempotency-Key or X-Idempotency-Key header, whatever its method. The client only knew the methods. Both headers go to net/http under names in lower case now, which it does not look up; servers get the caller's values.

--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -8,10 +8,12 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -417,16 +419,46 @@
 		Method:        r.Method,
 		URL:           target,
 		Host:          r.Host,
-		Header:        r.Header,
+		Header:        withoutReplayMarks(r.Header),
 		Proto:         "HTTP/1.1",
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Body:          content,
 		ContentLength: int64(len(r.Body)),
 	}
+	if content != http.NoBody && len(r.Body) == 0 {
+		// Keeps net/http from sending an empty chunked body with methods for which it
+		// does not look whether there is one.
+		request.TransferEncoding = []string{"identity"}
+	}
 	return request.WithContext(ctx), nil
 }
 
+// replayMarks are the headers for which net/http sends a request without a body again by
+// itself, whatever its method.
+var replayMarks = []string{"Idempotency-Key", "X-Idempotency-Key"}
+
+// withoutReplayMarks returns headers that net/http does not take for replay marks, which it
+// looks up by their canonical names. On the wire, case does not matter.
+func withoutReplayMarks(h http.Header) http.Header {
+	var changed http.Header
+	for _, name := range replayMarks {
+		values, ok := h[name]
+		if !ok {
+			continue
+		}
+		if changed == nil {
+			changed = maps.Clone(h)
+		}
+		delete(changed, name)
+		changed[strings.ToLower(name)] = values
+	}
+	if changed == nil {
+		return h
+	}
+	return changed
+}
+
 // retriedByTransport reports whether net/http retries requests of the method by
 // itself when they have no body.
 func retriedByTransport(method string) bool {
