Keep a silent request at its server while no other one is usable

The watchdog broke the try off if the retry budget paid for another, and only then was it found out that there is no head to go to. It asks first now.

TestSilentStreamWithNowhereToGoIsKept failed before, with one head and with a second one that is suspended.

--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net/http"
+	"slices"
 	"strconv"
 	"sync/atomic"
 	"time"
@@ -275,6 +276,7 @@
 	a := &attempt{
 		pool: pool, head: choice.Head.ID, inFlight: choice.InFlight, cancel: cancel,
 		sentAt: sentAt, progressAt: sentAt, limits: q.waitLimits(), reserveRetry: q.reserveRetry,
+		exclude: append(slices.Clone(q.exclude), choice.Head.ID),
 	}
 	if q.route.Repeatable() && len(q.content.Parts) > 0 && !q.result.Trial {
 		a.blamed = func(now time.Time) bool {
--- a/internal/routing/ingress/resumption_test.go
+++ b/internal/routing/ingress/resumption_test.go
@@ -14,6 +14,7 @@
 	"github.com/google/go-cmp/cmp"
 	"github.com/google/go-cmp/cmp/cmpopts"
 
+	"almondbay.example/internal/routing/balance"
 	"almondbay.example/internal/routing/ingress"
 	"almondbay.example/internal/routing/quarantine"
 )
@@ -241,6 +242,45 @@
 	}
 }
 
+// TestSilentStreamWithNowhereToGoIsKept guards against a stream that is broken off since its
+// sound server is silent for a time, although no other server is usable.
+func TestSilentStreamWithNowhereToGoIsKept(t *testing.T) {
+	for _, other := range []string{"none", "suspended"} {
+		t.Run("other server: "+other, func(t *testing.T) {
+			release := make(chan struct{})
+			servers := []*server{newServer(t, signedText(numbered(1, 1), func() { <-release }))}
+			if other != "none" {
+				servers = append(servers, newServer(t, events(6, nil)))
+			}
+			f := newFixture(t, 10, servers...)
+			if other != "none" {
+				f.board.Pool(balance.Key{Service: "svc"}).RecordFailure("s1", f.clock.Now())
+			}
+			response, err := http.DefaultClient.Do(f.request(t, http.MethodPost, "/stream/x"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = response.Body.Close() }()
+			if _, err := io.ReadFull(response.Body, make([]byte, len(numbered(1, 1)))); err != nil {
+				t.Fatal(err)
+			}
+			// The stall timer starts only when the event has been flushed to the caller.
+			for range 1000 {
+				f.clock.Advance(time.Second)
+				f.handler.Check(f.clock.Now())
+				runtime.Gosched()
+			}
+			close(release)
+			if rest, err := io.ReadAll(response.Body); err != nil || len(rest) > 0 {
+				t.Errorf("rest %q, error %v; want a normal end", rest, err)
+			}
+			if result := <-f.results; result.Outcome != ingress.OutcomeAnswered || len(result.Tries) != 1 {
+				t.Errorf("result %+v, want outcome answered after one try", result)
+			}
+		})
+	}
+}
+
 // TestStreamIsCutOffIfResumptionAfterStallFails guards against a stream that looks
 // complete although its first server stands still, so that the node broke it off,
 // and the one that was asked for the rest answers with an error.
--- a/internal/routing/ingress/watch.go
+++ b/internal/routing/ingress/watch.go
@@ -48,6 +48,8 @@
 	// blamed reports whether a part of the request's prompt is to blame for crashes by now;
 	// nil for requests that must not be canceled.
 	blamed func(now time.Time) bool
+	// exclude lists the heads that the request can't be sent to after this attempt.
+	exclude []string
 	// reserveRetry charges the retry budget; if it reports false, the attempt is
 	// not canceled.
 	reserveRetry func() bool
@@ -199,7 +201,9 @@
 		if errors.Is(cause, errStalled) {
 			a.pool.RecordStall(a.head, now)
 		}
-		if a.reserveRetry() {
+		// A sound head may be silent for a time. With nowhere else to go, waiting for it
+		// is the only chance.
+		if a.pool.HasUsable(a.exclude, now) && a.reserveRetry() {
 			a.cancel(cause)
 		}
 	}
