--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -348,67 +348,6 @@
 	}
 }
 
-// headLeft reports whether the head of a group is known to have no work of the group. It
-// adds a head whose registration is missing to those that must be probed.
-func (p *planner) headLeft(g Group) bool {
-	m := g.Members[0]
-	r, ok := p.records[m.ID]
-	switch {
-	case ok && r.Incarnation > m.Incarnation:
-		// It has started again since.
-		return true
-	case !ok || !p.alive(r) || r.Incarnation < m.Incarnation:
-		r = p.unregisteredHead(g, r)
-		if p.HeadStopped(r) {
-			return true
-		}
-		p.decision.UnregisteredHeads = append(p.decision.UnregisteredHeads, r)
-		return false
-	case !r.In(g.Name, g.Epoch):
-		return true
-	default:
-		return r.Group.State == registry.StateBroken || r.Group.State == registry.StateJoining
-	}
-}
-
-// unregisteredHead returns the record by which the head of a group is probed. The last
-// registration that this node saw may be older than the group, or there may be none.
-func (p *planner) unregisteredHead(g Group, r registry.Record) registry.Record {
-	m := g.Members[0]
-	if r.ID == "" {
-		r.Server = registry.Server{
-			ID: m.ID, Address: g.HeadAddress, Service: p.Service, FailureDomain: p.FailureDomain, FabricDomain: g.FabricDomain,
-		}
-	}
-	r.Incarnation = m.Incarnation
-	r.Model = g.Model
-	r.Group = registry.Membership{Name: g.Name, Epoch: g.Epoch, State: registry.StateOpen}
-	return r
-}
-
-// orderHeadToLeave orders the head to leave its group: if finish is set, after it
-// has finished its requests or CloseTimeout has passed, else at once.
-func (p *planner) orderHeadToLeave(g Group, reason string, finish bool) {
-	r, ok := p.member(g.Members[0])
-	if !ok {
-		return
-	}
-	operation := OperationLeave
-	if finish {
-		switch r.Group.State {
-		case registry.StateOpen:
-			operation = OperationClose
-		case registry.StateClosing:
-			if p.Now.Sub(r.ChangedAt) < p.CloseTimeout {
-				return
-			}
-		}
-	}
-	p.addOrder(Order{
-		Server: r.Server, Operation: operation, Group: g.Name, Epoch: g.Epoch, Model: g.Model, Reason: reason,
-	})
-}
-
 // orderPlannedGroups adds the orders that bring the servers to the planned
 // state. Loads go first to the models with the lowest supply ratio, and within
 // a model to the groups that need the fewest.
--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -174,8 +174,8 @@
 	settled chan struct{}
 }
 
-// begin starts the use of the connection for a request, once the one before it is settled or ctx ends. The caller must
-// settle it.
+// begin starts the use of the connection for a request, once the one before it is settled
+// or ctx ends. The caller must settle it.
 func (c *countedConn) begin(ctx context.Context) *connUse {
 	u := &connUse{conn: c, settled: make(chan struct{})}
 	c.mu.Lock()
--- a/internal/routing/balance/backoff.go
+++ b/internal/routing/balance/backoff.go
@@ -1,6 +1,7 @@
 package balance
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -67,3 +68,14 @@
 func (p *Pool) pauseRetryAfter(end, now time.Time) time.Duration {
 	return max(end.Sub(now), minRetryAfter) + time.Duration(float64(p.meanDuration)*p.policy.Random())
 }
+
+// HasUsable reports whether a head other than the excluded ones can be sent requests now,
+// if it has room.
+func (p *Pool) HasUsable(exclude []string, now time.Time) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+
+	return slices.ContainsFunc(p.ordered, func(h *head) bool {
+		return !slices.Contains(exclude, h.ID) && !now.Before(p.backoffs.of(h.Life())) && !now.Before(h.blockedUntil())
+	})
+}
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -245,17 +245,6 @@
 	return c
 }
 
-// HasUsable reports whether a head other than the excluded ones can be sent requests now,
-// if it has room.
-func (p *Pool) HasUsable(exclude []string, now time.Time) bool {
-	p.mu.Lock()
-	defer p.mu.Unlock()
-
-	return slices.ContainsFunc(p.ordered, func(h *head) bool {
-		return !slices.Contains(exclude, h.ID) && !now.Before(p.backoffs.of(h.Life())) && !now.Before(h.blockedUntil())
-	})
-}
-
 // inFlight returns the estimated number of requests in flight.
 func (h *head) inFlight() int {
 	return h.localInFlight + h.remoteInFlight
--- a/internal/routing/quarantine/trial.go
+++ b/internal/routing/quarantine/trial.go
@@ -5,13 +5,13 @@
 	"time"
 )
 
+// TrialPolicy is when blamed parts of prompts are tried.
+//
 // A verdict on parts of prompts may be wrong: what crashed the servers is something else,
 // which no node sees or remembers. Once all requests with the parts are rejected, no answer
 // takes it back. Therefore one of them is sent to a server now and then, as a trial. Its
 // answer acquits the parts; a crash is one more in the evidence of all nodes, so that they
 // agree on when and where the next trial is due.
-
-// TrialPolicy is when blamed parts of prompts are tried.
 type TrialPolicy struct {
 	// Doubtful and Sure hold the time since the last crash after which a trial is due, by the
 	// number of crashes beyond those that suffice to blame a new part; there is none after
