Break the group of a silent head by taking a member out

A silent head proves nothing by itself. But a group that lacks a member stands still and is broken after stallMs, whether or not anybody reaches its head, so one member is ordered to leave after the first probe without a reply, and the others are free 4.5 s after it obeyed. A head that refuses connections works on and is left alone. If the order or its reply is lost, the wait is as before.

TestGroupOfSilentHeadIsBroken and TestGroupOfWorkingHeadIsNotBroken are new; spec/head.pml has the step and a mutant that frees the members at once.

--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -112,7 +112,10 @@
 	// unreachable before it counts as stopped even though fewer nodes, or none in
 	// its failure domain, could probe it, or its address isn't known.
 	UnreachableTimeout time.Duration
-	Jitter             func(limit time.Duration) time.Duration
+	// GroupStall is how long a group that lacks a member stands still before it is broken;
+	// zero if that isn't known.
+	GroupStall time.Duration
+	Jitter     func(limit time.Duration) time.Duration
 }
 
 const (
--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -300,6 +300,7 @@
 		RecentlySent:  d.recentlySent,
 		MissingGrace:  d.config.Grace,
 		HeadStopped:   d.headStopped,
+		HeadSilent:    d.headSilent,
 		CloseTimeout:  closeTimeout,
 	})
 }
--- a/internal/fleet/control/domain_test.go
+++ b/internal/fleet/control/domain_test.go
@@ -21,6 +21,8 @@
 const (
 	domain = "lisboa-a"
 	grace  = 2 * time.Second
+	// groupStall is how long a group without a member stands still before it is broken.
+	groupStall = 4 * time.Second
 )
 
 // table is an in-memory store with one version counter for all rows.
@@ -146,7 +148,7 @@
 		Holder:         holder,
 		FailureDomains: []string{domain},
 		LoadSpan:       5 * time.Second, LoadWindow: 5 * time.Second, LoadOverrun: 1,
-		Grace: grace, ProbeQuorum: 4, UnreachableTimeout: time.Hour,
+		Grace: grace, ProbeQuorum: 4, UnreachableTimeout: time.Hour, GroupStall: groupStall,
 		Jitter: func(time.Duration) time.Duration { return 0 },
 	})
 	return f
--- a/internal/fleet/control/head.go
+++ b/internal/fleet/control/head.go
@@ -18,8 +18,9 @@
 // A head that leaves stops listening first and finishes its requests then, so that a
 // refused connection proves only that it accepts nothing new; silence and a lapsed
 // registration prove less. What proves that it has no work is its own reply, another
-// incarnation, or the time since it accepted nothing new, or for a silent one since it was
-// last heard of. spec/head.pml is a model of this.
+// incarnation, or the time since it accepted nothing new. For a silent one, it is the time
+// since it was last heard of, or since a member left its group, which breaks by that.
+// spec/head.pml is a model of this.
 type headProbe struct {
 	// since is when the head was first considered for a probe.
 	since time.Time
@@ -38,6 +39,11 @@
 	// connection; zero if none did. A head that was silent until then may have been cut
 	// off and may have served.
 	refusedSince time.Time
+	// epoch is that of the group, and memberLeftAt when one of its members obeyed an order to
+	// leave it; zero if none did. Whatever nodes can reach, the group then stands still and
+	// breaks.
+	epoch        uint64
+	memberLeftAt time.Time
 	// left is set once the head itself has shown that it doesn't serve the group.
 	left bool
 	// probing is set while a probe is in progress.
@@ -78,14 +84,19 @@
 	}
 }
 
-// stopped reports whether the head can no longer have work. The timeout is for one that too
-// few nodes could probe.
-func (p *headProbe) stopped(timeout time.Duration) bool {
+// stopped reports whether the head can no longer have work.
+func (p *headProbe) stopped(c Config) bool {
 	last := p.since
 	if p.reachedAt.After(last) {
 		last = p.reachedAt
 	}
-	return p.left || p.unreachableFor() >= maxHeadWork+headWorkMargin || p.probedAt.Sub(last) >= timeout
+	broken := !p.memberLeftAt.IsZero() && c.Clock.Since(p.memberLeftAt) >= c.GroupStall+headWorkMargin
+	return p.left || broken || p.unreachableFor() >= maxHeadWork+headWorkMargin || p.probedAt.Sub(last) >= c.UnreachableTimeout
+}
+
+// silent reports whether the head gave no sign of life since its registration lapsed.
+func (p *headProbe) silent() bool {
+	return !p.unreachableAt.IsZero() && p.refusedSince.IsZero() && p.reachedAt.IsZero() && p.unreachableSince.Sub(p.since) <= maxProbeGap
 }
 
 // unreachableFor returns how long the head is known to have accepted nothing new, or to
@@ -94,8 +105,7 @@
 	switch {
 	case !p.refusedSince.IsZero():
 		return p.unreachableAt.Sub(p.refusedSince)
-	case !p.unreachableAt.IsZero() && p.unreachableSince.Sub(p.since) <= maxProbeGap && p.reachedAt.IsZero():
-		// It has been silent since its registration lapsed.
+	case p.silent():
 		return p.unreachableAt.Sub(p.heardAt)
 	default:
 		return p.unreachableAt.Sub(p.unreachableSince)
@@ -109,7 +119,27 @@
 	defer d.mu.Unlock()
 
 	p, ok := d.probes[r.ID]
-	return ok && !p.since.Before(r.MissingSince) && p.stopped(d.config.UnreachableTimeout)
+	return ok && !p.since.Before(r.MissingSince) && p.stopped(d.config)
+}
+
+// headSilent reports whether a head without a registration is silent, and a member is to
+// leave its group.
+func (d *domain) headSilent(r registry.Record) bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	p, ok := d.probes[r.ID]
+	return ok && d.config.GroupStall > 0 && !p.since.Before(r.MissingSince) && p.memberLeftAt.IsZero() && p.silent()
+}
+
+// recordMemberLeft records that a member obeyed an order to leave the group of a head.
+func (d *domain) recordMemberLeft(head string, epoch uint64) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+
+	if p, ok := d.probes[head]; ok && p.epoch == epoch {
+		p.memberLeftAt = d.config.Clock.Now()
+	}
 }
 
 // clearProbes discards what probes showed in an earlier term: other nodes may have reached
@@ -153,7 +183,7 @@
 
 	p, ok := d.probes[r.ID]
 	if !ok || p.since.Before(r.MissingSince) {
-		p = &headProbe{since: now, heardAt: now}
+		p = &headProbe{since: now, heardAt: now, epoch: r.Group.Epoch}
 		if !r.HeardAt.IsZero() {
 			p.heardAt = r.HeardAt
 		}
@@ -192,7 +222,7 @@
 	event.HeadProbed.Log(d.config.Logger, zap.String("server", s.ID), zap.String("group", s.Group.Name), zap.Int("asked", result.Probed),
 		zap.Int("near", result.SameDomain), zap.Bool("reached", len(result.Replies) > 0), zap.Int("refused", result.Refused), zap.Bool("left", left),
 		zap.Duration("missingFor", now.Sub(p.since)), zap.Duration("unreachableFor", p.unreachableFor()),
-		zap.Bool("stopped", p.stopped(d.config.UnreachableTimeout)))
+		zap.Bool("stopped", p.stopped(d.config)))
 }
 
 // serves reports whether a reply leaves open that a head is still in its group. A reply
--- a/internal/fleet/control/head_test.go
+++ b/internal/fleet/control/head_test.go
@@ -122,3 +122,52 @@
 		t.Errorf("%s stayed bound to a head that said that it is in no group: %+v", member.ID, orders)
 	}
 }
+
+// TestGroupOfSilentHeadIsBroken guards against members that idle for as long as a silent head
+// may work: one leaves the group, so that it breaks, and none joins another group before.
+func TestGroupOfSilentHeadIsBroken(t *testing.T) {
+	f := newFixtureWith(t, "node", nil, fixtureOptions{
+		probe: func(registry.Server) control.ProbeResult { return control.ProbeResult{Probed: 6, SameDomain: 2} },
+	})
+	head, member := openGroup(t, f)
+	spare := engine("c")
+	spare.Staged = member.Staged
+	f.register(3, member, spare)
+	f.run(t, 2*time.Second)
+	left := false
+	for _, o := range f.takeOrders() {
+		left = left || o.Operation == formation.OperationLeave && o.Server.ID == member.ID && o.Epoch == member.Group.Epoch
+	}
+	if !left {
+		t.Fatalf("%s was not ordered to leave the group of the silent head %s", member.ID, head.ID)
+	}
+	out := *member
+	out.Group = registry.Membership{}
+	f.register(4, &out, spare)
+	f.run(t, groupStall-2*time.Second)
+	if orders := f.takeOrders(); joinsElsewhere(orders, member) {
+		t.Errorf("%s joined another group before that of its head can be broken: %+v", member.ID, orders)
+	}
+	f.run(t, 3*time.Second)
+	if orders := f.takeOrders(); !joinsElsewhere(orders, member) {
+		t.Errorf("%s did not join another group once that of its head is broken: %+v", member.ID, orders)
+	}
+}
+
+// TestGroupOfWorkingHeadIsNotBroken guards against streams that are lost since a member leaves
+// the group of a head that finishes them.
+func TestGroupOfWorkingHeadIsNotBroken(t *testing.T) {
+	f := newFixtureWith(t, "node", nil, fixtureOptions{
+		probe: func(registry.Server) control.ProbeResult {
+			return control.ProbeResult{Probed: 6, SameDomain: 2, Refused: 6}
+		},
+	})
+	_, member := openGroup(t, f)
+	f.register(3, member)
+	f.run(t, 8*time.Second)
+	for _, o := range f.takeOrders() {
+		if o.Operation == formation.OperationLeave {
+			t.Errorf("%s was ordered to leave", o.Server.ID)
+		}
+	}
+}
--- a/internal/fleet/control/order.go
+++ b/internal/fleet/control/order.go
@@ -80,7 +80,9 @@
 			d.recordLoad(o, now)
 		}
 		started := d.tasks.TryGo(func() error {
-			d.sendOrder(ctx, o, term)
+			if d.sendOrder(ctx, o, term) && o.Head != "" {
+				d.recordMemberLeft(o.Head, o.Epoch)
+			}
 			return nil
 		})
 		if !started {
--- a/internal/fleet/formation/head.go
+++ b/internal/fleet/formation/head.go
@@ -17,6 +17,9 @@
 			return true
 		}
 		p.decision.UnregisteredHeads = append(p.decision.UnregisteredHeads, r)
+		if p.HeadSilent(r) {
+			p.orderMemberToLeave(g)
+		}
 		return false
 	case !r.In(g.Name, g.Epoch):
 		return true
@@ -25,6 +28,21 @@
 	}
 }
 
+// orderMemberToLeave orders one member to leave a group, so that the head, if it still
+// runs, stands still and breaks.
+func (p *planner) orderMemberToLeave(g Group) {
+	for _, m := range g.Members[1:] {
+		r, ok := p.member(m)
+		if ok && r.In(g.Name, g.Epoch) {
+			p.addOrder(Order{
+				Server: r.Server, Operation: OperationLeave, Group: g.Name, Epoch: g.Epoch, Model: g.Model,
+				Head: g.Members[0].ID, Reason: "head is silent, its group is to break",
+			})
+			return
+		}
+	}
+}
+
 // unregisteredHead returns the record by which the head of a group is probed. The last
 // registration that this node saw may be older than the group, or there may be none.
 func (p *planner) unregisteredHead(g Group, r registry.Record) registry.Record {
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -78,6 +78,8 @@
 	Model     string
 	// Members lists the server IDs of the group by rank, for OperationJoin only.
 	Members []string
+	// Head is the ID of the head whose group is to break, if a member is to leave it.
+	Head string
 	// StartsLoad is set if the order starts a load from the weight store.
 	StartsLoad bool
 	// Reason is the cause of the order, for the log.
@@ -113,6 +115,9 @@
 	// HeadStopped reports whether a head without a registration is known not to have
 	// work.
 	HeadStopped func(r registry.Record) bool
+	// HeadSilent reports whether a head without a registration has been silent since that
+	// lapsed, so that its group is to be broken by taking a member out.
+	HeadSilent func(r registry.Record) bool
 	// CloseTimeout is the time that a closing head has to finish its requests.
 	CloseTimeout time.Duration
 }
--- a/internal/fleet/formation/plan_test.go
+++ b/internal/fleet/formation/plan_test.go
@@ -74,6 +74,7 @@
 		LoadBudget:    10,
 		MissingGrace:  2 * time.Second,
 		HeadStopped:   func(registry.Record) bool { return false },
+		HeadSilent:    func(registry.Record) bool { return false },
 		RecentlySent:  func(formation.Order) bool { return false },
 		CloseTimeout:  6 * time.Second,
 	}
--- a/internal/node/deployment/settings.go
+++ b/internal/node/deployment/settings.go
@@ -49,6 +49,9 @@
 	// LoadWindow, LoadOverrun times the loads that the document's rate allows.
 	LoadWindow  time.Duration
 	LoadOverrun float64
+	// GroupStall is how long a replica group that lacks a member stands still before it is
+	// broken; zero if that isn't known.
+	GroupStall time.Duration
 }
 
 // Check returns a SettingsError that lists every fault of the settings, or nil.
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -335,6 +335,7 @@
 		LoadOverrun:        c.Settings.Bounds.LoadOverrun,
 		Grace:              returnGrace,
 		UnreachableTimeout: unreachableTimeout,
+		GroupStall:         c.Settings.Bounds.GroupStall,
 		Jitter:             func(limit time.Duration) time.Duration { return rand.N(limit + 1) },
 	})
 }
--- a/spec/head.pml
+++ b/spec/head.pml
@@ -9,6 +9,9 @@
  * lease for a time. A refused connection shows that the head accepts nothing new; silence
  * may be a cut.
  *
+ * If the head is silent, the holder may order a member to leave the group, which then stands
+ * still and is broken after STALL ticks.
+ *
  * Checked: members are released only once the head has no work.
  *
  * mutant: -DTWO_PROBES_SUFFICE
@@ -16,12 +19,14 @@
  * mutant: -DGAP_IGNORED
  * mutant: -DSILENCE_LIKE_REFUSAL
  * mutant: -DWAIT=3
+ * mutant: -DBROKEN_AT_ONCE
  */
 
 #define MAX_WORK 4
 #define CUT 2
 #define MAX_CUTS 2
 #define MAX_GAP 1
+#define STALL 2
 #ifndef WAIT
 #define WAIT 6
 #endif
@@ -34,6 +39,8 @@
 bool cut;
 byte cutLeft;
 byte cuts;
+bool memberOut;           /* a member has left the group */
+byte stall = STALL;       /* ticks until the group is broken then */
 
 /* What the holder knows. */
 bool unreachable;         /* the latest probes all failed */
@@ -44,7 +51,7 @@
 byte gap;                 /* ticks since the last of them, up to MAX_GAP + 1 */
 bool released;
 
-#define WORKING (head == serving || head == finishing)
+#define WORKING ((head == serving || head == finishing) && !(memberOut && stall == 0))
 #define UP(x, limit) (x < limit -> x + 1 : limit)
 
 inline forget() { unreachable = false; refused = false; failures = 0; elapsed = 0; gap = 0 }
@@ -72,14 +79,20 @@
 	:: failures == 2 -> release()
 #endif
 	:: elapsed >= WAIT -> release()
-	:: else
+	:: !byRefusal && !refused && !memberOut -> memberOut = true
+#ifdef BROKEN_AT_ONCE
+	:: memberOut -> release()
+#else
+	:: memberOut && stall == 0 -> release()
+#endif
+	:: true /* The order is lost, or nothing is due. */
 	fi
 }
 
 proctype Head() {
 	do
 	:: atomic { head == serving -> head = finishing; registered = false }
-	:: atomic { WORKING -> head = ended; registered = false }
+	:: atomic { head == serving || head == finishing -> head = ended; registered = false }
 	:: atomic { head == ended -> head = restarted; registered = true }
 	/* An outage of the store, and its end. */
 	:: atomic { head == serving && registered -> registered = false }
@@ -93,6 +106,7 @@
 	do
 	:: atomic {
 		(head != finishing || work > 0) && (!cut || cutLeft > 0) ->
+		stall = (memberOut && stall > 0 -> stall - 1 : stall);
 		work = (head == finishing -> work - 1 : work);
 		cutLeft = (cut -> cutLeft - 1 : cutLeft);
 		elapsed = (unreachable -> UP(elapsed, WAIT) : 0);
