Log the connection of each try, and count connections that are distrusted

The tries of event 901 tell connection, requests, rejections, and rejectedBefore if one of them had the same ID. explain says it in a sentence, and that a response of another request was not believed. The counter almondbay_entry_distrusted_connections_total has the connections closed for a foreign response (otherRequest) or unsolicited bytes (unsolicited).

TestFailedResumptionCountsAsAttempt compares tries field by field and leaves out the ones that only describe them; the new one is such a field.

--- a/internal/node/entry/event_log.go
+++ b/internal/node/entry/event_log.go
@@ -10,6 +10,7 @@
 	"go.uber.org/zap"
 
 	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/routing/backend"
 	"almondbay.example/internal/routing/ingress"
 	"almondbay.example/serving/event"
 )
@@ -86,8 +87,8 @@
 }
 
 // formatTries renders the tries of a request: head, requests in flight there,
-// duration, status of the head's response, events sent to the caller and cause of
-// failure.
+// duration, connection, status of the head's response, events sent to the caller and
+// cause of failure.
 func formatTries(all []ingress.Try) string {
 	var b strings.Builder
 	for i, t := range all {
@@ -95,6 +96,7 @@
 			b.WriteString("; ")
 		}
 		b.WriteString(t.Head + " inFlight=" + strconv.Itoa(t.InFlight) + " took=" + t.Took.Round(time.Millisecond).String())
+		b.WriteString(formatSend(t.Send))
 		if t.Status != 0 {
 			b.WriteString(" status=" + strconv.Itoa(t.Status) + " events=" + strconv.Itoa(t.Events))
 		}
@@ -105,6 +107,22 @@
 	return b.String()
 }
 
+// formatSend renders the connection that a request was sent on: its number, the number of
+// requests that it had carried, and if any, that of rejections on it.
+func formatSend(s backend.Send) string {
+	if s.Connection == 0 {
+		return ""
+	}
+	text := " connection=" + strconv.FormatUint(s.Connection, 10) + " requests=" + strconv.Itoa(s.Requests)
+	if s.Rejections > 0 {
+		text += " rejections=" + strconv.Itoa(s.Rejections)
+	}
+	if s.RejectedBefore {
+		text += " rejectedBefore"
+	}
+	return text
+}
+
 // logSuppressed logs the number of requests without a line since the last call,
 // by outcome, and the number of lines that the output dropped.
 func (l *eventLog) logSuppressed() {
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -295,6 +295,7 @@
 		Board:   n.board,
 		Backend: backend.NewClient(backend.Config{
 			Clock: c.Clock, ConnectTimeout: connectTimeout, IdleTimeout: idleConnTimeout, MaxIdle: maxIdleConns, Dial: c.Dial,
+			OnDistrust: func(cause backend.DistrustCause) { n.metrics.Distrusted.WithLabelValues(string(cause)).Inc() },
 		}),
 		Budget:        n.budget,
 		Configuration: n.configuration.Load,
--- a/internal/node/entry/request_log_test.go
+++ b/internal/node/entry/request_log_test.go
@@ -14,6 +14,7 @@
 	"golang.org/x/sync/errgroup"
 
 	"almondbay.example/internal/node/entry"
+	"almondbay.example/internal/routing/backend"
 	"almondbay.example/internal/routing/ingress"
 	"almondbay.example/serving/event"
 )
@@ -131,6 +132,22 @@
 	}
 }
 
+// TestLogTellsConnectionOfTry guards against a rejection of which nobody can tell later
+// whether it was a copy of an earlier one: the log did not tell the connection, nor what had
+// come on it before.
+func TestLogTellsConnectionOfTry(t *testing.T) {
+	core, lines := observer.New(zap.InfoLevel)
+	entry.LogRequest(zap.New(core), ingress.Result{Outcome: ingress.OutcomeRefused, Tries: []ingress.Try{
+		{Head: "a", Status: http.StatusServiceUnavailable, Send: backend.Send{Connection: 17, Requests: 3, Rejections: 2, RejectedBefore: true}},
+		{Head: "b", Status: http.StatusServiceUnavailable, Send: backend.Send{Connection: 18}},
+	}})
+	want := "a inFlight=0 took=0s connection=17 requests=3 rejections=2 rejectedBefore status=503 events=0; " +
+		"b inFlight=0 took=0s connection=18 requests=0 status=503 events=0"
+	if got := lines.All()[0].ContextMap()["tries"]; got != want {
+		t.Errorf("tries %q, want %q", got, want)
+	}
+}
+
 // TestErrorsOfHTTPServerAreLogged guards against misuse of net/http that nobody
 // sees: a second status for one response was reported to a logger that drops
 // everything.
--- a/internal/node/explain/explain.go
+++ b/internal/node/explain/explain.go
@@ -242,6 +242,24 @@
 	return names
 }
 
+// otherRequestCause is part of the cause of a try whose response was that to another
+// request.
+const otherRequestCause = "it belongs to another request"
+
+// rejectedBeforeMark is the mark of a try on a connection on which the server had rejected
+// the same ID before.
+const rejectedBeforeMark = " rejectedBefore"
+
+// tryWith returns the first of the tries that contains a text.
+func tryWith(tries, text string) string {
+	for _, try := range strings.Split(tries, "; ") {
+		if strings.Contains(try, text) {
+			return try
+		}
+	}
+	return tries
+}
+
 // cause describes in one sentence why a request ended with its outcome.
 func cause(end Line, related []Line) string {
 	last := func(event int) (Line, bool) {
@@ -267,6 +285,8 @@
 			return fmt.Sprintf("refused before it ran: servers had ended under requests with %s, as this node knew from source %q: %s", shared, q.Get("source"), q.Get("crashes"))
 		}
 		return fmt.Sprintf("refused before it ran: servers had ended under requests with %s; the quarantine was not logged", shared)
+	case end.Get("outcome") == "refused" && strings.Contains(tries, rejectedBeforeMark):
+		return "refused by a response that may be a copy of an earlier rejection with the same ID on its connection: " + tryWith(tries, rejectedBeforeMark)
 	case end.Get("outcome") == "refused":
 		return fmt.Sprintf("refused before it ran: %s; %s", end.Get("cause"), headCount)
 	case strings.Contains(tries, "stands still"):
@@ -277,6 +297,8 @@
 			return fmt.Sprintf("head %s stalled; its registration was missing and no node could reach it", p.Get("server"))
 		}
 		return "a head stalled; no group of the tried heads was released near that time"
+	case strings.Contains(tries, otherRequestCause):
+		return "a response belonged to another request and was not believed, so that this one may have run: " + tryWith(tries, otherRequestCause)
 	case strings.Contains(tries, "cause="):
 		return "a try failed without an answer: " + tries[strings.Index(tries, "cause=")+len("cause="):]
 	case end.Get("cause") != "":
--- a/internal/node/explain/explain_test.go
+++ b/internal/node/explain/explain_test.go
@@ -75,6 +75,16 @@
 			},
 			`part b2 in their prompts, as this node knew from source "peer": s1 age=2s; s2 age=1s`, 2,
 		},
+		{
+			"response of another request",
+			[]string{endedLine("failed", "", `head inFlight=1 took=4ms connection=9 requests=3 cause=backend server a: may have run: response to request x carries ID y: it belongs to another request; b took=1ms`)},
+			"was not believed, so that this one may have run: head inFlight=1 took=4ms connection=9 requests=3", 0,
+		},
+		{
+			"refused by what may be a copy",
+			[]string{endedLine("refused", "rejected by backend server", "head took=4ms connection=9 requests=3 rejections=1 rejectedBefore status=503"), heads},
+			"may be a copy of an earlier rejection with the same ID on its connection: head took=4ms connection=9", 1,
+		},
 		{"denied", []string{endedLine("denied", "no such route", "")}, "no such route", 0},
 		{"answered", []string{endedLine("answered", "", "head inFlight=9 took=2s"), heads}, "answered by the first head", 1},
 	}
--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -14,7 +14,6 @@
 	"net/http/httptrace"
 	"net/url"
 	"strings"
-	"sync"
 	"sync/atomic"
 	"time"
 
@@ -39,6 +38,9 @@
 	MaxIdle int
 	// Dial opens a connection.
 	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// OnDistrust, unless nil, is called for each connection that is closed because of what
+	// came on it.
+	OnDistrust func(DistrustCause)
 }
 
 // Client sends requests to backend servers. It is safe for concurrent use.
@@ -50,12 +52,17 @@
 
 // NewClient returns a client that has no connections yet.
 func NewClient(c Config) *Client {
+	distrusted := c.OnDistrust
+	if distrusted == nil {
+		distrusted = func(DistrustCause) {}
+	}
+	var connections atomic.Uint64
 	dial := func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := c.Dial(ctx, network, address)
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn}, nil
+		return &countedConn{Conn: conn, number: connections.Add(1), distrusted: distrusted}, nil
 	}
 	return &Client{
 		clock:   c.Clock,
@@ -72,179 +79,10 @@
 	}
 }
 
-// countedConn counts the calls of Write on a connection, so that an attempt can
-// tell whether any of its request was written. It also keeps bytes that arrive
-// before a request from being taken for its response, which the transport does
-// if they arrive just before the request.
-type countedConn struct {
-	net.Conn
-
-	mu sync.Mutex
-	// writes is the number of calls of Write that reached Conn. It is final once
-	// refusal is set.
-	writes int64
-	// before is the number of writes before the current request.
-	before int64
-	// refusal is the error of further calls of Write; nil while they reach Conn.
-	refusal error
-	// reading is set during a call of Read.
-	reading bool
-	closed  bool
-	// wake is closed at the next call of Read or Close; nil if nothing waits.
-	wake chan struct{}
-	// settled is that of the last use; nil before the first. The transport offers the
-	// connection to the next request before if the response has no body.
-	settled chan struct{}
-}
-
-// Errors of connections that cannot take a request.
-var (
-	errUnsolicited = errors.New("connection holds bytes that no request asked for")
-	errIdleClosed  = errors.New("idle connection was closed by the server or holds bytes that no request asked for")
-	errSpoiled     = errors.New("connection had a response that belongs to another request")
-)
-
-// Write implements net.Conn. It writes nothing to a connection that the transport
-// has closed: its loop for requests may still take one then, which would count as
-// sent.
-func (c *countedConn) Write(p []byte) (int, error) {
-	if err := c.countWrite(); err != nil {
-		return 0, err
-	}
-	return c.Conn.Write(p)
-}
-
-// countWrite counts a write unless the connection takes no more.
-func (c *countedConn) countWrite() error {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	if c.refusal != nil {
-		return c.refusal
-	}
-	c.writes++
-	return nil
-}
-
-// Read implements net.Conn.
-func (c *countedConn) Read(p []byte) (int, error) {
-	c.mu.Lock()
-	c.reading = true
-	c.wakeLocked()
-	c.mu.Unlock()
-
-	n, err := c.Conn.Read(p)
-
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.reading = false
-	if n > 0 && c.writes == c.before {
-		c.refusal = errUnsolicited
-		return 0, errUnsolicited
-	}
-	return n, err
-}
-
-// Close implements net.Conn.
-func (c *countedConn) Close() error {
-	c.mu.Lock()
-	c.closed = true
-	if c.refusal == nil {
-		c.refusal = net.ErrClosed
-	}
-	c.wakeLocked()
-	c.mu.Unlock()
-	return c.Conn.Close()
-}
-
-// wakeLocked wakes awaitRead.
-func (c *countedConn) wakeLocked() {
-	if c.wake != nil {
-		close(c.wake)
-		c.wake = nil
-	}
-}
-
-// connUse is the use of a connection for one request.
-type connUse struct {
-	conn *countedConn
-	// before is the number of writes on the connection before the request.
-	before int64
-	// settled is closed once it is known whether the response belongs to the request.
-	settled chan struct{}
-}
-
-// begin starts the use of the connection for a request, once the one before it is settled
-// or ctx ends. The caller must settle it.
-func (c *countedConn) begin(ctx context.Context) *connUse {
-	u := &connUse{conn: c, settled: make(chan struct{})}
-	c.mu.Lock()
-	previous := c.settled
-	c.settled = u.settled
-	c.mu.Unlock()
-	if previous != nil {
-		select {
-		case <-previous:
-		case <-ctx.Done():
-		}
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	c.before = c.writes
-	u.before = c.before
-	return u
-}
-
-// settle records that the response belongs to the request, or that there was none. If it
-// belongs to another request, the connection is spoiled and closed: its next response may
-// be the one that is still due.
-func (u *connUse) settle(spoiled bool) {
-	if spoiled {
-		u.conn.spoil()
-	}
-	close(u.settled)
-}
-
-// spoil closes the connection, which takes no further request.
-func (c *countedConn) spoil() {
-	c.mu.Lock()
-	c.refusal = errSpoiled
-	c.mu.Unlock()
-	_ = c.Close()
-}
-
-// written reports whether anything was written since a call of begin that
-// returned before.
-func (c *countedConn) written(before int64) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	return c.writes != before
-}
-
-// awaitRead waits until the transport reads from the connection, which it does
-// on an idle one once it holds no more bytes, or has closed it. It reports
-// whether the connection is still open.
-func (c *countedConn) awaitRead(ctx context.Context) bool {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-
-	if !c.reading && !c.closed {
-		wake := make(chan struct{})
-		c.wake = wake
-		c.mu.Unlock()
-		select {
-		case <-wake:
-		case <-ctx.Done():
-		}
-		c.mu.Lock()
-	}
-	return !c.closed
-}
-
 // Request is a request to one backend server.
 type Request struct {
+	// ID identifies the request; repeats of it may have the same one.
+	ID      string
 	Address string
 	Method  string
 	// Target is the request target as the caller sent it: path and query.
@@ -253,8 +91,12 @@
 	Header http.Header
 	Body   []byte
 	// Accept decides by the status and headers whether the response belongs to the
-	// request. If not, the response is discarded and its connection closed.
-	Accept func(status int, h http.Header) error
+	// request, and whether it states that the request has not run. If it does not belong to
+	// the request, the response is discarded and its connection closed.
+	Accept func(status int, h http.Header) (rejected bool, err error)
+	// OnSend, unless nil, is called with the connection before the request is written to
+	// it.
+	OnSend func(Send)
 }
 
 // NotSentError reports a request of which no byte was sent. Sending it again is
@@ -299,7 +141,7 @@
 	})
 	defer timer.Stop()
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
-		tracker.begin(attemptCtx, i)
+		tracker.begin(attemptCtx, i, r)
 		timer.Stop()
 	}}
 	request, err := newRequest(httptrace.WithClientTrace(attemptCtx, trace), r)
@@ -308,11 +150,12 @@
 		return nil, &NotSentError{Address: r.Address, Err: err}
 	}
 	response, err := c.transport.RoundTrip(request)
+	result := verdictOther
 	var foreign error
 	if err == nil && response.StatusCode >= http.StatusOK {
-		foreign = r.Accept(response.StatusCode, response.Header)
+		result, foreign = judge(r, response)
 	}
-	tracker.settle(foreign != nil)
+	tracker.settle(result)
 	if foreign != nil {
 		_ = response.Body.Close()
 		cancel(nil)
@@ -342,6 +185,20 @@
 	return response, nil
 }
 
+// judge returns what the response shows about the request, and why it belongs to another
+// one if it does.
+func judge(r Request, response *http.Response) (verdict, error) {
+	rejected, err := r.Accept(response.StatusCode, response.Header)
+	switch {
+	case err != nil:
+		return verdictForeign, err
+	case rejected:
+		return verdictRejected, nil
+	default:
+		return verdictOther, nil
+	}
+}
+
 // errSwitched reports a response that switches protocols, which no request asks
 // for.
 var errSwitched = errors.New("response with status 101 switches protocols")
@@ -359,19 +216,23 @@
 }
 
 // begin records the connection that the request is about to be written to.
-func (t *writeTracker) begin(ctx context.Context, i httptrace.GotConnInfo) {
+func (t *writeTracker) begin(ctx context.Context, i httptrace.GotConnInfo, r Request) {
 	if c, ok := i.Conn.(*countedConn); ok {
-		t.settle(false)
-		t.use.Store(c.begin(ctx))
+		t.settle(verdictOther)
+		u := c.begin(ctx, r.ID)
+		t.use.Store(u)
 		t.lost.Store(i.Reused && !c.awaitRead(ctx))
+		if r.OnSend != nil {
+			r.OnSend(u.send())
+		}
 	}
 	t.connected.Store(true)
 }
 
 // settle settles the use of the connection, if the request got one.
-func (t *writeTracker) settle(spoiled bool) {
+func (t *writeTracker) settle(v verdict) {
 	if u := t.use.Load(); u != nil {
-		u.settle(spoiled)
+		u.settle(v)
 	}
 }
 
--- a/internal/routing/backend/client_test.go
+++ b/internal/routing/backend/client_test.go
@@ -34,7 +34,7 @@
 }
 
 // acceptAll takes each response for that of the request.
-func acceptAll(int, http.Header) error { return nil }
+func acceptAll(int, http.Header) (rejected bool, err error) { return false, nil }
 
 // TestHeadWithoutEnd guards against responses whose head never ends: 10 MB of
 // each were read and held in memory.
@@ -222,7 +222,7 @@
 	foreign := errors.New("response of another request")
 	request := backend.Request{
 		Address: s.Listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("body"),
-		Accept: func(int, http.Header) error { return foreign },
+		Accept: func(int, http.Header) (bool, error) { return false, foreign },
 	}
 	var group sync.WaitGroup
 	for range 8 {
--- a/internal/routing/backend/export_test.go
+++ b/internal/routing/backend/export_test.go
@@ -13,8 +13,8 @@
 
 // NewCountedConn returns a connection that is about to take a request.
 func NewCountedConn(conn net.Conn) *CountedConn {
-	c := &countedConn{Conn: conn}
-	return &CountedConn{conn: c, use: c.begin(context.Background())}
+	c := &countedConn{Conn: conn, distrusted: func(DistrustCause) {}}
+	return &CountedConn{conn: c, use: c.begin(context.Background(), "request")}
 }
 
 // Conn returns the connection that the transport uses.
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -32,6 +32,8 @@
 	Events int
 	// Cause is the reason why the try failed; empty for TryAnswered.
 	Cause string
+	// Send describes the connection that the request was sent on.
+	Send backend.Send
 }
 
 // TryEnd is the outcome of a try.
@@ -297,6 +299,7 @@
 	t.Cause = cause
 	t.End = end
 	t.Status = a.status
+	t.Send = a.sent()
 	t.Events = q.result.Events - eventsBefore
 	if end == TryFailed {
 		q.possibleRuns++
@@ -337,16 +340,18 @@
 	c := q.handler.config
 	var answer exchange.Answer
 	response, err := c.Backend.Attempt(ctx, backend.Request{
+		ID:      q.call.ID,
 		Address: head.Address,
 		Method:  q.http.Method,
 		Target:  q.http.RequestURI,
 		Host:    q.http.Host,
 		Header:  q.forward(head),
 		Body:    q.body,
-		Accept: func(status int, h http.Header) (err error) {
+		Accept: func(status int, h http.Header) (rejected bool, err error) {
 			answer, err = c.Dialect.Answer(q.call.ID, status, h)
-			return err
+			return answer.NotExecuted, err
 		},
+		OnSend: a.recordSend,
 	})
 	if err != nil {
 		return q.handleSendError(ctx, a, err)
--- a/internal/routing/ingress/resumption_test.go
+++ b/internal/routing/ingress/resumption_test.go
@@ -327,7 +327,7 @@
 		t.Run(tt.name, func(t *testing.T) {
 			f := newFixture(t, 10, newServer(t, events(3, cut)), newServer(t, tt.other), newServer(t, tt.other))
 			got := f.call(t, http.MethodPost, "/stream/x").result.Tries
-			ignored := cmpopts.IgnoreFields(ingress.Try{}, "Head", "InFlight", "Took", "Cause")
+			ignored := cmpopts.IgnoreFields(ingress.Try{}, "Head", "InFlight", "Took", "Cause", "Send")
 			if diff := cmp.Diff(tt.want, got, ignored); diff != "" {
 				t.Errorf("tries (-want +got):\n%s", diff)
 			}
--- a/internal/routing/ingress/watch.go
+++ b/internal/routing/ingress/watch.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"almondbay.example/internal/routing/backend"
 	"almondbay.example/internal/routing/balance"
 )
 
@@ -62,6 +63,8 @@
 	withdrawn atomic.Bool
 
 	mu sync.Mutex
+	// send describes the connection that the request was sent on.
+	send backend.Send
 	// progressAt is when the attempt last received data; initially when it was
 	// sent.
 	progressAt time.Time
@@ -74,6 +77,22 @@
 	blockedAt time.Time
 }
 
+// recordSend records the connection that the request is about to be sent on.
+func (a *attempt) recordSend(s backend.Send) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.send = s
+}
+
+// sent returns the connection that the request was sent on.
+func (a *attempt) sent() backend.Send {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	return a.send
+}
+
 // recordData records that an event or a complete response was received.
 func (a *attempt) recordData(now time.Time) {
 	a.mu.Lock()
--- a/pkg/serving/metric/entry.go
+++ b/pkg/serving/metric/entry.go
@@ -78,6 +78,10 @@
 		Name: "almondbay_entry_server_statements_total", Kind: KindCounter, Labels: []string{"statement"},
 		Help: "Answers in which a backend server said that it is about to shut down (leaving, once for each start of it), or asked for a pause (pause).",
 	}
+	entryDistrusted = Definition{
+		Name: "almondbay_entry_distrusted_connections_total", Kind: KindCounter, Labels: []string{"cause"},
+		Help: "Connections to backend servers that were closed because of what came on them: a response to another request (otherRequest), or bytes that no request asked for (unsolicited).",
+	}
 	entryOrders = Definition{
 		Name: "almondbay_entry_orders_total", Kind: KindCounter, Labels: []string{"operation", "status"},
 		Help: "Orders sent to backend servers, by the status of the answer; 0 for no answer.",
@@ -88,6 +92,7 @@
 var entryDefinitions = []Definition{
 	entryRequests, entryTries, entryFirstByte, entryGap, entryDuration, entryStoreCalls, entryStoreSeconds,
 	entryHeads, entryReady, entryVersion, entryLeases, entryOrders, entryServerEnds, entryQuarantined, entryQuarantinedParts, entryStatements,
+	entryDistrusted,
 }
 
 // Entry holds the metrics of a node on an entry VM. It is safe for concurrent use.
@@ -110,6 +115,7 @@
 	Quarantined          prometheus.Gauge
 	QuarantinedParts     prometheus.Gauge
 	Statements           *prometheus.CounterVec
+	Distrusted           *prometheus.CounterVec
 
 	registry *prometheus.Registry
 }
@@ -134,9 +140,10 @@
 		Quarantined:          prometheus.NewGauge(gaugeOptions(entryQuarantined)),
 		QuarantinedParts:     prometheus.NewGauge(gaugeOptions(entryQuarantinedParts)),
 		Statements:           prometheus.NewCounterVec(counterOptions(entryStatements), entryStatements.Labels),
+		Distrusted:           prometheus.NewCounterVec(counterOptions(entryDistrusted), entryDistrusted.Labels),
 	}
 	e.registry.MustRegister(e.Requests, e.Tries, e.FirstByte, e.Gap, e.Duration, e.StoreCalls, e.StoreSeconds,
-		e.Heads, e.Ready, e.ConfigurationVersion, e.Leases, e.Orders, e.ServerEnds, e.Quarantined, e.QuarantinedParts, e.Statements, collectors.NewGoCollector())
+		e.Heads, e.Ready, e.ConfigurationVersion, e.Leases, e.Orders, e.ServerEnds, e.Quarantined, e.QuarantinedParts, e.Statements, e.Distrusted, collectors.NewGoCollector())
 	return e
 }
 
--- a/pkg/serving/metric/metric_test.go
+++ b/pkg/serving/metric/metric_test.go
@@ -114,6 +114,7 @@
 	e.Orders.WithLabelValues("join", "202").Inc()
 	e.ServerEnds.WithLabelValues("restarted").Inc()
 	e.Statements.WithLabelValues("leaving").Inc()
+	e.Distrusted.WithLabelValues("otherRequest").Inc()
 	response := httptest.NewRecorder()
 	e.Handler().ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/metrics", nil))
 	return response.Body.String()
