Send no ID on a connection on which it was rejected

What callers saw: a request that was repeated under its ID after a rejection ran twice (TWICE), or was refused as not run and ran (REFUSED).

Cause: a rejection was believed if it had the ID of the request under way. A server may send a copy of a rejection at any later moment on its connection, so that where the same request is under way on that connection again, the ID proves nothing. Class: an identity that is unique to a request taken for one that is unique to a send. The ID comes again when a caller repeats after 429 or 503, and within one request when two registrations have one address.

Change: a connection remembers the IDs that were rejected on it (hashes; after 64 of them it is closed, so that none is forgotten while it is open). A request whose ID is among them is not sent on it: the connection is closed and another is used. So each rejection that is read with the ID of the request is the first on its connection, and its proof. The decision is in one place, history.proves; it holds for all requests, all servers and all ways to the same ID. Nothing is sent on a connection whose last response is not judged yet, also if the caller has left by then.

Ruled out: closing a connection after each rejection (a crest brings many, and new connections are priced; a rejection without a body keeps its connection, as before), remembering all IDs sent (a connection carries thousands; only a rejection can be copied as one), not believing a second rejection (the copy may be the first that is read).

--- a/internal/node/entry/event_log.go
+++ b/internal/node/entry/event_log.go
@@ -108,7 +108,8 @@
 }
 
 // formatSend renders the connection that a request was sent on: its number, the number of
-// requests that it had carried, and if any, that of rejections on it.
+// requests that it had carried, and if any, those of rejections on it and of connections that
+// were passed over.
 func formatSend(s backend.Send) string {
 	if s.Connection == 0 {
 		return ""
@@ -117,8 +118,8 @@
 	if s.Rejections > 0 {
 		text += " rejections=" + strconv.Itoa(s.Rejections)
 	}
-	if s.RejectedBefore {
-		text += " rejectedBefore"
+	if s.PassedOver > 0 {
+		text += " passedOver=" + strconv.Itoa(s.PassedOver)
 	}
 	return text
 }
--- a/internal/node/entry/request_log_test.go
+++ b/internal/node/entry/request_log_test.go
@@ -138,10 +138,10 @@
 func TestLogTellsConnectionOfTry(t *testing.T) {
 	core, lines := observer.New(zap.InfoLevel)
 	entry.LogRequest(zap.New(core), ingress.Result{Outcome: ingress.OutcomeRefused, Tries: []ingress.Try{
-		{Head: "a", Status: http.StatusServiceUnavailable, Send: backend.Send{Connection: 17, Requests: 3, Rejections: 2, RejectedBefore: true}},
+		{Head: "a", Status: http.StatusServiceUnavailable, Send: backend.Send{Connection: 17, Requests: 3, Rejections: 2, PassedOver: 1}},
 		{Head: "b", Status: http.StatusServiceUnavailable, Send: backend.Send{Connection: 18}},
 	}})
-	want := "a inFlight=0 took=0s connection=17 requests=3 rejections=2 rejectedBefore status=503 events=0; " +
+	want := "a inFlight=0 took=0s connection=17 requests=3 rejections=2 passedOver=1 status=503 events=0; " +
 		"b inFlight=0 took=0s connection=18 requests=0 status=503 events=0"
 	if got := lines.All()[0].ContextMap()["tries"]; got != want {
 		t.Errorf("tries %q, want %q", got, want)
--- a/internal/node/explain/explain.go
+++ b/internal/node/explain/explain.go
@@ -118,7 +118,7 @@
 	findings := make([]Finding, 0, len(l.requestEnds))
 	for _, end := range l.requestEnds {
 		related := l.related(end)
-		findings = append(findings, Finding{RequestEnd: end, Related: related, Cause: cause(end, related)})
+		findings = append(findings, Finding{RequestEnd: end, Related: related, Cause: describe(end, related)})
 	}
 	return findings
 }
@@ -246,9 +246,18 @@
 // request.
 const otherRequestCause = "it belongs to another request"
 
-// rejectedBeforeMark is the mark of a try on a connection on which the server had rejected
-// the same ID before.
-const rejectedBeforeMark = " rejectedBefore"
+// passedOverMark begins the number of connections that were passed over in a try.
+const passedOverMark = " passedOver="
+
+// describe returns the cause of the end of a request, and the first of its tries for which
+// connections were passed over.
+func describe(end Line, related []Line) string {
+	text := cause(end, related)
+	if tries := end.Get("tries"); strings.Contains(tries, passedOverMark) {
+		text += "; connections on which the head had rejected the same ID were closed and not used: " + tryWith(tries, passedOverMark)
+	}
+	return text
+}
 
 // tryWith returns the first of the tries that contains a text.
 func tryWith(tries, text string) string {
@@ -285,8 +294,6 @@
 			return fmt.Sprintf("refused before it ran: servers had ended under requests with %s, as this node knew from source %q: %s", shared, q.Get("source"), q.Get("crashes"))
 		}
 		return fmt.Sprintf("refused before it ran: servers had ended under requests with %s; the quarantine was not logged", shared)
-	case end.Get("outcome") == "refused" && strings.Contains(tries, rejectedBeforeMark):
-		return "refused by a response that may be a copy of an earlier rejection with the same ID on its connection: " + tryWith(tries, rejectedBeforeMark)
 	case end.Get("outcome") == "refused":
 		return fmt.Sprintf("refused before it ran: %s; %s", end.Get("cause"), headCount)
 	case strings.Contains(tries, "stands still"):
--- a/internal/node/explain/explain_test.go
+++ b/internal/node/explain/explain_test.go
@@ -81,9 +81,9 @@
 			"was not believed, so that this one may have run: head inFlight=1 took=4ms connection=9 requests=3", 0,
 		},
 		{
-			"refused by what may be a copy",
-			[]string{endedLine("refused", "rejected by backend server", "head took=4ms connection=9 requests=3 rejections=1 rejectedBefore status=503"), heads},
-			"may be a copy of an earlier rejection with the same ID on its connection: head took=4ms connection=9", 1,
+			"connection passed over",
+			[]string{endedLine("refused", "rejected by backend server", "head took=4ms connection=9 requests=0 passedOver=1 status=503"), heads},
+			"on which the head had rejected the same ID were closed and not used: head took=4ms connection=9", 1,
 		},
 		{"denied", []string{endedLine("denied", "no such route", "")}, "no such route", 0},
 		{"answered", []string{endedLine("answered", "", "head inFlight=9 took=2s"), heads}, "answered by the first head", 1},
--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -132,7 +132,18 @@
 // cancels the request. Errors are of type *NotSentError or *SentError; the latter wraps
 // that of Accept.
 func (c *Client) Attempt(ctx context.Context, r Request) (*http.Response, error) {
-	var tracker writeTracker
+	for passedOver := 0; ; passedOver++ {
+		response, err := c.attempt(ctx, r, passedOver)
+		if !errors.Is(err, errRejectedBefore) {
+			return response, err
+		}
+	}
+}
+
+// attempt sends r on one connection, after others were passed over. The error is
+// errRejectedBefore in a NotSentError if this one is passed over as well.
+func (c *Client) attempt(ctx context.Context, r Request, passedOver int) (*http.Response, error) {
+	tracker := writeTracker{passedOver: passedOver}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	timer := c.clock.AfterFunc(c.timeout, func() {
 		if !tracker.connected.Load() {
@@ -170,7 +181,11 @@
 		if tracker.sent() {
 			return nil, &SentError{Address: r.Address, Err: err}
 		}
-		if cause == nil && tracker.lost.Load() {
+		switch {
+		case cause != nil:
+		case tracker.rejectedBefore.Load():
+			err = errRejectedBefore
+		case tracker.lost.Load():
 			err = errIdleClosed
 		}
 		return nil, &NotSentError{Address: r.Address, Err: err}
@@ -213,6 +228,11 @@
 	use       atomic.Pointer[connUse]
 	// lost is set if the connection was closed before the request.
 	lost atomic.Bool
+	// rejectedBefore is set if the connection is closed, since the server had rejected the
+	// request's ID on it.
+	rejectedBefore atomic.Bool
+	// passedOver is the number of such connections before this one.
+	passedOver int
 }
 
 // begin records the connection that the request is about to be written to.
@@ -221,9 +241,16 @@
 		t.settle(verdictOther)
 		u := c.begin(ctx, r.ID)
 		t.use.Store(u)
+		if t.rejectedBefore.Load() {
+			// net/http chose another connection by itself.
+			t.passedOver++
+		}
+		t.rejectedBefore.Store(!u.admit())
 		t.lost.Store(i.Reused && !c.awaitRead(ctx))
 		if r.OnSend != nil {
-			r.OnSend(u.send())
+			s := u.send()
+			s.PassedOver = t.passedOver
+			r.OnSend(s)
 		}
 	}
 	t.connected.Store(true)
--- a/internal/routing/backend/conn.go
+++ b/internal/routing/backend/conn.go
@@ -121,7 +121,8 @@
 }
 
 // begin starts the use of the connection for the request with an ID, once the one before
-// it is settled or ctx ends. The caller must settle it.
+// it is settled. If ctx ends before, the connection is closed, as its history may lack a
+// rejection. The caller must settle the use.
 func (c *countedConn) begin(ctx context.Context, id string) *connUse {
 	u := &connUse{conn: c, id: id, settled: make(chan struct{})}
 	c.mu.Lock()
@@ -132,6 +133,7 @@
 		select {
 		case <-previous:
 		case <-ctx.Done():
+			_ = c.Close()
 		}
 	}
 	c.mu.Lock()
@@ -142,16 +144,25 @@
 	return u
 }
 
+// admit reports whether the request may be sent on the connection, which it closes
+// otherwise.
+func (u *connUse) admit() bool {
+	u.conn.mu.Lock()
+	proves := u.conn.history.proves(u.id)
+	u.conn.mu.Unlock()
+	if !proves {
+		u.conn.distrust(errRejectedBefore, DistrustRejectedBefore)
+	}
+	return proves
+}
+
 // send describes the connection before the request.
 func (u *connUse) send() Send {
 	c := u.conn
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	return Send{
-		Connection: c.number, Requests: c.history.requests, Rejections: len(c.history.rejected),
-		RejectedBefore: !c.history.proves(u.id),
-	}
+	return Send{Connection: c.number, Requests: c.history.requests, Rejections: len(c.history.rejected)}
 }
 
 // settle ends the use: no further response is read for the request. Unless the response was
@@ -162,7 +173,9 @@
 	case verdictForeign:
 		u.conn.distrust(errSpoiled, DistrustOtherRequest)
 	case verdictRejected:
-		u.conn.recordRejection(u.id)
+		if !u.conn.recordRejection(u.id) {
+			u.conn.distrust(errManyRejections, DistrustManyRejections)
+		}
 	case verdictOther:
 	}
 	u.conn.countRequest()
@@ -177,12 +190,13 @@
 	c.history.requests++
 }
 
-// recordRejection records that the server rejected the request with an ID.
-func (c *countedConn) recordRejection(id string) {
+// recordRejection records that the server rejected the request with an ID, and reports
+// whether the connection may take further requests.
+func (c *countedConn) recordRejection(id string) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 
-	c.history.reject(id)
+	return c.history.reject(id)
 }
 
 // distrust closes the connection, which takes no further request.
--- a/internal/routing/backend/history.go
+++ b/internal/routing/backend/history.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"errors"
 	"hash/maphash"
 	"slices"
 )
@@ -12,8 +13,9 @@
 	// Requests is the number of requests that the connection has carried, Rejections the
 	// number of those that the server rejected as not run.
 	Requests, Rejections int
-	// RejectedBefore is set if one of the rejected requests had the ID of this one.
-	RejectedBefore bool
+	// PassedOver is the number of connections that were closed and not used, since the
+	// server had rejected a request with the same ID on them.
+	PassedOver int
 }
 
 // DistrustCause is why a connection is closed because of what came on it.
@@ -25,6 +27,18 @@
 	DistrustOtherRequest DistrustCause = "otherRequest"
 	// DistrustUnsolicited means that bytes came that no request asked for.
 	DistrustUnsolicited DistrustCause = "unsolicited"
+	// DistrustRejectedBefore means that a request was to be sent whose ID the server had
+	// rejected on the connection.
+	DistrustRejectedBefore DistrustCause = "rejectedBefore"
+	// DistrustManyRejections means that the server rejected as many requests as a
+	// connection remembers.
+	DistrustManyRejections DistrustCause = "manyRejections"
+)
+
+// Errors of connections that are closed because of the rejections on them.
+var (
+	errRejectedBefore = errors.New("server rejected a request with the same ID on the connection")
+	errManyRejections = errors.New("server rejected as many requests on the connection as it may")
 )
 
 // verdict is what a response shows about its request.
@@ -39,31 +53,36 @@
 	verdictForeign
 )
 
-// history is what a connection has carried.
+// history is what a connection has carried. It decides whether a response proves what it
+// says about the request that was sent last.
+//
+// A server may send a copy of a rejection at any later moment while the connection is open.
+// The ID in a response tells which request it answers, unless a request with that ID was
+// rejected on the connection before. So no ID is sent on a connection on which it was
+// rejected, and a connection whose rejections can't all be remembered takes no more requests.
 type history struct {
 	// requests is the number of requests.
 	requests int
-	// rejected holds the hashes of the IDs of the requests that the server rejected, at
-	// most the last maxRejections.
+	// rejected holds the hashes of the IDs of all requests that the server rejected, at
+	// most maxRejections.
 	rejected []uint64
 }
 
-// maxRejections is the number of rejections that a connection remembers.
+// maxRejections is the number of rejections after which a connection is closed.
 const maxRejections = 64
 
-// idSeed is the seed of the hashes of IDs.
+// idSeed is the seed of the hashes of IDs. Two IDs with one hash cost a connection.
 var idSeed = maphash.MakeSeed()
 
-// proves reports whether a response with an ID is proved to be that to the request with
-// this ID: otherwise it may be a copy of an earlier rejection.
+// proves reports whether a response with an ID will be that to the request with this ID,
+// if it is sent on the connection.
 func (h *history) proves(id string) bool {
 	return !slices.Contains(h.rejected, maphash.String(idSeed, id))
 }
 
-// reject records that the server rejected the request with an ID.
-func (h *history) reject(id string) {
-	if len(h.rejected) == maxRejections {
-		h.rejected = slices.Delete(h.rejected, 0, 1)
-	}
+// reject records that the server rejected the request with an ID, and reports whether the
+// connection may take further requests.
+func (h *history) reject(id string) bool {
 	h.rejected = append(h.rejected, maphash.String(idSeed, id))
+	return len(h.rejected) < maxRejections
 }
--- a/pkg/serving/metric/entry.go
+++ b/pkg/serving/metric/entry.go
@@ -80,7 +80,7 @@
 	}
 	entryDistrusted = Definition{
 		Name: "almondbay_entry_distrusted_connections_total", Kind: KindCounter, Labels: []string{"cause"},
-		Help: "Connections to backend servers that were closed because of what came on them: a response to another request (otherRequest), or bytes that no request asked for (unsolicited).",
+		Help: "Connections to backend servers that were closed because of what came on them: a response to another request (otherRequest), bytes that no request asked for (unsolicited), a rejection of an ID that was to be sent on it again (rejectedBefore), or as many rejections as a connection remembers (manyRejections).",
 	}
 	entryOrders = Definition{
 		Name: "almondbay_entry_orders_total", Kind: KindCounter, Labels: []string{"operation", "status"},
