Pass over a kept connection that was closed before the request

What callers saw: a request that was tried elsewhere, or refused, though its server was sound, and the server suspended. Cause: a kept connection that was closed before anything of the request was sent on it, because of what had come on it or by its server, ended the try as not sent, which counts as a failure of the server. Class: a mark against a server from a response that is not to be believed.

Change: such a connection is passed over and the next one used. A new connection is not passed over, so a server that can't be reached is still found out, and nothing is sent twice.

--- a/internal/node/explain/explain.go
+++ b/internal/node/explain/explain.go
@@ -254,7 +254,7 @@
 func describe(end Line, related []Line) string {
 	text := cause(end, related)
 	if tries := end.Get("tries"); strings.Contains(tries, passedOverMark) {
-		text += "; connections on which the head had rejected the same ID were closed and not used: " + tryWith(tries, passedOverMark)
+		text += "; kept connections were closed before anything was sent on them, by the head or because of what had come on them: " + tryWith(tries, passedOverMark)
 	}
 	return text
 }
--- a/internal/node/explain/explain_test.go
+++ b/internal/node/explain/explain_test.go
@@ -83,7 +83,7 @@
 		{
 			"connection passed over",
 			[]string{endedLine("refused", "rejected by backend server", "head took=4ms connection=9 requests=0 passedOver=1 status=503"), heads},
-			"on which the head had rejected the same ID were closed and not used: head took=4ms connection=9", 1,
+			"because of what had come on them: head took=4ms connection=9", 1,
 		},
 		{"denied", []string{endedLine("denied", "no such route", "")}, "no such route", 0},
 		{"answered", []string{endedLine("answered", "", "head inFlight=9 took=2s"), heads}, "answered by the first head", 1},
--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -134,14 +134,18 @@
 func (c *Client) Attempt(ctx context.Context, r Request) (*http.Response, error) {
 	for passedOver := 0; ; passedOver++ {
 		response, err := c.attempt(ctx, r, passedOver)
-		if !errors.Is(err, errRejectedBefore) {
+		if !errors.Is(err, errPassedOver) {
 			return response, err
 		}
 	}
 }
 
+// errPassedOver reports a kept connection that was closed before anything of the request
+// was sent. That says nothing of the server now; the next connection does.
+var errPassedOver = errors.New("idle connection was closed by the server, or because of what had come on it")
+
 // attempt sends r on one connection, after others were passed over. The error is
-// errRejectedBefore in a NotSentError if this one is passed over as well.
+// errPassedOver in a NotSentError if this one is passed over as well.
 func (c *Client) attempt(ctx context.Context, r Request, passedOver int) (*http.Response, error) {
 	tracker := writeTracker{passedOver: passedOver}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
@@ -181,12 +185,8 @@
 		if tracker.sent() {
 			return nil, &SentError{Address: r.Address, Err: err}
 		}
-		switch {
-		case cause != nil:
-		case tracker.rejectedBefore.Load():
-			err = errRejectedBefore
-		case tracker.lost.Load():
-			err = errIdleClosed
+		if cause == nil && tracker.lost.Load() {
+			err = errPassedOver
 		}
 		return nil, &NotSentError{Address: r.Address, Err: err}
 	}
@@ -226,11 +226,8 @@
 type writeTracker struct {
 	connected atomic.Bool
 	use       atomic.Pointer[connUse]
-	// lost is set if the connection was closed before the request.
+	// lost is set if the connection, a kept one, was closed before the request.
 	lost atomic.Bool
-	// rejectedBefore is set if the connection is closed, since the server had rejected the
-	// request's ID on it.
-	rejectedBefore atomic.Bool
 	// passedOver is the number of such connections before this one.
 	passedOver int
 }
@@ -241,12 +238,12 @@
 		t.settle(verdictOther)
 		u := c.begin(ctx, r.ID)
 		t.use.Store(u)
-		if t.rejectedBefore.Load() {
+		if t.lost.Load() {
 			// net/http chose another connection by itself.
 			t.passedOver++
 		}
-		t.rejectedBefore.Store(!u.admit())
-		t.lost.Store(i.Reused && !c.awaitRead(ctx))
+		admitted := u.admit()
+		t.lost.Store(i.Reused && (!admitted || !c.awaitRead(ctx)))
 		if r.OnSend != nil {
 			s := u.send()
 			s.PassedOver = t.passedOver
--- a/internal/routing/backend/conn.go
+++ b/internal/routing/backend/conn.go
@@ -41,7 +41,6 @@
 // Errors of connections that cannot take a request.
 var (
 	errUnsolicited = errors.New("connection holds bytes that no request asked for")
-	errIdleClosed  = errors.New("idle connection was closed by the server or holds bytes that no request asked for")
 	errSpoiled     = errors.New("connection had a response that belongs to another request")
 )
 
--- a/internal/routing/backend/history.go
+++ b/internal/routing/backend/history.go
@@ -13,8 +13,9 @@
 	// Requests is the number of requests that the connection has carried, Rejections the
 	// number of those that the server rejected as not run.
 	Requests, Rejections int
-	// PassedOver is the number of connections that were closed and not used, since the
-	// server had rejected a request with the same ID on them.
+	// PassedOver is the number of kept connections that were closed before the request was
+	// sent on them: by the server, or because of what had come on them, as a rejection of
+	// the same ID.
 	PassedOver int
 }
 
--- a/internal/routing/backend/history_test.go
+++ b/internal/routing/backend/history_test.go
@@ -105,6 +105,23 @@
 	}
 }
 
+// TestClosedConnectionFailsNoRequest guards against a sound server that counts as failed,
+// and a request that is tried elsewhere: the connection that the request was to be sent on
+// was closed before, because of what had come on it.
+func TestClosedConnectionFailsNoRequest(t *testing.T) {
+	s, _ := rejectingServer(t)
+	client := newClient(&boundedtest.Dialer{})
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			for j := range 400 {
+				sendRejected(t, client, http.MethodPost, s.Listener.Addr().String(), fmt.Sprint(i, " ", j), "body")
+			}
+		})
+	}
+	group.Wait()
+}
+
 // TestRejectionsKeepConnection guards against a new connection for each rejection: a crest
 // brings many, and connections are costly for servers.
 func TestRejectionsKeepConnection(t *testing.T) {
