--- a/internal/routing/ingress/copy_test.go
+++ b/internal/routing/ingress/copy_test.go
@@ -243,21 +243,24 @@
 }
 
 // TestCopyAtSecondRegistrationIsNotBelieved guards against a request that is refused though
-// it has run: two registrations have one address, so that the node tried the same server
-// again on the connection on which it had rejected the request, and believed a copy of that.
+// it has run: two registrations have one address, as when a server is back there under a new
+// ID, so that the node tried the same server again on the connection on which it had rejected
+// the request, and believed a copy of that.
 func TestCopyAtSecondRegistrationIsNotBelieved(t *testing.T) {
-	for _, moment := range []copyMoment{copyBeforeBody, copyBeforeAnswer, copyInAnswer} {
-		t.Run(string(moment), func(t *testing.T) {
-			c := &copyingServer{moment: moment, copies: 1, rejectsFirst: true}
-			c.rejection = func(id string) string {
-				return fmt.Sprintf("HTTP/1.1 503 Service Unavailable\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", id)
-			}
-			c.set(false, true)
-			s := newCopyingServer(t, c)
-			a := newFixture(t, 10, s, s).call(t, http.MethodPost, "/once/x")
-			if a.status != http.StatusOK || c.runs("mine") != 1 {
-				t.Errorf("answer %+v after %d runs, want that of the only run", a, c.runs("mine"))
-			}
-		})
+	for _, status := range []string{"503 Service Unavailable", "421 Misdirected Request"} {
+		for _, moment := range []copyMoment{copyBeforeBody, copyBeforeAnswer, copyInAnswer} {
+			t.Run(status+", "+string(moment), func(t *testing.T) {
+				c := &copyingServer{moment: moment, copies: 1, rejectsFirst: true}
+				c.rejection = func(id string) string {
+					return fmt.Sprintf("HTTP/1.1 %s\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", status, id)
+				}
+				c.set(false, true)
+				s := newCopyingServer(t, c)
+				a := newFixture(t, 10, s, s).call(t, http.MethodPost, "/once/x")
+				if a.status != http.StatusOK || c.runs("mine") != 1 {
+					t.Errorf("answer %+v after %d runs, want that of the only run", a, c.runs("mine"))
+				}
+			})
+		}
 	}
 }
