--- a/pkg/serving/bounded/bounded.go
+++ b/pkg/serving/bounded/bounded.go
@@ -93,6 +93,14 @@
 	return response, nil
 }
 
+// CloseIdleConnections closes the idle connections of the base, also those that become idle
+// later.
+func (t *Transport) CloseIdleConnections() {
+	if base, ok := t.base.(interface{ CloseIdleConnections() }); ok {
+		base.CloseIdleConnections()
+	}
+}
+
 // isHeadTooLarge reports whether net/http aborted a response whose head is too
 // large. net/http has no type for this error.
 func isHeadTooLarge(err error) bool {
