Send orders and health checks of the product on connections of their own

What was seen: enginehttp sent orders and health checks on kept connections, those of generation requests. Their answers have no ID. A copy of an earlier rejection on the connection, also of a generation request, is taken for the reply to an order that the engine accepted, or to a health check, which then counts as a crash of the member (memberCrashed); the answer that is due is taken for that to the next call. Nodes (`almondbay entry`) don't use this client.

Change: control uses the client with a connection for each request, which is there for requests that must not be sent twice.

Price: a connection for each health check, two a second for each member and node, and a round trip more. A lost SYN costs a health check 1 s, its whole time limit, where a kept connection would send again sooner; reports hold for 2 s.

Ruled out: platform.Transport, which is for one server; for many it would need idle connections by address and bounds on them.

--- a/pkg/serving/engine/enginehttp/client.go
+++ b/pkg/serving/engine/enginehttp/client.go
@@ -44,7 +44,8 @@
 	timeout time.Duration
 	http    *http.Client
 	// noRetry uses each connection for a single request: net/http retries a request
-	// only if the connection was used before.
+	// only if the connection was used before. Also, no copy of an earlier rejection can
+	// come on it, which an answer without an ID can't be told from.
 	noRetry *http.Client
 }
 
@@ -171,7 +172,8 @@
 	return request, nil
 }
 
-// control sends a health check or an order and returns the body of the answer.
+// control sends a health check or an order, on a connection of its own since their
+// answers have no ID, and returns the body of the answer.
 func (c *Client) control(ctx context.Context, method, address, path string, body []byte) ([]byte, error) {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout)
 	defer cancel()
@@ -181,7 +183,7 @@
 		return nil, engine.Error.Wrap(err)
 	}
 	request.Header.Set("Content-Type", "application/json")
-	response, err := c.http.Do(request)
+	response, err := c.noRetry.Do(request)
 	if err != nil {
 		return nil, engine.Error.Wrap(err)
 	}
