--- a/cmd/soak/main_test.go
+++ b/cmd/soak/main_test.go
@@ -35,4 +35,7 @@
 	if result.Statuses[200] == 0 {
 		t.Error("no request was answered")
 	}
+	if len(result.Copies) == 0 || result.SameID == 0 || result.NewID == 0 {
+		t.Error("no rejection was copied, or no refused request was repeated under its ID or a new one")
+	}
 }
