Count a try that was given up at a foreign answer as lost

Cause: the try did not count as lost, since the server had just sent something. Class: something about a server now is concluded from a response that is not to be believed.

Change: the node tells the tracker of such a try, as not abrupt: it is evidence only if the server is found to have started again or its registration lapses. No check of the server is sent, as it may end later than that. All marks of the request count, since it had just been sent.

Evidence: TestTryWithLateAnswerIsLost failed before (no loss).

--- a/internal/routing/ingress/crash.go
+++ b/internal/routing/ingress/crash.go
@@ -14,7 +14,7 @@
 		return
 	}
 	progressAt := a.lastProgress()
-	if !a.abrupt && now.Sub(progressAt) < q.handler.config.StallAfter {
+	if !a.abrupt && !a.abandoned && now.Sub(progressAt) < q.handler.config.StallAfter {
 		// The head was sending data when the try was canceled.
 		return
 	}
@@ -23,7 +23,7 @@
 	}
 	q.result.Marks = q.content.Marks()
 	marks := q.result.Marks
-	if !a.abrupt || a.writingSince(now) > maxCrashDelay {
+	if !a.abrupt && !a.abandoned || a.writingSince(now) > maxCrashDelay {
 		// A part of a prompt ends a server when that begins to write.
 		marks = marks[:1]
 	}
--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -188,7 +188,9 @@
 	clock   *clockwork.FakeClock
 	// leaving lists the heads that stated that they are about to shut down.
 	leaving []string
-	board   *balance.Board
+	// losses lists the tries that were reported as lost.
+	losses []quarantine.Loss
+	board  *balance.Board
 	guard   *quarantine.Guard
 	// group runs requests of callers.
 	group errgroup.Group
@@ -244,7 +246,7 @@
 		Budget:        retry.NewBudget(retry.Config{Slack: slack, Window: time.Hour, UsableFraction: 1}),
 		Configuration: func() *routes.Configuration { return configuration },
 		Observe:       func(result ingress.Result) { r.results <- result },
-		OnLoss:        func(quarantine.Loss) {},
+		OnLoss:        func(l quarantine.Loss) { r.losses = append(r.losses, l) },
 		CheckServer:   func(context.Context, registry.Head) quarantine.CheckResult { return r.check },
 		OnAnswer:      func(*quarantine.Content, time.Time) { r.answered.Store(true) },
 		OnLeaving:     func(h registry.Head) { r.leaving = append(r.leaving, h.ID) },
--- a/internal/routing/ingress/late_test.go
+++ b/internal/routing/ingress/late_test.go
@@ -94,6 +94,21 @@
 	}
 }
 
+// TestTryWithLateAnswerIsLost guards against a request that ends one server after another
+// unnoticed: its connections were closed at the answer of another request, and the end of
+// the server after that was no evidence against it.
+func TestTryWithLateAnswerIsLost(t *testing.T) {
+	server := newServer(t, lateCopy("another", rejectedNotRun))
+	f := newFixture(t, 10, server)
+	f.call(t, http.MethodPost, "/once/x", func(r *http.Request) { r.Header.Set("Shared-Part", "p") })
+	if len(f.losses) != 1 {
+		t.Fatalf("losses %+v, want one", f.losses)
+	}
+	if l := f.losses[0]; l.Abrupt || l.Head.ID != "s0" || len(l.Marks) != 2 {
+		t.Errorf("loss %+v, want one of s0 that is not abrupt, with the content and the part", l)
+	}
+}
+
 // TestRepeatableRequestIsTriedAgainAfterLateAnswer guards against requests that fail
 // although they may run again: the answer of another request came in place of theirs.
 func TestRepeatableRequestIsTriedAgainAfterLateAnswer(t *testing.T) {
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -437,7 +437,8 @@
 	}
 	var other *exchange.OtherRequestError
 	if errors.As(err, &other) {
-		// The head lives, so the try isn't lost.
+		// The head has just answered something, but the request runs there, or did.
+		a.lost, a.abandoned = true, true
 		a.pool.RecordError(a.head)
 		return TryFailed, err.Error()
 	}
--- a/internal/routing/ingress/watch.go
+++ b/internal/routing/ingress/watch.go
@@ -57,8 +57,8 @@
 	// status is the status of the head's response; zero until it is received.
 	status int
 	// lost is set if the try ended without a complete response, abrupt if the head
-	// ended the connection.
-	lost, abrupt bool
+	// ended the connection, abandoned if the node did before the response came.
+	lost, abrupt, abandoned bool
 	// withdrawn is set if the node canceled the try without any fault of the head.
 	withdrawn atomic.Bool
 
