--- a/internal/routing/ingress/ingress_test.go
+++ b/internal/routing/ingress/ingress_test.go
@@ -191,7 +191,7 @@
 	// losses lists the tries that were reported as lost.
 	losses []quarantine.Loss
 	board  *balance.Board
-	guard   *quarantine.Guard
+	guard  *quarantine.Guard
 	// group runs requests of callers.
 	group errgroup.Group
 	// check is the result of checks of heads; answered is set once an answer counted.
