Use no connection to the product's platform after a rejection on it

What was seen: platformhttp, the client of `almondbay serve`, has the fault of the store's client: a copy of a 409, 429 or 503 is taken for the answer to the write that is sent again, and the answer to that for the one to the next write. Two callers with one idempotency key could both count their claim as applied, and the booking runs twice.

Change: Client uses platform.Transport. So that no caller can go without it, Config takes the settings of connections and the key, not a RoundTripper. Without settings, those of an empty http.Transport hold, not of http.DefaultTransport; only tests do that.

Price: one connection more per rejected call, with its TLS handshake; no call more.

--- a/cmd/almondbay/serve.go
+++ b/cmd/almondbay/serve.go
@@ -8,11 +8,9 @@
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
 
-	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/certificate"
 	"almondbay.example/serving/engine/enginehttp"
 	"almondbay.example/serving/event"
-	"almondbay.example/serving/keys"
 	"almondbay.example/serving/node"
 	"almondbay.example/serving/platform/platformhttp"
 	"almondbay.example/serving/settings"
@@ -123,11 +121,10 @@
 		return nil, err
 	}
 	return platformhttp.New(platformhttp.Config{
-		Address: p.Address,
-		Timeout: platformTimeout,
-		Transport: keys.Transport{Key: p.Key, Base: bounded.NewTransport(&http.Transport{
-			TLSClientConfig:     trust,
-			MaxIdleConnsPerHost: platformConnections,
-		})},
+		Address:   p.Address,
+		Timeout:   platformTimeout,
+		Key:       p.Key,
+		Transport: &http.Transport{TLSClientConfig: trust},
+		MaxIdle:   platformConnections,
 	}), nil
 }
--- a/pkg/serving/platform/platformhttp/client.go
+++ b/pkg/serving/platform/platformhttp/client.go
@@ -4,6 +4,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"encoding/json"
 	"errors"
@@ -14,6 +15,7 @@
 
 	"almondbay.example/core/fleet"
 	"almondbay.example/serving/bounded"
+	"almondbay.example/serving/keys"
 	"almondbay.example/serving/platform"
 	"almondbay.example/serving/platform/platformwire"
 )
@@ -36,11 +38,17 @@
 	Address string
 	// Timeout bounds each call; zero for no timeout.
 	Timeout time.Duration
-	// Transport sends the requests; nil for http.DefaultTransport. One that is not
-	// an *http.Transport must bound the heads of the answers itself.
-	Transport http.RoundTripper
+	// Key authenticates the requests, unless it is zero.
+	Key keys.Secret
+	// Transport holds the settings of connections; nil for those of an empty one.
+	Transport *http.Transport
+	// MaxIdle is the number of idle connections that are kept; zero for defaultMaxIdle.
+	MaxIdle int
 }
 
+// defaultMaxIdle is the default of Config.MaxIdle.
+const defaultMaxIdle = 2
+
 // Client implements platform.Table, platform.Objects and platform.VMs over
 // HTTP.
 type Client struct {
@@ -56,11 +64,16 @@
 
 // New returns a client for the platform at c.Address.
 func New(c Config) *Client {
+	base := c.Transport
+	if base == nil {
+		base = &http.Transport{}
+	}
+	transport := platform.NewTransport(platform.TransportConfig{Base: base, MaxIdle: cmp.Or(c.MaxIdle, defaultMaxIdle)})
 	return &Client{
 		address: c.Address,
 		http: &http.Client{
 			Timeout:       c.Timeout,
-			Transport:     bounded.NewTransport(c.Transport),
+			Transport:     keys.Transport{Key: c.Key, Base: transport},
 			CheckRedirect: bounded.RefuseRedirects,
 		},
 	}
