Bound the memory of request bodies by one account

Cause: each request body was read into memory as it came, in a buffer that grows beyond it, and kept until the request ended. Nothing bounded the sum.

The unit tests are of types that are new, so they were not run without the fix.

Change: an account of bytes (80% of the memory limit less 36 MiB) counts 16 KiB a request, request bodies and buffered responses; it replaces the bound of response bodies. A large body is reserved on arrival by its length, in a buffer of that size, else in steps of half its size. When the account is full, the request is refused with 503 at once, not run, with a delay that follows the drain rate. Large bodies fill 75%, responses 90%, small requests all. A workspace above its share leaves room to one that waits below it. The rest of a refused body is received and discarded for up to 6 s, so that the caller gets the answer, not a reset. Receive buffers of callers' connections are 64 KiB. The soft limit of the Go runtime goes from 60% to 80% of the memory. Metrics almondbay_entry_memory_*, field memory in event 901.

Open: event buffers of streams beyond 16 KiB and send buffers to servers aren't counted; a slow body holds its room without a time limit; 2,000 slow connections were not played at a whole node.

--- a/cmd/almondbay/entry.go
+++ b/cmd/almondbay/entry.go
@@ -37,7 +37,7 @@
 	keepAliveCount    = 2
 	// memoryLimitPercent is the soft memory limit of the Go runtime as a percentage
 	// of the VM's memory.
-	memoryLimitPercent = 60
+	memoryLimitPercent = 80
 	readyPath          = "/-/readyz"
 )
 
--- a/internal/node/entry/event_log.go
+++ b/internal/node/entry/event_log.go
@@ -83,6 +83,7 @@
 		zap.Int("status", r.Status), zap.Bool("cutOff", r.CutOff), zap.String("cause", r.Cause), zap.String("tries", formatTries(r.Tries)),
 		zap.Duration("retryAfter", r.RetryAfter), zap.Duration("firstByte", r.FirstByte),
 		zap.Float64("load", r.Load), zap.Duration("maxGap", r.MaxGap), zap.Duration("duration", r.Duration), zap.Int("events", r.Events),
+		zap.Int64("memory", r.Memory),
 		zap.Duration("registryAge", registryAge))
 }
 
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -310,6 +310,11 @@
 		MaxTries:      maxTries,
 		StallAfter:    stallAfter,
 		AttemptStall:  attemptStallAfter,
+		Memory:        requestMemory(c.Settings.MemoryBytes),
+	})
+	n.metrics.WatchMemory(func() (used, size int64, refused uint64) {
+		a := n.handler.Account()
+		return a.Used, a.Size, a.Refused
 	})
 }
 
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -203,6 +203,7 @@
 		IdleTimeout:       idleCallerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          n.ErrorLog(),
+		ConnContext:       boundReadBuffer,
 	}
 	ended := make(chan struct{})
 	g.Add(func() error {
--- a/internal/routing/ingress/bounds_test.go
+++ b/internal/routing/ingress/bounds_test.go
@@ -87,7 +87,7 @@
 		_, _ = io.WriteString(w, want)
 	})
 	r := newFixture(t, 10, s)
-	for range 2 * ingress.MaxBufferedBodies / ingress.MaxBufferedBody {
+	for range 2 * ingress.DefaultMemory / ingress.MaxBufferedBody {
 		if a := r.call(t, http.MethodPost, "/safe/x"); a.status != http.StatusOK || a.body != want {
 			t.Fatalf("status %d, body of %d bytes, cause %q; want status 200, %d bytes", a.status, len(a.body), a.result.Cause, len(want))
 		}
--- a/internal/routing/ingress/buffer.go
+++ b/internal/routing/ingress/buffer.go
@@ -4,73 +4,151 @@
 	"errors"
 	"fmt"
 	"io"
-	"sync/atomic"
 )
 
 const (
 	// MaxBufferedBody is the size in bytes that a response body must stay below
 	// to be buffered.
 	MaxBufferedBody = 4 << 20
-	// MaxBufferedBodies is the maximum total size in bytes of the buffers of all
-	// response bodies of a node, without the first freeBuffer bytes of each.
-	MaxBufferedBodies = 16 << 20
-	// freeBuffer is the size in bytes up to which a buffer is not counted, so that
-	// ordinary responses are returned while large ones have used up the total.
+	// freeBuffer is the size in bytes up to which the buffer of a response is not
+	// counted, so that ordinary responses are returned while the account is full.
 	freeBuffer = 16 << 10
-	// firstBuffer is the initial size in bytes of a buffer. It holds the response
-	// of most plain services.
+	// firstBuffer is the initial size in bytes of a buffer that grows. It holds most
+	// small bodies.
 	firstBuffer = 2 << 10
 )
 
-// Errors of bodyBuffers.read.
 var (
-	errBodyTooLarge   = fmt.Errorf("response body too large: %d bytes or more", MaxBufferedBody)
-	errBodiesTooLarge = fmt.Errorf("response bodies of all requests in flight too large: more than %d bytes", MaxBufferedBodies)
+	// errBodyTooLarge reports a response body that is not buffered for its size.
+	errBodyTooLarge = fmt.Errorf("response body too large: %d bytes or more", MaxBufferedBody)
+	// errOverLimit reports a body that is longer than its limit.
+	errOverLimit = errors.New("body over its limit")
 )
 
-// bodyBuffers counts the memory of the response bodies that a node buffers. The
-// zero value is ready for use.
-type bodyBuffers struct {
-	used atomic.Int64
+// bodyBuffer is the memory of a body that is being read. Each byte of it is reserved
+// before it is allocated.
+type bodyBuffer struct {
+	holding *holding
+	// limit is the maximum size in bytes of the body.
+	limit int64
+	// counted returns how many bytes of a buffer count, and in which class.
+	counted func(size int64) (memoryClass, int64)
+	body    []byte
 }
 
-// read reads a body to its end. The bytes that it returns as counted must be
-// released when the body is no longer referenced; after an error they are zero.
-func (b *bodyBuffers) read(source io.Reader) (body []byte, counted int64, err error) {
-	body = make([]byte, 0, firstBuffer)
+// requestBytes counts the buffer of a request body.
+func requestBytes(size int64) (memoryClass, int64) {
+	if size <= smallBody {
+		return classSmall, size
+	}
+	return classLarge, size
+}
+
+// responseBytes counts the buffer of a response body.
+func responseBytes(size int64) (memoryClass, int64) {
+	return classResponse, max(size-freeBuffer, 0)
+}
+
+// readResponse reads a response body to its end. length is its size in bytes, or negative
+// if that is not known. What the body takes is held until the request ends.
+func (h *holding) readResponse(source io.Reader, length int64) ([]byte, error) {
+	b := &bodyBuffer{holding: h, limit: MaxBufferedBody - 1, counted: responseBytes}
+	body, err := b.read(source, length)
+	if errors.Is(err, errOverLimit) {
+		return nil, errBodyTooLarge
+	}
+	return body, err
+}
+
+// readRequest reads a request body of at most limit bytes to its end, like readResponse.
+func (h *holding) readRequest(source io.Reader, length, limit int64) ([]byte, error) {
+	b := &bodyBuffer{holding: h, limit: limit, counted: requestBytes}
+	return b.read(source, length)
+}
+
+// read reads a body. Nothing is held after an error.
+func (b *bodyBuffer) read(source io.Reader, length int64) ([]byte, error) {
+	err := b.fill(source, length)
+	if err != nil {
+		b.release(int64(cap(b.body)))
+		return nil, err
+	}
+	return b.body, nil
+}
+
+func (b *bodyBuffer) fill(source io.Reader, length int64) error {
+	if length > b.limit {
+		return errOverLimit
+	}
+	final := b.limit
+	if length >= 0 {
+		final = length
+	}
+	first := min(firstBuffer, final)
+	if length > smallBody {
+		// Stated on arrival, so that a large body is refused before it is sent.
+		first = length
+	}
+	if err := b.resize(first); err != nil {
+		return err
+	}
 	for {
-		n, err := source.Read(body[len(body):cap(body)])
-		body = body[:len(body)+n]
-		if errors.Is(err, io.EOF) {
-			return body, counted, nil
+		var beyond [1]byte
+		free, full := b.body[len(b.body):cap(b.body)], len(b.body) == cap(b.body)
+		if full {
+			// The body may end just here.
+			free = beyond[:]
 		}
-		if err == nil && len(body) == cap(body) {
-			var more int64
-			body, more, err = b.grow(body)
-			counted += more
+		n, err := source.Read(free)
+		switch {
+		case !full:
+			b.body = b.body[:len(b.body)+n]
+		case n > 0:
+			if err := b.extend(beyond[0], final); err != nil {
+				return err
+			}
+		}
+		if errors.Is(err, io.EOF) {
+			return nil
 		}
 		if err != nil {
-			b.release(counted)
-			return nil, 0, err
+			return err
 		}
 	}
 }
 
-// grow doubles the buffer of a body and returns by how much the count grew.
-func (b *bodyBuffers) grow(body []byte) ([]byte, int64, error) {
-	if len(body) >= MaxBufferedBody {
-		return nil, 0, errBodyTooLarge
+// extend grows the buffer by half, up to a final size, and appends a byte.
+func (b *bodyBuffer) extend(next byte, final int64) error {
+	size := int64(cap(b.body))
+	if size >= final {
+		return errOverLimit
+	}
+	larger := max(size+size/2, firstBuffer)
+	if size < smallBody {
+		// A body that is small stays so.
+		larger = min(larger, smallBody)
 	}
-	size := 2 * cap(body)
-	more := int64(max(size, freeBuffer) - max(cap(body), freeBuffer))
-	if b.used.Add(more) > MaxBufferedBodies {
-		b.release(more)
-		return nil, 0, errBodiesTooLarge
+	if err := b.resize(min(larger, final)); err != nil {
+		return err
+	}
+	b.body = append(b.body, next)
+	return nil
+}
+
+// resize moves the body to a buffer of another size. Both are counted meanwhile.
+func (b *bodyBuffer) resize(size int64) error {
+	class, n := b.counted(size)
+	if err := b.holding.reserve(class, n); err != nil {
+		return err
 	}
-	return append(make([]byte, 0, size), body...), more, nil
+	old := int64(cap(b.body))
+	b.body = append(make([]byte, 0, size), b.body...)
+	b.release(old)
+	return nil
 }
 
-// release subtracts counted bytes.
-func (b *bodyBuffers) release(counted int64) {
-	b.used.Add(-counted)
+// release releases a buffer of a size.
+func (b *bodyBuffer) release(size int64) {
+	class, n := b.counted(size)
+	b.holding.release(class, n)
 }
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -8,7 +8,6 @@
 	"context"
 	"errors"
 	"hash/maphash"
-	"io"
 	"net/http"
 	"time"
 
@@ -61,6 +60,9 @@
 	// AttemptStall is how long a single attempt may receive no data while
 	// other responses of the same head make progress.
 	AttemptStall time.Duration
+	// Memory is the size in bytes of the account of memory for requests in flight, with their
+	// bodies and buffered responses; zero for DefaultMemory.
+	Memory int64
 }
 
 // Handler is the HTTP handler for the requests of callers.
@@ -68,13 +70,21 @@
 	config   Config
 	watchdog *watchdog
 	seed     maphash.Seed
-	buffers  bodyBuffers
+	account  *account
 }
 
 // NewHandler returns a handler. Check must be called regularly for it to detect
 // stalled attempts.
 func NewHandler(c Config) *Handler {
-	return &Handler{config: c, watchdog: newWatchdog(), seed: maphash.MakeSeed()}
+	return &Handler{config: c, watchdog: newWatchdog(), seed: maphash.MakeSeed(), account: newAccount(c.Clock, c.Memory)}
+}
+
+// Account returns the state of the account of memory.
+func (h *Handler) Account() AccountState {
+	h.account.mu.Lock()
+	defer h.account.mu.Unlock()
+
+	return h.account.state()
 }
 
 // Check cancels attempts that have received no data for too long. It is meant to
@@ -112,13 +122,15 @@
 		http:     r,
 		started:  h.config.Clock.Now(),
 		call:     h.config.Dialect.Call(r.Header),
+		holding:  holding{account: h.account},
 	}
-	defer func() { h.buffers.release(q.buffered) }()
+	defer q.holding.releaseAll()
 	q.serve()
 	q.result.Duration = h.config.Clock.Since(q.started)
 	q.result.ID = q.call.ID
 	q.result.CutOff = q.response.cutOff()
 	h.config.Observe(q.result)
+	q.discardBody()
 	if q.result.CutOff {
 		if q.response.begun() && !r.ProtoAtLeast(1, 1) {
 			q.response.reset()
@@ -142,6 +154,7 @@
 	if !q.admit(c) {
 		return
 	}
+	q.holding.workspace = q.workspace
 	if !q.readBody(c.Limits.MaxBodyBytes) {
 		return
 	}
@@ -185,25 +198,6 @@
 // none.
 const defaultMaxBody = 4 << 20
 
-func (q *request) readBody(limit int64) bool {
-	if limit <= 0 {
-		limit = defaultMaxBody
-	}
-	body, err := io.ReadAll(http.MaxBytesReader(q.response.writer, q.http.Body, limit))
-	var tooLarge *http.MaxBytesError
-	switch {
-	case errors.As(err, &tooLarge):
-		q.deny(http.StatusRequestEntityTooLarge, "request body too large")
-		return false
-	case err != nil:
-		q.result.Outcome = OutcomeCallerLeft
-		q.result.Cause = "request body incomplete"
-		return false
-	}
-	q.body = body
-	return true
-}
-
 // errDeadlineExceeded is the cancellation cause when the request's deadline has
 // passed.
 var errDeadlineExceeded = errors.New("deadline exceeded")
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -58,12 +58,17 @@
 // relayBuffered reads the complete response before it sends any of it to the
 // caller, so that a truncated one can be retried elsewhere.
 func (q *request) relayBuffered(ctx context.Context, a *attempt, head registry.Head, response *http.Response, answer exchange.Answer) (TryEnd, string) {
-	body, counted, err := q.handler.buffers.read(response.Body)
-	q.buffered += counted
+	length := response.ContentLength
+	if q.http.Method == http.MethodHead {
+		// That of the body that is not sent.
+		length = 0
+	}
+	body, err := q.holding.readResponse(response.Body, length)
 	now := q.handler.config.Clock.Now()
+	var full *fullError
 	switch {
-	case errors.Is(err, errBodiesTooLarge):
-		// Other responses are too large, so this head is not at fault.
+	case errors.As(err, &full):
+		// The head is not at fault.
 		return TryFailed, err.Error()
 	case err != nil:
 		return q.handleReadError(ctx, a, err)
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -82,6 +82,9 @@
 	// MaxGap is the longest time between two events of a stream.
 	MaxGap time.Duration
 	Events int
+	// Memory is the number of bytes in use in the account of memory when the request was
+	// refused for want of it.
+	Memory int64
 	// CutOff is set if the caller's connection was closed in place of the end of
 	// the response.
 	CutOff bool
@@ -100,9 +103,11 @@
 	service   string
 	body      []byte
 	result    Result
-	// buffered is the number of bytes to release from the handler's buffers when
-	// the request ends.
-	buffered int64
+	// holding is the memory that is held until the request ends.
+	holding holding
+	// unread is set to the maximum size in bytes of the body if the request was answered
+	// before the end of the body.
+	unread int64
 
 	// possibleRuns is the number of tries that may have run at a backend server.
 	possibleRuns int
--- a/pkg/serving/metric/entry.go
+++ b/pkg/serving/metric/entry.go
@@ -82,6 +82,18 @@
 		Name: "almondbay_entry_distrusted_connections_total", Kind: KindCounter, Labels: []string{"cause"},
 		Help: "Connections to backend servers that were closed because of what came on them: a response to another request (otherRequest), bytes that no request asked for (unsolicited), a rejection of an ID that was to be sent on it again (rejectedBefore), or as many rejections as a connection remembers (manyRejections).",
 	}
+	entryMemory = Definition{
+		Name: "almondbay_entry_memory_bytes", Kind: KindGauge,
+		Help: "Bytes in use in the account of memory for requests in flight, with their bodies and buffered responses.",
+	}
+	entryMemorySize = Definition{
+		Name: "almondbay_entry_memory_size_bytes", Kind: KindGauge,
+		Help: "Size of the account of memory for requests in flight, with their bodies and buffered responses.",
+	}
+	entryMemoryRefusals = Definition{
+		Name: "almondbay_entry_memory_refusals_total", Kind: KindCounter,
+		Help: "Requests, and responses to requests, for which the account of memory had no room.",
+	}
 	entryOrders = Definition{
 		Name: "almondbay_entry_orders_total", Kind: KindCounter, Labels: []string{"operation", "status"},
 		Help: "Orders sent to backend servers, by the status of the answer; 0 for no answer.",
@@ -92,7 +104,7 @@
 var entryDefinitions = []Definition{
 	entryRequests, entryTries, entryFirstByte, entryGap, entryDuration, entryStoreCalls, entryStoreSeconds,
 	entryHeads, entryReady, entryVersion, entryLeases, entryOrders, entryServerEnds, entryQuarantined, entryQuarantinedParts, entryStatements,
-	entryDistrusted,
+	entryDistrusted, entryMemory, entryMemorySize, entryMemoryRefusals,
 }
 
 // Entry holds the metrics of a node on an entry VM. It is safe for concurrent use.
@@ -156,6 +168,24 @@
 	return promhttp.HandlerFor(e.registry, promhttp.HandlerOpts{})
 }
 
+// WatchMemory serves the account of memory for requests in flight. It must be called once.
+func (e *Entry) WatchMemory(account func() (used, size int64, refused uint64)) {
+	e.registry.MustRegister(
+		prometheus.NewGaugeFunc(gaugeOptions(entryMemory), func() float64 {
+			used, _, _ := account()
+			return float64(used)
+		}),
+		prometheus.NewGaugeFunc(gaugeOptions(entryMemorySize), func() float64 {
+			_, size, _ := account()
+			return float64(size)
+		}),
+		prometheus.NewCounterFunc(prometheus.CounterOpts(gaugeOptions(entryMemoryRefusals)), func() float64 {
+			_, _, refused := account()
+			return float64(refused)
+		}),
+	)
+}
+
 // RecordStoreCall records the result and the duration of a call to the store of
 // the platform.
 func (e *Entry) RecordStoreCall(call, result string, took time.Duration) {
