--- a/internal/routing/ingress/copy_test.go
+++ b/internal/routing/ingress/copy_test.go
@@ -51,7 +51,9 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	c.mu.Lock()
 	c.ran = map[string]int{}
+	c.mu.Unlock()
 	var group errgroup.Group
 	group.Go(func() error {
 		for {
