Pass over each kept connection on which nothing was written

What callers saw: a request that was refused or tried elsewhere, and a sound server suspended, since a copy or the server's close came between the last look at a kept connection and the first write; and a request without a body that was held until its deadline though its server's VM was away, after a connection was passed over, as the connect timeout had been stopped at the first connection. Cause: passed over only what was lost at the last look.

--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -150,14 +150,16 @@
 	tracker := writeTracker{passedOver: passedOver}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	timer := c.clock.AfterFunc(c.timeout, func() {
-		if !tracker.connected.Load() {
+		if !tracker.connected.Load() || tracker.lost.Load() {
 			cancel(ErrConnectTimeout)
 		}
 	})
 	defer timer.Stop()
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		tracker.begin(attemptCtx, i, r)
-		timer.Stop()
+		if !tracker.lost.Load() {
+			timer.Stop()
+		}
 	}}
 	request, err := newRequest(httptrace.WithClientTrace(attemptCtx, trace), r)
 	if err != nil {
@@ -185,7 +187,7 @@
 		if tracker.sent() {
 			return nil, &SentError{Address: r.Address, Err: err}
 		}
-		if cause == nil && tracker.lost.Load() {
+		if cause == nil && tracker.reused.Load() {
 			err = errPassedOver
 		}
 		return nil, &NotSentError{Address: r.Address, Err: err}
@@ -227,7 +229,8 @@
 	connected atomic.Bool
 	use       atomic.Pointer[connUse]
 	// lost is set if the connection, a kept one, was closed before the request.
-	lost atomic.Bool
+	lost   atomic.Bool
+	reused atomic.Bool
 	// passedOver is the number of such connections before this one.
 	passedOver int
 }
@@ -243,6 +246,7 @@
 			t.passedOver++
 		}
 		admitted := u.admit()
+		t.reused.Store(i.Reused)
 		t.lost.Store(i.Reused && (!admitted || !c.awaitRead(ctx)))
 		if r.OnSend != nil {
 			s := u.send()
