--- a/internal/routing/ingress/crash.go
+++ b/internal/routing/ingress/crash.go
@@ -27,9 +27,11 @@
 		// A part of a prompt ends a server when that begins to write.
 		marks = marks[:1]
 	}
-	q.handler.config.OnLoss(quarantine.Loss{
-		Marks: marks, Head: head, Since: progressAt, At: now, Abrupt: a.abrupt,
-	})
+	l := quarantine.Loss{Marks: marks, Head: head, Since: progressAt, At: now, Abrupt: a.abrupt}
+	if a.abandoned {
+		l.Until = now.Add(maxCrashDelay)
+	}
+	q.handler.config.OnLoss(l)
 }
 
 // maxCrashDelay is the time from the first event of a response until a part of the prompt
--- a/internal/routing/quarantine/tracker.go
+++ b/internal/routing/quarantine/tracker.go
@@ -26,9 +26,17 @@
 	// Since is when the try last received data, or when it was sent; At is when it
 	// ended.
 	Since, At time.Time
-	// Abrupt is set if the head ended the connection. Otherwise the node gave up a
-	// try that received no data.
+	// Abrupt is set if the head ended the connection. Otherwise the node gave up the
+	// try.
 	Abrupt bool
+	// Until is the latest time at which the request can have ended the server; zero for no
+	// such limit.
+	Until time.Time
+}
+
+// mayEnd reports whether the request of a try can have ended a server at a time.
+func (l Loss) mayEnd(at time.Time) bool {
+	return l.Until.IsZero() || !at.After(l.Until)
 }
 
 // Proof is how a node found out that a server ended.
@@ -211,7 +219,7 @@
 	defer t.mu.Unlock()
 
 	explains := func(p *pendingLoss) bool {
-		return p.Head.Life() == head.Life() && !p.At.After(startedAt)
+		return p.Head.Life() == head.Life() && !p.At.After(startedAt) && p.mayEnd(startedAt)
 	}
 	for _, p := range t.losses {
 		if explains(p) {
@@ -288,7 +296,8 @@
 	case !ok || r.Draining && r.Incarnation == life.Incarnation:
 		return "", false
 	case r.Incarnation != life.Incarnation:
-		return ProofRestarted, r.SeenAt.After(l.Since)
+		// The registration of the next start may come as late as the lapse would.
+		return ProofRestarted, r.SeenAt.After(l.Since) && l.mayEnd(r.SeenAt.Add(-t.config.LapseMax))
 	case r.MissingSince.IsZero():
 		return "", false
 	default:
