Put no mark on a server for a foreign answer

For keeping the mark: a server whose connections are garbled would be left alone sooner. Nothing in a doubtful response is believed, so it goes.

--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -442,9 +442,8 @@
 	}
 	var other *exchange.OtherRequestError
 	if errors.As(err, &other) {
-		// The head has just answered something, but the request runs there, or did.
+		// The response tells nothing about the head, where the request may run.
 		a.lost, a.abandoned = true, true
-		a.pool.RecordError(a.head)
 		return TryFailed, err.Error()
 	}
 	a.lost = true
