Believe no response with another one's beginning in its head, or without a request

What callers saw: a request refused though it ran: a copy for another request was cut off inside a header line, net/http read the answer after it as the rest of its head, and status and Not-Executed of the one came with the ID of the other. Now a response with a status line inside its status text or a header value belongs to no request. Suspected only: a response that net/http had read before the request was written is returned for it; TestUnsentRequestGetsNoResponse finds none, with and without this change. It is closed all the same: a response without a byte of the request sent is unsolicited.

--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -13,6 +13,8 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"regexp"
+	"slices"
 	"strings"
 	"sync/atomic"
 	"time"
@@ -167,9 +169,17 @@
 		return nil, &NotSentError{Address: r.Address, Err: err}
 	}
 	response, err := c.transport.RoundTrip(request)
+	if err == nil && !tracker.sent() {
+		// Nothing asked for the response: it was there before the request.
+		_ = response.Body.Close()
+		err = errUnsolicited
+	}
 	result := verdictOther
 	var foreign error
-	if err == nil && response.StatusCode >= http.StatusOK {
+	switch {
+	case errors.Is(err, errUnsolicited):
+		result = verdictForeign
+	case err == nil && response.StatusCode >= http.StatusOK:
 		result, foreign = judge(r, response)
 	}
 	tracker.settle(result)
@@ -202,9 +212,32 @@
 	return response, nil
 }
 
+// errMergedHead reports a response whose head has a second status line in it.
+var errMergedHead = errors.New("head of the response has the beginning of another response in it")
+
+// statusLine matches the beginning of a status line.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
+
+// checkHead returns errMergedHead if a response was cut off in its head and another one
+// follows it, which net/http reads as one.
+func checkHead(response *http.Response) error {
+	if statusLine.MatchString(response.Status) {
+		return errMergedHead
+	}
+	for _, values := range response.Header {
+		if slices.ContainsFunc(values, statusLine.MatchString) {
+			return errMergedHead
+		}
+	}
+	return nil
+}
+
 // judge returns what the response shows about the request, and why it belongs to another
 // one if it does.
 func judge(r Request, response *http.Response) (verdict, error) {
+	if err := checkHead(response); err != nil {
+		return verdictForeign, err
+	}
 	rejected, err := r.Accept(response.StatusCode, response.Header)
 	switch {
 	case err != nil:
@@ -228,9 +261,9 @@
 type writeTracker struct {
 	connected atomic.Bool
 	use       atomic.Pointer[connUse]
-	// lost is set if the connection, a kept one, was closed before the request.
-	lost   atomic.Bool
-	reused atomic.Bool
+	// reused is set if the connection is a kept one, lost if it was closed before the
+	// request as well.
+	reused, lost atomic.Bool
 	// passedOver is the number of such connections before this one.
 	passedOver int
 }
