Play copies of rejections over Unix sockets

TestCopyOfRejectionIsNotBelieved failed with 'address already in use' in 8 runs of 8, four at a time: each of its 1,920 plays opened TCP connections, whose ports stay in use for a minute. Also the likely reason of one failure beside other tests that I did not keep.

--- a/internal/routing/ingress/copy_test.go
+++ b/internal/routing/ingress/copy_test.go
@@ -2,17 +2,22 @@
 
 import (
 	"bufio"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
+	"path/filepath"
 	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
+
+	"almondbay.example/internal/fleet/registry"
 )
 
 // copyMoment is when a server sends copies of an earlier rejection.
@@ -44,10 +49,47 @@
 	ran map[string]int
 }
 
-// newCopyingServer starts the server. It is given to fixtures as a server without a handler.
-func newCopyingServer(t *testing.T, c *copyingServer) *server {
+// newCopyingFixture starts the servers and returns a handler for them. They listen on Unix
+// sockets: there are too many of them for the ports of a machine, as each TCP connection
+// keeps its port for a minute.
+func newCopyingFixture(t *testing.T, slack float64, servers ...*copyingServer) *fixture {
 	t.Helper()
-	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "tcp", "127.0.0.1:0")
+	// The folders of t have names that are too long for sockets.
+	folder, err := os.MkdirTemp("", "copy")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = os.RemoveAll(folder) })
+	paths := map[string]string{}
+	var all []*server
+	for i, c := range servers {
+		address := fmt.Sprintf("copy-%d:80", i)
+		paths[address] = filepath.Join(folder, fmt.Sprint(i))
+		c.start(t, paths[address])
+		all = append(all, &server{Server: &httptest.Server{URL: "http://" + address}})
+	}
+	f := newFixture(t, slack, all...)
+	f.dial = func(ctx context.Context, _, address string) (net.Conn, error) {
+		return new(net.Dialer).DialContext(ctx, "unix", paths[address])
+	}
+	return f
+}
+
+// callDirectly calls the handler without a connection of the caller.
+func (f *fixture) callDirectly(t *testing.T, path, id string) answer {
+	t.Helper()
+	request := f.request(t, http.MethodPost, path)
+	request.Header.Set("Id", id)
+	request.RequestURI = path
+	recorder := httptest.NewRecorder()
+	f.handler.ServeHTTP(recorder, request)
+	return answer{status: recorder.Code, body: recorder.Body.String(), result: <-f.results}
+}
+
+// start serves at a path until the end of the test.
+func (c *copyingServer) start(t *testing.T, path string) {
+	t.Helper()
+	listener, err := (&net.ListenConfig{}).Listen(t.Context(), "unix", path)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -67,7 +109,6 @@
 		}
 	})
 	t.Cleanup(func() { _ = listener.Close() })
-	return &server{Server: &httptest.Server{URL: "http://" + listener.Addr().String()}}
 }
 
 // serve handles the requests on a connection until it ends.
@@ -202,17 +243,13 @@
 // playCopies makes the calls at servers, of which the first sends copies.
 func playCopies(t *testing.T, path string, calls []copyCall, servers []*copyingServer) {
 	t.Helper()
-	var all []*server
-	for _, c := range servers {
-		all = append(all, newCopyingServer(t, c))
-	}
-	f := newFixture(t, 100, all...)
+	f := newCopyingFixture(t, 100, servers...)
 	rejected := map[string]bool{}
 	for _, call := range calls {
 		for _, c := range servers {
 			c.set(call.rejected, call.repeats)
 		}
-		a := f.call(t, http.MethodPost, path, func(r *http.Request) { r.Header.Set("Id", call.id) })
+		a := f.callDirectly(t, path, call.id)
 		// The servers count as full or failed for an hour after a rejection.
 		f.clock.Advance(2 * time.Hour)
 		runs := 0
@@ -257,8 +294,12 @@
 					return fmt.Sprintf("HTTP/1.1 %s\r\nId: %s\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n", status, id)
 				}
 				c.set(false, true)
-				s := newCopyingServer(t, c)
-				a := newFixture(t, 10, s, s).call(t, http.MethodPost, "/once/x")
+				f := newCopyingFixture(t, 10, c)
+				head := registry.Head{ID: "s0", Service: "svc", Address: "copy-0:80", FailureDomain: "0", Slots: 100}
+				second := head
+				second.ID = "s1"
+				f.board.SetHeads([]registry.Head{head, second})
+				a := f.callDirectly(t, "/once/x", "mine")
 				if a.status != http.StatusOK || c.runs("mine") != 1 {
 					t.Errorf("answer %+v after %d runs, want that of the only run", a, c.runs("mine"))
 				}
