Send each call of a plain service on a connection of its own

What callers saw: an idempotent call was told that it had not run though it had, or got the response to another call as its answer.

Cause: a service may send a copy of a rejection at any later moment on its connection, and nothing in its responses names the call, so that on a kept connection no response is proved. Calls that may run once had a connection of their own; the others did not. Second fault of the same cause: net/http sent a call whose answer was lost again by itself on a kept connection (GET, HEAD, and any method with Idempotency-Key), and the rejection of that second send counted for both.

Change: service.Client has one transport without keep-alives. NoRetry has no meaning any more and is gone, as are the loops over it in bounds_test.go, whose other checks are unchanged.

Conclusion: the connection is the proof. The price, a connection for each idempotent call, was not measured.

--- a/pkg/serving/caller/services.go
+++ b/pkg/serving/caller/services.go
@@ -150,7 +150,6 @@
 		Path:    b.path,
 		Header:  b.header,
 		Body:    b.call.body,
-		NoRetry: !b.call.idempotent,
 		OnWrite: s.written,
 	})
 	var refused *service.NotStartedError
--- a/pkg/serving/service/bounds_test.go
+++ b/pkg/serving/service/bounds_test.go
@@ -12,9 +12,9 @@
 )
 
 // call sends a call to a service and closes the body of the answer.
-func call(t *testing.T, c *service.Client, address string, noRetry bool) (int, error) {
+func call(t *testing.T, c *service.Client, address string) (int, error) {
 	t.Helper()
-	a, err := c.Call(t.Context(), address, service.Request{Method: http.MethodPost, Path: "/", Header: http.Header{}, NoRetry: noRetry})
+	a, err := c.Call(t.Context(), address, service.Request{Method: http.MethodPost, Path: "/", Header: http.Header{}})
 	if err != nil {
 		return 0, err
 	}
@@ -24,15 +24,13 @@
 // TestHeadWithoutEnd guards against heads of up to 10 MB, the default of net/http.
 func TestHeadWithoutEnd(t *testing.T) {
 	client := service.NewClient()
-	for _, noRetry := range []bool{false, true} {
-		for _, c := range boundedtest.HeadCases() {
-			t.Run(c.Name, func(t *testing.T) {
-				s := boundedtest.NewServer(t, c)
-				_, err := call(t, client, s.Address, noRetry)
-				boundedtest.RequireTooLarge(t, err, bounded.PartHead, s.Address)
-				s.RequireClosed(t)
-			})
-		}
+	for _, c := range boundedtest.HeadCases() {
+		t.Run(c.Name, func(t *testing.T) {
+			s := boundedtest.NewServer(t, c)
+			_, err := call(t, client, s.Address)
+			boundedtest.RequireTooLarge(t, err, bounded.PartHead, s.Address)
+			s.RequireClosed(t)
+		})
 	}
 }
 
@@ -40,12 +38,10 @@
 // past the deadline of its call.
 func TestUpgradeUnasked(t *testing.T) {
 	client := service.NewClient()
-	for _, noRetry := range []bool{false, true} {
-		s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadUpgrade, Repeat: "x"})
-		_, err := call(t, client, s.Address, noRetry)
-		boundedtest.RequireUpgradeRefused(t, err, s.Address)
-		s.RequireClosed(t)
-	}
+	s := boundedtest.NewServer(t, boundedtest.Case{Start: boundedtest.HeadUpgrade, Repeat: "x"})
+	_, err := call(t, client, s.Address)
+	boundedtest.RequireUpgradeRefused(t, err, s.Address)
+	s.RequireClosed(t)
 }
 
 // TestRedirectIsReturned guards against a redirect that makes the client send a
@@ -57,11 +53,9 @@
 	s := httptest.NewServer(http.RedirectHandler(other.URL, http.StatusTemporaryRedirect))
 	t.Cleanup(s.Close)
 	client := service.NewClient()
-	for _, noRetry := range []bool{false, true} {
-		status, err := call(t, client, s.Listener.Addr().String(), noRetry)
-		if err != nil || status != http.StatusTemporaryRedirect {
-			t.Errorf("got status %d, error %v, want the redirect", status, err)
-		}
+	status, err := call(t, client, s.Listener.Addr().String())
+	if err != nil || status != http.StatusTemporaryRedirect {
+		t.Errorf("got status %d, error %v, want the redirect", status, err)
 	}
 	if n := reached.Load(); n > 0 {
 		t.Errorf("another server received %d requests, want none", n)
--- a/pkg/serving/service/service.go
+++ b/pkg/serving/service/service.go
@@ -31,9 +31,6 @@
 	Path   string
 	Header http.Header
 	Body   []byte
-	// NoRetry is set if the call must not be sent twice. It is then sent on a new
-	// connection, because net/http may retry a request on a reused one.
-	NoRetry bool
 	// OnWrite, unless nil, is called when a connection is available, before the
 	// first byte is written to it.
 	OnWrite func()
@@ -81,39 +78,29 @@
 const (
 	// dialTimeout bounds the time to establish a connection.
 	dialTimeout = 2 * time.Second
-	// maxIdleConnections bounds the idle connections to one VM.
-	maxIdleConnections = 64
-	// idleTimeout is how long an idle connection is kept.
-	idleTimeout = 30 * time.Second
 )
 
-// Client implements Service over HTTP.
+// Client implements Service over HTTP. It sends each call on a connection of its
+// own, which proves that a response is that to the call: services need not name the
+// call in their responses, and may send copies of earlier ones on a connection. Nor
+// does net/http send a call again by itself, as it does only on a connection that was
+// used before.
 type Client struct {
 	dialer *net.Dialer
 	http   *http.Client
-	// noRetry uses each connection for a single request: net/http retries a request
-	// only if the connection was used before.
-	noRetry *http.Client
 }
 
 var _ Service = (*Client)(nil)
 
-// NewClient returns a client with its own pool of connections.
+// NewClient returns a client.
 func NewClient() *Client {
 	dialer := &net.Dialer{Timeout: dialTimeout}
 	transport := &http.Transport{
-		DialContext:         dialer.DialContext,
-		MaxIdleConnsPerHost: maxIdleConnections,
-		IdleConnTimeout:     idleTimeout,
-		DisableCompression:  true,
-	}
-	noRetry := transport.Clone()
-	noRetry.DisableKeepAlives = true
-	return &Client{
-		dialer:  dialer,
-		http:    newHTTPClient(transport),
-		noRetry: newHTTPClient(noRetry),
+		DialContext:        dialer.DialContext,
+		DisableKeepAlives:  true,
+		DisableCompression: true,
 	}
+	return &Client{dialer: dialer, http: newHTTPClient(transport)}
 }
 
 // newHTTPClient returns a client that returns redirects instead of following
@@ -141,11 +128,7 @@
 		return Answer{}, &UnreachableError{Reason: err.Error()}
 	}
 	request.Header = r.Header.Clone()
-	client := c.http
-	if r.NoRetry {
-		client = c.noRetry
-	}
-	response, err := client.Do(request)
+	response, err := c.http.Do(request)
 	if err != nil && !connected {
 		return Answer{}, &UnreachableError{Reason: err.Error()}
 	}
