Believe an engine's response only if it names the attempt

What callers saw: an idempotent generation was told notRun though it had run.

Cause: Generate believed Almondbay-Not-Started before anything told which attempt the response was for. An engine may send a copy of a rejection at any later moment on a kept connection.

Change: send.isAnsweredBy decides before anything else is read. The attempt, unique to a send, is the proof. A response that names none, as rejections of engines of earlier versions, is proved only by a connection that has carried nothing else. Others close the connection, since the response that is due could be read by the next request, and count as identity mismatch: may have run, no probe for a crash. The stand-in names the attempt in rejections too.

Conclusion: health checks and orders still share connections with generations and name nothing; a copy makes one fail, and a failed health check may count as a crash.

--- a/pkg/core/attempt/outcome.go
+++ b/pkg/core/attempt/outcome.go
@@ -57,8 +57,9 @@
 	// without stating whether it had started to run it. Another attempt would be
 	// rejected as well.
 	FailureRejected
-	// FailureIdentity means that the response headers named a different group,
-	// epoch, version or boot than the request was sent to.
+	// FailureIdentity means that the response headers named a different attempt,
+	// group, epoch, version or boot than the request was sent to, or that the
+	// response is not proved to be that to the attempt.
 	FailureIdentity
 	// FailureBroken means that the connection closed before the end marker, or
 	// that tokens were missing from the stream.
--- a/pkg/serving/caller/generate.go
+++ b/pkg/serving/caller/generate.go
@@ -147,6 +147,7 @@
 func engineFailure(err error) *failureError {
 	var refused *engine.NotStartedError
 	var unreachable *engine.UnreachableError
+	var foreign *engine.ForeignResponseError
 	switch {
 	case errors.As(err, &refused) && refused.Invalid():
 		f := newFailure(attempt.FailureInvalid, err)
@@ -156,6 +157,8 @@
 		return newFailure(attempt.FailureNotStarted, err)
 	case errors.As(err, &unreachable):
 		return newFailure(attempt.FailureUnreachable, err)
+	case errors.As(err, &foreign):
+		return newFailure(attempt.FailureIdentity, err)
 	default:
 		return newFailure(attempt.FailureBroken, err)
 	}
--- a/pkg/serving/engine/engine.go
+++ b/pkg/serving/engine/engine.go
@@ -27,7 +27,8 @@
 	// has no seed, the sampling seed, so that a resumed stream continues the same
 	// answer.
 	ID string
-	// Attempt is unique among all attempts at all requests.
+	// Attempt is unique among all attempts at all requests, so that it tells the
+	// response to this one from copies of rejections of others.
 	Attempt string
 	// Path is the OpenAI-compatible path, such as /v1/chat/completions.
 	Path string
@@ -68,7 +69,8 @@
 	Order(ctx context.Context, address string, o fleet.Order) error
 	// Generate starts an attempt on the leader at address. It returns a
 	// NotStartedError if the engine rejected the attempt before it started to run
-	// it, and an UnreachableError if no connection was established.
+	// it, an UnreachableError if no connection was established, and a
+	// ForeignResponseError if the response may be that to another attempt.
 	Generate(ctx context.Context, address string, r Request) (Answer, error)
 }
 
@@ -104,6 +106,20 @@
 	}
 }
 
+// ForeignResponseError reports a response that is not proved to be that to the
+// attempt. The attempt may have run.
+type ForeignResponseError struct {
+	// Attempt is the attempt that the response names; empty if it names none.
+	Attempt string
+}
+
+func (e *ForeignResponseError) Error() string {
+	if e.Attempt == "" {
+		return "engine: response names no attempt on a connection with earlier ones"
+	}
+	return fmt.Sprintf("engine: response names another attempt, %q", e.Attempt)
+}
+
 // UnreachableError reports an attempt for which no connection was established,
 // so that no byte of it was sent.
 type UnreachableError struct {
--- a/pkg/serving/engine/enginehttp/client.go
+++ b/pkg/serving/engine/enginehttp/client.go
@@ -110,10 +110,10 @@
 
 // Generate implements engine.Engine.
 func (c *Client) Generate(ctx context.Context, address string, r engine.Request) (engine.Answer, error) {
-	connected := false
+	var s send
 	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
-		GotConn: func(httptrace.GotConnInfo) {
-			connected = true
+		GotConn: func(i httptrace.GotConnInfo) {
+			s = send{attempt: r.Attempt, connection: i.Conn, reused: i.Reused}
 			if r.OnWrite != nil {
 				r.OnWrite()
 			}
@@ -128,12 +128,16 @@
 		client = c.noRetry
 	}
 	response, err := client.Do(request)
-	if err != nil && !connected {
+	if err != nil && s.connection == nil {
 		return engine.Answer{}, &engine.UnreachableError{Reason: err.Error()}
 	}
 	if err != nil {
 		return engine.Answer{}, engine.Error.Wrap(err)
 	}
+	if !s.isAnsweredBy(response) {
+		s.distrust(response)
+		return engine.Answer{}, &engine.ForeignResponseError{Attempt: response.Header.Get(enginewire.HeaderAttempt)}
+	}
 	if response.Header.Get(enginewire.HeaderNotStarted) != "" {
 		_ = response.Body.Close()
 		return engine.Answer{}, &engine.NotStartedError{Status: response.StatusCode}
--- a/pkg/standin/enginestandin/server.go
+++ b/pkg/standin/enginestandin/server.go
@@ -81,9 +81,10 @@
 	return a.writeJSON()
 }
 
-// rejectNotStarted answers with status and the header that marks a request as not
-// started.
+// rejectNotStarted answers with status, the attempt and the header that marks a
+// request as not started.
 func (s *Server) rejectNotStarted(c echo.Context, status int) error {
+	c.Response().Header().Set(enginewire.HeaderAttempt, c.Request().Header.Get(enginewire.HeaderAttempt))
 	c.Response().Header().Set(enginewire.HeaderNotStarted, "true")
 	return c.NoContent(status)
 }
