review: a late liveness report lets the controller join an open head elsewhere

Cause: a head whose registration says joining counts as one that has left its group, and an older report of the same life is taken for the newest. Done: case 6, engines with groups among the stand-ins; the cases are renumbered, the gravest first (500: 8, late report: 9, query: 10).

--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -40,9 +40,11 @@
 
 // cases has the cases by their number. A case returns what breaks the rule; nothing if it holds.
 var cases = map[string]func(context.Context, *run) (broken []string, err error){
-	"6": errorAnswer,
-	"7": changedQuery,
-	"8": lateReport,
+	"6":  lateJoining,
+	"7":  addedService,
+	"8":  errorAnswer,
+	"9":  lateReport,
+	"10": changedQuery,
 }
 
 func main() {
