review: fewer than four nodes keep the members of a crashed head for two minutes

Cause: a head that nobody reaches counts as stopped only if four nodes were asked. Done: case 8, requests with a crashing part, two groups of four, three nodes; it takes the place of the case of the changed query. Case 9 plays six requests; servers have IDs of their own (case 7 had two of engines twice).

--- a/review/standin2/addedservice.go
+++ b/review/standin2/addedservice.go
@@ -8,8 +8,9 @@
 )
 
 const (
-	// steadyAfter is the time after the ack of a manifest from which the state is steady.
-	steadyAfter = 5 * time.Second
+	// steadyAfter is the time after the ack of a manifest from which the state is steady: the
+	// engines of the later route need 12 s to load their model.
+	steadyAfter = 20 * time.Second
 	// minLater is the number of requests on routes that were added later from which the rule
 	// counts; they must be served at least laterShare as often as those on the first routes.
 	minLater   = 20
@@ -39,7 +40,7 @@
 		}
 	}
 	routes := []map[string]any{streamRoute("/lohu930/", first.service), plainRoute("/cufi504/", "idempotent", plain)}
-	services := []map[string]any{engineService(first.service, modelName), plainService(plain)}
+	services := []map[string]any{engineService(first.service, modelName, smallGroup), plainService(plain)}
 	if err := r.putManifest(7, routes, services); err != nil {
 		return nil, err
 	}
@@ -92,7 +93,7 @@
 	before := len(c.answers)
 	routes = append(routes, streamRoute("/pufi791/", later))
 	if r.trouble {
-		services = append(services, engineService(second.service, secondModel))
+		services = append(services, engineService(second.service, secondModel, smallGroup))
 	}
 	if err := r.putManifest(9, routes, services); err != nil {
 		return nil, err
--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -14,13 +14,14 @@
 )
 
 const (
-	// modelName is the model of most cases, secondModel that of a second service. Groups of
-	// both have groupSize engines.
+	// modelName is the model of most cases, secondModel that of a second service.
 	modelName   = "rada7437b5"
 	secondModel = "daka510000"
-	groupSize   = 2
-	// loadTime is that of a load before the first request, a tenth of the usual one.
-	loadTime  = 1200 * time.Millisecond
+	// smallGroup and largeGroup are sizes of groups.
+	smallGroup = 2
+	largeGroup = 4
+	// loadTime is that of a load; before the first request it is a tenth.
+	loadTime  = 12 * time.Second
 	warmTime  = 1100 * time.Millisecond
 	againTime = 200 * time.Millisecond
 	formTime  = 300 * time.Millisecond
@@ -50,6 +51,8 @@
 	// ctx is that of engines that come back.
 	ctx     context.Context
 	crashes []time.Time
+	// began has the requests that an engine began to write an answer on.
+	began map[string]bool
 	// joins has the joins that break the rule TWO, in words.
 	joins []string
 	// onJoining is called with the entry of an engine that begins to join a group, before it is
@@ -80,7 +83,7 @@
 }
 
 func newPool(r *run, service string) *pool {
-	return &pool{run: r, service: service, engines: map[string]*engine{}}
+	return &pool{run: r, service: service, engines: map[string]*engine{}, began: map[string]bool{}}
 }
 
 // start starts an engine.
@@ -122,6 +125,14 @@
 	return e, nil
 }
 
+// loadTime returns the time of a load that begins now.
+func (p *pool) loadTime() time.Duration {
+	if !p.run.requested.Load() {
+		return loadTime / 10
+	}
+	return loadTime
+}
+
 func (p *pool) close() {
 	p.mu.Lock()
 	defer p.mu.Unlock()
@@ -233,7 +244,7 @@
 			return http.StatusOK
 		}
 		e.orders++
-		e.later(loadTime, func() { e.staged = []string{o.Model} })
+		e.later(e.pool.loadTime(), func() { e.staged = []string{o.Model} })
 		return http.StatusAccepted
 	case "leave":
 		if !own {
@@ -312,7 +323,7 @@
 	}
 	e.orders++
 	e.maxEpoch = o.Epoch
-	took := loadTime
+	took := e.pool.loadTime()
 	switch {
 	case e.model == o.Model:
 		took = againTime
@@ -423,6 +434,12 @@
 			panic(http.ErrAbortHandler)
 		case <-time.After(eventGap):
 		}
+		if n == first+1 {
+			e.pool.mu.Lock()
+			e.pool.began[id] = true
+			e.pool.run.requested.Store(true)
+			e.pool.mu.Unlock()
+		}
 		_, _ = fmt.Fprintf(w, "id: %d\ndata: piece %d of %s\n\n", n, n, id)
 		_ = http.NewResponseController(w).Flush()
 	}
@@ -450,13 +467,13 @@
 }
 
 // engineService returns the service of the engines.
-func engineService(name, model string) map[string]any {
+func engineService(name, model string, size int) map[string]any {
 	return map[string]any{
 		"name": name, "healthPath": "/healthz", "maxConns": 574, "protocol": "h1", "tls": false,
 		"engine": map[string]any{
 			"slots": 17, "kvCapacity": 1860000, "stride": 5, "loadsPerS": 5.0, "loads_at_once": 7, "formMs": 300.0, "cachedPrefixes": 1,
 			"report_lag_ms": 200.0, "usual": map[string]int{"prompt": 979, "answer": 154},
-			"models": []map[string]any{{"name": model, "size": groupSize, "share": 1.0, "pace": 0.6, "loadS": 12.0, "warmupS": 1.1}},
+			"models": []map[string]any{{"name": model, "size": size, "share": 1.0, "pace": 0.6, "loadS": 12.0, "warmupS": 1.1}},
 		},
 	}
 }
--- a/review/standin2/erroranswer.go
+++ b/review/standin2/erroranswer.go
@@ -14,9 +14,9 @@
 	greyTime  = 6500 * time.Millisecond
 	// phases is the number of requests that crash servers, one after the other. Each is sent
 	// repeats times.
-	phases      = 4
-	repeats     = 20
-	repeatAfter = time.Second
+	phases      = 6
+	repeats     = 18
+	repeatAfter = 800 * time.Millisecond
 )
 
 // errorAnswer: a request crashes each server that begins to run it, and comes again and again.
--- a/review/standin2/fleet.go
+++ b/review/standin2/fleet.go
@@ -44,7 +44,7 @@
 		return nil
 	}
 	s := &server{
-		record: f.run.record, store: f.run.store, id: fmt.Sprintf("i-%08x", 0x7f3a91c0+len(f.servers)), service: f.service,
+		record: f.run.record, store: f.run.store, id: fmt.Sprintf("i-%08x", 0x5ae19b40+len(f.servers)), service: f.service,
 		zone: f.run.zones[0], address: "127.0.0.1:0", slots: 6, work: 30 * time.Millisecond, fails: fails,
 	}
 	s.crash = func(path string) {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -10,6 +10,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -36,15 +37,17 @@
 	// storeAddress is where the nodes reach the store.
 	storeAddress string
 	nodes        []*node
+	// requested is set once an engine has begun to run a request.
+	requested atomic.Bool
 }
 
 // cases has the cases by their number. A case returns what breaks the rule; nothing if it holds.
 var cases = map[string]func(context.Context, *run) (broken []string, err error){
 	"6":  lateJoining,
 	"7":  addedService,
-	"8":  errorAnswer,
-	"9":  lateReport,
-	"10": changedQuery,
+	"8":  lostHeads,
+	"9":  errorAnswer,
+	"10": lateReport,
 }
 
 func main() {
