review: a pause is forgotten once an engine that started again is registered

Cause: the pause is kept for the life of the engine that the registration showed when the request was sent. Renumbered: LOST 7, BUDGET 8, DRAIN 9.

--- a/review/standin2/engine.go
+++ b/review/standin2/engine.go
@@ -14,9 +14,7 @@
 )
 
 const (
-	// modelName is the model of most cases, secondModel that of a second service.
-	modelName   = "rada7437b5"
-	secondModel = "daka510000"
+	modelName = "rada7437b5"
 	// smallGroup and largeGroup are sizes of groups.
 	smallGroup = 2
 	largeGroup = 4
@@ -467,13 +465,13 @@
 }
 
 // engineService returns the service of the engines.
-func engineService(name, model string, size int) map[string]any {
+func engineService(name string, size int) map[string]any {
 	return map[string]any{
 		"name": name, "healthPath": "/healthz", "maxConns": 574, "protocol": "h1", "tls": false,
 		"engine": map[string]any{
 			"slots": 17, "kvCapacity": 1860000, "stride": 5, "loadsPerS": 5.0, "loads_at_once": 7, "formMs": 300.0, "cachedPrefixes": 1,
 			"report_lag_ms": 200.0, "usual": map[string]int{"prompt": 979, "answer": 154},
-			"models": []map[string]any{{"name": model, "size": size, "share": 1.0, "pace": 0.6, "loadS": 12.0, "warmupS": 1.1}},
+			"models": []map[string]any{{"name": modelName, "size": size, "share": 1.0, "pace": 0.6, "loadS": 12.0, "warmupS": 1.1}},
 		},
 	}
 }
--- a/review/standin2/latejoining.go
+++ b/review/standin2/latejoining.go
@@ -35,7 +35,7 @@
 			return nil, err
 		}
 	}
-	if err := r.putManifest(7, []map[string]any{streamRoute("/lohu930/", service)}, []map[string]any{engineService(service, modelName, smallGroup)}); err != nil {
+	if err := r.putManifest(7, []map[string]any{streamRoute("/lohu930/", service)}, []map[string]any{engineService(service, smallGroup)}); err != nil {
 		return nil, err
 	}
 	if err := r.startNodes(ctx, 3); err != nil {
--- a/review/standin2/lostheads.go
+++ b/review/standin2/lostheads.go
@@ -37,7 +37,7 @@
 			return nil, err
 		}
 	}
-	if err := r.putManifest(7, []map[string]any{streamRoute("/lohu930/", service)}, []map[string]any{engineService(service, modelName, largeGroup)}); err != nil {
+	if err := r.putManifest(7, []map[string]any{streamRoute("/lohu930/", service)}, []map[string]any{engineService(service, largeGroup)}); err != nil {
 		return nil, err
 	}
 	if err := r.startNodes(ctx, nodes); err != nil {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -44,10 +44,10 @@
 // cases has the cases by their number. A case returns what breaks the rule; nothing if it holds.
 var cases = map[string]func(context.Context, *run) (broken []string, err error){
 	"6":  lateJoining,
-	"7":  addedService,
-	"8":  lostHeads,
-	"9":  errorAnswer,
-	"10": lateReport,
+	"7":  lostHeads,
+	"8":  errorAnswer,
+	"9":  lateReport,
+	"10": pausedRestart,
 }
 
 func main() {
--- a/review/standin2/server.go
+++ b/review/standin2/server.go
@@ -45,6 +45,12 @@
 	// runs it; nil if it fails none.
 	fails func() bool
 
+	// pauses reports whether the server turns a request away, with headers that it sets; nil
+	// if it never does.
+	pauses func(http.ResponseWriter, *http.Request) bool
+	// firstBeat is the time from the start until the first liveness report.
+	firstBeat time.Duration
+
 	mu       sync.Mutex
 	ended    bool
 	state    string
@@ -63,8 +69,14 @@
 	s.http = &http.Server{Handler: s, ReadHeaderTimeout: 10 * time.Second, IdleTimeout: 20 * time.Second}
 	go func() { _ = s.http.Serve(l) }()
 	ctx, s.stopped = context.WithCancel(ctx)
-	s.beat()
+	if s.firstBeat == 0 {
+		s.beat()
+	}
 	go func() {
+		if s.firstBeat > 0 {
+			time.Sleep(s.firstBeat)
+			s.beat()
+		}
 		for {
 			select {
 			case <-ctx.Done():
@@ -141,6 +153,14 @@
 		return
 	}
 	s.mu.Lock()
+	pauses := s.pauses
+	s.mu.Unlock()
+	if pauses != nil && pauses(w, r) {
+		w.Header().Set("Not-Executed", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	s.mu.Lock()
 	full := s.running >= s.slots
 	a := arrival{request: id, server: s.id, at: time.Now()}
 	if full {
