--- a/review/standin2/lostheads.go
+++ b/review/standin2/lostheads.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"os"
 	"strconv"
@@ -16,7 +17,9 @@
 	comesFor = 46 * time.Second
 	// minSound is the number of sound requests from which the rule counts, soundShare the share
 	// of the usual that must begin.
-	minSound   = 20
+	minSound = 20
+	// fifthCrash is the number of the crash from which the rule counts.
+	fifthCrash = 5
 	soundShare = 0.5
 )
 
@@ -94,7 +97,12 @@
 	if !r.trouble {
 		return nil, nil
 	}
-	from := last().Add(2 * contactBound)
+	if len(p.crashes) == 0 {
+		return nil, errors.New("no request crashed an engine")
+	}
+	p.mu.Lock()
+	from := p.crashes[min(fifthCrash, len(p.crashes))-1].Add(2 * contactBound)
+	p.mu.Unlock()
 	served := map[string]int{}
 	all := map[string]int{}
 	for _, a := range sound {
--- a/review/standin2/main.go
+++ b/review/standin2/main.go
@@ -6,10 +6,12 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"fmt"
 	"os"
 	"os/signal"
 	"path/filepath"
+	"sync"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -27,6 +29,9 @@
 
 // run is one run of a case.
 type run struct {
+	// mu guards ended, and nodes until all have started.
+	mu      sync.Mutex
+	ended   bool
 	record  *record
 	store   *store
 	ports   ports
@@ -119,27 +124,57 @@
 		return nil, err
 	}
 	r := &run{record: rec, store: s, ports: p, dir: dir, binary: binary, trouble: os.Getenv("TROUBLE") != "0", zones: []string{"lisboa-a"}, storeAddress: s.address}
-	defer func() {
-		for _, n := range r.nodes {
-			n.end()
-		}
-	}()
+	defer r.endNodes()
 	rec.line("trouble: %v", r.trouble)
-	broken, err := test(ctx, r)
-	if err == nil && ctx.Err() != nil {
-		err = ctx.Err()
+	type result struct {
+		broken []string
+		err    error
+	}
+	done := make(chan result, 1)
+	go func() {
+		broken, err := test(ctx, r)
+		done <- result{broken, err}
+	}()
+	select {
+	case got := <-done:
+		return got.broken, got.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
 	}
-	return broken, err
+}
+
+// endNodes ends all nodes. No node starts after that.
+func (r *run) endNodes() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	r.ended = true
+	for _, n := range r.nodes {
+		n.end()
+	}
+}
+
+// addNode starts a node.
+func (r *run) addNode(number int) error {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+
+	if r.ended {
+		return errors.New("the run has ended")
+	}
+	n, err := newNode(r.dir, r.binary, number+1, r.zones[number%len(r.zones)], r.zones, r.ports, r.storeAddress)
+	if err == nil {
+		r.nodes = append(r.nodes, n)
+	}
+	return err
 }
 
 // startNodes starts nodes and waits until they are ready.
 func (r *run) startNodes(ctx context.Context, perZone int) error {
 	for i := range perZone * len(r.zones) {
-		n, err := newNode(r.dir, r.binary, i+1, r.zones[i%len(r.zones)], r.zones, r.ports, r.storeAddress)
-		if err != nil {
+		if err := r.addNode(i); err != nil {
 			return err
 		}
-		r.nodes = append(r.nodes, n)
 	}
 	for _, n := range r.nodes {
 		if err := r.waitReady(ctx, n); err != nil {
--- a/review/standin2/node.go
+++ b/review/standin2/node.go
@@ -112,6 +112,8 @@
 	n.command = exec.Command(binary, "entry")
 	n.command.Env = []string{"PATH=/usr/bin:/bin", "ALMONDBAY_BOOT=" + n.settings}
 	n.command.Stdout, n.command.Stderr = n.output, n.output
+	// The process ends with this one, however that ends.
+	n.command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := n.command.Start(); err != nil {
 		return err
 	}
