Count who could have reached a head, not how many nodes failed to

Cause: a failed probe of a head counted only if four nodes (probeQuorum), one of them in its failure domain, took part. A refused connection counted no more than silence. What the number stood for is whether those who failed could have reached the head.

Ruled out: missing weights, the lease (one term in the log), late registrations.

Change: a node that gets no reaction from a head queries up to two other servers of its failure domain. If one reacts, the node is a witness that the head is silent; one is enough. A refusal needs no witness. A reset or another reaction at the address is a sign of life and outweighs the witnesses; it counted as a failure before. A group is broken after four failures (of four nodes at once, or of one in four rounds), as before with four nodes. A server that started later and is registered at the address of a head proves that the head has ended; a registration that started earlier (performed late), or of a service that isn't configured, doesn't.

--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -56,19 +56,23 @@
 }
 
 // ProbeResult combines the results of several nodes that queried the state of a
-// server.
+// server. Each node that answered counts in one of Replies, Refused, Unclear and Witnesses,
+// or in none if it may be cut off from the server.
 type ProbeResult struct {
 	// Probed is the number of nodes that sent a query, including this node.
 	Probed int
-	// SameDomain is the number of those in the server's failure domain. A network
-	// partition may separate the whole failure domain from the other nodes.
-	SameDomain int
 	// Replies holds the replies of the server that they got.
 	Replies []State
 	// Refused is the number of nodes whose connection the server's address refused, or
 	// that got a reply of another server there. The server accepts nothing new then, but
 	// may still work on what it accepted before.
 	Refused int
+	// Unclear is the number of nodes at which something at the server's address reacted in
+	// another way. The server may live.
+	Unclear int
+	// Witnesses is the number of nodes that saw no reaction although they reached another
+	// server of its failure domain.
+	Witnesses int
 }
 
 // Config configures a Controller.
@@ -105,12 +109,9 @@
 	// Grace is how long a server whose registration is missing still counts as
 	// registered after an outage of the store.
 	Grace time.Duration
-	// ProbeQuorum is the number of nodes that must fail to reach a head without a
-	// registration for a probe to show that it accepts nothing new.
-	ProbeQuorum int
 	// UnreachableTimeout is how long a head without a registration must have been
-	// unreachable before it counts as stopped even though fewer nodes, or none in
-	// its failure domain, could probe it, or its address isn't known.
+	// unreachable before it counts as stopped even though the nodes that probed it may be
+	// cut off from it, or its address isn't known.
 	UnreachableTimeout time.Duration
 	// GroupStall is how long a group that lacks a member stands still before it is broken;
 	// zero if that isn't known.
--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"maps"
 	"math"
 	"net/http"
 	"slices"
@@ -254,11 +255,12 @@
 	if view.ReadAt.IsZero() {
 		return nil
 	}
+	services := slices.Sorted(maps.Keys(c.Services))
 	for _, s := range c.Services {
 		if s.Engine == nil {
 			continue
 		}
-		if err := d.reconcileService(ctx, s, view); err != nil {
+		if err := d.reconcileService(ctx, s, services, view); err != nil {
 			return err
 		}
 	}
@@ -266,14 +268,14 @@
 }
 
 // reconcileService reconciles the engines of one service.
-func (d *domain) reconcileService(ctx context.Context, s routes.Service, view registry.View) error {
-	decision := d.decide(s, view)
+func (d *domain) reconcileService(ctx context.Context, s routes.Service, services []string, view registry.View) error {
+	decision := d.decide(s, services, view)
 	if decision.Changed {
 		if err := d.writePlan(ctx, decision); err != nil {
 			return err
 		}
 		// The new plan is written, so its orders may be sent too.
-		decision = d.decide(s, view)
+		decision = d.decide(s, services, view)
 	}
 	d.logSummary(s.Name, decision.Summary)
 	d.probeHeads(ctx, decision.UnregisteredHeads, d.config.Clock.Now())
@@ -281,8 +283,8 @@
 	return nil
 }
 
-// decide computes the next plan and orders for one service.
-func (d *domain) decide(s routes.Service, view registry.View) formation.Decision {
+// decide computes the next plan and orders for one of the configured services.
+func (d *domain) decide(s routes.Service, services []string, view registry.View) formation.Decision {
 	now := d.config.Clock.Now()
 	loading := d.loadsInProgress(s.Engine, view, now)
 	budget := d.windowBudget(s.Engine, now)
@@ -291,6 +293,7 @@
 		Servers:       view,
 		Service:       s.Name,
 		FailureDomain: d.name,
+		Services:      services,
 		Models:        s.Engine.Models,
 		Weights:       d.config.Weights(s.Engine),
 		Plan:          d.plan,
--- a/internal/fleet/control/head.go
+++ b/internal/fleet/control/head.go
@@ -32,9 +32,12 @@
 	// reachedAt is when the head last replied; zero if it never did.
 	reachedAt time.Time
 	// unreachableSince and unreachableAt are when the first and the last of the latest
-	// probes ended in which a quorum of nodes failed to reach the head; zero if it has
-	// replied since.
+	// probes ended which showed that the head accepts nothing new or is silent; zero if it
+	// has replied since.
 	unreachableSince, unreachableAt time.Time
+	// witnesses is the number of failures to reach the head in these probes, each by a node
+	// that reached another server of its failure domain.
+	witnesses int
 	// refusedSince is when the first of these probes ended in which its address refused a
 	// connection; zero if none did. A head that was silent until then may have been cut
 	// off and may have served.
@@ -61,11 +64,16 @@
 	maxHeadWork = 10 * time.Second
 	// headWorkMargin covers a timer of the head that fires late.
 	headWorkMargin = 500 * time.Millisecond
+	// minWitnesses is the number of failures to reach a head, of one or several nodes, after
+	// which its group is broken. Fewer may be due to lost packets.
+	minWitnesses = 4
 )
 
 // record adds the result of a probe that ended at a time. The head has left if its replies
-// show that, or if it has obeyed an order to.
-func (p *headProbe) record(r ProbeResult, left bool, quorum int, now time.Time) {
+// show that, or if it has obeyed an order to. How many nodes there are doesn't matter: any
+// that could have reached the head and didn't is a proof for that moment, unless another
+// one got a reaction.
+func (p *headProbe) record(r ProbeResult, left bool, now time.Time) {
 	p.probing = false
 	p.probedAt = now
 	p.left = left
@@ -73,13 +81,14 @@
 	case len(r.Replies) > 0:
 		p.reachedAt = now
 		p.unreachableSince, p.unreachableAt, p.refusedSince = time.Time{}, time.Time{}, time.Time{}
-	case r.Probed >= quorum && r.SameDomain > 0:
+	case r.Unclear == 0 && r.Refused+r.Witnesses > 0:
 		if p.unreachableSince.IsZero() || now.Sub(p.unreachableAt) > maxProbeGap {
-			p.unreachableSince, p.refusedSince = now, time.Time{}
+			p.unreachableSince, p.refusedSince, p.witnesses = now, time.Time{}, 0
 		}
 		if r.Refused > 0 && p.refusedSince.IsZero() {
 			p.refusedSince = now
 		}
+		p.witnesses += r.Witnesses
 		p.unreachableAt = now
 	}
 }
@@ -129,7 +138,7 @@
 	defer d.mu.Unlock()
 
 	p, ok := d.probes[r.ID]
-	return ok && d.config.GroupStall > 0 && !p.since.Before(r.MissingSince) && p.memberLeftAt.IsZero() && p.silent()
+	return ok && d.config.GroupStall > 0 && !p.since.Before(r.MissingSince) && p.memberLeftAt.IsZero() && p.silent() && p.witnesses >= minWitnesses
 }
 
 // recordMemberLeft records that a member obeyed an order to leave the group of a head.
@@ -218,9 +227,10 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	p.record(result, left, d.config.ProbeQuorum, now)
+	p.record(result, left, now)
 	event.HeadProbed.Log(d.config.Logger, zap.String("server", s.ID), zap.String("group", s.Group.Name), zap.Int("asked", result.Probed),
-		zap.Int("near", result.SameDomain), zap.Bool("reached", len(result.Replies) > 0), zap.Int("refused", result.Refused), zap.Bool("left", left),
+		zap.Bool("reached", len(result.Replies) > 0), zap.Int("refused", result.Refused), zap.Int("unclear", result.Unclear),
+		zap.Int("witnesses", result.Witnesses), zap.Bool("left", left),
 		zap.Duration("missingFor", now.Sub(p.since)), zap.Duration("unreachableFor", p.unreachableFor()),
 		zap.Bool("stopped", p.stopped(d.config)))
 }
--- a/internal/fleet/formation/head.go
+++ b/internal/fleet/formation/head.go
@@ -1,6 +1,10 @@
 package formation
 
-import "almondbay.example/internal/fleet/registry"
+import (
+	"slices"
+
+	"almondbay.example/internal/fleet/registry"
+)
 
 // headLeft reports whether the head of a group is known to have no work of the group. It
 // adds a head whose registration is missing to those that must be probed.
@@ -13,7 +17,7 @@
 		return true
 	case !ok || !p.alive(r) || r.Incarnation < m.Incarnation:
 		r = p.unregisteredHead(g, r)
-		if p.HeadStopped(r) {
+		if p.replaced(r) || p.HeadStopped(r) {
 			return true
 		}
 		p.decision.UnregisteredHeads = append(p.decision.UnregisteredHeads, r)
@@ -28,6 +32,17 @@
 	}
 }
 
+// replaced reports whether a server that started later is registered at the address of a
+// head: an address is given away only once the server that had it has ended.
+func (p *planner) replaced(head registry.Record) bool {
+	if head.Address == "" || head.Incarnation == 0 {
+		return false
+	}
+	return slices.ContainsFunc(p.Servers.Servers, func(r registry.Record) bool {
+		return r.Address == head.Address && r.ID != head.ID && r.Incarnation > head.Incarnation && p.alive(r) && slices.Contains(p.Services, r.Service)
+	})
+}
+
 // orderMemberToLeave orders one member to leave a group, so that the head, if it still
 // runs, stands still and breaks.
 func (p *planner) orderMemberToLeave(g Group) {
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -93,7 +93,9 @@
 	// Service and FailureDomain select the servers to plan for.
 	Service       string
 	FailureDomain string
-	Models        []routes.Model
+	// Services lists the configured services, of which servers may be registered.
+	Services []string
+	Models   []routes.Model
 	// Weights holds the fraction of the engines that each model should have; the
 	// fractions add up to one.
 	Weights map[string]float64
--- a/internal/fleet/formation/plan_test.go
+++ b/internal/fleet/formation/plan_test.go
@@ -164,6 +164,41 @@
 	}
 }
 
+// TestServerAtAddressOfHeadShowsThatItEnded guards against members that stay bound to a head
+// whose address another server has been given since, and against members that are freed by
+// a registration which says nothing about the head.
+func TestServerAtAddressOfHeadShowsThatItEnded(t *testing.T) {
+	g := group("small", 7, "a", "b")
+	g.HeadAddress = "10.0.0.1:80"
+	g.Members[0].Incarnation = 5
+	at := func(address string, incarnation int64) func(*registry.Record) {
+		return func(r *registry.Record) { r.Address, r.Incarnation = address, incarnation }
+	}
+	tests := []struct {
+		name  string
+		other registry.Record
+		want  bool
+	}{
+		{"started later", server("c", at(g.HeadAddress, 6)), true},
+		{"started later, of another service", server("c", at(g.HeadAddress, 6), func(r *registry.Record) { r.Service = "plain" }), true},
+		{"started earlier, its entry was performed late", server("c", at(g.HeadAddress, 4)), false},
+		{"start not reported", server("c", at(g.HeadAddress, 0)), false},
+		{"of a service that isn't configured", server("c", at(g.HeadAddress, 6), func(r *registry.Record) { r.Service = "unknown" }), false},
+		{"no longer registered", server("c", at(g.HeadAddress, 6), missing), false},
+		{"at another address", server("c", at("10.0.0.1:81", 6)), false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			v := view(formation.Plan{Groups: []formation.Group{g}, LastEpoch: 7},
+				server("a", in(g, 0, registry.StateOpen), at(g.HeadAddress, 5), missing), server("b", in(g, 1, registry.StateReady)), tt.other)
+			v.Services = []string{"plain", service}
+			if d := formation.Decide(v); (len(d.Released) == 1) != tt.want {
+				t.Errorf("group released: got %v, want %v", len(d.Released) == 1, tt.want)
+			}
+		})
+	}
+}
+
 // TestStandbyReplacesCrashedMember covers a member that crashes (fault pattern
 // srv_crash). The remaining members and the standby must form a complete group
 // without a load from the weight store.
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -160,10 +160,9 @@
 	attemptStallAfter = 1400 * time.Millisecond
 	// usableBudget leaves part of the retry budget to nodes that have restarted.
 	usableBudget = 0.7
-	// unreachableTimeout is how long a head that no node of its failure domain
-	// could probe must be missing before its members may join another group. It
-	// covers a network partition of a failure domain, whose heads continue to
-	// serve. A failure domain without any node can't serve requests anyway.
+	// unreachableTimeout is how long a head must be missing before its members may join
+	// another group although the nodes that are alive may be cut off from it. It covers a
+	// network partition of a failure domain, whose heads continue to serve.
 	unreachableTimeout = 2 * time.Minute
 	// loadSlack is the number of loads that the platform allows above its rate in
 	// any time window.
@@ -327,7 +326,6 @@
 		Table:              c.Store,
 		Orders:             c.Orders,
 		ProbeHead:          n.probeHead,
-		ProbeQuorum:        probeQuorum,
 		Registrations:      n.registrations,
 		Configuration:      n.configuration.Load,
 		Rank:               n.rank,
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -32,11 +32,11 @@
 	// sourceBackoff is how long a source node is avoided after a failure. By then
 	// a dead node no longer counts as alive.
 	sourceBackoff = 2 * time.Second
-	// probeQuorum is the number of nodes that must fail to reach a server before it
-	// counts as unreachable.
-	probeQuorum = 4
 	// maxProbers is the number of peers that are asked to probe a server.
 	maxProbers = 5
+	// maxReferences is the number of servers by which a node finds out whether it reaches
+	// a failure domain; a second one, in case the first has just ended.
+	maxReferences = 2
 )
 
 // addFeed sets up the reading of tables: one node of the failure domain reads
@@ -166,19 +166,20 @@
 func (n *Node) probeHead(ctx context.Context, s registry.Server) control.ProbeResult {
 	var mu sync.Mutex
 	var result control.ProbeResult
-	record := func(failureDomain string, reply peerrelay.ProbeReply) {
+	record := func(reply peerrelay.ProbeReply) {
 		mu.Lock()
 		defer mu.Unlock()
 
 		result.Probed++
-		if failureDomain == s.FailureDomain {
-			result.SameDomain++
-		}
-		if reply.Reached {
+		switch {
+		case reply.Reached:
 			result.Replies = append(result.Replies, reply.State)
-		}
-		if reply.Refused {
+		case reply.Refused:
 			result.Refused++
+		case reply.Unclear:
+			result.Unclear++
+		case reply.Witnessed:
+			result.Witnesses++
 		}
 	}
 	if s.Address == "" {
@@ -187,9 +188,7 @@
 	}
 	var group errgroup.Group
 	group.Go(func() error {
-		probeCtx, cancel := context.WithTimeout(ctx, peerrelay.ProbeTimeout)
-		defer cancel()
-		record(n.config.Settings.FailureDomain, peerrelay.Probe(probeCtx, n.config.Orders.QueryState, s))
+		record(n.prober().Probe(ctx, s))
 		return nil
 	})
 	for _, p := range n.probers() {
@@ -200,7 +199,7 @@
 				n.eventLog.stepFailed(err, 1)
 				return nil
 			}
-			record(p.FailureDomain, reply)
+			record(reply)
 			return nil
 		})
 	}
@@ -209,6 +208,24 @@
 	return result
 }
 
+// prober returns the means to query the state of a server from this node.
+func (n *Node) prober() peerrelay.Prober {
+	return peerrelay.Prober{QueryState: n.config.Orders.QueryState, References: n.references}
+}
+
+// references returns up to maxReferences other registered servers of a server's failure
+// domain, in random order.
+func (n *Node) references(s registry.Server) []registry.Server {
+	var all []registry.Server
+	for _, r := range n.registrations.View(n.config.Clock.Now()).Servers {
+		if r.FailureDomain == s.FailureDomain && r.ID != s.ID && r.Address != s.Address && r.MissingSince.IsZero() {
+			all = append(all, r.Server)
+		}
+	}
+	rand.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	return all[:min(maxReferences, len(all))]
+}
+
 // probers returns up to maxProbers random peers, one of each failure domain first.
 func (n *Node) probers() []gossip.Peer {
 	callable := n.peers.Callable(n.config.Clock.Now())
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -69,9 +69,9 @@
 	n.addReadiness(&g, readiness)
 	n.addMetrics(&g, metrics)
 	n.addServer(&g, peers, peerrelay.NewServer(peerrelay.ServerConfig{
-		Clock:      n.config.Clock,
-		Logs:       n.tableLogs,
-		QueryState: n.config.Orders.QueryState,
+		Clock:  n.config.Clock,
+		Logs:   n.tableLogs,
+		Prober: n.prober(),
 	}))
 	g.Add(n.socket.Run, func(error) { _ = n.socket.Close() })
 	n.addLoops(&g)
--- a/internal/peer/relay/client.go
+++ b/internal/peer/relay/client.go
@@ -95,7 +95,7 @@
 
 // ProbeServer makes a node query the state of a backend server.
 func (c *Client) ProbeServer(ctx context.Context, address string, s registry.Server) (ProbeReply, error) {
-	body, err := json.Marshal(probeWire{Server: s.ID, Address: s.Address, Born: s.Incarnation})
+	body, err := json.Marshal(fromProbedServer(s))
 	if err != nil {
 		return ProbeReply{}, Error.Wrap(err)
 	}
--- a/internal/peer/relay/server.go
+++ b/internal/peer/relay/server.go
@@ -2,17 +2,12 @@
 
 import (
 	"context"
-	"errors"
 	"net/http"
 	"strconv"
-	"syscall"
 	"time"
 
 	"github.com/jonboulle/clockwork"
 	"github.com/labstack/echo/v4"
-
-	"almondbay.example/internal/fleet/control"
-	"almondbay.example/internal/fleet/registry"
 )
 
 // ServerConfig configures a Server.
@@ -20,8 +15,8 @@
 	Clock clockwork.Clock
 	// Logs holds the relayed tables by name.
 	Logs map[string]*Log
-	// QueryState queries the state of a backend server.
-	QueryState func(ctx context.Context, s registry.Server) (control.State, error)
+	// Prober queries the state of backend servers on behalf of other nodes.
+	Prober Prober
 }
 
 // Server serves the relayed tables and probes of backend servers to other nodes.
@@ -121,37 +116,11 @@
 	}
 }
 
-// ProbeReply is what one node found out about a server by querying its state.
-type ProbeReply struct {
-	// Reached is set if the server replied, with State.
-	Reached bool
-	State   control.State
-	// Refused is set if its address refused the connection, or another server replied.
-	Refused bool
-}
-
-// Probe queries the state of a server. The error of a query says too little for a caller
-// to act on it, so it becomes part of the reply.
-func Probe(ctx context.Context, query func(context.Context, registry.Server) (control.State, error), s registry.Server) ProbeReply {
-	state, err := query(ctx, s)
-	return ProbeReply{
-		Reached: err == nil,
-		State:   state,
-		Refused: errors.Is(err, syscall.ECONNREFUSED) || errors.Is(err, control.ErrOtherServer),
-	}
-}
-
-// ProbeTimeout limits a state query to a backend server. It allows for the loss
-// of two packets within a region.
-const ProbeTimeout = 450 * time.Millisecond
-
 // probe queries a backend server on behalf of another node.
 func (s *Server) probe(c echo.Context) error {
 	var w probeWire
 	if err := c.Bind(&w); err != nil {
 		return c.NoContent(http.StatusBadRequest)
 	}
-	ctx, cancel := context.WithTimeout(c.Request().Context(), ProbeTimeout)
-	defer cancel()
-	return c.JSON(http.StatusOK, fromProbeReply(Probe(ctx, s.config.QueryState, w.server())))
+	return c.JSON(http.StatusOK, fromProbeReply(s.config.Prober.Probe(c.Request().Context(), w.server())))
 }
--- a/internal/peer/relay/wire.go
+++ b/internal/peer/relay/wire.go
@@ -48,10 +48,16 @@
 	Server  string `json:"server"`
 	Address string `json:"address"`
 	Born    int64  `json:"born"`
+	// FailureDomain is empty in queries of nodes that don't ask for references.
+	FailureDomain string `json:"failureDomain,omitempty"`
+}
+
+func fromProbedServer(s registry.Server) probeWire {
+	return probeWire{Server: s.ID, Address: s.Address, Born: s.Incarnation, FailureDomain: s.FailureDomain}
 }
 
 func (w probeWire) server() registry.Server {
-	return registry.Server{ID: w.Server, Address: w.Address, Incarnation: w.Born}
+	return registry.Server{ID: w.Server, Address: w.Address, Incarnation: w.Born, FailureDomain: w.FailureDomain}
 }
 
 // probeResultWire is the response to probeWire: whether the server was reached
@@ -65,18 +71,23 @@
 	Rank     int    `json:"rank"`
 	State    string `json:"state"`
 	Refused  bool   `json:"refused,omitempty"`
+	Unclear  bool   `json:"unclear,omitempty"`
+	// Witnessed is set if there was no reaction although a reference was reached.
+	Witnessed bool `json:"witnessed,omitempty"`
 }
 
 func fromProbeReply(r ProbeReply) probeResultWire {
 	return probeResultWire{
-		Reached:  r.Reached,
-		Accepted: r.State.Accepted,
-		Born:     r.State.Incarnation,
-		Group:    r.State.Group.Name,
-		Epoch:    r.State.Group.Epoch,
-		Rank:     r.State.Group.Rank,
-		State:    string(r.State.Group.State),
-		Refused:  r.Refused,
+		Reached:   r.Reached,
+		Accepted:  r.State.Accepted,
+		Born:      r.State.Incarnation,
+		Group:     r.State.Group.Name,
+		Epoch:     r.State.Group.Epoch,
+		Rank:      r.State.Group.Rank,
+		State:     string(r.State.Group.State),
+		Refused:   r.Refused,
+		Unclear:   r.Unclear,
+		Witnessed: r.Witnessed,
 	}
 }
 
@@ -88,6 +99,8 @@
 			Incarnation: w.Born,
 			Group:       registry.Membership{Name: w.Group, Epoch: w.Epoch, Rank: w.Rank, State: registry.GroupState(w.State)},
 		},
-		Refused: w.Refused,
+		Refused:   w.Refused,
+		Unclear:   w.Unclear,
+		Witnessed: w.Witnessed,
 	}
 }
