Keep a pause for the server that asked, not for one of its runs

Cause: the pause was kept for the run (ID and start time) that was registered when the answer came, not for the one that answered. The later run was registered, had no pause, and got requests.

Ruled out: the answer of another server at the address (it would reject with 421, since requests name the ID), and a shorter pause that replaced it (the longest one holds).

Change: pauses are keyed by the ID.

Tests: TestPauseBelongsToRunOfServer asked that a restart ends the pause. TestPauseBelongsToServer has all its other checks, and in place of that one: the pause holds after a restart and at another address, no other server at the address inherits it, and it ends in time. It failed before ("server is sent a request in its pause after a restart was registered"), as did TestPausesHoldUnderRandomAnswers, which now counts by server ("request to s1 1ms before the end of its pause").

Conclusion: no sign that a node has tells which run answered; the ID is what it knows. What is left: a restarted server waits for the end of its earlier run's pause.

--- a/internal/routing/balance/backoff.go
+++ b/internal/routing/balance/backoff.go
@@ -4,54 +4,53 @@
 	"slices"
 	"sync"
 	"time"
-
-	"almondbay.example/internal/fleet/registry"
 )
 
-// backoffs holds until when servers want no requests from this node. It belongs to a
-// run of a server, which may be head of one group after the other, so all pools of a
-// board share it. It is safe for concurrent use.
+// backoffs holds until when servers want no requests from this node, by their IDs. A
+// pause belongs to the server and not to one of its runs: the registration tells which run
+// was known when it asked, not which one did. A server may be head of one group after the
+// other, so all pools of a board share it. It is safe for concurrent use.
 type backoffs struct {
 	mu    sync.Mutex
-	until map[registry.Life]time.Time
+	until map[string]time.Time
 }
 
 func newBackoffs() *backoffs {
-	return &backoffs{until: map[registry.Life]time.Time{}}
+	return &backoffs{until: map[string]time.Time{}}
 }
 
 // record records that a server wants no requests until a time. The latest such time
 // holds: a shorter one may come from an answer that was overtaken. It reports whether
 // that is later than what was known.
-func (b *backoffs) record(life registry.Life, until, now time.Time) bool {
+func (b *backoffs) record(id string, until, now time.Time) bool {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	for l, t := range b.until {
+	for other, t := range b.until {
 		if !now.Before(t) {
-			delete(b.until, l)
+			delete(b.until, other)
 		}
 	}
-	if !until.After(b.until[life]) {
+	if !until.After(b.until[id]) {
 		return false
 	}
-	b.until[life] = until
+	b.until[id] = until
 	return true
 }
 
 // of returns until when a server wants no requests; zero if it said nothing.
-func (b *backoffs) of(life registry.Life) time.Time {
+func (b *backoffs) of(id string) time.Time {
 	b.mu.Lock()
 	defer b.mu.Unlock()
 
-	return b.until[life]
+	return b.until[id]
 }
 
 // RecordPause records that a head, with its rejection, asked for no requests for some
 // time. It is no failure of the head. It reports whether the time is longer than what
 // was known.
-func (p *Pool) RecordPause(life registry.Life, pause time.Duration, now time.Time) bool {
-	return p.backoffs.record(life, now.Add(pause), now)
+func (p *Pool) RecordPause(id string, pause time.Duration, now time.Time) bool {
+	return p.backoffs.record(id, now.Add(pause), now)
 }
 
 // earlier returns the earlier of two times, of which the zero time is none.
@@ -76,6 +75,6 @@
 	defer p.mu.Unlock()
 
 	return slices.ContainsFunc(p.ordered, func(h *head) bool {
-		return !slices.Contains(exclude, h.ID) && !now.Before(p.backoffs.of(h.Life())) && !now.Before(h.blockedUntil())
+		return !slices.Contains(exclude, h.ID) && !now.Before(p.backoffs.of(h.ID)) && !now.Before(h.blockedUntil())
 	})
 }
--- a/internal/routing/balance/backoff_test.go
+++ b/internal/routing/balance/backoff_test.go
@@ -25,16 +25,17 @@
 	return h
 }
 
-// TestPauseBelongsToRunOfServer guards against a pause that is forgotten when the
-// server becomes head of another group, and one that outlives a restart.
-func TestPauseBelongsToRunOfServer(t *testing.T) {
+// TestPauseBelongsToServer guards against a pause that is forgotten when the server becomes
+// head of another group, or once the registration shows that it has started again: it may
+// have been the new run that asked. It also guards against one that another server inherits.
+func TestPauseBelongsToServer(t *testing.T) {
 	now := time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)
 	b := pauseBoard()
 	first := pauseHead("a", "g1", 1, 1)
 	b.SetHeads([]registry.Head{first})
 	pool := b.Pool(balance.Key{Service: "svc", Model: "m"})
-	pool.RecordPause(first.Life(), time.Minute, now)
-	if pool.RecordPause(first.Life(), time.Second, now) {
+	pool.RecordPause(first.ID, time.Minute, now)
+	if pool.RecordPause(first.ID, time.Second, now) {
 		t.Error("a shorter pause is news")
 	}
 	usable := func(heads ...registry.Head) bool {
@@ -55,11 +56,20 @@
 	if usable(first) {
 		t.Error("server is sent a request in its pause after its group was incomplete for a while")
 	}
-	if !usable(pauseHead("a", "g2", 3, 2)) {
-		t.Error("server is sent no request after a restart")
+	restarted := pauseHead("a", "g2", 3, 2)
+	if usable(restarted) {
+		t.Error("server is sent a request in its pause after a restart was registered")
+	}
+	elsewhere := restarted
+	elsewhere.Address = "10.0.0.2:80"
+	if usable(elsewhere) {
+		t.Error("server is sent a request in its pause after it was registered at another address")
+	}
+	if !usable(pauseHead("b", "g2", 3, 3)) {
+		t.Error("another server at the same address is sent no request")
 	}
 	now = now.Add(time.Minute)
-	if !usable(first) {
+	if !usable(restarted) {
 		t.Error("server is sent no request after its pause")
 	}
 }
@@ -72,7 +82,7 @@
 	heads := []registry.Head{pauseHead("a", "", 0, 1), pauseHead("b", "", 0, 1)}
 	b.SetHeads(heads)
 	pool := b.Pool(balance.Key{Service: "svc"})
-	pool.RecordPause(heads[0].Life(), time.Second, now)
+	pool.RecordPause(heads[0].ID, time.Second, now)
 	now = now.Add(time.Second)
 	chosen := map[string]int{}
 	for range 8 {
@@ -85,14 +95,14 @@
 }
 
 // TestPausesHoldUnderRandomAnswers checks the contract's rule on random answers, losses
-// of heads, new groups and restarts: no request goes to a run of a server between its
-// rejection and the end of the longest pause that it asked for.
+// of heads, new groups and restarts: no request goes to a server between its rejection and
+// the end of the longest pause that it asked for.
 func TestPausesHoldUnderRandomAnswers(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		now := time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)
 		b := pauseBoard()
 		incarnations := []int64{1, 1, 1}
-		pauses := map[registry.Life]time.Time{}
+		pauses := map[string]time.Time{}
 		// leastListed is 0 if a head may be missing, and 1 if none is.
 		setHeads := func(leastListed int) {
 			var heads []registry.Head
@@ -119,20 +129,20 @@
 				if !c.OK {
 					continue
 				}
-				life := c.Head.Life()
-				if end := pauses[life]; now.Before(end) {
-					t.Fatalf("request to %+v %v before the end of its pause", life, end.Sub(now))
+				id := c.Head.ID
+				if end := pauses[id]; now.Before(end) {
+					t.Fatalf("request to %s %v before the end of its pause", id, end.Sub(now))
 				}
-				pool.Done(c.Head.ID)
+				pool.Done(id)
 				switch rapid.IntRange(0, 2).Draw(t, "answer") {
 				case 0:
 					pause := time.Duration(rapid.IntRange(1, 9000).Draw(t, "pause")) * time.Millisecond
-					pool.RecordPause(life, pause, now)
-					pauses[life] = now.Add(pause)
+					pool.RecordPause(id, pause, now)
+					pauses[id] = now.Add(pause)
 				case 1:
-					pool.RecordProgress(c.Head.ID, now)
+					pool.RecordProgress(id, now)
 				default:
-					pool.RecordFull(c.Head.ID, now)
+					pool.RecordFull(id, now)
 				}
 			}
 		}
--- a/internal/routing/balance/pool.go
+++ b/internal/routing/balance/pool.go
@@ -204,7 +204,7 @@
 		if slices.Contains(r.Exclude, h.ID) {
 			continue
 		}
-		pausedUntil := p.backoffs.of(h.Life())
+		pausedUntil := p.backoffs.of(h.ID)
 		if now.Before(pausedUntil) {
 			c.Paused++
 			pauseEnd = earlier(pauseEnd, pausedUntil)
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -367,7 +367,7 @@
 	if answer.Leaving {
 		c.OnLeaving(head)
 	}
-	if answer.RetryAfter > 0 && a.pool.RecordPause(head.Life(), answer.RetryAfter, now) {
+	if answer.RetryAfter > 0 && a.pool.RecordPause(head.ID, answer.RetryAfter, now) {
 		c.OnPause(head, answer.RetryAfter)
 	}
 	switch {
