Ask a head that has left by its registration before its group is released

Within 0.2 s the group is released and the head ordered to join another one, while 3 requests run there (run on, x86-64).

Cause: formation.headLeft took a registered head that joins, or is in no group by its registration, for one that has left. The registration was older than the group.

Ruled out: a late order (the join was the holder's own), a second holder (one term).

Change: such a head, and one that says that its group is broken, is listed in Decision.DepartedHeads. The controller asks it (/-/report) and releases the group once it says that it isn't in it, is broken, or has not finished joining. Until the registration and the reply agree it gets no order. One that doesn't reply is probed by several nodes and waited for like one without a registration. What probes showed counts for one epoch only.

Constant: departedProbeInterval 200 ms, one step of the controller.

Conclusion: the release rests on the head's own word at that time, whatever reports this node has read.

--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -68,7 +68,7 @@
 	loading map[string]load
 	// orderCounts holds the number of orders that each server has accepted.
 	orderCounts map[string]acceptedOrders
-	// probes holds the state of the probes of heads without a registration.
+	// probes holds the state of the probes of heads that may have left their groups.
 	probes map[string]*headProbe
 }
 
@@ -278,7 +278,7 @@
 		decision = d.decide(s, services, view)
 	}
 	d.logSummary(s.Name, decision.Summary)
-	d.probeHeads(ctx, decision.UnregisteredHeads, d.config.Clock.Now())
+	d.probeHeads(ctx, decision, d.config.Clock.Now())
 	d.sendOrders(ctx, decision.Orders)
 	return nil
 }
--- a/internal/fleet/control/head.go
+++ b/internal/fleet/control/head.go
@@ -11,8 +11,8 @@
 	"almondbay.example/serving/event"
 )
 
-// headProbe is what the probes of one head without a registration have shown in the
-// current term. It answers whether the head can no longer have work, which must be known
+// headProbe is what the probes of one head without a registration, or whose registration
+// says that it has left its group, have shown in the current term. It answers whether the head can no longer have work, which must be known
 // before its members join another group.
 //
 // A head that leaves stops listening first and finishes its requests then, so that a
@@ -42,6 +42,9 @@
 	// connection; zero if none did. A head that was silent until then may have been cut
 	// off and may have served.
 	refusedSince time.Time
+	// registered is set if the head has a registration, which says that it has left. The
+	// store may have written it late.
+	registered bool
 	// epoch is that of the group, and memberLeftAt when one of its members obeyed an order to
 	// leave it; zero if none did. Whatever nodes can reach, the group then stands still and
 	// breaks.
@@ -57,6 +60,9 @@
 	// probeInterval is the minimum time between two probes of a head without a
 	// registration.
 	probeInterval = 700 * time.Millisecond
+	// departedProbeInterval is that of a head whose registration says that it has left.
+	// Replies lag by some hundred milliseconds, its members wait, and it is one query.
+	departedProbeInterval = 200 * time.Millisecond
 	// maxProbeGap is the longest time between two probes that still show that the head
 	// was unreachable in between.
 	maxProbeGap = 3 * time.Second
@@ -121,14 +127,23 @@
 	}
 }
 
-// headStopped reports whether a head without a registration is known not to have work. What
-// probes showed before the registration was last there doesn't count.
+// probeOf returns what probes have shown of a head and its group; nil if none did. What
+// they showed before the registration was last there doesn't count. The caller must hold mu.
+func (d *domain) probeOf(r registry.Record) *headProbe {
+	p, ok := d.probes[r.ID]
+	if !ok || p.since.Before(r.MissingSince) || p.epoch != r.Group.Epoch {
+		return nil
+	}
+	return p
+}
+
+// headStopped reports whether a head that was probed is known not to have work of its group.
 func (d *domain) headStopped(r registry.Record) bool {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	p, ok := d.probes[r.ID]
-	return ok && !p.since.Before(r.MissingSince) && p.stopped(d.config)
+	p := d.probeOf(r)
+	return p != nil && p.stopped(d.config)
 }
 
 // headSilent reports whether a head without a registration is silent, and a member is to
@@ -137,8 +152,8 @@
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	p, ok := d.probes[r.ID]
-	return ok && d.config.GroupStall > 0 && !p.since.Before(r.MissingSince) && p.memberLeftAt.IsZero() && p.silent() && p.witnesses >= minWitnesses
+	p := d.probeOf(r)
+	return p != nil && d.config.GroupStall > 0 && p.memberLeftAt.IsZero() && p.silent() && p.witnesses >= minWitnesses
 }
 
 // recordMemberLeft records that a member obeyed an order to leave the group of a head.
@@ -160,20 +175,24 @@
 	clear(d.probes)
 }
 
-// probeHeads probes heads without a registration and orders those that still
-// serve to leave their groups. It doesn't wait for the replies.
-func (d *domain) probeHeads(ctx context.Context, heads []registry.Record, now time.Time) {
+// probeHeads probes the heads that may have left their groups, and orders those without a
+// registration that still serve to leave. It doesn't wait for the replies.
+func (d *domain) probeHeads(ctx context.Context, decision formation.Decision, now time.Time) {
 	listed := map[string]bool{}
-	for _, r := range heads {
-		listed[r.ID] = true
-		if p := d.startProbe(r, now); p != nil {
-			term := d.term
-			d.tasks.Go(func() error {
-				d.probeHead(ctx, r.Server, p, term)
-				return nil
-			})
+	start := func(heads []registry.Record, registered bool) {
+		for _, r := range heads {
+			listed[r.ID] = true
+			if p := d.startProbe(r, registered, now); p != nil {
+				term := d.term
+				d.tasks.Go(func() error {
+					d.probeHead(ctx, r.Server, p, term)
+					return nil
+				})
+			}
 		}
 	}
+	start(decision.UnregisteredHeads, false)
+	start(decision.DepartedHeads, true)
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
@@ -186,39 +205,43 @@
 
 // startProbe marks a head that is due for a probe as being probed. It returns nil if the
 // head isn't due.
-func (d *domain) startProbe(r registry.Record, now time.Time) *headProbe {
+func (d *domain) startProbe(r registry.Record, registered bool, now time.Time) *headProbe {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 
-	p, ok := d.probes[r.ID]
-	if !ok || p.since.Before(r.MissingSince) {
-		p = &headProbe{since: now, heardAt: now, epoch: r.Group.Epoch}
+	p := d.probeOf(r)
+	if p == nil || p.registered != registered {
+		p = &headProbe{since: now, heardAt: now, epoch: r.Group.Epoch, registered: registered}
 		if !r.HeardAt.IsZero() {
 			p.heardAt = r.HeardAt
 		}
 		d.probes[r.ID] = p
 	}
-	if p.probing || now.Sub(p.probedAt) < probeInterval {
+	interval := probeInterval
+	if registered {
+		interval = departedProbeInterval
+	}
+	if p.probing || now.Sub(p.probedAt) < interval {
 		return nil
 	}
 	p.probing = true
 	return p
 }
 
-// probeHead probes one head and orders it to leave its group if it still serves.
+// probeHead probes one head. It orders a head without a registration to leave its group if
+// it still serves; one with a registration finishes its requests first, as soon as its next
+// report is there.
 func (d *domain) probeHead(ctx context.Context, s registry.Server, p *headProbe, term uint64) {
-	probeCtx, cancel := context.WithTimeout(ctx, orderTimeout)
-	result := d.config.ProbeHead(probeCtx, s)
-	cancel()
+	result := d.queryHead(ctx, s, p.registered)
 	now := d.config.Clock.Now()
 	left := len(result.Replies) > 0
 	for _, state := range result.Replies {
-		if serves(s, state) {
+		if serves(s, state) && (!p.registered || state.Group.State != registry.StateJoining) {
 			left = false
 			d.setOrderCount(s, state.Accepted, true)
 		}
 	}
-	if len(result.Replies) > 0 && !left {
+	if len(result.Replies) > 0 && !left && !p.registered {
 		left = d.sendOrder(ctx, formation.Order{
 			Server: s, Operation: formation.OperationLeave, Group: s.Group.Name, Epoch: s.Group.Epoch,
 			Model: s.Model, Reason: "registration gone, head still serves",
@@ -228,13 +251,29 @@
 	defer d.mu.Unlock()
 
 	p.record(result, left, now)
-	event.HeadProbed.Log(d.config.Logger, zap.String("server", s.ID), zap.String("group", s.Group.Name), zap.Int("asked", result.Probed),
+	event.HeadProbed.Log(d.config.Logger, zap.String("server", s.ID), zap.String("group", s.Group.Name), zap.Bool("registered", p.registered), zap.Int("asked", result.Probed),
 		zap.Bool("reached", len(result.Replies) > 0), zap.Int("refused", result.Refused), zap.Int("unclear", result.Unclear),
 		zap.Int("witnesses", result.Witnesses), zap.Bool("left", left),
 		zap.Duration("missingFor", now.Sub(p.since)), zap.Duration("unreachableFor", p.unreachableFor()),
 		zap.Bool("stopped", p.stopped(d.config)))
 }
 
+// queryHead queries the state of a head, first from this node alone if it is registered and
+// thus likely to reply.
+func (d *domain) queryHead(ctx context.Context, s registry.Server, registered bool) ProbeResult {
+	if registered {
+		queryCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+		state, err := d.config.Orders.QueryState(queryCtx, s)
+		cancel()
+		if err == nil {
+			return ProbeResult{Probed: 1, Replies: []State{state}}
+		}
+	}
+	probeCtx, cancel := context.WithTimeout(ctx, orderTimeout)
+	defer cancel()
+	return d.config.ProbeHead(probeCtx, s)
+}
+
 // serves reports whether a reply leaves open that a head is still in its group. A reply
 // that doesn't name the incarnation shows nothing if the head did.
 func serves(s registry.Server, state State) bool {
--- a/internal/fleet/control/head_test.go
+++ b/internal/fleet/control/head_test.go
@@ -171,3 +171,63 @@
 		}
 	}
 }
+
+// statefulOrders accepts all orders; servers answer state queries with the state that is set.
+type statefulOrders struct {
+	*orderRecorder
+	states map[string]control.State
+}
+
+func (o statefulOrders) QueryState(_ context.Context, s registry.Server) (control.State, error) {
+	return o.states[s.ID], nil
+}
+
+// TestLateReportDoesNotReleaseOpenHead guards against members, the head among them, that join
+// another group while the head is open: the store wrote a report late in which the head
+// still joined, or had not joined yet, while a member begins to drain.
+func TestLateReportDoesNotReleaseOpenHead(t *testing.T) {
+	tests := []struct {
+		name string
+		late func(head *registry.Server)
+	}{
+		{"still joining", func(head *registry.Server) { head.Group.State = registry.StateJoining }},
+		{"not yet joined", func(head *registry.Server) { head.Group = registry.Membership{} }},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			orders := statefulOrders{&orderRecorder{sent: make(chan formation.Order, 100)}, map[string]control.State{}}
+			f := newFixtureWith(t, "node", nil, fixtureOptions{orders: orders})
+			f.orders = orders.orderRecorder
+			head, member := openGroup(t, f)
+			orders.states[head.ID] = control.State{Accepted: 2, Incarnation: head.Incarnation, Group: head.Group}
+			late, leaving, spare := *head, *member, engine("c")
+			tt.late(&late)
+			leaving.Draining = true
+			spare.Staged = member.Staged
+			f.register(3, &late, &leaving, spare)
+			f.run(t, time.Second)
+			for _, o := range f.takeOrders() {
+				if o.Server.ID == head.ID {
+					t.Errorf("the open head was ordered to %s group %s on a late report", o.Operation, o.Group)
+				}
+			}
+			f.register(4, head, &leaving, spare)
+			f.run(t, time.Second)
+			closed := false
+			for _, o := range f.takeOrders() {
+				closed = closed || o.Server.ID == head.ID && o.Operation == formation.OperationClose
+			}
+			if !closed {
+				t.Error("the head was not ordered to close once its present report was read")
+			}
+			out := *head
+			out.Group = registry.Membership{}
+			orders.states[head.ID] = control.State{Accepted: 4, Incarnation: head.Incarnation}
+			f.register(5, &out, &leaving, spare)
+			f.run(t, 2*time.Second)
+			if sent := f.takeOrders(); !joinsElsewhere(sent, head) {
+				t.Errorf("%s did not join another group after it said that it left: %+v", head.ID, sent)
+			}
+		})
+	}
+}
--- a/internal/fleet/control/probe_test.go
+++ b/internal/fleet/control/probe_test.go
@@ -34,7 +34,7 @@
 func (d *domain) probeFor(t *testing.T, clock *clockwork.FakeClock, r registry.Record, length time.Duration) {
 	t.Helper()
 	for end := clock.Now().Add(length); !clock.Now().After(end); clock.Advance(probeInterval) {
-		p := d.startProbe(r, clock.Now())
+		p := d.startProbe(r, r.MissingSince.IsZero(), clock.Now())
 		if p == nil {
 			t.Fatal("the head was not due for a probe")
 		}
--- a/internal/fleet/formation/head.go
+++ b/internal/fleet/formation/head.go
@@ -7,7 +7,9 @@
 )
 
 // headLeft reports whether the head of a group is known to have no work of the group. It
-// adds a head whose registration is missing to those that must be probed.
+// adds a head that must be probed to find that out to the decision: one whose registration
+// is missing, and one whose registration says that it has left, which may be older than the
+// group.
 func (p *planner) headLeft(g Group) bool {
 	m := g.Members[0]
 	r, ok := p.records[m.ID]
@@ -16,7 +18,7 @@
 		// It has started again since.
 		return true
 	case !ok || !p.alive(r) || r.Incarnation < m.Incarnation:
-		r = p.unregisteredHead(g, r)
+		r = p.plannedHead(g, r)
 		if p.replaced(r) || p.HeadStopped(r) {
 			return true
 		}
@@ -25,13 +27,23 @@
 			p.orderMemberToLeave(g)
 		}
 		return false
-	case !r.In(g.Name, g.Epoch):
-		return true
+	case saysItLeft(g, r):
+		r = p.plannedHead(g, r)
+		if p.HeadStopped(r) {
+			return true
+		}
+		p.decision.DepartedHeads = append(p.decision.DepartedHeads, r)
+		return false
 	default:
-		return r.Group.State == registry.StateBroken || r.Group.State == registry.StateJoining
+		return false
 	}
 }
 
+// saysItLeft reports whether the registration of a head says that it doesn't serve a group.
+func saysItLeft(g Group, r registry.Record) bool {
+	return !r.In(g.Name, g.Epoch) || r.Group.State == registry.StateBroken || r.Group.State == registry.StateJoining
+}
+
 // replaced reports whether a server that started later is registered at the address of a
 // head: an address is given away only once the server that had it has ended.
 func (p *planner) replaced(head registry.Record) bool {
@@ -58,9 +70,9 @@
 	}
 }
 
-// unregisteredHead returns the record by which the head of a group is probed. The last
+// plannedHead returns the record by which the head of a group is probed. The last
 // registration that this node saw may be older than the group, or there may be none.
-func (p *planner) unregisteredHead(g Group, r registry.Record) registry.Record {
+func (p *planner) plannedHead(g Group, r registry.Record) registry.Record {
 	m := g.Members[0]
 	if r.ID == "" {
 		r.Server = registry.Server{
@@ -77,7 +89,7 @@
 // has finished its requests or CloseTimeout has passed, else at once.
 func (p *planner) orderHeadToLeave(g Group, reason string, finish bool) {
 	r, ok := p.member(g.Members[0])
-	if !ok {
+	if !ok || saysItLeft(g, r) {
 		return
 	}
 	operation := OperationLeave
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -114,8 +114,8 @@
 	// MissingGrace is how long a server whose registration is missing still counts
 	// as registered while the store is unstable.
 	MissingGrace time.Duration
-	// HeadStopped reports whether a head without a registration is known not to have
-	// work.
+	// HeadStopped reports whether a head that was probed is known not to have work of its
+	// group.
 	HeadStopped func(r registry.Record) bool
 	// HeadSilent reports whether a head without a registration has been silent since that
 	// lapsed, so that its group is to be broken by taking a member out.
@@ -143,6 +143,10 @@
 	// UnregisteredHeads lists heads without a registration that must be probed to find
 	// out whether they still have work. Their Group is that of the plan.
 	UnregisteredHeads []registry.Record
+	// DepartedHeads lists heads whose registrations say that they don't serve their
+	// groups, which they must confirm: these may be reports that the store wrote late.
+	// Their Group is that of the plan.
+	DepartedHeads []registry.Record
 }
 
 // Summary counts servers and groups by state, for the log.
--- a/internal/fleet/formation/plan_test.go
+++ b/internal/fleet/formation/plan_test.go
@@ -116,8 +116,9 @@
 	}
 }
 
-// TestGroupReleasedOnlyOnceHeadStopped guards against assigning members to
-// another group while the head of their current group may still serve.
+// TestGroupReleasedOnlyOnceHeadStopped guards against assigning members to another group
+// while the head of their current group may still serve, also if its registration says
+// that it doesn't: the store may have written an older report late.
 func TestGroupReleasedOnlyOnceHeadStopped(t *testing.T) {
 	g := group("small", 7, "a", "b")
 	g.HeadAddress = "10.0.0.1:80"
@@ -129,11 +130,17 @@
 		released     bool
 		orders       []string
 		unregistered int
+		// departed is the number of heads that must confirm that they left.
+		departed int
 	}{
 		{name: "open", head: server("a", in(g, 0, registry.StateOpen)), orders: []string{"leave a"}},
 		{name: "closing", head: server("a", in(g, 0, registry.StateClosing)), orders: []string{"leave a"}},
-		{name: "out of the group", head: server("a"), released: true},
-		{name: "broken", head: server("a", in(g, 0, registry.StateBroken)), released: true},
+		{name: "says that it left", head: server("a"), departed: 1},
+		{name: "says that it is joining, which may be an old report", head: server("a", in(g, 0, registry.StateJoining)), departed: 1},
+		{name: "says that it is broken", head: server("a", in(g, 0, registry.StateBroken)), departed: 1},
+		{name: "in an earlier group by its report", head: server("a", in(group("small", 6, "a", "c"), 0, registry.StateOpen)), departed: 1},
+		{name: "out of the group, confirmed", head: server("a"), stopped: true, released: true},
+		{name: "broken, confirmed", head: server("a", in(g, 0, registry.StateBroken)), stopped: true, released: true},
 		{name: "other incarnation", head: server("a", func(r *registry.Record) { r.Incarnation = 2 }), released: true},
 		{name: "older incarnation, since this node reads late", head: server("a", in(g, 0, registry.StateOpen), func(r *registry.Record) { r.Incarnation = 0 }), unregistered: 1},
 		{name: "last registered before it joined, missing", head: server("a", missing), unregistered: 1},
@@ -155,7 +162,10 @@
 			if len(d.UnregisteredHeads) != tt.unregistered {
 				t.Fatalf("got unregistered heads %v, want %d", d.UnregisteredHeads, tt.unregistered)
 			}
-			for _, r := range d.UnregisteredHeads {
+			if len(d.DepartedHeads) != tt.departed {
+				t.Fatalf("got departed heads %v, want %d", d.DepartedHeads, tt.departed)
+			}
+			for _, r := range append(d.UnregisteredHeads, d.DepartedHeads...) {
 				if r.ID != "a" || !r.In(g.Name, g.Epoch) || r.Incarnation != 1 || r.Address != tt.head.Address && r.Address != g.HeadAddress {
 					t.Errorf("got head %+v to probe, want a as planned", r)
 				}
--- a/internal/fleet/formation/simulation_test.go
+++ b/internal/fleet/formation/simulation_test.go
@@ -21,8 +21,13 @@
 	accepted uint64
 	// joinAt is the step at which the current join completes.
 	joinAt int
+	// reports holds what the server reported in the last lateSteps steps.
+	reports []registry.Server
 }
 
+// lateSteps is how late the store may perform the write of a report.
+const lateSteps = 60
+
 // pendingOrder is an order in transit.
 type pendingOrder struct {
 	formation.Order
@@ -46,6 +51,8 @@
 	ready map[string]bool
 	// members holds the member IDs of each group by rank.
 	members map[string][]string
+	// lateReports is set if the controller may read a report that the store wrote late.
+	lateReports bool
 }
 
 func (s *simulation) time() time.Time { return noon.Add(time.Duration(s.now) * 100 * time.Millisecond) }
@@ -55,13 +62,19 @@
 	v.Now = s.time()
 	for _, e := range s.ordered {
 		r := registry.Record{Server: e.Server, SeenAt: noon.Add(-time.Minute), ChangedAt: s.time()}
+		if s.lateReports && len(e.reports) > 0 && s.random.IntN(10) == 0 {
+			r.Server = e.reports[s.random.IntN(len(e.reports))]
+		}
 		if !e.alive || e.partitioned {
 			r.MissingSince = s.time().Add(-time.Minute)
 		}
 		v.Servers.Servers = append(v.Servers.Servers, r)
 	}
 	// A head that is partitioned from the store can still be probed.
-	v.HeadStopped = func(r registry.Record) bool { return !s.engines[r.ID].alive }
+	v.HeadStopped = func(r registry.Record) bool {
+		e := s.engines[r.ID]
+		return !e.alive || !e.In(r.Group.Name, r.Group.Epoch) || e.Group.State == registry.StateJoining
+	}
 	return v
 }
 
@@ -134,6 +147,8 @@
 func (s *simulation) step() {
 	s.now++
 	for _, e := range s.ordered {
+		e.reports = append(e.reports, e.Server)
+		e.reports = e.reports[max(0, len(e.reports)-lateSteps):]
 		if e.Group.State == registry.StateJoining && s.now >= e.joinAt {
 			e.Group.State = registry.StateReady
 			s.ready[fmt.Sprint(e.Group.Name, e.Group.Epoch, e.ID)] = true
@@ -199,11 +214,23 @@
 // groups and a head that serves an incomplete group. Servers crash, restart,
 // lose the connection to the store and execute orders late.
 func TestInvariantsHoldUnderRandomFaults(t *testing.T) {
+	playSeeds(t, false)
+}
+
+// TestInvariantsHoldUnderLateReports guards against the same if the controller reads reports
+// of its servers that are seconds old, of an ended life too, as after a late write of the
+// store.
+func TestInvariantsHoldUnderLateReports(t *testing.T) {
+	playSeeds(t, true)
+}
+
+// playSeeds plays the simulation with many seeds.
+func playSeeds(t *testing.T, lateReports bool) {
 	for seed := range uint64(60) {
 		t.Run(fmt.Sprint(seed), func(t *testing.T) {
 			s := &simulation{
 				t: t, random: rand.New(rand.NewPCG(seed, 1)), engines: map[string]*engine{},
-				ready: map[string]bool{}, members: map[string][]string{},
+				ready: map[string]bool{}, members: map[string][]string{}, lateReports: lateReports,
 			}
 			for i := range 10 {
 				id := fmt.Sprintf("s%d", i)
--- a/internal/node/explain/explain.go
+++ b/internal/node/explain/explain.go
@@ -300,7 +300,7 @@
 		if r, ok := last(eventGroupReleased); ok {
 			return fmt.Sprintf("a head stalled; its group %s was released: %s", r.Get("group"), r.Get("reason"))
 		}
-		if p, ok := last(eventHeadProbed); ok && p.Get("reached") == "false" {
+		if p, ok := last(eventHeadProbed); ok && p.Get("reached") == "false" && p.Get("registered") != "true" {
 			return fmt.Sprintf("head %s stalled; its registration was missing and no node could reach it", p.Get("server"))
 		}
 		return "a head stalled; no group of the tried heads was released near that time"
--- a/internal/node/explain/explain_test.go
+++ b/internal/node/explain/explain_test.go
@@ -20,7 +20,7 @@
 	heads    = `{"ts":90.0,"msg":"heads changed","event":951,"service":"llm","model":"large","heads":2}`
 	old      = `{"ts":80.0,"msg":"heads changed","event":951,"service":"llm","model":"large","heads":5}`
 	later    = `{"ts":100.5,"msg":"heads changed","event":951,"service":"llm","model":"large","heads":0}`
-	probed   = `{"ts":104.0,"msg":"unregistered head probed","event":955,"server":"head","reached":false}`
+	probed   = `{"ts":104.0,"msg":"head probed","event":955,"server":"head","reached":false}`
 	small    = `{"ts":95.0,"msg":"heads changed","event":951,"service":"llm","model":"small","heads":9}`
 )
 
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -258,9 +258,9 @@
 		Action:  noAction,
 	}
 	HeadProbed = Definition{
-		Number: 955, Level: zapcore.InfoLevel, Message: "unregistered head probed",
-		Fields:  []string{"server", "group", "asked", "reached", "refused", "unclear", "witnesses", "left", "missingFor", "unreachableFor", "stopped"},
-		Meaning: "Several nodes probed a head that is no longer registered, to find out whether it still has work before its members may join another group; asked is the number of nodes that probed it, refused the number of those whose connection its address refused, unclear the number of those to which it reacted in another way, and witnesses the number of those that got no reaction but reached another server of its failure domain. A head counts as stopped once it says that it has left, has started again, or has accepted nothing new for ten seconds.",
+		Number: 955, Level: zapcore.InfoLevel, Message: "head probed",
+		Fields:  []string{"server", "group", "registered", "asked", "reached", "refused", "unclear", "witnesses", "left", "missingFor", "unreachableFor", "stopped"},
+		Meaning: "A head was probed to find out whether it still has work before its members may join another group. If it is registered, its registration says that it has left the group, which it must confirm; if not, several nodes probe it. asked is the number of nodes that probed it, refused the number of those whose connection its address refused, unclear the number of those to which it reacted in another way, and witnesses the number of those that got no reaction but reached another server of its failure domain. A head counts as stopped once it says that it has left, has started again, or has accepted nothing new for ten seconds.",
 		Action:  noAction,
 	}
 )
--- a/spec/head.pml
+++ b/spec/head.pml
@@ -1,5 +1,6 @@
 /*
- * When the members of a head without a registration may join another group.
+ * When the members of a head may join another group that has no registration, or whose
+ * registration says that it has left its group.
  *
  * The head serves, then leaves without an announcement: it stops listening, works on what
  * it has accepted for up to MAX_WORK ticks, and ends. It may crash at any time and start
@@ -16,6 +17,10 @@
  * Once the head has ended, another server may be given its address. A write of the entry of
  * the server that had the address before the head may be performed late, at any time.
  *
+ * The head may leave its group after a close, and says so in its registration. The store may
+ * write an older report late, from before the head joined, so that a head that serves seems
+ * to have left; the next report corrects that. The holder asks the head.
+ *
  * If the head is silent, the holder may order a member to leave the group, which then stands
  * still and is broken after STALL ticks.
  *
@@ -29,6 +34,7 @@
  * mutant: -DBROKEN_AT_ONCE
  * mutant: -DPARTITION_IGNORED
  * mutant: -DANY_ENTRY_AT_ADDRESS
+ * mutant: -DLATE_REPORT_BELIEVED
  */
 
 #define MAX_WORK 4
@@ -40,11 +46,12 @@
 #define WAIT 6
 #endif
 
-mtype = { serving, finishing, ended, restarted };
+mtype = { serving, finishing, ended, restarted, left };
 
 mtype head = serving;
 byte work = MAX_WORK;     /* ticks that the head may work after it has stopped listening */
 bool registered = true;
+bool lateReport;          /* the registration is an older report, from before it joined */
 bool cut;
 byte cutLeft;
 byte cuts;
@@ -111,6 +118,8 @@
 	:: atomic { head == serving && !registered -> registered = true; forget() }
 	:: atomic { !cut && cuts < MAX_CUTS -> cut = true; cutLeft = CUT; cuts++ }
 	:: atomic { cut -> cut = false }
+	:: atomic { head == serving && registered -> head = left; lateReport = false }
+	:: atomic { head == serving && registered -> lateReport = !lateReport }
 	:: atomic { partitioned = !partitioned }
 	:: atomic { !entryAtAddress -> entryAtAddress = true; startedLater = false }
 	:: atomic { head == ended -> entryAtAddress = true; startedLater = true }
@@ -134,6 +143,16 @@
 	do
 	:: released -> break
 	:: atomic { !released && registered && head == restarted -> release() }
+	:: atomic {
+		!released && registered && (lateReport || head == left) ->
+		if
+#ifdef LATE_REPORT_BELIEVED
+		:: release()
+#endif
+		:: head == left && !cut && !partitioned -> release()
+		:: else /* The head says that it serves, or isn't reached. */
+		fi
+	}
 	:: atomic {
 		!released && !registered && entryAtAddress ->
 		if
