Release a group without a question where the order of reports shows that its head left

Change: reports are in order now, so a node that has read one of the head as a ready or serving member, and then one with a higher number out of the group (or of a broken group), has the head's own word. Only without that, as with a node that has just started or a report without a number, is the head asked.

Tests: TestHeadHasLeftByLaterReport, and five cases of TestGroupReleasedOnlyOnceHeadStopped.

--- a/internal/fleet/formation/head.go
+++ b/internal/fleet/formation/head.go
@@ -8,7 +8,7 @@
 
 // headLeft reports whether the head of a group is known to have no work of the group. It
 // adds a head that must be probed to find that out to the decision: one whose registration
-// is missing, and one whose registration says that it has left, which may be older than the
+// is missing, and one whose registration says that it has left but may be older than the
 // group.
 func (p *planner) headLeft(g Group) bool {
 	m := g.Members[0]
@@ -27,6 +27,8 @@
 			p.orderMemberToLeave(g)
 		}
 		return false
+	case r.HasLeft(g.Name, g.Epoch):
+		return true
 	case saysItLeft(g, r):
 		r = p.plannedHead(g, r)
 		if p.HeadStopped(r) {
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -144,7 +144,8 @@
 	// out whether they still have work. Their Group is that of the plan.
 	UnregisteredHeads []registry.Record
 	// DepartedHeads lists heads whose registrations say that they don't serve their
-	// groups, which they must confirm: these may be reports that the store wrote late.
+	// groups, which they must confirm: this node has read no report of theirs as members,
+	// so that the registration may be one that the store wrote late.
 	// Their Group is that of the plan.
 	DepartedHeads []registry.Record
 }
--- a/internal/fleet/formation/plan_test.go
+++ b/internal/fleet/formation/plan_test.go
@@ -49,6 +49,14 @@
 	return func(r *registry.Record) { r.Staged = []string{model} }
 }
 
+// ordered gives a server's report a number.
+func ordered(r *registry.Record) { r.Sequence = 9 }
+
+// served has a server reported as a ready member of a group with an epoch.
+func served(epoch uint64) func(*registry.Record) {
+	return func(r *registry.Record) { r.ServedEpoch = epoch }
+}
+
 // missing removes a server's registration.
 func missing(r *registry.Record) { r.MissingSince = noon.Add(-time.Second) }
 
@@ -139,6 +147,11 @@
 		{name: "says that it is joining, which may be an old report", head: server("a", in(g, 0, registry.StateJoining)), departed: 1},
 		{name: "says that it is broken", head: server("a", in(g, 0, registry.StateBroken)), departed: 1},
 		{name: "in an earlier group by its report", head: server("a", in(group("small", 6, "a", "c"), 0, registry.StateOpen)), departed: 1},
+		{name: "out of the group, by a later report than one as a member", head: server("a", ordered, served(7)), released: true},
+		{name: "broken, by a later report than one as a member", head: server("a", in(g, 0, registry.StateBroken), ordered, served(7)), released: true},
+		{name: "joining, by a later report than one as a member", head: server("a", in(g, 0, registry.StateJoining), ordered, served(7)), departed: 1},
+		{name: "out of the group, read as a member of an earlier one only", head: server("a", ordered, served(6)), departed: 1},
+		{name: "out of the group, without a number of its report", head: server("a", served(7)), departed: 1},
 		{name: "out of the group, confirmed", head: server("a"), stopped: true, released: true},
 		{name: "broken, confirmed", head: server("a", in(g, 0, registry.StateBroken)), stopped: true, released: true},
 		{name: "other incarnation", head: server("a", func(r *registry.Record) { r.Incarnation = 2 }), released: true},
--- a/internal/fleet/registry/cache.go
+++ b/internal/fleet/registry/cache.go
@@ -205,9 +205,12 @@
 	if !known || changed(old, *u.Server) {
 		c.generation++
 	}
-	seenAt := now
+	seenAt, servedEpoch := now, uint64(0)
 	if known && old.Incarnation == u.Server.Incarnation {
-		seenAt = old.SeenAt
+		seenAt, servedEpoch = old.SeenAt, old.ServedEpoch
+	}
+	if u.Server.Group.Ready() {
+		servedEpoch = max(servedEpoch, u.Server.Group.Epoch)
 	}
 	c.ordered = nil
 	life := u.Server.Life()
@@ -220,7 +223,7 @@
 	if leaving {
 		c.leaving[life] = now
 	}
-	c.records[u.ID] = Record{Server: *u.Server, Version: u.Version, SeenAt: seenAt, ChangedAt: now, Leaving: leaving}
+	c.records[u.ID] = Record{Server: *u.Server, Version: u.Version, SeenAt: seenAt, ChangedAt: now, ServedEpoch: servedEpoch, Leaving: leaving}
 }
 
 // lastHeartbeat returns the latest time at which a server may have renewed a registration
--- a/internal/fleet/registry/cache_test.go
+++ b/internal/fleet/registry/cache_test.go
@@ -178,6 +178,48 @@
 	}
 }
 
+// TestHeadHasLeftByLaterReport guards against a head that counts as one that left its group
+// by a report from before it joined: only one that is newer than a report as a member shows it.
+func TestHeadHasLeftByLaterReport(t *testing.T) {
+	at := func(sequence uint64, state registry.GroupState) *registry.Server {
+		s := member("a", 0, state)
+		s.Sequence = sequence
+		if state == "" {
+			s.Group = registry.Membership{}
+		}
+		return s
+	}
+	restarted := at(1, "")
+	restarted.Incarnation = 2
+	tests := []struct {
+		name    string
+		reports []*registry.Server
+		want    bool
+	}{
+		{"read before it joined only", []*registry.Server{at(3, "")}, false},
+		{"read as it joined, then out of it", []*registry.Server{at(3, registry.StateJoining), at(4, "")}, false},
+		{"ready, then out of it", []*registry.Server{at(4, registry.StateReady), at(6, "")}, true},
+		{"open, then broken", []*registry.Server{at(5, registry.StateOpen), at(6, registry.StateBroken)}, true},
+		{"open, then a late report from before it joined", []*registry.Server{at(5, registry.StateOpen), at(2, "")}, false},
+		{"open, then started again", []*registry.Server{at(5, registry.StateOpen), restarted}, false},
+		{"open", []*registry.Server{at(5, registry.StateOpen)}, false},
+		{"no numbers", []*registry.Server{at(0, registry.StateOpen), at(0, "")}, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			c := newCache()
+			for i, s := range tt.reports {
+				version := uint64(i + 1)
+				c.Apply([]registry.Update{{ID: "a", Version: version, Server: s}}, version, noon)
+			}
+			r, _ := c.View(noon).Find("a")
+			if got := r.HasLeft("g", 3); got != tt.want {
+				t.Errorf("head has left its group: got %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestNodeThatStartsLearnsOfRemoval guards against requests to a server that is gone from a
 // node that did not see it leave: its peer tells of the last report.
 func TestNodeThatStartsLearnsOfRemoval(t *testing.T) {
--- a/internal/fleet/registry/server.go
+++ b/internal/fleet/registry/server.go
@@ -94,6 +94,11 @@
 	return slices.Contains(s.Staged, model)
 }
 
+// Ready reports whether the server has joined a group that isn't broken.
+func (m Membership) Ready() bool {
+	return m.State == StateReady || m.State == StateOpen || m.State == StateClosing
+}
+
 // Record is a registration with the times at which this node observed it.
 type Record struct {
 	Server
@@ -103,6 +108,10 @@
 	SeenAt time.Time
 	// ChangedAt is when this node observed Version.
 	ChangedAt time.Time
+	// ServedEpoch is the highest epoch of a group in which this incarnation of the server
+	// reported that it was ready or served; zero if this node read no such report. Reports
+	// are ordered, so that the registration is not older than that report.
+	ServedEpoch uint64
 	// Leaving is set once the server said in an answer to this node that it is about
 	// to shut down.
 	Leaving bool
@@ -113,3 +122,10 @@
 	// row was deleted since; zero while the row exists.
 	HeardAt time.Time
 }
+
+// HasLeft reports whether the server is known to have left a group, or the group to be
+// broken, by a report that is newer than one in which it was a ready member.
+func (r Record) HasLeft(group string, epoch uint64) bool {
+	ordered := r.Incarnation != 0 && r.Sequence != 0
+	return ordered && r.ServedEpoch >= epoch && (!r.In(group, epoch) || r.Group.State == StateBroken)
+}
