Ask a server that started again which of its runs said that it is leaving

Cause: what a server says of its departure was kept for the run that was registered then. A later run that leaves before its first registration is read says so under the earlier run's name, and is sent requests once it registers.

Change: a run that registers after an earlier one of the ID was heard to be leaving is in doubt and sent no requests until it answers a state query; it is leaving if the answer says so. An answer with another status counts too (control.StatusError), as servers of plain services may give no report. Doubt ends after 30 s without an answer, when a server that leaves has ended.

Tests: in TestLeavingBelongsToRunOfServer "server restarts" asked that the later run is sent requests at once. In its place: none until it has answered, none if it says so again, none on the word of the earlier run, all once it answers without it, and no doubt for good. The old code fails it ("heads: got p, want none").

--- a/internal/fleet/control/controller.go
+++ b/internal/fleet/control/controller.go
@@ -7,6 +7,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -45,6 +46,18 @@
 // that was asked is no longer at its address.
 var ErrOtherServer = errors.New("another server answered")
 
+// StatusError reports a server that answered a state query with an unexpected status.
+type StatusError struct {
+	Server string
+	Status int
+	// Leaving is set when the server states that it is about to shut down.
+	Leaving bool
+}
+
+func (e *StatusError) Error() string {
+	return fmt.Sprintf("query state of server %q: status %d", e.Server, e.Status)
+}
+
 // Orders sends orders and state queries to backend servers.
 type Orders interface {
 	// Send sends one order and returns the HTTP status of the reply, zero without
--- a/internal/fleet/registry/cache.go
+++ b/internal/fleet/registry/cache.go
@@ -55,6 +55,8 @@
 	// leaving holds the servers that said that they are about to shut down, with the
 	// time at which they last said so or were registered.
 	leaving map[Life]time.Time
+	// doubts holds the runs of servers that are in doubt, with the time since when.
+	doubts map[Life]time.Time
 	// generation is incremented on every change that may affect routing.
 	generation uint64
 	// ordered holds the records in the order of their IDs; nil after a change. Views
@@ -64,7 +66,7 @@
 
 // NewCache returns an empty cache.
 func NewCache(c CacheConfig) *Cache {
-	return &Cache{config: c, records: map[string]Record{}, leaving: map[Life]time.Time{}}
+	return &Cache{config: c, records: map[string]Record{}, leaving: map[Life]time.Time{}, doubts: map[Life]time.Time{}}
 }
 
 // Replace applies a full list of registrations. Servers that aren't in the list
@@ -103,7 +105,8 @@
 
 // RecordLeaving records that a server said that it is about to shut down. That holds
 // for this run of the server, whatever its registration says. It reports whether that
-// is news.
+// is news. An answer doesn't name the run, so that it may be of one which isn't registered
+// yet: the next run that registers is in doubt.
 func (c *Cache) RecordLeaving(life Life, now time.Time) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -120,6 +123,48 @@
 	return !known
 }
 
+// ConfirmServing records that a run of a server answered without saying that it is about to
+// shut down.
+func (c *Cache) ConfirmServing(life Life) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	c.endDoubt(life)
+}
+
+// endDoubt lets a run of a server that was in doubt count as serving. The caller must hold
+// mu.
+func (c *Cache) endDoubt(life Life) {
+	delete(c.doubts, life)
+	if r, ok := c.records[life.ID]; ok && r.Life() == life && r.Doubtful {
+		r.Doubtful = false
+		c.records[life.ID] = r
+		c.ordered = nil
+		c.generation++
+	}
+}
+
+// doubtTimeout is how long a run of a server stays in doubt that doesn't answer. One that is
+// about to shut down has ended by then.
+const doubtTimeout = 30 * time.Second
+
+// InDoubt returns the registered servers that must be asked whether they are about to shut
+// down.
+func (c *Cache) InDoubt(now time.Time) []Server {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	var servers []Server
+	for life, since := range c.doubts {
+		if r, ok := c.records[life.ID]; ok && r.Life() == life && now.Sub(since) <= doubtTimeout {
+			servers = append(servers, r.Server)
+			continue
+		}
+		c.endDoubt(life)
+	}
+	return servers
+}
+
 // leavingRetention is how long a server that said that it is about to shut down is
 // remembered after it was last registered.
 const leavingRetention = 10 * time.Minute
@@ -223,7 +268,11 @@
 	if leaving {
 		c.leaving[life] = now
 	}
-	c.records[u.ID] = Record{Server: *u.Server, Version: u.Version, SeenAt: seenAt, ChangedAt: now, ServedEpoch: servedEpoch, Leaving: leaving}
+	if _, said := c.leaving[old.Life()]; said && known && old.Life() != life && !leaving {
+		c.doubts[life] = now
+	}
+	_, doubtful := c.doubts[life]
+	c.records[u.ID] = Record{Server: *u.Server, Version: u.Version, SeenAt: seenAt, ChangedAt: now, ServedEpoch: servedEpoch, Leaving: leaving, Doubtful: doubtful}
 }
 
 // lastHeartbeat returns the latest time at which a server may have renewed a registration
--- a/internal/fleet/registry/cache_test.go
+++ b/internal/fleet/registry/cache_test.go
@@ -239,8 +239,9 @@
 }
 
 // TestLeavingBelongsToRunOfServer guards against requests to a server that said that it
-// is about to shut down: neither a registration that says otherwise nor a snapshot
-// that is read again brings it back, and only a restart does.
+// is about to shut down: neither a registration that says otherwise nor a snapshot that is
+// read again brings it back. A restart does, but only once the new run has answered that it
+// isn't leaving: it may have been the one that said so, before it was registered.
 func TestLeavingBelongsToRunOfServer(t *testing.T) {
 	server := func(incarnation int64, slots int) *registry.Server {
 		return &registry.Server{ID: "p", Service: "plain", Slots: slots, Incarnation: incarnation}
@@ -268,9 +269,38 @@
 		}, nil},
 		{"server restarts", func(c *registry.Cache) {
 			c.Apply([]registry.Update{{ID: "p", Version: 2, Server: server(2, 6)}}, 2, noon)
+			if asked := c.InDoubt(noon); len(asked) != 1 || asked[0].Incarnation != 2 {
+				t.Errorf("got servers in doubt %+v, want the second run", asked)
+			}
+		}, nil},
+		{"server restarts, lapses and is back", func(c *registry.Cache) {
+			c.Apply([]registry.Update{{ID: "p", Version: 2, Server: server(2, 6)}}, 2, noon)
+			c.Replace(nil, 3, noon)
+			c.Replace([]registry.Update{{ID: "p", Version: 4, Server: server(2, 6)}}, 4, noon)
+		}, nil},
+		{"server restarts and isn't leaving", func(c *registry.Cache) {
+			c.Apply([]registry.Update{{ID: "p", Version: 2, Server: server(2, 6)}}, 2, noon)
+			c.ConfirmServing(registry.Life{ID: "p", Incarnation: 2})
+			c.Apply([]registry.Update{{ID: "p", Version: 3, Server: server(2, 7)}}, 3, noon)
+		}, []string{"p"}},
+		{"server restarts, and the earlier run isn't leaving", func(c *registry.Cache) {
+			c.Apply([]registry.Update{{ID: "p", Version: 2, Server: server(2, 6)}}, 2, noon)
+			c.ConfirmServing(registry.Life{ID: "p", Incarnation: 1})
+		}, nil},
+		{"server restarts and is leaving", func(c *registry.Cache) {
+			c.Apply([]registry.Update{{ID: "p", Version: 2, Server: server(2, 6)}}, 2, noon)
+			c.RecordLeaving(registry.Life{ID: "p", Incarnation: 2}, noon)
+			c.ConfirmServing(registry.Life{ID: "p", Incarnation: 2})
+		}, nil},
+		{"server restarts and doesn't answer for a minute", func(c *registry.Cache) {
+			c.Apply([]registry.Update{{ID: "p", Version: 2, Server: server(2, 6)}}, 2, noon)
+			if asked := c.InDoubt(noon.Add(time.Minute)); len(asked) != 0 {
+				t.Errorf("got servers in doubt %+v after a minute, want none", asked)
+			}
 		}, []string{"p"}},
 		{"older registration after the restart", func(c *registry.Cache) {
 			c.Apply([]registry.Update{{ID: "p", Version: 3, Server: server(2, 6)}}, 3, noon)
+			c.ConfirmServing(registry.Life{ID: "p", Incarnation: 2})
 			c.Apply([]registry.Update{{ID: "p", Version: 2, Server: server(1, 6)}}, 3, noon)
 		}, []string{"p"}},
 	}
--- a/internal/fleet/registry/head.go
+++ b/internal/fleet/registry/head.go
@@ -54,9 +54,9 @@
 	return heads
 }
 
-// serves reports whether a server is registered and not about to shut down.
+// serves reports whether a server is registered and known not to be about to shut down.
 func serves(v View, r Record, now time.Time, grace time.Duration) bool {
-	return !r.Draining && !r.Leaving && !v.Missing(r, now, grace)
+	return !r.Draining && !r.Leaving && !r.Doubtful && !v.Missing(r, now, grace)
 }
 
 // newHead returns the head that a record describes.
--- a/internal/fleet/registry/server.go
+++ b/internal/fleet/registry/server.go
@@ -115,6 +115,9 @@
 	// Leaving is set once the server said in an answer to this node that it is about
 	// to shut down.
 	Leaving bool
+	// Doubtful is set while it isn't known which run of the server said that it is about to
+	// shut down: this one or the one that was registered then.
+	Doubtful bool
 	// MissingSince is when this node observed that the row was deleted; zero while
 	// the row exists.
 	MissingSince time.Time
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -86,12 +86,15 @@
 	handler       *ingress.Handler
 	losses        *quarantine.Tracker
 	suspects      *suspects
-	// checks are the calls to heads that may have ended.
-	checks     errgroup.Group
-	controller *control.Controller
-	eventLog   *eventLog
-	watch      *stepWatch
-	store      *instrumentedStore
+	// checks are the calls to heads that may have ended, and to servers in doubt.
+	checks errgroup.Group
+	// doubtsAskedAt is when servers in doubt were last asked. It is used only by the loop
+	// that runs sendReport.
+	doubtsAskedAt time.Time
+	controller    *control.Controller
+	eventLog      *eventLog
+	watch         *stepWatch
+	store         *instrumentedStore
 	// lastSent and collector are used only by the loop that runs sendReport.
 	lastSent sentReport
 	// collector is the name of the node that this one reports to; empty if the nodes of
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -113,6 +113,7 @@
 		})
 		n.watch.run("refresh of heads", n.refreshHeads)
 		n.watch.run("match of losses", func() { n.matchLosses(ctx, now) })
+		n.watch.run("questions to servers in doubt", func() { n.askInDoubt(ctx, now) })
 		return n.sendReport(ctx)
 	})
 	n.addLoop(g, every(demandInterval), n.sampleDemand)
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -287,7 +287,7 @@
 	ServerLeaving = Definition{
 		Number: 958, Level: zapcore.InfoLevel, Message: "backend server leaving",
 		Fields:  []string{"server", "incarnation"},
-		Meaning: "A backend server said in an answer to this node that it is about to shut down. The node sends it no new requests until it has restarted, whatever its registration says.",
+		Meaning: "A backend server said in an answer to this node that it is about to shut down. The node sends it no new requests until it has restarted and no longer says so (961), whatever its registration says.",
 		Action:  noAction,
 	}
 	ServerPaused = Definition{
@@ -298,6 +298,14 @@
 	}
 )
 
+// ServerServing is logged by each node that had heard that a server is leaving.
+var ServerServing = Definition{
+	Number: 961, Level: zapcore.InfoLevel, Message: "backend server not leaving",
+	Fields:  []string{"server", "incarnation"},
+	Meaning: "A backend server that had said that it is about to shut down (958) has started again, and says no more that it is. The node sends it requests again.",
+	Action:  noAction,
+}
+
 // LateReportIgnored is logged by each node that reads a late report.
 var LateReportIgnored = Definition{
 	Number: 960, Level: zapcore.InfoLevel, Message: "late report of a backend server ignored",
@@ -344,5 +352,5 @@
 		RequestEnded, RequestsCounted, ConfigurationInForce, ConfigurationUnreadable, SettingsReloaded, ReadinessChanged, DatagramFailed,
 		HTTPErrorReported, CollectorChosen, RequestQuarantined, QuarantineWithdrawn,
 	}},
-	{"Backend servers", []Definition{HeadsChanged, GroupPlanned, GroupReleased, OrderSent, HeadProbed, FleetCounted, ServerEnded, ServerLeaving, ServerPaused, LateReportIgnored}},
+	{"Backend servers", []Definition{HeadsChanged, GroupPlanned, GroupReleased, OrderSent, HeadProbed, FleetCounted, ServerEnded, ServerLeaving, ServerPaused, LateReportIgnored, ServerServing}},
 }
