Acquit a request of crashing servers only by a run that went through

Cause: relayBuffered counted each signed answer of a server that lives as proof, and all nodes were told.

Ruled out: the evidence itself (without the 500 three servers end, no more), and the time that evidence counts.

Change: request.recordRun decides for answers and streams alike: a signed 2xx, read to its end, of a server that lives, to a request whose body had been handed to the connection whole (backend.AnsweredEarly). A 4xx, a 5xx or a redirection proves nothing.

Tests: TestOnlyCompletedRunAcquits failed before in 7 of 11 cases ("counts as a run that went through: true, want false"); TestAnswerBeforeBodyIsToldApart is new.

Conclusion: what is told to other nodes comes from the same place, so nothing else acquits.

--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -208,10 +208,18 @@
 		cancel(nil)
 		return nil, &SentError{Address: r.Address, Err: errSwitched}
 	}
-	response.Body = &body{ReadCloser: response.Body, cancel: cancel}
+	content, ok := request.Body.(*onceBody)
+	response.Body = &body{ReadCloser: response.Body, cancel: cancel, early: ok && !content.sent.Load()}
 	return response, nil
 }
 
+// AnsweredEarly reports whether a response that Attempt returned had come before the whole
+// body of its request was handed to the connection.
+func AnsweredEarly(response *http.Response) bool {
+	b, ok := response.Body.(*body)
+	return ok && b.early
+}
+
 // errMergedHead reports a response whose head has a second status line in it.
 var errMergedHead = errors.New("head of the response has the beginning of another response in it")
 
@@ -310,6 +318,8 @@
 type body struct {
 	io.ReadCloser
 	cancel context.CancelCauseFunc
+	// early is set if the response came before the whole body of the request was sent.
+	early bool
 }
 
 // Close implements io.Closer.
@@ -333,7 +343,9 @@
 		// leading slashes net/http would send it as an absolute URL.
 		target = &url.URL{Scheme: "http", Host: r.Address, Opaque: r.Target}
 	}
-	var content io.ReadCloser = &onceBody{remaining: r.Body}
+	once := &onceBody{remaining: r.Body}
+	once.sent.Store(len(r.Body) == 0)
+	var content io.ReadCloser = once
 	if len(r.Body) == 0 && !retriedByTransport(r.Method) {
 		content = http.NoBody
 	}
@@ -395,6 +407,8 @@
 // onceBody is a request body that can be read once and cannot be rewound.
 type onceBody struct {
 	remaining []byte
+	// sent is set once all of it was read.
+	sent atomic.Bool
 }
 
 // Read implements io.Reader.
@@ -404,6 +418,9 @@
 	}
 	n := copy(p, b.remaining)
 	b.remaining = b.remaining[n:]
+	if len(b.remaining) == 0 {
+		b.sent.Store(true)
+	}
 	return n, nil
 }
 
--- a/internal/routing/backend/client_test.go
+++ b/internal/routing/backend/client_test.go
@@ -174,6 +174,48 @@
 	}
 }
 
+// TestAnswerBeforeBodyIsToldApart guards against an answer that counts as one to a request
+// whose body the server can't have read.
+func TestAnswerBeforeBodyIsToldApart(t *testing.T) {
+	const unsentBytes = 64 << 20 // exceeds all buffers of a loopback connection
+	release := make(chan struct{})
+	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Id", r.Header.Get("Id"))
+		if r.Header.Get("Early") == "" {
+			_, _ = io.Copy(io.Discard, r.Body)
+			return
+		}
+		_ = http.NewResponseController(w).EnableFullDuplex()
+		w.WriteHeader(http.StatusOK)
+		_ = http.NewResponseController(w).Flush()
+		<-release
+	}))
+	defer s.Close()
+	defer close(release)
+	for name, early := range map[string]bool{"after the body": false, "before it": true} {
+		t.Run(name, func(t *testing.T) {
+			header := http.Header{"Id": {name}}
+			body := []byte("body")
+			if early {
+				header.Set("Early", "1")
+				body = make([]byte, unsentBytes)
+			}
+			var d boundedtest.Dialer
+			response, err := newClient(&d).Attempt(t.Context(), backend.Request{
+				ID: name, Address: s.Listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h", Header: header, Body: body,
+				Accept: func(int, http.Header) (bool, error) { return false, nil },
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			if got := backend.AnsweredEarly(response); got != early {
+				t.Errorf("answered early: %v, want %v", got, early)
+			}
+			_ = response.Body.Close()
+		})
+	}
+}
+
 // TestConnectionIsReused guards against a connection for each request, or requests
 // that wait, where backend servers send nothing but their responses.
 func TestConnectionIsReused(t *testing.T) {
--- a/internal/routing/ingress/blame_test.go
+++ b/internal/routing/ingress/blame_test.go
@@ -93,6 +93,47 @@
 	}
 }
 
+// TestOnlyCompletedRunAcquits guards against a request that ends servers and is sent on since
+// another server answered it without having run it: with an error of its own, or a rejection.
+func TestOnlyCompletedRunAcquits(t *testing.T) {
+	tests := []struct {
+		name   string
+		path   string
+		status int
+		signed bool
+		want   bool
+	}{
+		{"success", "/once/x", http.StatusOK, true, true},
+		{"success without content", "/once/x", http.StatusNoContent, true, true},
+		{"stream", "/stream/x", http.StatusOK, true, true},
+		{"success that isn't signed", "/once/x", http.StatusOK, false, false},
+		{"error of the server", "/once/x", http.StatusInternalServerError, true, false},
+		{"error of the server, on a request that may be repeated", "/safe/x", http.StatusInternalServerError, true, false},
+		{"error of the server, on a stream", "/stream/x", http.StatusInternalServerError, true, false},
+		{"end of the deadline at the server", "/once/x", http.StatusGatewayTimeout, true, false},
+		{"rejection that doesn't state that it has not run", "/once/x", http.StatusTooManyRequests, true, false},
+		{"rejection of the content", "/once/x", http.StatusUnprocessableEntity, true, false},
+		{"redirection", "/once/x", http.StatusTemporaryRedirect, true, false},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			f := newFixture(t, 0, newServer(t, func(w http.ResponseWriter, _ *http.Request) {
+				if tt.signed {
+					w.Header().Set("Signature", "x")
+				}
+				w.WriteHeader(tt.status)
+				if tt.path == "/stream/x" && tt.status == http.StatusOK {
+					_, _ = io.WriteString(w, numbered(1, 2))
+				}
+			}))
+			f.call(t, http.MethodPost, tt.path)
+			if got := f.answered.Load(); got != tt.want {
+				t.Errorf("counts as a run that went through: %v, want %v", got, tt.want)
+			}
+		})
+	}
+}
+
 // TestTrialIsSentOnce guards against a request with a blamed part that ends a second server,
 // as its trial is tried again elsewhere, and against trials that follow each other at once.
 func TestTrialIsSentOnce(t *testing.T) {
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/routing/backend"
 	"almondbay.example/internal/routing/exchange"
 	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/internal/routing/stream"
@@ -79,7 +80,7 @@
 		return q.handleReadError(ctx, a, err)
 	}
 	if answer.Signed && lives {
-		q.handler.config.OnAnswer(q.content, a.sentAt)
+		q.recordRun(a, response)
 	}
 	h := &bufferedResponse{status: response.StatusCode, header: response.Header, body: body}
 	switch {
@@ -267,8 +268,18 @@
 	q.response.complete()
 	a.pool.RecordSuccess(a.head, took)
 	if lives {
-		q.handler.config.OnAnswer(q.content, a.sentAt)
+		q.recordRun(a, response)
 	}
 	q.result.Outcome = OutcomeAnswered
 	return TryAnswered, ""
 }
+
+// recordRun records that a server answered the request and lives, if the answer shows that
+// the request ran to its end there. An error or a rejection of the server, or an answer to a
+// body that it can't have read, may be from before the point at which the request would
+// have ended it.
+func (q *request) recordRun(a *attempt, response *http.Response) {
+	if success(response.StatusCode) && !backend.AnsweredEarly(response) {
+		q.handler.config.OnAnswer(q.content, a.sentAt)
+	}
+}
