--- a/internal/peer/relay/log.go
+++ b/internal/peer/relay/log.go
@@ -42,6 +42,8 @@
 // the changes after any recent version. It is safe for concurrent use.
 type Log struct {
 	policy ValuePolicy
+	// ordered is set if the policy tells which of two values is newer.
+	ordered bool
 
 	mu      sync.Mutex
 	rows    map[string]row
@@ -66,6 +68,7 @@
 
 // NewLog returns an empty log.
 func NewLog(policy ValuePolicy) *Log {
+	ordered := policy.Supersedes != nil
 	always := func(_, _ []byte) bool { return true }
 	if policy.Differs == nil {
 		policy.Differs = always
@@ -73,7 +76,7 @@
 	if policy.Supersedes == nil {
 		policy.Supersedes = always
 	}
-	return &Log{policy: policy, rows: map[string]row{}, changed: make(chan struct{})}
+	return &Log{policy: policy, ordered: ordered, rows: map[string]row{}, changed: make(chan struct{})}
 }
 
 // Apply applies changes that were read from the store at the given time.
@@ -217,13 +220,13 @@
 	return changes
 }
 
-// Snapshot returns all rows that are not deleted, and those that were deleted within
-// lateWriteWindow.
+// Snapshot returns all rows that are not deleted. If values are ordered by their content, it
+// returns those that were deleted within lateWriteWindow, too.
 func (l *Log) Snapshot(now time.Time) LogChanges {
 	l.mu.Lock()
 	old := map[string]bool{}
 	for key, r := range l.rows {
-		old[key] = r.Deleted && (r.Value == nil || now.Sub(r.deletedAt) > lateWriteWindow)
+		old[key] = r.Deleted && (!l.ordered || r.Value == nil || now.Sub(r.deletedAt) > lateWriteWindow)
 	}
 	l.mu.Unlock()
 	changes := l.Since(0, now)
