Read tables anew when the store comes back from an older copy

Not played here with real nodes.

Cause: versions are given out again after the return. A reader that is at a version of before gets no 410 once the store has passed that version, and misses what was written in between. A condition on such a version may name another value.

The feed of an earlier era is a lost history, read anew. Event 303 says so, a line for each table and node.

What is not done: leases and plans.

--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -88,6 +88,8 @@
 	suspects      *suspects
 	// checks are the calls to heads that may have ended, and to servers in doubt.
 	checks errgroup.Group
+	// announceDue has an element when this node must write its row again.
+	announceDue chan struct{}
 	// doubtsAskedAt is when servers in doubt were last asked. It is used only by the loop
 	// that runs sendReport.
 	doubtsAskedAt time.Time
@@ -131,6 +133,8 @@
 	headsGeneration uint64
 	headsVersion    uint64
 	headsBuiltAt    time.Time
+	// tableVersions holds the version at which each table was last read as a whole.
+	tableVersions map[string]uint64
 	// lastHeads are the heads that the board has.
 	lastHeads []registry.Head
 	heads     map[balance.Key]int
@@ -242,12 +246,15 @@
 		registrations: registry.NewCache(registry.CacheConfig{
 			ReturnGrace: returnGrace, RecordRetention: recordRetention, LapseMin: lapseMin(c.Settings),
 		}),
-		heads:     map[balance.Key]int{},
-		metrics:   metric.NewEntry(),
-		demand:    newDemand(),
-		collected: newCollected(),
-		watch:     &stepWatch{clock: c.Clock},
-		eventLog:  newEventLog(c.Logger, c.Clock, c.DroppedLines),
+		heads: map[balance.Key]int{},
+
+		tableVersions: map[string]uint64{},
+		announceDue:   make(chan struct{}, 1),
+		metrics:       metric.NewEntry(),
+		demand:        newDemand(),
+		collected:     newCollected(),
+		watch:         &stepWatch{clock: c.Clock},
+		eventLog:      newEventLog(c.Logger, c.Clock, c.DroppedLines),
 	}
 	n.losses = quarantine.NewTracker(quarantine.TrackerConfig{
 		Retention:     lapseHeartbeats*c.Settings.Heartbeat + lapseReadTime + returnGrace,
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -45,7 +45,7 @@
 	c := n.config
 	n.tableLogs = map[string]*peerrelay.Log{
 		c.Codec.ServersTable:       peerrelay.NewLog(peerrelay.ValuePolicy{Differs: n.serverDiffers, Supersedes: n.serverSupersedes}),
-		c.Codec.ConfigurationTable: peerrelay.NewLog(peerrelay.ValuePolicy{}),
+		c.Codec.ConfigurationTable: peerrelay.NewLog(peerrelay.ValuePolicy{Supersedes: n.configurationSupersedes}),
 		nodesTable:                 peerrelay.NewLog(peerrelay.ValuePolicy{}),
 	}
 	n.peerClient = peerrelay.NewClient(peerrelay.ClientConfig{Port: c.Settings.PeerPort, Dial: c.Dial})
--- a/internal/node/entry/refresh.go
+++ b/internal/node/entry/refresh.go
@@ -66,7 +66,7 @@
 	servers.Table = n.config.Codec.ServersTable
 	servers.Wait = serversWait
 	servers.Interval = n.readInterval(servers.Table, serversInterval)
-	servers.Replace = func(c platform.Changes) { n.applyServers(c, true) }
+	servers.Replace = n.replaceServers
 	servers.Apply = func(c platform.Changes) { n.applyServers(c, false) }
 	servers.OnFailure = func(err error, failures int) {
 		n.registrations.RecordFailure(n.config.Clock.Now())
@@ -76,7 +76,10 @@
 	configuration.Table = n.config.Codec.ConfigurationTable
 	configuration.Wait = configurationWait
 	configuration.Interval = n.readInterval(configuration.Table, configurationInterval)
-	configuration.Replace = n.applyConfiguration
+	configuration.Replace = func(c platform.Changes) {
+		n.observeEra(configuration.Table, c)
+		n.applyConfiguration(c)
+	}
 	configuration.Apply = n.applyConfiguration
 	configuration.OnFailure = n.eventLog.stepFailed
 	nodes := base
@@ -84,7 +87,14 @@
 	nodes.Wait = nodesWait
 	nodes.Interval = n.readInterval(nodesTable, nodesInterval)
 	known := map[string]gossip.Peer{}
-	nodes.Replace = func(c platform.Changes) { clear(known); n.applyNodes(known, c) }
+	nodes.Replace = func(c platform.Changes) {
+		if n.observeEra(nodesTable, c) {
+			n.rewriteRows()
+		} else {
+			clear(known)
+		}
+		n.applyNodes(known, c)
+	}
 	nodes.Apply = func(c platform.Changes) { n.applyNodes(known, c) }
 	nodes.OnFailure = n.eventLog.stepFailed
 	return store.NewFollower(nodes), []*store.Follower{store.NewFollower(servers), store.NewFollower(configuration)}
@@ -102,6 +112,15 @@
 	}
 }
 
+// replaceServers applies the whole table of registrations.
+func (n *Node) replaceServers(c platform.Changes) {
+	if n.observeEra(n.config.Codec.ServersTable, c) {
+		// Servers whose rows the copy lacks will write them again, as after an outage.
+		n.registrations.RecordFailure(n.config.Clock.Now())
+	}
+	n.applyServers(c, true)
+}
+
 // applyServers applies registrations; full marks a snapshot of the whole table.
 func (n *Node) applyServers(c platform.Changes, full bool) {
 	now := n.config.Clock.Now()
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"log"
+	"math/rand/v2"
 	"net"
 	"net/http"
 	"os"
@@ -386,8 +387,8 @@
 	return failures
 }
 
-// addAnnounce writes this node's row at each announceInterval and retries failed
-// writes after retryMax.
+// addAnnounce writes this node's row at each announceInterval, and when it is due because the
+// store may have lost it. It retries failed writes after retryMax.
 func (n *Node) addAnnounce(g *run.Group) {
 	n.addTask(g, func(ctx context.Context) {
 		for failures := 1; ; failures++ {
@@ -399,13 +400,32 @@
 			if err == nil {
 				wait = announceInterval
 			}
-			if !clock.Sleep(ctx, n.config.Clock, wait) {
+			if !n.waitToAnnounce(ctx, wait) {
 				return
 			}
 		}
 	})
 }
 
+// waitToAnnounce waits until this node must write its row again, for the given time at most.
+// It returns false if ctx is done.
+func (n *Node) waitToAnnounce(ctx context.Context, wait time.Duration) bool {
+	timer := n.config.Clock.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+		return false
+	case <-timer.Chan():
+		return true
+	case <-n.announceDue:
+		return clock.Sleep(ctx, n.config.Clock, rand.N(announceSpread))
+	}
+}
+
+// announceSpread spreads the writes of all nodes when the store has lost their rows: 195
+// nodes write half of what the store takes in that time.
+const announceSpread = time.Second
+
 // announceInterval is the time after which a node rewrites its row, in case it
 // was removed.
 const announceInterval = 10 * time.Minute
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -71,6 +71,12 @@
 		Meaning: "The table service answers again.",
 		Action:  noAction,
 	}
+	StoreRestored = Definition{
+		Number: 303, Level: zapcore.WarnLevel, Message: "store came back from an older copy",
+		Fields:  []string{"table", "era", "previousEra", "version", "previousVersion", "rows"},
+		Meaning: "The platform's store lost what was written for some seconds and began a new era, in which it gives out versions again. The node has read the table anew; what it knew is in force until newer rows are there. version and previousVersion are those of the table within the eras.",
+		Action:  "None, if it was a drill; else ask the platform's operators.",
+	}
 )
 
 // Events of configuration.
@@ -341,7 +347,7 @@
 var areas = []area{
 	{"Node", []Definition{NodeStarted, NodeListening, NodeDraining, NodeStopped, NodeFailed, StepFailed}},
 	{"Certificates", []Definition{CertificateLoaded, CertificateRefused}},
-	{"Platform", []Definition{PlatformUnreachable, PlatformReachable}},
+	{"Platform", []Definition{PlatformUnreachable, PlatformReachable, StoreRestored}},
 	{"Configuration", []Definition{
 		RevisionInForce, RevisionDivergence, DocumentUnreadable, DocumentAccepted, DocumentRefused, DocumentOutcomeUnknown,
 	}},
