Go on with lease and plan when the store comes back from an older copy

Cause: the sequence of the lease goes back with the copy. A row with a lower sequence than the known one is ignored for ever, by the holder (its renewal conflicts, and the row that it reads back is no newer) and by the others. The plan of the copy lacks what was planned since.

Change: lease and plan rows have the era in which they were written; one that was written in an earlier era than it is read in comes from a copy. - A node that holds the lease by its clock writes it again, and its plan, and goes on: nobody else can have acquired it. - Any other node takes nothing from the copy but that: the lease is free only after its whole duration from that reading on, also if the copy says that it was released, and the next term and sequence are 1000 higher. - It goes on from the older plan, with the next epoch 10,000 higher. Groups with an epoch in between may have been lost and may serve: complete ones are adopted, others left alone until they are complete or their members start again. Before, the members of an open group that isn't in the plan were free to join another one, all but its head.

Tests: TestHolderGoesOnAfterStoreIsRestored, TestOtherNodeTakesOverRestoredStore, TestRestoredLeaseIsNotFreeAtOnce, TestHolderKeepsRestoredLease.

Constants: restoredJump 1000 writes (one a second and node at most) and lostEpochs 10,000 groups, both far beyond what is written in the age of a copy.

What is left: a condition that was sent before the drill and is performed after it; a model; the drill in the soak; partial lost groups after the loss of the holder.

--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -47,6 +47,10 @@
 	term        uint64
 	plan        formation.Plan
 	planVersion uint64
+	// planTerm is the term in which this node last read or wrote plan.
+	planTerm uint64
+	// planLost is set if the store has lost plan, so that it must be written again.
+	planLost bool
 	// planWrites counts attempts to write the plan; it makes operation IDs unique.
 	planWrites uint64
 	// loadStarts holds the start times of recent loads from the weight store.
@@ -158,19 +162,41 @@
 		return Error.Wrap(err)
 	}
 	seen := lease.Versioned{Row: lease.Row{FabricDomain: d.name}, Operation: row.Operation}
+	era := platform.Era(row.Version)
 	if row.Version > 0 {
-		seen.Row, err = decodeLease(d.name, row.Value)
+		seen.Row, era, err = decodeLease(d.name, row.Value)
 		if err != nil {
 			d.candidate.RecordReadFailure(now)
 			return err
 		}
 	}
 	seen.Version = seen.Sequence
+	restored := era < platform.Era(row.Version) || row.Version == 0 && d.leaseVersion != 0
+	if restored && row.Version != d.leaseVersion {
+		d.recordRestoredLease(seen, row.Version, now)
+		return nil
+	}
 	d.recordLeaseVersion(seen.Sequence, row.Version)
 	d.candidate.RecordRead(seen, now)
 	return nil
 }
 
+// recordRestoredLease records a lease that was written before the store came back from an
+// older copy, so that later rows of it may be lost.
+func (d *domain) recordRestoredLease(row lease.Versioned, version uint64, now time.Time) {
+	held := d.candidate.Holds(now)
+	d.candidate.RecordRestored(row, now)
+	d.leaseVersion = version
+	if held {
+		// Has the plan read, and written again.
+		d.term = 0
+	} else {
+		d.sequence = row.Sequence
+	}
+	event.LeaseRestored.Log(d.config.Logger, zap.String("fabricDomain", d.name), zap.Bool("held", held), zap.Uint64("era", platform.Era(version)),
+		zap.Uint64("term", row.Term), zap.Uint64("sequence", row.Sequence), zap.Uint64("knownSequence", d.sequence))
+}
+
 // recordLeaseVersion records the version of a lease row unless a newer row is
 // known.
 func (d *domain) recordLeaseVersion(sequence, version uint64) {
@@ -194,7 +220,7 @@
 // writeLease writes the lease on condition that it hasn't changed since it was
 // read.
 func (d *domain) writeLease(ctx context.Context, c lease.Command) error {
-	value, err := encodeLease(c.Row)
+	value, err := encodeLease(c.Row, platform.Era(d.leaseVersion))
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -222,15 +248,23 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	plan := formation.Plan{}
+	plan, era := formation.Plan{}, platform.Era(row.Version)
 	if row.Version > 0 {
-		if plan, err = decodePlan(row.Value); err != nil {
+		if plan, era, err = decodePlan(row.Value); err != nil {
 			return err
 		}
 	}
-	d.plan = plan
-	d.planVersion = row.Version
-	if term := d.candidate.Term(); term != d.term {
+	term := d.candidate.Term()
+	d.planLost = era < platform.Era(row.Version) || row.Version == 0 && platform.Era(d.leaseVersion) > 0
+	switch {
+	case !d.planLost:
+		d.plan = plan
+	case d.planTerm != term || d.plan.LastEpoch < plan.LastEpoch:
+		// Another node may have written it later.
+		d.plan = plan.Restored()
+	}
+	d.planVersion, d.planTerm = row.Version, term
+	if term != d.term {
 		d.term = term
 		d.sentAt = map[orderKey]time.Time{}
 		d.clearOrderCounts()
@@ -255,6 +289,11 @@
 	if view.ReadAt.IsZero() {
 		return nil
 	}
+	if d.planLost {
+		if err := d.writePlan(ctx, formation.Decision{Plan: d.plan}); err != nil {
+			return err
+		}
+	}
 	services := slices.Sorted(maps.Keys(c.Services))
 	for _, s := range c.Services {
 		if s.Engine == nil {
@@ -429,7 +468,7 @@
 // writePlan writes a plan on condition that neither the stored plan nor the
 // lease has changed.
 func (d *domain) writePlan(ctx context.Context, decision formation.Decision) error {
-	value, err := encodePlan(decision.Plan)
+	value, err := encodePlan(decision.Plan, platform.Era(d.leaseVersion))
 	if err != nil {
 		return Error.Wrap(err)
 	}
@@ -452,6 +491,7 @@
 	}
 	d.plan = decision.Plan
 	d.planVersion = version
+	d.planLost = false
 	d.logPlan(decision)
 	return nil
 }
--- a/internal/fleet/control/domain_test.go
+++ b/internal/fleet/control/domain_test.go
@@ -4,6 +4,8 @@
 	"cmp"
 	"context"
 	"errors"
+	"maps"
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -240,3 +242,141 @@
 		t.Errorf("got %d orders and leases %v, want none", len(f.orders.sent), f.node.HeldLeases())
 	}
 }
+
+// copyOf returns a function that brings the store back from a copy of its present rows: it
+// gives out their versions again, in a new era.
+func (s *table) copyOf() (restore func()) {
+	rows, version := maps.Clone(s.rows), s.version
+	return func() {
+		era := platform.Era(s.version) + 1
+		s.version = platform.VersionIn(era, platform.VersionWithinEra(version))
+		s.rows = map[string]platform.Row{}
+		for key, row := range rows {
+			row.Version = platform.VersionIn(era, platform.VersionWithinEra(row.Version))
+			s.rows[key] = row
+		}
+	}
+}
+
+// join registers the engines of join orders as ready members, the heads as open.
+func (f *fixture) join(version uint64, orders []formation.Order, engines ...*registry.Server) []*registry.Server {
+	joinedEngines := slices.Clone(engines)
+	for i, e := range joinedEngines {
+		for _, o := range orders {
+			if o.Server.ID == e.ID && o.Operation == formation.OperationJoin {
+				joinedEngines[i] = joined(e, o, registry.StateOpen)
+			}
+		}
+	}
+	f.register(version, joinedEngines...)
+	return joinedEngines
+}
+
+// groupOf returns the engines that are members of the group with an epoch, the head first.
+func groupOf(epoch uint64, engines []*registry.Server) []*registry.Server {
+	var members []*registry.Server
+	for _, e := range engines {
+		if e.Group.Epoch == epoch {
+			members = append(members, e)
+		}
+	}
+	slices.SortFunc(members, func(a, b *registry.Server) int { return a.Group.Rank - b.Group.Rank })
+	return members
+}
+
+// restoredFixture returns a node that holds the lease and has planned two groups, whose
+// members are returned in the order of the groups, since a copy of the store was made.
+func restoredFixture(t *testing.T) (f *fixture, engines []*registry.Server, restore func()) {
+	t.Helper()
+	f = newFixture(t, "node", nil)
+	f.register(1)
+	f.run(t, 3*time.Second)
+	restore = f.table.copyOf()
+	f.register(2, engine("a"), engine("b"))
+	f.run(t, 3*time.Second)
+	engines = f.join(3, f.takeOrders(), engine("a"), engine("b"))
+	f.register(4, append(engines, engine("c"), engine("d"), engine("e"))...)
+	f.run(t, 3*time.Second)
+	engines = f.join(5, f.takeOrders(), append(engines, engine("c"), engine("d"), engine("e"))...)
+	f.run(t, time.Second)
+	f.takeOrders()
+	first, second := groupOf(1, engines), groupOf(2, engines)
+	if len(first) != 2 || len(second) != 2 {
+		t.Fatalf("got groups %+v and %+v, want two members each", first, second)
+	}
+	return f, append(first, second...), restore
+}
+
+// TestHolderGoesOnAfterStoreIsRestored guards against a controller that gives no orders any
+// more, or forgets groups, since the store came back from an older copy.
+func TestHolderGoesOnAfterStoreIsRestored(t *testing.T) {
+	f, engines, restore := restoredFixture(t)
+	restore()
+	f.run(t, 2*time.Second)
+	f.takeOrders()
+	f.register(6, append(engines, engine("f"), engine("g"), engine("h"))...)
+	f.run(t, 3*time.Second)
+	joins := map[uint64]int{}
+	for _, o := range f.takeOrders() {
+		switch {
+		case o.Operation == formation.OperationJoin && o.Server.Group.Name == "":
+			joins[o.Epoch]++
+		case o.Operation != formation.OperationStage:
+			t.Errorf("got order %+v, want joins of the new engines only", o)
+		}
+	}
+	if len(joins) != 1 || joins[3] == 0 {
+		t.Errorf("got joins by epoch %v, want those of one group with epoch 3", joins)
+	}
+}
+
+// TestOtherNodeTakesOverRestoredStore guards against two holders of a lease, members of an open
+// group that join another one, and epochs that are assigned twice, if the node that held the
+// lease ended together with the rows that it had written last.
+func TestOtherNodeTakesOverRestoredStore(t *testing.T) {
+	first, engines, restore := restoredFixture(t)
+	oldTerm := first.node.HeldLeases()[0].Term
+	orders := statefulOrders{&orderRecorder{sent: make(chan formation.Order, 100)}, map[string]control.State{}}
+	second := newFixtureWith(t, "second", first, fixtureOptions{orders: orders})
+	second.orders = orders.orderRecorder
+	second.run(t, time.Second)
+	restore()
+	// A member of one lost group is gone, the other group is whole.
+	whole, alone := engines[:2], engines[2]
+	others := []*registry.Server{engine("f"), engine("g"), engine("h")}
+	second.register(6, append(others, whole[0], whole[1], alone)...)
+	second.run(t, 2800*time.Millisecond)
+	if held := second.node.HeldLeases(); len(held) > 0 {
+		t.Fatalf("got lease %+v before the earlier holder's has expired", held)
+	}
+	second.run(t, 4*time.Second)
+	held := second.node.HeldLeases()
+	if len(held) != 1 || held[0].Term <= oldTerm {
+		t.Fatalf("got leases %+v, want one with a term above %d", held, oldTerm)
+	}
+	formed := false
+	for _, o := range second.takeOrders() {
+		if o.Server.Group.Name != "" {
+			t.Errorf("got order %+v to a member of a lost group", o)
+		}
+		if o.Operation == formation.OperationJoin && o.Epoch <= 2 {
+			t.Errorf("got join %+v with an epoch that was assigned before", o)
+		}
+		formed = formed || o.Operation == formation.OperationJoin
+	}
+	if !formed {
+		t.Error("the new engines were not joined to a group")
+	}
+	// The whole group is in the plan again: a member that drains has its head close.
+	drained := *whole[1]
+	drained.Draining = true
+	second.register(7, append(others, whole[0], &drained, alone)...)
+	second.run(t, time.Second)
+	closed := false
+	for _, o := range second.takeOrders() {
+		closed = closed || o.Operation == formation.OperationClose && o.Server.ID == whole[0].ID
+	}
+	if !closed {
+		t.Errorf("the head %s of the adopted group was not ordered to close", whole[0].ID)
+	}
+}
--- a/internal/fleet/control/wire.go
+++ b/internal/fleet/control/wire.go
@@ -14,12 +14,23 @@
 	Term       uint64 `json:"term"`
 	Sequence   uint64 `json:"sequence"`
 	DurationMs int64  `json:"durationMs"`
+	// Era is that of the store in which the row was written.
+	Era uint64 `json:"era,omitempty"`
 }
 
 // planWire is the stored form of a plan.
 type planWire struct {
 	LastEpoch uint64      `json:"lastEpoch"`
 	Groups    []groupWire `json:"groups"`
+	Lost      []rangeWire `json:"lost,omitempty"`
+	// Era is that of the store in which the row was written.
+	Era uint64 `json:"era,omitempty"`
+}
+
+// rangeWire is a range of epochs.
+type rangeWire struct {
+	First uint64 `json:"first"`
+	Last  uint64 `json:"last"`
 }
 
 type groupWire struct {
@@ -37,14 +48,15 @@
 	Born int64  `json:"born"`
 }
 
-func encodeLease(r lease.Row) ([]byte, error) {
-	return json.Marshal(leaseWire{Holder: r.Holder, Term: r.Term, Sequence: r.Sequence, DurationMs: r.Duration.Milliseconds()})
+func encodeLease(r lease.Row, era uint64) ([]byte, error) {
+	return json.Marshal(leaseWire{Holder: r.Holder, Term: r.Term, Sequence: r.Sequence, DurationMs: r.Duration.Milliseconds(), Era: era})
 }
 
-func decodeLease(failureDomain string, value []byte) (lease.Row, error) {
+// decodeLease returns a lease and the era in which it was written.
+func decodeLease(failureDomain string, value []byte) (lease.Row, uint64, error) {
 	var w leaseWire
 	if err := json.Unmarshal(value, &w); err != nil {
-		return lease.Row{}, Error.New("decode lease of failure domain %q: %w", failureDomain, err)
+		return lease.Row{}, 0, Error.New("decode lease of failure domain %q: %w", failureDomain, err)
 	}
 	return lease.Row{
 		FabricDomain: failureDomain,
@@ -52,11 +64,14 @@
 		Term:         w.Term,
 		Sequence:     w.Sequence,
 		Duration:     time.Duration(w.DurationMs) * time.Millisecond,
-	}, nil
+	}, w.Era, nil
 }
 
-func encodePlan(p formation.Plan) ([]byte, error) {
-	w := planWire{LastEpoch: p.LastEpoch, Groups: make([]groupWire, 0, len(p.Groups))}
+func encodePlan(p formation.Plan, era uint64) ([]byte, error) {
+	w := planWire{LastEpoch: p.LastEpoch, Groups: make([]groupWire, 0, len(p.Groups)), Era: era}
+	for _, r := range p.Lost {
+		w.Lost = append(w.Lost, rangeWire{First: r.First, Last: r.Last})
+	}
 	for _, g := range p.Groups {
 		next := groupWire{Name: g.Name, FabricDomain: g.FabricDomain, Model: g.Model, Epoch: g.Epoch, HeadAddress: g.HeadAddress, Dissolving: g.Dissolving}
 		for _, m := range g.Members {
@@ -67,12 +82,16 @@
 	return json.Marshal(w)
 }
 
-func decodePlan(value []byte) (formation.Plan, error) {
+// decodePlan returns a plan and the era in which it was written.
+func decodePlan(value []byte) (formation.Plan, uint64, error) {
 	var w planWire
 	if err := json.Unmarshal(value, &w); err != nil {
-		return formation.Plan{}, Error.New("decode plan: %w", err)
+		return formation.Plan{}, 0, Error.New("decode plan: %w", err)
 	}
 	p := formation.Plan{LastEpoch: w.LastEpoch}
+	for _, r := range w.Lost {
+		p.Lost = append(p.Lost, formation.EpochRange{First: r.First, Last: r.Last})
+	}
 	for _, g := range w.Groups {
 		next := formation.Group{Name: g.Name, FabricDomain: g.FabricDomain, Model: g.Model, Epoch: g.Epoch, HeadAddress: g.HeadAddress, Dissolving: g.Dissolving}
 		for _, m := range g.Members {
@@ -80,5 +99,5 @@
 		}
 		p.Groups = append(p.Groups, next)
 	}
-	return p, nil
+	return p, w.Era, nil
 }
--- a/internal/fleet/formation/form.go
+++ b/internal/fleet/formation/form.go
@@ -54,7 +54,7 @@
 // available reports whether a server can be assigned to a new group. It orders
 // the head of a group that isn't in the plan to leave that group.
 func (p *planner) available(r registry.Record) bool {
-	if p.planned[r.ID] || !p.alive(r) || r.Draining || r.FabricDomain == "" {
+	if p.planned[r.ID] || !p.alive(r) || r.Draining || r.FabricDomain == "" || p.inLostGroup(r) {
 		return false
 	}
 	if r.Group.Name != "" && r.Group.Rank == 0 && (r.Group.State == registry.StateOpen || r.Group.State == registry.StateClosing) {
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -50,6 +50,49 @@
 	Groups []Group
 	// LastEpoch is the highest epoch assigned so far.
 	LastEpoch uint64
+	// Lost holds the ranges of epochs of which the store may have lost groups, since it came
+	// back from an older copy.
+	Lost []EpochRange
+}
+
+// EpochRange is a range of epochs, both of its ends included.
+type EpochRange struct {
+	First, Last uint64
+}
+
+// lostEpochs exceeds the number of groups that are planned in the age of a copy of the store.
+const lostEpochs = 10_000
+
+// Restored returns a plan that was read from an older copy of the store. Groups that were
+// planned since may serve, so that no epoch which they may have is assigned again.
+func (p Plan) Restored() Plan {
+	p.Lost = append(slices.Clone(p.Lost), EpochRange{First: p.LastEpoch + 1, Last: p.LastEpoch + lostEpochs})
+	p.LastEpoch += lostEpochs
+	return p
+}
+
+// mayHaveLost reports whether a group with an epoch may have been planned and lost.
+func (p Plan) mayHaveLost(epoch uint64) bool {
+	return slices.ContainsFunc(p.Lost, func(r EpochRange) bool { return r.First <= epoch && epoch <= r.Last })
+}
+
+// found returns the plan without an epoch among those of lost groups.
+func (p Plan) found(epoch uint64) Plan {
+	var lost []EpochRange
+	for _, r := range p.Lost {
+		if epoch < r.First || epoch > r.Last {
+			lost = append(lost, r)
+			continue
+		}
+		if r.First < epoch {
+			lost = append(lost, EpochRange{First: r.First, Last: epoch - 1})
+		}
+		if epoch < r.Last {
+			lost = append(lost, EpochRange{First: epoch + 1, Last: r.Last})
+		}
+	}
+	p.Lost = lost
+	return p
 }
 
 // Operation is the action that an order requests from a server.
@@ -202,10 +245,11 @@
 	for _, m := range v.Models {
 		p.models[m.Name] = m
 	}
-	p.decision.Plan.LastEpoch = v.Plan.LastEpoch
+	p.decision.Plan.LastEpoch, p.decision.Plan.Lost = v.Plan.LastEpoch, v.Plan.Lost
 	for _, g := range v.Plan.Groups {
 		p.keepOrRelease(g)
 	}
+	p.adoptLostGroups()
 	p.formGroups()
 	p.orderPlannedGroups()
 	p.stageWeights()
--- a/pkg/core/lease/candidate.go
+++ b/pkg/core/lease/candidate.go
@@ -24,6 +24,10 @@
 	// pending is the write whose outcome is not known yet.
 	pending *pendingWrite
 
+	// restored is set while row was read from a copy of the table that the platform came back
+	// from, so that newer rows may have been lost.
+	restored bool
+
 	// rank is the position of this node among the candidates; zero acquires
 	// first.
 	rank      int
@@ -139,6 +143,9 @@
 // freeAt returns when this node may acquire the lease.
 func (n *Candidate) freeAt() time.Time {
 	rankDelay := time.Duration(n.rank) * n.config.Interval
+	if n.restored {
+		return n.unchangedSince.Add(max(n.row.Duration, n.config.Duration) + rankDelay)
+	}
 	if n.row.Holder == "" || n.row.Holder == n.config.Holder {
 		return n.unchangedSince.Add(rankDelay)
 	}
@@ -156,16 +163,18 @@
 }
 
 func (n *Candidate) acquisition() Command {
-	return Command{
-		Row: Row{
-			FabricDomain: n.config.FabricDomain,
-			Holder:       n.config.Holder,
-			Term:         n.row.Term + 1,
-			Sequence:     n.row.Sequence + 1,
-			Duration:     n.config.Duration,
-		},
-		TakeOver: true,
+	row := Row{
+		FabricDomain: n.config.FabricDomain,
+		Holder:       n.config.Holder,
+		Term:         n.row.Term + 1,
+		Sequence:     n.row.Sequence + 1,
+		Duration:     n.config.Duration,
+	}
+	if n.restored {
+		row.Term += restoredJump
+		row.Sequence += restoredJump
 	}
+	return Command{Row: row, TakeOver: true}
 }
 
 func (n *Candidate) write(c Command, now time.Time) Command {
@@ -212,7 +221,7 @@
 	n.notBefore = now.Add(n.config.Interval)
 	n.observe(Versioned{
 		Row:       p.command.Row,
-		Version:   p.command.Version + 1,
+		Version:   p.command.Version + p.command.Row.Sequence - n.row.Sequence,
 		Operation: p.command.Operation,
 	}, now)
 	n.term = 0
@@ -269,9 +278,39 @@
 	n.row = row
 	n.row.FabricDomain = n.config.FabricDomain
 	n.known = true
+	n.restored = false
 	n.unchangedSince = now
 }
 
+// restoredJump is added to the term and the sequence of the first acquisition after the
+// platform came back from an older copy. It exceeds the number of writes that may be lost.
+const restoredJump = 1000
+
+// RecordRestored records that the platform came back from an older copy of its tables, in
+// which the lease has the given row, and the time when it was read. If the lease is held, no
+// other node can have acquired it, so that the holder writes its row again: a pending write
+// whose condition failed is sent once more. Otherwise any node may hold it, whatever the row
+// says, and the lease is free only once the row is unchanged for its duration.
+func (n *Candidate) RecordRestored(row Versioned, now time.Time) {
+	n.failures = 0
+	n.expire(now)
+	if n.term > 0 {
+		if n.pending != nil {
+			n.pending.conflicted = false
+		}
+		n.notBefore = now
+		return
+	}
+	n.pending = nil
+	n.resigning = false
+	n.row = row
+	n.row.FabricDomain = n.config.FabricDomain
+	n.known = true
+	n.restored = true
+	n.unchangedSince = now
+	n.notBefore = now.Add(n.config.Interval)
+}
+
 // RecordReadFailure records that a read failed or was not answered.
 func (n *Candidate) RecordReadFailure(now time.Time) {
 	n.backOff(now)
--- a/pkg/core/lease/candidate_test.go
+++ b/pkg/core/lease/candidate_test.go
@@ -278,3 +278,67 @@
 		t.Fatalf("got %+v, want a write that acquires the lease under term 2", c)
 	}
 }
+
+// TestRestoredLeaseIsNotFreeAtOnce guards against two holders after the platform came back from
+// an older copy: whatever the row says, a lease that was acquired since may be held for its
+// duration.
+func TestRestoredLeaseIsNotFreeAtOnce(t *testing.T) {
+	rows := map[string]lease.Row{
+		"released":              {Term: 4, Sequence: 9, Duration: duration},
+		"held by this node":     {Holder: "a", Term: 4, Sequence: 9, Duration: duration},
+		"held by another one":   {Holder: "b", Term: 4, Sequence: 9, Duration: duration},
+		"never held":            {},
+		"held for a short time": {Holder: "b", Term: 4, Sequence: 9, Duration: time.Millisecond},
+	}
+	for name, row := range rows {
+		t.Run(name, func(t *testing.T) {
+			now := time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)
+			c := lease.New(lease.Config{
+				FabricDomain: "d", Holder: "a", Duration: duration, Margin: duration / 5, Interval: duration / 4,
+				Jitter: func(time.Duration) time.Duration { return 0 },
+			})
+			c.RecordRead(lease.Versioned{Row: lease.Row{Holder: "b", Term: 6, Sequence: 30, Duration: duration}, Version: 30}, now)
+			c.RecordRestored(lease.Versioned{Row: row, Version: row.Sequence}, now)
+			if next := c.Next(now.Add(duration - time.Millisecond)); next.Action == lease.ActionWrite {
+				t.Fatalf("the lease is acquired %v after the return: %+v", duration-time.Millisecond, next)
+			}
+			c.RecordRead(lease.Versioned{Row: row, Version: row.Sequence}, now.Add(duration-time.Millisecond))
+			next := c.Next(now.Add(2 * duration))
+			if next.Action != lease.ActionWrite || next.Row.Term <= 6 || next.Row.Sequence <= 30 {
+				t.Errorf("got %+v, want an acquisition with a term above 6 and a sequence above 30", next)
+			}
+		})
+	}
+}
+
+// TestHolderKeepsRestoredLease guards against a holder that gives its lease up, or can't renew
+// it any more, since the row is an older one.
+func TestHolderKeepsRestoredLease(t *testing.T) {
+	now := time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)
+	c := lease.New(lease.Config{
+		FabricDomain: "d", Holder: "a", Duration: duration, Margin: duration / 5, Interval: duration / 4,
+		Jitter: func(time.Duration) time.Duration { return 0 },
+	})
+	c.RecordRead(lease.Versioned{Row: lease.Row{Term: 6, Sequence: 30, Duration: duration}, Version: 30}, now)
+	c.Next(now)
+	c.RecordWrite(lease.OutcomeApplied, now)
+	now = now.Add(duration / 4)
+	renewal := c.Next(now)
+	c.RecordWrite(lease.OutcomeConflict, now)
+	if next := c.Next(now); next.Action != lease.ActionRead {
+		t.Fatalf("got %+v after a conflict, want a read", next)
+	}
+	c.RecordRestored(lease.Versioned{Row: lease.Row{Holder: "b", Term: 5, Sequence: 28, Duration: duration}, Version: 28}, now)
+	if !c.Holds(now) || c.Term() != 7 {
+		t.Fatalf("holds %v, term %d; want the lease held in term 7", c.Holds(now), c.Term())
+	}
+	if next := c.Next(now); next.Action != lease.ActionWrite || next.Row != renewal.Row {
+		t.Errorf("got %+v, want the renewal %+v again", next, renewal)
+	}
+	// A holder whose lease has expired is one of the others.
+	late := now.Add(duration)
+	c.RecordRestored(lease.Versioned{Row: lease.Row{Holder: "b", Term: 5, Sequence: 28, Duration: duration}, Version: 28}, late)
+	if next := c.Next(late.Add(duration / 2)); c.Term() != 0 || next.Action == lease.ActionWrite {
+		t.Errorf("got term %d and %+v from an expired lease, want none and no write", c.Term(), next)
+	}
+}
--- a/pkg/serving/event/catalogue.go
+++ b/pkg/serving/event/catalogue.go
@@ -312,6 +312,15 @@
 	Action:  noAction,
 }
 
+// LeaseRestored is logged by each node that reads the lease of a failure domain after the store
+// came back from an older copy.
+var LeaseRestored = Definition{
+	Number: 962, Level: zapcore.WarnLevel, Message: "lease read from an older copy of the store",
+	Fields:  []string{"fabricDomain", "held", "era", "term", "sequence", "knownSequence"},
+	Meaning: "The lease of a failure domain was read from a store that came back from an older copy (303), in which it has the given term and sequence. The node that held it until then (held) writes its lease and its plan again and goes on. If it doesn't, another node acquires the lease after its duration and goes on from the older plan; it adopts the complete groups that it finds, and leaves servers alone that may be in other lost groups.",
+	Action:  "If servers of lost groups stay idle, start them again.",
+}
+
 // LateReportIgnored is logged by each node that reads a late report.
 var LateReportIgnored = Definition{
 	Number: 960, Level: zapcore.InfoLevel, Message: "late report of a backend server ignored",
@@ -358,5 +367,5 @@
 		RequestEnded, RequestsCounted, ConfigurationInForce, ConfigurationUnreadable, SettingsReloaded, ReadinessChanged, DatagramFailed,
 		HTTPErrorReported, CollectorChosen, RequestQuarantined, QuarantineWithdrawn,
 	}},
-	{"Backend servers", []Definition{HeadsChanged, GroupPlanned, GroupReleased, OrderSent, HeadProbed, FleetCounted, ServerEnded, ServerLeaving, ServerPaused, LateReportIgnored, ServerServing}},
+	{"Backend servers", []Definition{HeadsChanged, GroupPlanned, GroupReleased, OrderSent, HeadProbed, FleetCounted, ServerEnded, ServerLeaving, ServerPaused, LateReportIgnored, ServerServing, LeaseRestored}},
 }
