--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -71,6 +71,7 @@
 	Nodes     int           `long:"nodes" default:"3" description:"Number of nodes"`
 	Servers   int           `long:"servers" default:"8" description:"Number of servers"`
 	Callers   int           `long:"callers" default:"6" description:"Number of callers"`
+	Restore   bool          `long:"restore" description:"Have the store come back from an older copy once or twice"`
 	Program   string        `long:"almondbay" required:"true" description:"Path of the program almondbay"`
 	Directory string        `long:"directory" required:"true" description:"Directory for settings and logs"`
 }
@@ -106,7 +107,7 @@
 				}
 				result, err := soak.Run(soak.RunConfig{
 					Clock: clockwork.NewRealClock(), Seed: s, Duration: c.Duration, Nodes: c.Nodes, Servers: c.Servers,
-					Callers: c.Callers, Node: c.Program, Self: self, Directory: directory, Network: byte(firstNetwork + network),
+					Callers: c.Callers, Restore: c.Restore, Node: c.Program, Self: self, Directory: directory, Network: byte(firstNetwork + network),
 				})
 				if err != nil {
 					return fmt.Errorf("seed %d: %w", s, err)
--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -173,7 +173,7 @@
 	seen.Version = seen.Sequence
 	restored := era < platform.Era(row.Version) || row.Version == 0 && d.leaseVersion != 0
 	if restored && row.Version != d.leaseVersion {
-		d.recordRestoredLease(seen, row.Version, now)
+		d.recordRestoredLease(seen, row.Version, max(1, platform.Era(row.Version)-era), now)
 		return nil
 	}
 	d.recordLeaseVersion(seen.Sequence, row.Version)
@@ -182,10 +182,10 @@
 }
 
 // recordRestoredLease records a lease that was written before the store came back from an
-// older copy, so that later rows of it may be lost.
-func (d *domain) recordRestoredLease(row lease.Versioned, version uint64, now time.Time) {
+// older copy, so that later rows of it may be lost, and how often it did since.
+func (d *domain) recordRestoredLease(row lease.Versioned, version, times uint64, now time.Time) {
 	held := d.candidate.Holds(now)
-	d.candidate.RecordRestored(row, now)
+	d.candidate.RecordRestored(row, times, now)
 	d.leaseVersion = version
 	if held {
 		// Has the plan read, and written again.
@@ -248,20 +248,21 @@
 	if err != nil {
 		return Error.Wrap(err)
 	}
-	plan, era := formation.Plan{}, platform.Era(row.Version)
+	plan, era := formation.Plan{}, uint64(0)
 	if row.Version > 0 {
 		if plan, era, err = decodePlan(row.Value); err != nil {
 			return err
 		}
 	}
 	term := d.candidate.Term()
-	d.planLost = era < platform.Era(row.Version) || row.Version == 0 && platform.Era(d.leaseVersion) > 0
+	present := platform.Era(d.leaseVersion)
+	d.planLost = era < platform.Era(row.Version) || row.Version == 0 && present > 0
 	switch {
 	case !d.planLost:
 		d.plan = plan
 	case d.planTerm != term || d.plan.LastEpoch < plan.LastEpoch:
 		// Another node may have written it later.
-		d.plan = plan.Restored()
+		d.plan = plan.Restored(max(1, present-era))
 	}
 	d.planVersion, d.planTerm = row.Version, term
 	if term != d.term {
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -60,14 +60,17 @@
 	First, Last uint64
 }
 
-// lostEpochs exceeds the number of groups that are planned in the age of a copy of the store.
+// lostEpochs exceeds the number of groups that are planned in the age of a copy of the store,
+// for each time that it comes back from one.
 const lostEpochs = 10_000
 
-// Restored returns a plan that was read from an older copy of the store. Groups that were
-// planned since may serve, so that no epoch which they may have is assigned again.
-func (p Plan) Restored() Plan {
-	p.Lost = append(slices.Clone(p.Lost), EpochRange{First: p.LastEpoch + 1, Last: p.LastEpoch + lostEpochs})
-	p.LastEpoch += lostEpochs
+// Restored returns a plan that was read from an older copy of the store, which has come back
+// from one so many times since the plan was written. Groups that were planned since may serve,
+// so that no epoch which they may have is assigned again.
+func (p Plan) Restored(times uint64) Plan {
+	first := p.LastEpoch + 1
+	p.LastEpoch += times * lostEpochs
+	p.Lost = append(slices.Clone(p.Lost), EpochRange{First: first, Last: p.LastEpoch})
 	return p
 }
 
--- a/pkg/core/lease/candidate.go
+++ b/pkg/core/lease/candidate.go
@@ -24,9 +24,9 @@
 	// pending is the write whose outcome is not known yet.
 	pending *pendingWrite
 
-	// restored is set while row was read from a copy of the table that the platform came back
-	// from, so that newer rows may have been lost.
-	restored bool
+	// restored is how often the platform has come back from an older copy of its tables since
+	// row was written; newer rows may have been lost each time.
+	restored uint64
 
 	// rank is the position of this node among the candidates; zero acquires
 	// first.
@@ -143,7 +143,7 @@
 // freeAt returns when this node may acquire the lease.
 func (n *Candidate) freeAt() time.Time {
 	rankDelay := time.Duration(n.rank) * n.config.Interval
-	if n.restored {
+	if n.restored > 0 {
 		return n.unchangedSince.Add(max(n.row.Duration, n.config.Duration) + rankDelay)
 	}
 	if n.row.Holder == "" || n.row.Holder == n.config.Holder {
@@ -170,9 +170,9 @@
 		Sequence:     n.row.Sequence + 1,
 		Duration:     n.config.Duration,
 	}
-	if n.restored {
-		row.Term += restoredJump
-		row.Sequence += restoredJump
+	if n.restored > 0 {
+		row.Term += n.restored * restoredJump
+		row.Sequence += n.restored * restoredJump
 	}
 	return Command{Row: row, TakeOver: true}
 }
@@ -278,20 +278,22 @@
 	n.row = row
 	n.row.FabricDomain = n.config.FabricDomain
 	n.known = true
-	n.restored = false
+	n.restored = 0
 	n.unchangedSince = now
 }
 
-// restoredJump is added to the term and the sequence of the first acquisition after the
-// platform came back from an older copy. It exceeds the number of writes that may be lost.
+// restoredJump is added to the term and the sequence of the first acquisition for each time
+// that the platform came back from an older copy. It exceeds the number of writes that may be
+// lost each time.
 const restoredJump = 1000
 
 // RecordRestored records that the platform came back from an older copy of its tables, in
-// which the lease has the given row, and the time when it was read. If the lease is held, no
+// which the lease has the given row, how often it did since that row was written, and the time
+// when it was read. If the lease is held, no
 // other node can have acquired it, so that the holder writes its row again: a pending write
 // whose condition failed is sent once more. Otherwise any node may hold it, whatever the row
 // says, and the lease is free only once the row is unchanged for its duration.
-func (n *Candidate) RecordRestored(row Versioned, now time.Time) {
+func (n *Candidate) RecordRestored(row Versioned, times uint64, now time.Time) {
 	n.failures = 0
 	n.expire(now)
 	if n.term > 0 {
@@ -306,7 +308,7 @@
 	n.row = row
 	n.row.FabricDomain = n.config.FabricDomain
 	n.known = true
-	n.restored = true
+	n.restored = times
 	n.unchangedSince = now
 	n.notBefore = now.Add(n.config.Interval)
 }
--- a/pkg/core/lease/candidate_test.go
+++ b/pkg/core/lease/candidate_test.go
@@ -298,7 +298,7 @@
 				Jitter: func(time.Duration) time.Duration { return 0 },
 			})
 			c.RecordRead(lease.Versioned{Row: lease.Row{Holder: "b", Term: 6, Sequence: 30, Duration: duration}, Version: 30}, now)
-			c.RecordRestored(lease.Versioned{Row: row, Version: row.Sequence}, now)
+			c.RecordRestored(lease.Versioned{Row: row, Version: row.Sequence}, 1, now)
 			if next := c.Next(now.Add(duration - time.Millisecond)); next.Action == lease.ActionWrite {
 				t.Fatalf("the lease is acquired %v after the return: %+v", duration-time.Millisecond, next)
 			}
@@ -328,7 +328,7 @@
 	if next := c.Next(now); next.Action != lease.ActionRead {
 		t.Fatalf("got %+v after a conflict, want a read", next)
 	}
-	c.RecordRestored(lease.Versioned{Row: lease.Row{Holder: "b", Term: 5, Sequence: 28, Duration: duration}, Version: 28}, now)
+	c.RecordRestored(lease.Versioned{Row: lease.Row{Holder: "b", Term: 5, Sequence: 28, Duration: duration}, Version: 28}, 1, now)
 	if !c.Holds(now) || c.Term() != 7 {
 		t.Fatalf("holds %v, term %d; want the lease held in term 7", c.Holds(now), c.Term())
 	}
@@ -337,8 +337,28 @@
 	}
 	// A holder whose lease has expired is one of the others.
 	late := now.Add(duration)
-	c.RecordRestored(lease.Versioned{Row: lease.Row{Holder: "b", Term: 5, Sequence: 28, Duration: duration}, Version: 28}, late)
+	c.RecordRestored(lease.Versioned{Row: lease.Row{Holder: "b", Term: 5, Sequence: 28, Duration: duration}, Version: 28}, 1, late)
 	if next := c.Next(late.Add(duration / 2)); c.Term() != 0 || next.Action == lease.ActionWrite {
 		t.Errorf("got term %d and %+v from an expired lease, want none and no write", c.Term(), next)
 	}
 }
+
+// TestTermsRiseOverTwoRestoresOfOneCopy guards against a fencing number that is used twice, as
+// the platform comes back a second time from a copy that is older than the first return.
+func TestTermsRiseOverTwoRestoresOfOneCopy(t *testing.T) {
+	copied := lease.Versioned{Row: lease.Row{Holder: "b", Term: 6, Sequence: 30, Duration: duration}, Version: 30}
+	var last uint64
+	for times := range uint64(2) {
+		now := time.Date(2026, 5, 4, 12, 0, 0, 0, time.UTC)
+		c := lease.New(lease.Config{
+			FabricDomain: "d", Holder: "a", Duration: duration, Margin: margin, Interval: interval,
+			Jitter: func(time.Duration) time.Duration { return 0 },
+		})
+		c.RecordRestored(copied, times+1, now)
+		next := c.Next(now.Add(duration))
+		if next.Action != lease.ActionWrite || next.Row.Term <= last || next.Row.Sequence <= last {
+			t.Errorf("got %+v after %d returns, want an acquisition with a term and a sequence above %d", next, times+1, last)
+		}
+		last = next.Row.Sequence
+	}
+}
