Move the lease, the stored plan and the store's eras to files of their own

Change: held_lease.go and stored_plan.go in internal/fleet/control, the epochs of lost groups in formation/adopt.go, platform/era.go; two comments wrapped. No change of behaviour.

--- a/internal/fleet/control/domain.go
+++ b/internal/fleet/control/domain.go
@@ -20,7 +20,6 @@
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/routing/routes"
 	"almondbay.example/serving/event"
-	"almondbay.example/serving/platform"
 )
 
 // domain controls one failure domain.
@@ -121,17 +120,6 @@
 	return d.reconcile(ctx)
 }
 
-// publishHeldLease updates the lease that HeldLeases returns.
-func (d *domain) publishHeldLease() {
-	row, ok := d.candidate.Row()
-	if !ok || !d.candidate.Holds(d.config.Clock.Now()) {
-		d.heldLease.Store(nil)
-		return
-	}
-	row.FabricDomain = d.name
-	d.heldLease.Store(&HeldLease{Row: row, Version: d.leaseVersion})
-}
-
 // endTerm ends the control of the failure domain after the lease was lost.
 func (d *domain) endTerm() {
 	if d.term != 0 {
@@ -140,144 +128,6 @@
 	d.term = 0
 }
 
-// renew performs the next read or write of the lease, if one is due.
-func (d *domain) renew(ctx context.Context, now time.Time) error {
-	command := d.candidate.Next(now)
-	switch command.Action {
-	case lease.ActionRead:
-		return d.readLease(ctx)
-	case lease.ActionWrite:
-		return d.writeLease(ctx, command)
-	default:
-		return nil
-	}
-}
-
-// readLease reads the lease from the store.
-func (d *domain) readLease(ctx context.Context) error {
-	row, err := d.config.Table.Read(ctx, d.leaseKey())
-	now := d.config.Clock.Now()
-	if err != nil {
-		d.candidate.RecordReadFailure(now)
-		return Error.Wrap(err)
-	}
-	seen := lease.Versioned{Row: lease.Row{FabricDomain: d.name}, Operation: row.Operation}
-	era := platform.Era(row.Version)
-	if row.Version > 0 {
-		seen.Row, era, err = decodeLease(d.name, row.Value)
-		if err != nil {
-			d.candidate.RecordReadFailure(now)
-			return err
-		}
-	}
-	seen.Version = seen.Sequence
-	restored := era < platform.Era(row.Version) || row.Version == 0 && d.leaseVersion != 0
-	if restored && row.Version != d.leaseVersion {
-		d.recordRestoredLease(seen, row.Version, max(1, platform.Era(row.Version)-era), now)
-		return nil
-	}
-	d.recordLeaseVersion(seen.Sequence, row.Version)
-	d.candidate.RecordRead(seen, now)
-	return nil
-}
-
-// recordRestoredLease records a lease that was written before the store came back from an
-// older copy, so that later rows of it may be lost, and how often it did since.
-func (d *domain) recordRestoredLease(row lease.Versioned, version, times uint64, now time.Time) {
-	held := d.candidate.Holds(now)
-	d.candidate.RecordRestored(row, times, now)
-	d.leaseVersion = version
-	if held {
-		// Has the plan read, and written again.
-		d.term = 0
-	} else {
-		d.sequence = row.Sequence
-	}
-	event.LeaseRestored.Log(d.config.Logger, zap.String("fabricDomain", d.name), zap.Bool("held", held), zap.Uint64("era", platform.Era(version)),
-		zap.Uint64("term", row.Term), zap.Uint64("sequence", row.Sequence), zap.Uint64("knownSequence", d.sequence))
-}
-
-// recordLeaseVersion records the version of a lease row unless a newer row is
-// known.
-func (d *domain) recordLeaseVersion(sequence, version uint64) {
-	if sequence < d.sequence {
-		return
-	}
-	d.sequence = sequence
-	d.leaseVersion = version
-}
-
-// versionOf returns the store version of the lease row with the given sequence
-// number. It returns zero if the row isn't the newest, so that a write
-// conditional on it fails.
-func (d *domain) versionOf(sequence uint64) uint64 {
-	if sequence != d.sequence {
-		return 0
-	}
-	return d.leaseVersion
-}
-
-// writeLease writes the lease on condition that it hasn't changed since it was
-// read.
-func (d *domain) writeLease(ctx context.Context, c lease.Command) error {
-	value, err := encodeLease(c.Row, platform.Era(d.leaseVersion))
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	version, err := d.config.Table.CommitVersion(ctx, platform.Transaction{
-		Operation:  c.Operation,
-		Conditions: []platform.Condition{{Key: d.leaseKey(), Version: d.versionOf(c.Version)}},
-		Writes:     []platform.Write{{Key: d.leaseKey(), Value: value}},
-	})
-	now := d.config.Clock.Now()
-	outcome := platform.WriteOutcome(err)
-	if outcome == lease.OutcomeApplied {
-		d.recordLeaseVersion(c.Row.Sequence, version)
-	}
-	d.candidate.RecordWrite(outcome, now)
-	if outcome == lease.OutcomeConflict {
-		return nil
-	}
-	return Error.Wrap(err)
-}
-
-// readPlan reads the plan at the start of a term, or after a plan write that
-// failed or whose outcome is unknown.
-func (d *domain) readPlan(ctx context.Context) error {
-	row, err := d.config.Table.Read(ctx, d.planKey())
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	plan, era := formation.Plan{}, uint64(0)
-	if row.Version > 0 {
-		if plan, era, err = decodePlan(row.Value); err != nil {
-			return err
-		}
-	}
-	term := d.candidate.Term()
-	present := platform.Era(d.leaseVersion)
-	d.planLost = era < platform.Era(row.Version) || row.Version == 0 && present > 0
-	switch {
-	case !d.planLost:
-		d.plan = plan
-	case d.planTerm != term || d.plan.LastEpoch < plan.LastEpoch:
-		// Another node may have written it later.
-		d.plan = plan.Restored(max(1, present-era))
-	}
-	d.planVersion, d.planTerm = row.Version, term
-	if term != d.term {
-		d.term = term
-		d.sentAt = map[orderKey]time.Time{}
-		d.clearOrderCounts()
-		d.clearProbes()
-		if row.Version > 0 {
-			d.loadsBlockedUntil = d.config.Clock.Now().Add(d.config.LoadWindow)
-		}
-		event.LeaseAcquired.Log(d.config.Logger, zap.String("fabricDomain", d.name), zap.Uint64("term", term))
-	}
-	return nil
-}
-
 // reconcile updates the plan to the registered servers and orders the servers to
 // follow the plan.
 func (d *domain) reconcile(ctx context.Context) error {
@@ -466,37 +316,6 @@
 	return len(d.loading)
 }
 
-// writePlan writes a plan on condition that neither the stored plan nor the
-// lease has changed.
-func (d *domain) writePlan(ctx context.Context, decision formation.Decision) error {
-	value, err := encodePlan(decision.Plan, platform.Era(d.leaseVersion))
-	if err != nil {
-		return Error.Wrap(err)
-	}
-	if !d.candidate.Holds(d.config.Clock.Now()) {
-		return nil
-	}
-	d.planWrites++
-	version, err := d.config.Table.CommitVersion(ctx, platform.Transaction{
-		Operation: fmt.Sprintf("plan/%s/%s/%d", d.name, d.config.Holder, d.planWrites),
-		Conditions: []platform.Condition{
-			{Key: d.leaseKey(), Version: d.leaseVersion},
-			{Key: d.planKey(), Version: d.planVersion},
-		},
-		Writes: []platform.Write{{Key: d.planKey(), Value: value}},
-	})
-	if err != nil {
-		// The plan may have been written nevertheless: read it again.
-		d.term = 0
-		return Error.Wrap(err)
-	}
-	d.plan = decision.Plan
-	d.planVersion = version
-	d.planLost = false
-	d.logPlan(decision)
-	return nil
-}
-
 // summaryInterval is the minimum time between two logged summaries.
 const summaryInterval = 3 * time.Second
 
@@ -526,20 +345,3 @@
 		zap.Int("servers", s.Servers), zap.Int("leaving", s.Draining), zap.String("groups", strings.Join(groups, "; ")),
 		zap.String("idle", strings.Join(idle, "; ")), zap.Int("loading", d.countLoading()), zap.Uint64("term", d.term))
 }
-
-// logPlan logs the groups that a plan adds and removes.
-func (d *domain) logPlan(decision formation.Decision) {
-	for _, r := range decision.Released {
-		event.GroupReleased.Log(d.config.Logger, zap.String("group", r.Group.Name), zap.Uint64("epoch", r.Group.Epoch),
-			zap.String("model", r.Group.Model), zap.String("reason", r.Reason), zap.Uint64("term", d.term))
-	}
-	for _, g := range decision.Formed {
-		ids := make([]string, 0, len(g.Members))
-		for _, m := range g.Members {
-			ids = append(ids, m.ID)
-		}
-		event.GroupPlanned.Log(d.config.Logger, zap.String("group", g.Name), zap.Uint64("epoch", g.Epoch),
-			zap.String("model", g.Model), zap.String("fabricDomain", g.FabricDomain),
-			zap.String("members", strings.Join(ids, ",")), zap.Uint64("term", d.term))
-	}
-}
--- a/internal/fleet/control/head.go
+++ b/internal/fleet/control/head.go
@@ -12,8 +12,8 @@
 )
 
 // headProbe is what the probes of one head without a registration, or whose registration
-// says that it has left its group, have shown in the current term. It answers whether the head can no longer have work, which must be known
-// before its members join another group.
+// says that it has left its group, have shown in the current term. It answers whether the
+// head can no longer have work, which must be known before its members join another group.
 //
 // A head that leaves stops listening first and finishes its requests then, so that a
 // refused connection proves only that it accepts nothing new; silence and a lapsed
--- a/internal/fleet/formation/plan.go
+++ b/internal/fleet/formation/plan.go
@@ -55,49 +55,6 @@
 	Lost []EpochRange
 }
 
-// EpochRange is a range of epochs, both of its ends included.
-type EpochRange struct {
-	First, Last uint64
-}
-
-// lostEpochs exceeds the number of groups that are planned in the age of a copy of the store,
-// for each time that it comes back from one.
-const lostEpochs = 10_000
-
-// Restored returns a plan that was read from an older copy of the store, which has come back
-// from one so many times since the plan was written. Groups that were planned since may serve,
-// so that no epoch which they may have is assigned again.
-func (p Plan) Restored(times uint64) Plan {
-	first := p.LastEpoch + 1
-	p.LastEpoch += times * lostEpochs
-	p.Lost = append(slices.Clone(p.Lost), EpochRange{First: first, Last: p.LastEpoch})
-	return p
-}
-
-// mayHaveLost reports whether a group with an epoch may have been planned and lost.
-func (p Plan) mayHaveLost(epoch uint64) bool {
-	return slices.ContainsFunc(p.Lost, func(r EpochRange) bool { return r.First <= epoch && epoch <= r.Last })
-}
-
-// found returns the plan without an epoch among those of lost groups.
-func (p Plan) found(epoch uint64) Plan {
-	var lost []EpochRange
-	for _, r := range p.Lost {
-		if epoch < r.First || epoch > r.Last {
-			lost = append(lost, r)
-			continue
-		}
-		if r.First < epoch {
-			lost = append(lost, EpochRange{First: r.First, Last: epoch - 1})
-		}
-		if epoch < r.Last {
-			lost = append(lost, EpochRange{First: epoch + 1, Last: r.Last})
-		}
-	}
-	p.Lost = lost
-	return p
-}
-
 // Operation is the action that an order requests from a server.
 type Operation string
 
--- a/pkg/core/lease/candidate.go
+++ b/pkg/core/lease/candidate.go
@@ -289,10 +289,10 @@
 
 // RecordRestored records that the platform came back from an older copy of its tables, in
 // which the lease has the given row, how often it did since that row was written, and the time
-// when it was read. If the lease is held, no
-// other node can have acquired it, so that the holder writes its row again: a pending write
-// whose condition failed is sent once more. Otherwise any node may hold it, whatever the row
-// says, and the lease is free only once the row is unchanged for its duration.
+// when it was read. If the lease is held, no other node can have acquired it, so that the
+// holder writes its row again: a pending write whose condition failed is sent once more.
+// Otherwise any node may hold it, whatever the row says, and the lease is free only once the
+// row is unchanged for its duration.
 func (n *Candidate) RecordRestored(row Versioned, times uint64, now time.Time) {
 	n.failures = 0
 	n.expire(now)
