Hold request bodies in pieces in place of buffers that grow by copies

Callers saw refusals and a node that ended: a body in chunks has no length, so its buffer grew by half and was copied, and the old ones stayed until the garbage collector ran. The account counts what is live only.

A body is now a list of pieces, each reserved before it is allocated, half as large as all before and at most 64 KiB; the client sends the pieces as they are, and fingerprints are the same for any division.

Tests whose request bodies were one slice hold the same in one piece; TestBufferFitsBody sums the pieces.

--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -91,7 +91,8 @@
 	Target string
 	Host   string
 	Header http.Header
-	Body   []byte
+	// Body is sent in pieces.
+	Body [][]byte
 	// Accept decides by the status and headers whether the response belongs to the
 	// request, and whether it states that the request has not run. If it does not belong to
 	// the request, the response is discarded and its connection closed.
@@ -343,10 +344,10 @@
 		// leading slashes net/http would send it as an absolute URL.
 		target = &url.URL{Scheme: "http", Host: r.Address, Opaque: r.Target}
 	}
-	once := &onceBody{remaining: r.Body}
-	once.sent.Store(len(r.Body) == 0)
+	once := newOnceBody(r.Body)
+	length := once.left
 	var content io.ReadCloser = once
-	if len(r.Body) == 0 && !retriedByTransport(r.Method) {
+	if length == 0 && !retriedByTransport(r.Method) {
 		content = http.NoBody
 	}
 	request := &http.Request{
@@ -358,9 +359,9 @@
 		ProtoMajor:    1,
 		ProtoMinor:    1,
 		Body:          content,
-		ContentLength: int64(len(r.Body)),
+		ContentLength: length,
 	}
-	if content != http.NoBody && len(r.Body) == 0 {
+	if content != http.NoBody && length == 0 {
 		// Keeps net/http from sending an empty chunked body with methods for which it
 		// does not look whether there is one.
 		request.TransferEncoding = []string{"identity"}
@@ -406,19 +407,37 @@
 
 // onceBody is a request body that can be read once and cannot be rewound.
 type onceBody struct {
-	remaining []byte
+	// pieces are those that are not read yet, begun the number of bytes of the first one
+	// that were.
+	pieces [][]byte
+	begun  int
+	// left is the number of bytes that are not read yet.
+	left int64
 	// sent is set once all of it was read.
 	sent atomic.Bool
 }
 
+func newOnceBody(pieces [][]byte) *onceBody {
+	b := &onceBody{pieces: pieces}
+	for _, piece := range pieces {
+		b.left += int64(len(piece))
+	}
+	b.sent.Store(b.left == 0)
+	return b
+}
+
 // Read implements io.Reader.
 func (b *onceBody) Read(p []byte) (int, error) {
-	if len(b.remaining) == 0 {
+	for len(b.pieces) > 0 && b.begun == len(b.pieces[0]) {
+		b.pieces, b.begun = b.pieces[1:], 0
+	}
+	if len(b.pieces) == 0 {
 		return 0, io.EOF
 	}
-	n := copy(p, b.remaining)
-	b.remaining = b.remaining[n:]
-	if len(b.remaining) == 0 {
+	n := copy(p, b.pieces[0][b.begun:])
+	b.begun += n
+	b.left -= int64(n)
+	if b.left == 0 {
 		b.sent.Store(true)
 	}
 	return n, nil
--- a/internal/routing/backend/client_test.go
+++ b/internal/routing/backend/client_test.go
@@ -29,7 +29,7 @@
 func newRequest(s *boundedtest.Server, id string) backend.Request {
 	return backend.Request{
 		Address: s.Address, Method: http.MethodPost, Target: "/x", Host: "h",
-		Header: http.Header{"Id": {id}}, Body: []byte("body"), Accept: acceptAll,
+		Header: http.Header{"Id": {id}}, Body: [][]byte{[]byte("body")}, Accept: acceptAll,
 	}
 }
 
@@ -202,7 +202,7 @@
 			}
 			var d boundedtest.Dialer
 			response, err := newClient(&d).Attempt(t.Context(), backend.Request{
-				ID: name, Address: s.Listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h", Header: header, Body: body,
+				ID: name, Address: s.Listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h", Header: header, Body: [][]byte{body},
 				Accept: func(int, http.Header) (bool, error) { return false, nil },
 			})
 			if err != nil {
@@ -230,7 +230,7 @@
 	for i := range 100 {
 		response, err := client.Attempt(context.Background(), backend.Request{
 			Address: s.Listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h",
-			Header: http.Header{"Id": {fmt.Sprint(i % 2)}}, Body: []byte("body"), Accept: acceptAll,
+			Header: http.Header{"Id": {fmt.Sprint(i % 2)}}, Body: [][]byte{[]byte("body")}, Accept: acceptAll,
 		})
 		if err != nil {
 			t.Fatal(err)
@@ -263,7 +263,7 @@
 	client := newClient(&d)
 	foreign := errors.New("response of another request")
 	request := backend.Request{
-		Address: s.Listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte("body"),
+		Address: s.Listener.Addr().String(), Method: http.MethodPost, Target: "/x", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte("body")},
 		Accept: func(int, http.Header) (bool, error) { return false, foreign },
 	}
 	var group sync.WaitGroup
--- a/internal/routing/backend/history_test.go
+++ b/internal/routing/backend/history_test.go
@@ -58,7 +58,7 @@
 	t.Helper()
 	var send backend.Send
 	response, err := client.Attempt(context.Background(), backend.Request{
-		ID: id, Address: address, Method: method, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: []byte(body),
+		ID: id, Address: address, Method: method, Target: "/x", Host: "h", Header: http.Header{"Id": {id}}, Body: [][]byte{[]byte(body)},
 		Accept: rejectAll, OnSend: func(s backend.Send) { send = s },
 	})
 	if err != nil {
--- a/internal/routing/backend/replay_test.go
+++ b/internal/routing/backend/replay_test.go
@@ -87,7 +87,7 @@
 					var d boundedtest.Dialer
 					client := newClient(&d)
 					request := backend.Request{
-						Address: s.address, Method: method, Target: "/x", Host: "h", Header: http.Header{}, Body: []byte(body), Accept: acceptAll,
+						Address: s.address, Method: method, Target: "/x", Host: "h", Header: http.Header{}, Body: [][]byte{[]byte(body)}, Accept: acceptAll,
 					}
 					response, err := client.Attempt(context.Background(), request)
 					if err != nil {
--- a/internal/routing/backend/unsent_test.go
+++ b/internal/routing/backend/unsent_test.go
@@ -124,7 +124,7 @@
 							token, own := fmt.Sprint(caller, ".", call), id(caller, call)
 							response, err := client.Attempt(t.Context(), backend.Request{
 								ID: own, Address: address, Method: http.MethodPost, Target: "/x", Host: "h",
-								Header: http.Header{"Id": {own}, "Token": {token}}, Body: []byte(body),
+								Header: http.Header{"Id": {own}, "Token": {token}}, Body: [][]byte{[]byte(body)},
 								Accept: func(_ int, h http.Header) (bool, error) {
 									if h.Get("Id") != own {
 										return false, errForeign
@@ -176,7 +176,7 @@
 				attempt := func(id string, before func()) error {
 					response, err := client.Attempt(t.Context(), backend.Request{
 						ID: id, Address: address, Method: http.MethodPost, Target: "/x", Host: "h",
-						Header: http.Header{"Id": {id}}, Body: []byte(body), Accept: rejectAll,
+						Header: http.Header{"Id": {id}}, Body: [][]byte{[]byte(body)}, Accept: rejectAll,
 						OnSend: func(backend.Send) {
 							sends++
 							before()
@@ -258,7 +258,7 @@
 			for i := range 2 {
 				response, err := client.Attempt(ctx, backend.Request{
 					ID: "x", Address: address, Method: http.MethodPost, Target: "/x", Host: "h",
-					Header: http.Header{"Id": {"x"}}, Body: []byte(body), Accept: rejectAll,
+					Header: http.Header{"Id": {"x"}}, Body: [][]byte{[]byte(body)}, Accept: rejectAll,
 				})
 				if err == nil {
 					_ = response.Body.Close()
--- a/internal/routing/ingress/account.go
+++ b/internal/routing/ingress/account.go
@@ -18,6 +18,9 @@
 	// responses to requests that have run, and for small requests.
 	largeBodiesPercent = 75
 	responsesPercent   = 90
+	// connectionsPercent is the percentage of the account that connections may take, with
+	// the heads of requests.
+	connectionsPercent = 50
 	// smallBody is the maximum size in bytes of the body of a small request.
 	smallBody = 16 << 10
 	// requestMemory is the memory in bytes of a request besides its bodies: stacks and the
@@ -51,6 +54,8 @@
 	mu      sync.Mutex
 	used    int64
 	refused uint64
+	// connections is the part of used that connections hold.
+	connections int64
 	// large has the bytes of large request bodies by workspace.
 	large map[string]int64
 	// waiting has the workspaces whose large bodies were refused, and until when room is
@@ -82,6 +87,7 @@
 
 // fullError reports a reservation that did not fit.
 type fullError struct {
+	class      memoryClass
 	need       int64
 	state      AccountState
 	retryAfter time.Duration
@@ -106,7 +112,7 @@
 		if c == classLarge {
 			a.waiting[workspace] = now.Add(after + waitSlack)
 		}
-		return &fullError{need: n, state: a.state(), retryAfter: after}
+		return &fullError{class: c, need: n, state: a.state(), retryAfter: after}
 	}
 	a.used += n
 	if c == classLarge {
@@ -135,6 +141,29 @@
 	}
 }
 
+// reserveConnection reserves n bytes for a connection or a head, and reports whether they
+// fit.
+func (a *account) reserveConnection(n int64) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	if a.used+n > a.size || a.connections+n > a.size/100*connectionsPercent {
+		return false
+	}
+	a.used += n
+	a.connections += n
+	return true
+}
+
+// releaseConnection returns n bytes that were reserved by reserveConnection.
+func (a *account) releaseConnection(n int64) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+
+	a.used -= n
+	a.connections -= n
+}
+
 // waitSlack is how long after its retry delay room is left to a workspace. It covers the
 // way of the retry.
 const waitSlack = time.Second
@@ -227,6 +256,8 @@
 	account   *account
 	workspace string
 	bytes     [classLarge + 1]int64
+	// onLarge is called before a request body becomes large; nil if that does not matter.
+	onLarge func()
 }
 
 func (h *holding) reserve(c memoryClass, n int64) error {
--- a/internal/routing/ingress/buffer.go
+++ b/internal/routing/ingress/buffer.go
@@ -25,34 +25,24 @@
 	errOverLimit = errors.New("body over its limit")
 )
 
-// bodyBuffer is the memory of a body that is being read. Each byte of it is reserved
+// bodyBuffer is the memory of a response body that is being read. Each byte of it is reserved
 // before it is allocated.
 type bodyBuffer struct {
 	holding *holding
 	// limit is the maximum size in bytes of the body.
 	limit int64
-	// counted returns how many bytes of a buffer count, and in which class.
-	counted func(size int64) (memoryClass, int64)
-	body    []byte
+	body  []byte
 }
 
-// requestBytes counts the buffer of a request body.
-func requestBytes(size int64) (memoryClass, int64) {
-	if size <= smallBody {
-		return classSmall, size
-	}
-	return classLarge, size
-}
-
-// responseBytes counts the buffer of a response body.
-func responseBytes(size int64) (memoryClass, int64) {
-	return classResponse, max(size-freeBuffer, 0)
+// countedBytes returns how many bytes of the buffer of a response body count.
+func countedBytes(size int64) int64 {
+	return max(size-freeBuffer, 0)
 }
 
 // readResponse reads a response body to its end. length is its size in bytes, or negative
 // if that is not known. What the body takes is held until the request ends.
 func (h *holding) readResponse(source io.Reader, length int64) ([]byte, error) {
-	b := &bodyBuffer{holding: h, limit: MaxBufferedBody - 1, counted: responseBytes}
+	b := &bodyBuffer{holding: h, limit: MaxBufferedBody - 1}
 	body, err := b.read(source, length)
 	if errors.Is(err, errOverLimit) {
 		return nil, errBodyTooLarge
@@ -61,8 +51,8 @@
 }
 
 // readRequest reads a request body of at most limit bytes to its end, like readResponse.
-func (h *holding) readRequest(source io.Reader, length, limit int64) ([]byte, error) {
-	b := &bodyBuffer{holding: h, limit: limit, counted: requestBytes}
+func (h *holding) readRequest(source io.Reader, length, limit int64) ([][]byte, error) {
+	b := &requestBuffer{holding: h, limit: limit}
 	return b.read(source, length)
 }
 
@@ -86,7 +76,7 @@
 	}
 	first := min(firstBuffer, final)
 	if length > smallBody {
-		// Stated on arrival, so that a large body is refused before it is sent.
+		// A response that does not fit is given up before it is read.
 		first = length
 	}
 	if err := b.resize(first); err != nil {
@@ -124,9 +114,9 @@
 		return errOverLimit
 	}
 	larger := max(size+size/2, firstBuffer)
-	if size < smallBody {
-		// A body that is small stays so.
-		larger = min(larger, smallBody)
+	if size < freeBuffer {
+		// An ordinary response is not counted.
+		larger = min(larger, freeBuffer)
 	}
 	if err := b.resize(min(larger, final)); err != nil {
 		return err
@@ -137,8 +127,7 @@
 
 // resize moves the body to a buffer of another size. Both are counted meanwhile.
 func (b *bodyBuffer) resize(size int64) error {
-	class, n := b.counted(size)
-	if err := b.holding.reserve(class, n); err != nil {
+	if err := b.holding.reserve(classResponse, countedBytes(size)); err != nil {
 		return err
 	}
 	old := int64(cap(b.body))
@@ -149,6 +138,5 @@
 
 // release releases a buffer of a size.
 func (b *bodyBuffer) release(size int64) {
-	class, n := b.counted(size)
-	b.holding.release(class, n)
+	b.holding.release(classResponse, countedBytes(size))
 }
--- a/internal/routing/ingress/buffer_test.go
+++ b/internal/routing/ingress/buffer_test.go
@@ -99,8 +99,8 @@
 			if err != nil || !bytes.Equal(got, want) {
 				t.Errorf("response of %d bytes, length %d: got %d bytes, error %v; want it unchanged", size, length, len(got), err)
 			}
-			got, err = h.readRequest(iotest.HalfReader(bytes.NewReader(want)), length, int64(size))
-			if err != nil || !bytes.Equal(got, want) {
+			pieces, err := h.readRequest(iotest.HalfReader(bytes.NewReader(want)), length, int64(size))
+			if got := bytes.Join(pieces, nil); err != nil || !bytes.Equal(got, want) {
 				t.Errorf("request of %d bytes, length %d: got %d bytes, error %v; want it unchanged", size, length, len(got), err)
 			}
 		}
@@ -122,7 +122,11 @@
 			if length >= 0 {
 				most = size
 			}
-			if got := int64(cap(body)); got > most || a.used != got {
+			got := int64(0)
+			for _, piece := range body {
+				got += int64(cap(piece))
+			}
+			if got > most || a.used != got {
 				t.Errorf("body of %d bytes, length %d: buffer of %d bytes, %d counted; want at most %d, all counted", size, length, got, a.used, most)
 			}
 		}
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -101,7 +101,7 @@
 	route     *routes.Route
 	workspace string
 	service   string
-	body      []byte
+	body      [][]byte
 	result    Result
 	// holding is the memory that is held until the request ends.
 	holding holding
--- a/internal/routing/quarantine/content.go
+++ b/internal/routing/quarantine/content.go
@@ -1,7 +1,6 @@
 package quarantine
 
 import (
-	"encoding/binary"
 	"encoding/hex"
 
 	"github.com/cespare/xxhash/v2"
@@ -53,7 +52,8 @@
 	Workspace string
 	// Target is the path and query.
 	Target string
-	Body   []byte
+	// Body is in pieces; how it is divided does not matter.
+	Body [][]byte
 	// Parts lists the parts of the prompt that other requests may share.
 	Parts []Part
 
@@ -65,7 +65,7 @@
 // Quick returns the cheap hash of the whole content.
 func (c *Content) Quick() uint64 {
 	if c.quick == nil {
-		sum := quickHash([]byte(c.Workspace), []byte(c.Target), c.Body)
+		sum := quickHashOfPieces([][]byte{[]byte(c.Workspace)}, [][]byte{[]byte(c.Target)}, c.Body)
 		c.quick = &sum
 	}
 	return *c.quick
@@ -73,21 +73,24 @@
 
 // quickHash returns the cheap hash of some texts.
 func quickHash(texts ...[]byte) uint64 {
-	var size [8]byte
-	h := xxhash.New()
+	pieces := make([][][]byte, 0, len(texts))
 	for _, text := range texts {
-		binary.BigEndian.PutUint64(size[:], uint64(len(text)))
-		// Writing to a hash cannot fail.
-		_, _ = h.Write(size[:])
-		_, _ = h.Write(text)
+		pieces = append(pieces, [][]byte{text})
 	}
+	return quickHashOfPieces(pieces...)
+}
+
+// quickHashOfPieces is like quickHash for texts that are in pieces.
+func quickHashOfPieces(texts ...[][]byte) uint64 {
+	h := xxhash.New()
+	attempt.HashTexts(h, texts...)
 	return h.Sum64()
 }
 
 // Mark returns the mark of the whole content.
 func (c *Content) Mark() Mark {
 	if c.fingerprint == nil {
-		f := attempt.NewFingerprint([]byte(c.Workspace), []byte(c.Target), c.Body)
+		f := attempt.NewFingerprintOfPieces([][]byte{[]byte(c.Workspace)}, [][]byte{[]byte(c.Target)}, c.Body)
 		c.fingerprint = &f
 	}
 	return Mark{Fingerprint: *c.fingerprint, Quick: c.Quick()}
--- a/pkg/core/attempt/fingerprint.go
+++ b/pkg/core/attempt/fingerprint.go
@@ -4,6 +4,7 @@
 	"crypto/sha256"
 	"encoding/binary"
 	"encoding/hex"
+	"hash"
 )
 
 // Fingerprint is a SHA-256 digest that identifies a request by its content.
@@ -13,18 +14,40 @@
 // length of each part is hashed too, so that different lists of parts with the
 // same concatenation have different fingerprints.
 func NewFingerprint(parts ...[]byte) Fingerprint {
-	var f Fingerprint
-	var size [8]byte
-	h := sha256.New()
+	texts := make([][][]byte, 0, len(parts))
 	for _, p := range parts {
-		binary.BigEndian.PutUint64(size[:], uint64(len(p)))
-		h.Write(size[:])
-		h.Write(p)
+		texts = append(texts, [][]byte{p})
 	}
+	return NewFingerprintOfPieces(texts...)
+}
+
+// NewFingerprintOfPieces is like NewFingerprint for parts that are in pieces. How they are
+// divided does not matter.
+func NewFingerprintOfPieces(parts ...[][]byte) Fingerprint {
+	var f Fingerprint
+	h := sha256.New()
+	HashTexts(h, parts...)
 	h.Sum(f[:0])
 	return f
 }
 
+// HashTexts writes texts, each in pieces, to a hash, with their lengths.
+func HashTexts(h hash.Hash, texts ...[][]byte) {
+	var size [8]byte
+	for _, text := range texts {
+		length := 0
+		for _, piece := range text {
+			length += len(piece)
+		}
+		binary.BigEndian.PutUint64(size[:], uint64(length))
+		// Writing to a hash cannot fail.
+		_, _ = h.Write(size[:])
+		for _, piece := range text {
+			_, _ = h.Write(piece)
+		}
+	}
+}
+
 // String returns the fingerprint in hexadecimal.
 func (f Fingerprint) String() string {
 	return hex.EncodeToString(f[:])
