Limit connections, heads, still bodies and unread answers of callers

Causes: nothing limited connections or what the kernel receives on them; the ports for readiness, metrics and peers took heads of 1 MiB; bodies that stood still and answers that were not read held memory and slots for ever; a refusal before a chunked body was read waited in net/http for the body.

A body has to come by the deadline of its request.

The limits of the soft memory limit of the runtime go from 80% to 70%, since program file and unread bytes are outside of it.

--- a/cmd/almondbay/entry.go
+++ b/cmd/almondbay/entry.go
@@ -35,10 +35,7 @@
 	keepAliveIdle     = 2 * time.Second
 	keepAliveInterval = time.Second
 	keepAliveCount    = 2
-	// memoryLimitPercent is the soft memory limit of the Go runtime as a percentage
-	// of the VM's memory.
-	memoryLimitPercent = 80
-	readyPath          = "/-/readyz"
+	readyPath         = "/-/readyz"
 )
 
 type entryCommand struct {
@@ -54,7 +51,7 @@
 	if err != nil {
 		return err
 	}
-	debug.SetMemoryLimit(s.MemoryBytes * memoryLimitPercent / 100)
+	debug.SetMemoryLimit(entry.SoftMemoryLimit(s.MemoryBytes))
 	sink := logsink.New(os.Stdout)
 	logger := newLogger(sink)
 	event.NodeStarted.Log(logger, zap.String("node", s.Node), zap.String("failureDomain", s.FailureDomain),
--- a/cmd/crowdtest/node_test.go
+++ b/cmd/crowdtest/node_test.go
@@ -414,13 +414,19 @@
 func (n *node) check(t *testing.T) {
 	t.Helper()
 	sent := 0
-	var err error
+	var first error
 	n.await(t, "an ordinary request is answered", func() bool {
 		sent++
-		err = n.ordinaryRequest(t.Context(), fmt.Sprintf("ordinary%d", sent))
+		err := n.ordinaryRequest(t.Context(), fmt.Sprintf("ordinary%d", sent))
+		if err != nil && first == nil {
+			first = err
+		}
 		return err == nil
 	})
 	n.sample()
+	if first != nil {
+		t.Logf("first attempt of the ordinary request: %v", first)
+	}
 	memory, sockets := n.peakMemory.Load(), n.peakSockets.Load()
 	t.Logf("memory at most %d MB (%d resident, %d unread) of %d; sockets at most %d of %d; ordinary request answered at attempt %d",
 		memory>>20, n.resident.Load()>>20, n.unread.Load()>>20, n.limits.memoryMB, sockets, n.maxSockets(), sent)
--- a/internal/node/deployment/settings.go
+++ b/internal/node/deployment/settings.go
@@ -26,8 +26,11 @@
 	// PlatformAddress is the address of the platform's store.
 	PlatformAddress string
 	// FirstStart is set only on the first start of the whole system.
-	FirstStart  bool
+	FirstStart bool
+	// MemoryBytes and Descriptors are the limits of the VM; Descriptors is zero if it is not
+	// known. FileDescriptors of them are for files.
 	MemoryBytes int64
+	Descriptors int
 	// Cores is the node's CPU quota, in cores.
 	Cores float64
 	// Heartbeat is the interval at which backend servers renew their
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -319,7 +319,7 @@
 		MaxTries:      maxTries,
 		StallAfter:    stallAfter,
 		AttemptStall:  attemptStallAfter,
-		Memory:        requestMemory(c.Settings.MemoryBytes),
+		Memory:        NewLimits(c.Settings.Descriptors, c.Settings.MemoryBytes).AccountBytes,
 	})
 	n.metrics.WatchMemory(func() (used, size int64, refused uint64) {
 		a := n.handler.Account()
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -24,6 +24,7 @@
 	"almondbay.example/internal/node/recovery"
 	peerrelay "almondbay.example/internal/peer/relay"
 	"almondbay.example/internal/routing/balance"
+	"almondbay.example/internal/routing/caller"
 	"almondbay.example/internal/routing/ingress"
 	"almondbay.example/serving/event"
 )
@@ -44,28 +45,40 @@
 	idleCallerTimeout = time.Minute
 	// maxHeaderBytes limits the size of a request's headers.
 	maxHeaderBytes = 64 << 10
+	// maxInternalHeaderBytes and maxInternalBody limit a request of the platform or of
+	// another node. The longest is a probe, which names the members of a group.
+	maxInternalHeaderBytes = 4 << 10
+	maxInternalBody        = 64 << 10
 )
 
 // Run serves until ctx is done, then drains requests in flight and returns.
 func (n *Node) Run(ctx context.Context) error {
+	var g run.Group
 	s := n.config.Settings
-	callers, err := n.listen("callers", s.CallerListen)
+	limits := NewLimits(s.Descriptors, s.MemoryBytes)
+	callers, err := n.listen(ctx, "callers", s.CallerListen, limits.Callers, n.handler)
 	if err != nil {
 		return err
 	}
-	readiness, err := n.listen("readiness", s.ReadinessListen)
+	readiness, err := n.listen(ctx, "readiness", s.ReadinessListen, limits.Readiness, nil)
 	if err != nil {
 		return err
 	}
-	peers, err := n.listen("peers", net.JoinHostPort(s.Address.String(), strconv.Itoa(s.PeerPort)))
+	peers, err := n.listen(ctx, "peers", net.JoinHostPort(s.Address.String(), strconv.Itoa(s.PeerPort)), limits.Peers, nil)
 	if err != nil {
 		return err
 	}
-	metrics, err := n.listen("metrics", net.JoinHostPort(s.Address.String(), strconv.Itoa(s.MetricsPort)))
+	metrics, err := n.listen(ctx, "metrics", net.JoinHostPort(s.Address.String(), strconv.Itoa(s.MetricsPort)), limits.Metrics, nil)
 	if err != nil {
 		return err
 	}
-	var g run.Group
+	n.handler.SetRoom(callers)
+	n.addLoop(&g, every(caller.SweepInterval), func(context.Context) error {
+		for _, l := range []*caller.Listener{callers, readiness, peers, metrics} {
+			l.Sweep()
+		}
+		return nil
+	})
 	n.addCallers(ctx, &g, callers)
 	n.addReadiness(&g, readiness)
 	n.addMetrics(&g, metrics)
@@ -81,12 +94,24 @@
 	return g.Run()
 }
 
-// listen opens a TCP listener and logs its address.
-func (n *Node) listen(name, address string) (net.Listener, error) {
-	l, err := net.Listen("tcp", address)
+// every returns a constant interval.
+func every(d time.Duration) func() time.Duration {
+	return func() time.Duration { return d }
+}
+
+// listen opens a TCP listener with a limit of connections and logs its address. Connections
+// are charged to memory unless it is nil.
+func (n *Node) listen(ctx context.Context, name, address string, connections int, memory caller.Memory) (*caller.Listener, error) {
+	l, err := caller.Listen(ctx, address, caller.Config{
+		Clock:          n.config.Clock,
+		MaxConnections: connections,
+		Memory:         memory,
+		OnClosing:      func(c caller.Closing) { n.metrics.ClosedConnections.WithLabelValues(name, string(c)).Inc() },
+	})
 	if err != nil {
 		return nil, Error.Wrap(err)
 	}
+	n.metrics.WatchConnections(name, connections, l.Connections)
 	event.NodeListening.Log(n.config.Logger, zap.String("listener", name), zap.String("address", l.Addr().String()))
 	return l, nil
 }
@@ -102,7 +127,6 @@
 			}
 		})
 	}
-	every := func(d time.Duration) func() time.Duration { return func() time.Duration { return d } }
 	n.addLoop(g, every(reportInterval), func(ctx context.Context) error {
 		now := n.config.Clock.Now()
 		n.watch.run("check of requests in flight", func() { n.handler.Check(now) })
@@ -197,7 +221,7 @@
 
 // addCallers serves callers until ctx is done and the requests in flight have
 // ended.
-func (n *Node) addCallers(ctx context.Context, g *run.Group, l net.Listener) {
+func (n *Node) addCallers(ctx context.Context, g *run.Group, l *caller.Listener) {
 	requests := &requestTracker{handler: n.handler}
 	server := &http.Server{
 		Handler:           requests,
@@ -205,7 +229,8 @@
 		IdleTimeout:       idleCallerTimeout,
 		MaxHeaderBytes:    maxHeaderBytes,
 		ErrorLog:          n.ErrorLog(),
-		ConnContext:       boundReadBuffer,
+		ConnContext:       caller.WithConn,
+		ConnState:         l.Track,
 	}
 	ended := make(chan struct{})
 	g.Add(func() error {
@@ -322,7 +347,7 @@
 }
 
 // addReadiness serves the load balancer's readiness probe.
-func (n *Node) addReadiness(g *run.Group, l net.Listener) {
+func (n *Node) addReadiness(g *run.Group, l *caller.Listener) {
 	e := echo.New()
 	e.GET(n.config.ReadyPath, func(c echo.Context) error {
 		if !n.logReadiness() {
@@ -334,15 +359,22 @@
 }
 
 // addMetrics serves the metrics in the Prometheus format.
-func (n *Node) addMetrics(g *run.Group, l net.Listener) {
+func (n *Node) addMetrics(g *run.Group, l *caller.Listener) {
 	e := echo.New()
 	e.GET("/metrics", echo.WrapHandler(n.metrics.Handler()))
 	n.addServer(g, l, e)
 }
 
-// addServer serves h until the group stops.
-func (n *Node) addServer(g *run.Group, l net.Listener, h http.Handler) {
-	server := &http.Server{Handler: h, ReadHeaderTimeout: readHeaderTimeout, ErrorLog: n.ErrorLog()}
+// addServer serves h, whose requests have no bodies or small ones, until the group stops.
+func (n *Node) addServer(g *run.Group, l *caller.Listener, h http.Handler) {
+	server := &http.Server{
+		Handler:           http.MaxBytesHandler(h, maxInternalBody),
+		ReadHeaderTimeout: readHeaderTimeout,
+		IdleTimeout:       idleCallerTimeout,
+		MaxHeaderBytes:    maxInternalHeaderBytes,
+		ErrorLog:          n.ErrorLog(),
+		ConnState:         l.Track,
+	}
 	g.Add(func() error { return Error.Wrap(server.Serve(l)) }, func(error) { _ = server.Close() })
 }
 
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -9,6 +9,7 @@
 	"errors"
 	"hash/maphash"
 	"net/http"
+	"sync/atomic"
 	"time"
 
 	"github.com/jonboulle/clockwork"
@@ -71,14 +72,39 @@
 	watchdog *watchdog
 	seed     maphash.Seed
 	account  *account
+	room     Room
+	// discards is the number of requests whose unread bodies are discarded.
+	discards atomic.Int64
 }
 
 // NewHandler returns a handler. Check must be called regularly for it to detect
 // stalled attempts.
 func NewHandler(c Config) *Handler {
-	return &Handler{config: c, watchdog: newWatchdog(), seed: maphash.MakeSeed(), account: newAccount(c.Clock, c.Memory)}
+	return &Handler{
+		config: c, watchdog: newWatchdog(), seed: maphash.MakeSeed(), account: newAccount(c.Clock, c.Memory), room: noRoom{},
+	}
+}
+
+// Room gives up requests of callers that stand still, so that there is room for others. Its
+// methods return at once; the room is there soon after.
+type Room interface {
+	// AbortBody gives up a body, and with it memory.
+	AbortBody()
+	// AbortAnswer gives up an answer that is not read, and with it a slot of a head.
+	AbortAnswer()
 }
 
+// noRoom gives up nothing.
+type noRoom struct{}
+
+func (noRoom) AbortBody() {}
+
+func (noRoom) AbortAnswer() {}
+
+// SetRoom sets what gives up requests when there is no room for another. It must be called
+// before the handler is used.
+func (h *Handler) SetRoom(r Room) { h.room = r }
+
 // Account returns the state of the account of memory.
 func (h *Handler) Account() AccountState {
 	h.account.mu.Lock()
@@ -87,6 +113,13 @@
 	return h.account.state()
 }
 
+// ReserveConnection reserves n bytes of the account for a connection, and reports whether
+// they fit.
+func (h *Handler) ReserveConnection(n int64) bool { return h.account.reserveConnection(n) }
+
+// ReleaseConnection returns n bytes that were reserved by ReserveConnection.
+func (h *Handler) ReleaseConnection(n int64) { h.account.releaseConnection(n) }
+
 // Check cancels attempts that have received no data for too long. It is meant to
 // be called many times a second.
 func (h *Handler) Check(now time.Time) {
@@ -146,6 +179,10 @@
 
 func (q *request) serve() {
 	c := q.handler.config.Configuration()
+	q.bodyLimit = defaultMaxBody
+	if c != nil && c.Limits.MaxBodyBytes > 0 {
+		q.bodyLimit = c.Limits.MaxBodyBytes
+	}
 	if c == nil {
 		q.refuse(http.StatusServiceUnavailable, "no configuration known", notReadyRetryAfter)
 		return
@@ -155,14 +192,14 @@
 		return
 	}
 	q.holding.workspace = q.workspace
-	if !q.readBody(c.Limits.MaxBodyBytes) {
+	ctx, cancel := q.deadline()
+	defer cancel()
+	if !q.readBody(ctx) {
 		return
 	}
 	q.content = &quarantine.Content{
 		Workspace: q.workspace, Target: q.http.URL.RequestURI(), Body: q.body, Parts: quarantine.NewParts(q.call.SharedParts),
 	}
-	ctx, cancel := q.deadline()
-	defer cancel()
 	q.run(ctx)
 }
 
@@ -247,5 +284,8 @@
 	header := q.response.header()
 	q.handler.config.Dialect.SetRefusal(header, q.call.ID, after)
 	header.Set("Content-Type", "text/plain; charset=utf-8")
+	if !q.bodyRead && q.http.ContentLength != 0 {
+		q.prepareUnread()
+	}
 	q.sendWhole(status, []byte(cause+"\n"))
 }
--- a/internal/routing/ingress/request.go
+++ b/internal/routing/ingress/request.go
@@ -105,9 +105,10 @@
 	result    Result
 	// holding is the memory that is held until the request ends.
 	holding holding
-	// unread is set to the maximum size in bytes of the body if the request was answered
-	// before the end of the body.
-	unread int64
+	// bodyLimit is the maximum size in bytes of the body, and bodyRead is set once it was
+	// read to its end.
+	bodyLimit int64
+	bodyRead  bool
 
 	// possibleRuns is the number of tries that may have run at a backend server.
 	possibleRuns int
@@ -156,6 +157,7 @@
 		}, now)
 		q.result.Load = choice.Load
 		if !choice.OK {
+			q.handler.room.AbortAnswer()
 			q.endWithoutResponse(ctx, refusal(choice), choice.RetryAfter)
 			return
 		}
--- a/internal/routing/ingress/response.go
+++ b/internal/routing/ingress/response.go
@@ -2,7 +2,6 @@
 
 import (
 	"errors"
-	"net"
 	"net/http"
 	"strconv"
 )
@@ -98,7 +97,7 @@
 		// The server closes the connection itself.
 		return
 	}
-	if c, ok := conn.(*net.TCPConn); ok {
+	if c, ok := conn.(interface{ SetLinger(seconds int) error }); ok {
 		// If the option can't be set, the connection has failed already.
 		_ = c.SetLinger(0)
 	}
--- a/pkg/serving/metric/entry.go
+++ b/pkg/serving/metric/entry.go
@@ -94,6 +94,18 @@
 		Name: "almondbay_entry_memory_refusals_total", Kind: KindCounter,
 		Help: "Requests, and responses to requests, for which the account of memory had no room.",
 	}
+	entryConnections = Definition{
+		Name: "almondbay_entry_connections", Kind: KindGauge, Labels: []string{"listener"},
+		Help: "Open connections to a listener of the node.",
+	}
+	entryConnectionLimit = Definition{
+		Name: "almondbay_entry_connections_limit", Kind: KindGauge, Labels: []string{"listener"},
+		Help: "Connections to a listener of the node that may be open at the same time.",
+	}
+	entryClosedConnections = Definition{
+		Name: "almondbay_entry_closed_connections_total", Kind: KindCounter, Labels: []string{"listener", "cause"},
+		Help: "Connections to a listener of the node that were closed, or whose request was given up: one that had stood still for another (makesRoom), a new one while all had requests under way (noRoom), or one whose body or answer had stood still too long (standsStill).",
+	}
 	entryOrders = Definition{
 		Name: "almondbay_entry_orders_total", Kind: KindCounter, Labels: []string{"operation", "status"},
 		Help: "Orders sent to backend servers, by the status of the answer; 0 for no answer.",
@@ -104,7 +116,7 @@
 var entryDefinitions = []Definition{
 	entryRequests, entryTries, entryFirstByte, entryGap, entryDuration, entryStoreCalls, entryStoreSeconds,
 	entryHeads, entryReady, entryVersion, entryLeases, entryOrders, entryServerEnds, entryQuarantined, entryQuarantinedParts, entryStatements,
-	entryDistrusted, entryMemory, entryMemorySize, entryMemoryRefusals,
+	entryDistrusted, entryMemory, entryMemorySize, entryMemoryRefusals, entryConnections, entryConnectionLimit, entryClosedConnections,
 }
 
 // Entry holds the metrics of a node on an entry VM. It is safe for concurrent use.
@@ -128,6 +140,7 @@
 	QuarantinedParts     prometheus.Gauge
 	Statements           *prometheus.CounterVec
 	Distrusted           *prometheus.CounterVec
+	ClosedConnections    *prometheus.CounterVec
 
 	registry *prometheus.Registry
 }
@@ -153,9 +166,10 @@
 		QuarantinedParts:     prometheus.NewGauge(gaugeOptions(entryQuarantinedParts)),
 		Statements:           prometheus.NewCounterVec(counterOptions(entryStatements), entryStatements.Labels),
 		Distrusted:           prometheus.NewCounterVec(counterOptions(entryDistrusted), entryDistrusted.Labels),
+		ClosedConnections:    prometheus.NewCounterVec(counterOptions(entryClosedConnections), entryClosedConnections.Labels),
 	}
 	e.registry.MustRegister(e.Requests, e.Tries, e.FirstByte, e.Gap, e.Duration, e.StoreCalls, e.StoreSeconds,
-		e.Heads, e.Ready, e.ConfigurationVersion, e.Leases, e.Orders, e.ServerEnds, e.Quarantined, e.QuarantinedParts, e.Statements, e.Distrusted, collectors.NewGoCollector())
+		e.Heads, e.Ready, e.ConfigurationVersion, e.Leases, e.Orders, e.ServerEnds, e.Quarantined, e.QuarantinedParts, e.Statements, e.Distrusted, e.ClosedConnections, collectors.NewGoCollector())
 	return e
 }
 
@@ -186,6 +200,20 @@
 	)
 }
 
+// WatchConnections serves the number of open connections to a listener, and its limit. It
+// must be called once for each listener.
+func (e *Entry) WatchConnections(listener string, limit int, connections func() int) {
+	gauge := func(d Definition, value func() float64) prometheus.Collector {
+		o := gaugeOptions(d)
+		o.ConstLabels = prometheus.Labels{"listener": listener}
+		return prometheus.NewGaugeFunc(o, value)
+	}
+	e.registry.MustRegister(
+		gauge(entryConnections, func() float64 { return float64(connections()) }),
+		gauge(entryConnectionLimit, func() float64 { return float64(limit) }),
+	)
+}
+
 // RecordStoreCall records the result and the duration of a call to the store of
 // the platform.
 func (e *Entry) RecordStoreCall(call, result string, took time.Duration) {
--- a/pkg/serving/metric/metric_test.go
+++ b/pkg/serving/metric/metric_test.go
@@ -115,6 +115,8 @@
 	e.ServerEnds.WithLabelValues("restarted").Inc()
 	e.Statements.WithLabelValues("leaving").Inc()
 	e.Distrusted.WithLabelValues("otherRequest").Inc()
+	e.WatchConnections("callers", 10, func() int { return 1 })
+	e.ClosedConnections.WithLabelValues("callers", "noRoom").Inc()
 	e.WatchMemory(func() (int64, int64, uint64) { return 1, 2, 3 })
 	response := httptest.NewRecorder()
 	e.Handler().ServeHTTP(response, httptest.NewRequest(http.MethodGet, "/metrics", nil))
