Take no answer with a malformed head, or of a reset connection, for whole

Callers got parts of answers as whole ones, statuses of 000, lines whose names held blanks, and chunk framing as body; a 503 in such a head passed for a promise that the request had not run.

Causes: a write that fails takes the error of the socket, and the read after it sees a plain end; net/http lets statuses, blanks in names, codings in HTTP/1.0 and a length beside a coding pass. Both at the one place where bytes of answers are read, so both are mended there: bounded.Conn, for all clients, and backend.countedConn on top of it.

TestHeadWithoutEnd: the folded line is refused at its first byte and no longer at 8 KiB, so that case wants the malformed head; it still wants the connection closed and the bound on bytes read.

--- a/internal/routing/backend/client.go
+++ b/internal/routing/backend/client.go
@@ -20,6 +20,8 @@
 	"time"
 
 	"github.com/jonboulle/clockwork"
+
+	"almondbay.example/serving/bounded"
 )
 
 // MaxHeadBytes is the maximum size in bytes of the head of a response, including
@@ -64,7 +66,7 @@
 		if err != nil {
 			return nil, err
 		}
-		return &countedConn{Conn: conn, number: connections.Add(1), distrusted: distrusted}, nil
+		return &countedConn{Conn: bounded.NewConn(conn), number: connections.Add(1), distrusted: distrusted}, nil
 	}
 	return &Client{
 		clock:   c.Clock,
@@ -150,7 +152,8 @@
 // attempt sends r on one connection, after others were passed over. The error is
 // errPassedOver in a NotSentError if this one is passed over as well.
 func (c *Client) attempt(ctx context.Context, r Request, passedOver int) (*http.Response, error) {
-	tracker := writeTracker{passedOver: passedOver}
+	content := newOnceBody(r.Body)
+	tracker := writeTracker{content: content, passedOver: passedOver}
 	attemptCtx, cancel := context.WithCancelCause(ctx)
 	timer := c.clock.AfterFunc(c.timeout, func() {
 		if !tracker.connected.Load() || tracker.lost.Load() {
@@ -164,7 +167,7 @@
 			timer.Stop()
 		}
 	}}
-	request, err := newRequest(httptrace.WithClientTrace(attemptCtx, trace), r)
+	request, err := newRequest(httptrace.WithClientTrace(attemptCtx, trace), r, content)
 	if err != nil {
 		cancel(nil)
 		return nil, &NotSentError{Address: r.Address, Err: err}
@@ -209,8 +212,7 @@
 		cancel(nil)
 		return nil, &SentError{Address: r.Address, Err: errSwitched}
 	}
-	content, ok := request.Body.(*onceBody)
-	response.Body = &body{ReadCloser: response.Body, cancel: cancel, early: ok && !content.sent.Load()}
+	response.Body = &body{ReadCloser: response.Body, cancel: cancel, early: !content.sent.Load()}
 	return response, nil
 }
 
@@ -227,9 +229,12 @@
 // statusLine matches the beginning of a status line.
 var statusLine = regexp.MustCompile(`HTTP/1\.[01] [0-9]{3}`)
 
-// checkHead returns errMergedHead if a response was cut off in its head and another one
+// checkHead returns an error if the head is malformed, and errMergedHead if a response was cut off in its head and another one
 // follows it, which net/http reads as one.
 func checkHead(response *http.Response) error {
+	if err := bounded.CheckHead(response); err != nil {
+		return err
+	}
 	if statusLine.MatchString(response.Status) {
 		return errMergedHead
 	}
@@ -268,6 +273,8 @@
 
 // writeTracker detects whether any byte of a request was written.
 type writeTracker struct {
+	// content is the body of the request.
+	content   *onceBody
 	connected atomic.Bool
 	use       atomic.Pointer[connUse]
 	// reused is set if the connection is a kept one, lost if it was closed before the
@@ -282,6 +289,7 @@
 	if c, ok := i.Conn.(*countedConn); ok {
 		t.settle(verdictOther)
 		u := c.begin(ctx, r.ID)
+		c.Begin(t.content.sent.Load)
 		t.use.Store(u)
 		if t.lost.Load() {
 			// net/http chose another connection by itself.
@@ -332,7 +340,7 @@
 
 // newRequest builds a request that net/http does not retry by itself: the body
 // cannot be rewound, so the transport returns an error instead.
-func newRequest(ctx context.Context, r Request) (*http.Request, error) {
+func newRequest(ctx context.Context, r Request, once *onceBody) (*http.Request, error) {
 	target, err := url.ParseRequestURI(r.Target)
 	if err != nil {
 		return nil, err
@@ -344,7 +352,6 @@
 		// leading slashes net/http would send it as an absolute URL.
 		target = &url.URL{Scheme: "http", Host: r.Address, Opaque: r.Target}
 	}
-	once := newOnceBody(r.Body)
 	length := once.left
 	var content io.ReadCloser = once
 	if length == 0 && !retriedByTransport(r.Method) {
--- a/internal/routing/backend/client_test.go
+++ b/internal/routing/backend/client_test.go
@@ -1,6 +1,7 @@
 package backend_test
 
 import (
+	"cmp"
 	"context"
 	"errors"
 	"fmt"
@@ -41,15 +42,17 @@
 func TestHeadWithoutEnd(t *testing.T) {
 	tests := []struct {
 		name, begin, repeat string
+		// want is said by the error; empty for that of a head that is too large.
+		want string
 	}{
-		{"status line", "", "x"},
-		{"status line after the protocol", "HTTP/1.1 200 ", "x"},
-		{"header line", "HTTP/1.1 200 OK\r\nA: ", "x"},
-		{"name of a header line", "HTTP/1.1 200 OK\r\nA", "x"},
-		{"folded header line", "HTTP/1.1 200 OK\r\nA: b\r\n", " x\r\n"},
-		{"header lines", "HTTP/1.1 200 OK\r\n", "A: b\r\n"},
-		{"early hints", "", "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
-		{"invitations to continue", "", "HTTP/1.1 100 Continue\r\n\r\n"},
+		{name: "status line", begin: "", repeat: "x"},
+		{name: "status line after the protocol", begin: "HTTP/1.1 200 ", repeat: "x"},
+		{name: "header line", begin: "HTTP/1.1 200 OK\r\nA: ", repeat: "x"},
+		{name: "name of a header line", begin: "HTTP/1.1 200 OK\r\nA", repeat: "x"},
+		{name: "folded header line", begin: "HTTP/1.1 200 OK\r\nA: b\r\n", repeat: " x\r\n", want: "malformed head"},
+		{name: "header lines", begin: "HTTP/1.1 200 OK\r\n", repeat: "A: b\r\n"},
+		{name: "early hints", begin: "", repeat: "HTTP/1.1 103 Early Hints\r\nA: b\r\n\r\n"},
+		{name: "invitations to continue", begin: "", repeat: "HTTP/1.1 100 Continue\r\n\r\n"},
 	}
 	for _, tt := range tests {
 		t.Run(tt.name, func(t *testing.T) {
@@ -60,7 +63,7 @@
 				_ = response.Body.Close()
 			}
 			var sent *backend.SentError
-			if want := fmt.Sprintf("headers exceeded %d bytes", backend.MaxHeadBytes); !errors.As(err, &sent) || !strings.Contains(err.Error(), want) {
+			if want := cmp.Or(tt.want, fmt.Sprintf("headers exceeded %d bytes", backend.MaxHeadBytes)); !errors.As(err, &sent) || !strings.Contains(err.Error(), want) {
 				t.Errorf("error %v, want a SentError that says %q", err, want)
 			}
 			s.RequireClosed(t)
--- a/internal/routing/backend/conn.go
+++ b/internal/routing/backend/conn.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net"
 	"sync"
+
+	"almondbay.example/serving/bounded"
 )
 
 // countedConn counts the calls of Write on a connection, so that an attempt can
@@ -12,7 +14,7 @@
 // before a request from being taken for its response, which the transport does
 // if they arrive just before the request.
 type countedConn struct {
-	net.Conn
+	*bounded.Conn
 	// number is unique among the connections of a client, and at least 1.
 	number uint64
 	// distrusted is called when the connection is closed because of what came on it.
--- a/internal/routing/backend/export_test.go
+++ b/internal/routing/backend/export_test.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"net"
+
+	"almondbay.example/serving/bounded"
 )
 
 // CountedConn exposes the connection of the client to its tests.
@@ -13,7 +15,7 @@
 
 // NewCountedConn returns a connection that is about to take a request.
 func NewCountedConn(conn net.Conn) *CountedConn {
-	c := &countedConn{Conn: conn, distrusted: func(DistrustCause) {}}
+	c := &countedConn{Conn: bounded.NewConn(conn), distrusted: func(DistrustCause) {}}
 	return &CountedConn{conn: c, use: c.begin(context.Background(), "request")}
 }
 
--- a/internal/routing/caller/listener_test.go
+++ b/internal/routing/caller/listener_test.go
@@ -116,6 +116,15 @@
 	}
 }
 
+// awaitHandled waits until the body of a request was read.
+func (f *fixture) awaitHandled(t *testing.T) {
+	t.Helper()
+	<-f.entered
+	if err := <-f.bodyErrors; err != nil {
+		t.Fatal(err)
+	}
+}
+
 // dial opens a connection and waits until the listener has it, or has closed another.
 func (f *fixture) dial(t *testing.T) net.Conn {
 	t.Helper()
@@ -158,8 +167,7 @@
 	f := newFixture(t, 3, 1<<20)
 	busy := f.dial(t)
 	send(t, busy, held)
-	<-f.entered
-	<-f.bodyErrors
+	f.awaitHandled(t)
 	oldest := f.dial(t)
 	f.clock.Advance(time.Minute)
 	f.dial(t)
@@ -189,8 +197,7 @@
 	for range 2 {
 		conn := f.dial(t)
 		send(t, conn, held)
-		<-f.entered
-		<-f.bodyErrors
+		f.awaitHandled(t)
 		busy = append(busy, conn)
 	}
 	f.clock.Advance(time.Hour)
--- a/internal/routing/ingress/relay.go
+++ b/internal/routing/ingress/relay.go
@@ -13,6 +13,7 @@
 	"almondbay.example/internal/routing/exchange"
 	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/internal/routing/stream"
+	"almondbay.example/serving/bounded"
 )
 
 // bufferedResponse is a complete response that has not been sent to the caller
@@ -121,10 +122,13 @@
 var errServerEnded = errors.New("server ended, or answers no more, at the end of a response without a length or chunks")
 
 // confirmEnd reports whether the server of a response that was read to its end is known
-// to run. A response without a length or chunks ends with its connection, as it does when
+// to run. A response whose trailer is malformed has not ended. One without a length or chunks ends with its connection, as it does when
 // the server ends: the server is then asked, and if it has ended or gives no answer,
 // errServerEnded is returned.
 func (q *request) confirmEnd(ctx context.Context, head registry.Head, response *http.Response) (lives bool, err error) {
+	if err := bounded.CheckFields(response.Trailer); err != nil {
+		return false, err
+	}
 	if response.ContentLength >= 0 || len(response.TransferEncoding) > 0 || q.http.Method == http.MethodHead {
 		return true, nil
 	}
--- a/pkg/serving/bounded/bounded.go
+++ b/pkg/serving/bounded/bounded.go
@@ -5,6 +5,7 @@
 import (
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"time"
@@ -70,22 +71,33 @@
 		limited := t.Clone()
 		limited.MaxResponseHeaderBytes = MaxHeadBytes
 		limited.TLSHandshakeTimeout = HandshakeTimeout
+		if limited.DialContext == nil {
+			limited.DialContext = (&net.Dialer{}).DialContext
+		}
+		limited.DialContext = dialChecked(limited.DialContext)
+		if limited.DialTLSContext != nil {
+			limited.DialTLSContext = dialChecked(limited.DialTLSContext)
+		}
 		base = limited
 	}
 	return &Transport{base: base}
 }
 
 // RoundTrip implements http.RoundTripper. It returns a TooLargeError if the head
-// is too large, and an UpgradeError for a response with status 101: its body is
+// is too large, a MalformedHeadError if it is malformed, and an UpgradeError for a response with status 101: its body is
 // the connection, whose reads end neither at a deadline nor on cancellation.
 func (t *Transport) RoundTrip(r *http.Request) (*http.Response, error) {
-	response, err := t.base.RoundTrip(r)
+	response, err := t.base.RoundTrip(checked(r))
 	if err != nil && isHeadTooLarge(err) {
 		return nil, &TooLargeError{Part: PartHead, Server: r.URL.Host, Limit: MaxHeadBytes}
 	}
 	if err != nil {
 		return nil, err
 	}
+	if err := CheckHead(response); err != nil {
+		_ = response.Body.Close()
+		return nil, err
+	}
 	if response.StatusCode == http.StatusSwitchingProtocols {
 		_ = response.Body.Close()
 		return nil, &UpgradeError{Server: r.URL.Host}
--- a/pkg/serving/bounded/bounded_test.go
+++ b/pkg/serving/bounded/bounded_test.go
@@ -2,9 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 
@@ -93,3 +95,42 @@
 		t.Errorf("body at the limit: got %d bytes, error %v", len(body), err)
 	}
 }
+
+// TestTransportRefusesMalformedHeads guards against answers of servers in trouble that pass
+// for answers at any client: of servers, the store, other nodes or an operator's command.
+func TestTransportRefusesMalformedHeads(t *testing.T) {
+	for name, head := range map[string]string{
+		"status 000":                  "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+		"blank inside a name":         "HTTP/1.1 200 OK\r\nX Note: a\r\nContent-Length: 0\r\n\r\n",
+		"blank before a colon":        "HTTP/1.1 200 OK\r\nContent-Length : 0\r\n\r\n",
+		"control byte in a name":      "HTTP/1.1 200 OK\r\nX\x01Note: a\r\nContent-Length: 0\r\n\r\n",
+		"coding in HTTP/1.0":          "HTTP/1.0 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"length and coding":           "HTTP/1.1 200 OK\r\nContent-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+		"malformed head of hints":     "HTTP/1.1 103 Early Hints\r\nX Note: a\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n",
+		"malformed second on the way": "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 099 OK\r\nContent-Length: 0\r\n\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				conn, _, err := http.NewResponseController(w).Hijack()
+				if err != nil {
+					return
+				}
+				_, _ = io.WriteString(conn, head)
+				_ = conn.Close()
+			}))
+			defer server.Close()
+			request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, strings.NewReader("body"))
+			if err != nil {
+				t.Fatal(err)
+			}
+			response, err := bounded.NewTransport(&http.Transport{}).RoundTrip(request)
+			if err == nil {
+				_ = response.Body.Close()
+			}
+			var malformed *bounded.MalformedHeadError
+			if !errors.As(err, &malformed) {
+				t.Errorf("error %v, want a %T", err, malformed)
+			}
+		})
+	}
+}
