Limit heads and connections at the ports of serve for operators and nodes

The limit of connections is below TLS: above it, net/http does not recognize the TLS connection (TestNodesOverTLS showed it, with "TLS handshake timeout").

--- a/cmd/almondbay/dev.go
+++ b/cmd/almondbay/dev.go
@@ -12,6 +12,7 @@
 	"github.com/jonboulle/clockwork"
 	"github.com/oklog/run"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
 	"almondbay.example/core/fleet"
 	"almondbay.example/serving/engine/enginehttp"
@@ -60,6 +61,7 @@
 	if err != nil {
 		return err
 	}
+	operatorListener = netutil.LimitListener(operatorListener, node.MaxOperatorConnections)
 	ctx := c.invocation.ctx
 	memory := platform.NewMemory()
 	var g run.Group
--- a/cmd/almondbay/serve.go
+++ b/cmd/almondbay/serve.go
@@ -7,6 +7,7 @@
 
 	"github.com/jonboulle/clockwork"
 	"go.uber.org/zap"
+	"golang.org/x/net/netutil"
 
 	"almondbay.example/serving/certificate"
 	"almondbay.example/serving/engine/enginehttp"
@@ -74,14 +75,14 @@
 		VMs:      client,
 		Engine:   enginehttp.New(enginehttp.Config{ControlTimeout: controlTimeout}),
 	}
-	if config.Callers, _, err = listen(&config, "caller", s.Caller); err != nil {
+	if config.Callers, _, err = listen(&config, "caller", s.Caller, 0); err != nil {
 		return node.Config{}, err
 	}
-	if config.Operators, _, err = listen(&config, "operator", s.Operator.Listener); err != nil {
+	if config.Operators, _, err = listen(&config, "operator", s.Operator.Listener, node.MaxOperatorConnections); err != nil {
 		return node.Config{}, err
 	}
 	var store *certificate.Store
-	if config.Peers, store, err = listen(&config, "peer", s.Peer.Listener); err != nil {
+	if config.Peers, store, err = listen(&config, "peer", s.Peer.Listener, node.MaxPeerConnections); err != nil {
 		return node.Config{}, err
 	}
 	if store != nil {
@@ -91,12 +92,16 @@
 }
 
 // listen opens a listener, with TLS when its settings name a certificate, whose
-// store it adds to the config and returns.
-func listen(c *node.Config, name string, s settings.Listener) (net.Listener, *certificate.Store, error) {
+// store it adds to the config and returns. It accepts no more connections while the given
+// number is open; zero for no limit.
+func listen(c *node.Config, name string, s settings.Listener, connections int) (net.Listener, *certificate.Store, error) {
 	listener, err := net.Listen("tcp", s.Address)
 	if err != nil {
 		return nil, nil, err
 	}
+	if connections > 0 {
+		listener = netutil.LimitListener(listener, connections)
+	}
 	event.NodeListening.Log(c.Logger, zap.String("listener", name),
 		zap.String("address", listener.Addr().String()), zap.Bool("tls", !s.TLS.IsZero()))
 	if s.TLS.IsZero() {
--- a/cmd/crowdtest/node_test.go
+++ b/cmd/crowdtest/node_test.go
@@ -69,9 +69,12 @@
 	command *exec.Cmd
 	// ended is closed when the process has ended.
 	ended chan struct{}
+	log   lineTail
 	// server is the backend server.
 	server *backendServer
-	client *http.Client
+	// ordinary sends an ordinary request with an ID.
+	ordinary func(ctx context.Context, id string) error
+	client   *http.Client
 
 	// peakMemory is the most memory in bytes that was seen, peakSockets the most sockets.
 	peakMemory, peakSockets atomic.Int64
@@ -108,17 +111,37 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	n := &node{limits: l, ended: make(chan struct{}), server: newBackendServer(t), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+	n := newNode(l)
+	n.server = newBackendServer(t)
+	n.ordinary = n.ordinaryRequest
 	settings := filepath.Join(t.TempDir(), "settings.json")
 	if err := os.WriteFile(settings, n.settings(t, newStore(t, n.server)), 0o600); err != nil {
 		t.Fatal(err)
 	}
 	n.command = exec.Command(path, "entry")
+	n.start(t, "ALMONDBAY_BOOT="+settings)
+	n.await(t, "the node is ready", func() bool {
+		response, err := n.client.Get("http://" + net.JoinHostPort(nodeIP, portReadiness) + "/-/readyz")
+		if err != nil {
+			return false
+		}
+		_ = response.Body.Close()
+		return response.StatusCode == http.StatusOK
+	})
+	return n
+}
+
+func newNode(l limits) *node {
+	return &node{limits: l, ended: make(chan struct{}), client: &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}}
+}
+
+// start starts the process, with more variables in its environment, and ends it with the test.
+func (n *node) start(t *testing.T, environment ...string) {
+	t.Helper()
 	// The VM has one core.
-	n.command.Env = append(os.Environ(), "ALMONDBAY_BOOT="+settings, "GOMAXPROCS=1")
-	var log lineTail
-	n.command.Stdout = &log
-	n.command.Stderr = &log
+	n.command.Env = append(append(os.Environ(), "GOMAXPROCS=1"), environment...)
+	n.command.Stdout = &n.log
+	n.command.Stderr = &n.log
 	if err := n.command.Start(); err != nil {
 		t.Fatal(err)
 	}
@@ -138,18 +161,9 @@
 		_ = n.command.Process.Signal(syscall.SIGKILL)
 		_ = g.Wait()
 		if t.Failed() {
-			t.Logf("last lines of the node:\n%s", log.String())
+			t.Logf("last lines of the node:\n%s", n.log.String())
 		}
 	})
-	n.await(t, "the node is ready", func() bool {
-		response, err := n.client.Get("http://" + net.JoinHostPort(nodeIP, portReadiness) + "/-/readyz")
-		if err != nil {
-			return false
-		}
-		_ = response.Body.Close()
-		return response.StatusCode == http.StatusOK
-	})
-	return n
 }
 
 // settings returns the settings of the node.
@@ -417,7 +431,7 @@
 	var first error
 	n.await(t, "an ordinary request is answered", func() bool {
 		sent++
-		err := n.ordinaryRequest(t.Context(), fmt.Sprintf("ordinary%d", sent))
+		err := n.ordinary(t.Context(), fmt.Sprintf("ordinary%d", sent))
 		if err != nil && first == nil {
 			first = err
 		}
--- a/pkg/serving/node/peers.go
+++ b/pkg/serving/node/peers.go
@@ -82,10 +82,7 @@
 		event.KeyRefused.Log(n.config.Logger,
 			zap.String("listener", "peer"), zap.String("remote", r.RemoteAddr), zap.String("path", r.URL.Path))
 	}
-	return &http.Server{
-		Handler:           keys.Require(keys.Holders(n.config.Settings.Peer.Keys), refused, n.relay.Handler()),
-		ReadHeaderTimeout: readHeaderTimeout,
-	}
+	return newInternalServer(keys.Require(keys.Holders(n.config.Settings.Peer.Keys), refused, n.relay.Handler()))
 }
 
 // heartbeat exchanges state with a random peer. Errors are ignored, since an
--- a/pkg/serving/node/run.go
+++ b/pkg/serving/node/run.go
@@ -20,7 +20,7 @@
 	n.addServer(&g, n.config.Callers, callers, func(ctx context.Context) error {
 		return n.gateway.Stop(ctx, callers)
 	})
-	operators := &http.Server{Handler: n.operators, ReadHeaderTimeout: readHeaderTimeout}
+	operators := newInternalServer(n.operators)
 	n.addServer(&g, n.config.Operators, operators, operators.Shutdown)
 	n.addLoop(&g, scheduleInterval, n.schedulerPicker.Refresh)
 	n.addLoop(&g, flushInterval, n.ownerPicker.Flush)
