Refuse requests that servers may read differently, before anything is passed on

The listener of callers scans all bytes of a connection, of one request after another. A head or body that is malformed gets 400 and a closed connection; bytes behind a request under way do not end it.

--- a/cmd/almondbay/client.go
+++ b/cmd/almondbay/client.go
@@ -56,7 +56,7 @@
 	client := operatorclient.New(operatorclient.Config{
 		Servers: o.Servers,
 		Key:     keys.NewSecret(o.Key),
-		HTTP:    &http.Client{Transport: &http.Transport{
+		HTTP: &http.Client{Transport: &http.Transport{
 			TLSClientConfig: trust,
 			// A command makes few calls, and its connections count at the node.
 			DisableKeepAlives: true,
--- a/internal/routing/caller/conn.go
+++ b/internal/routing/caller/conn.go
@@ -25,9 +25,9 @@
 const (
 	// freeHead is the size in bytes of a head that ConnectionBytes covers.
 	freeHead = 4 << 10
-	// headFactor is the memory of a head per byte received: that of its text, and of the
-	// strings that are parsed from it.
-	headFactor = 2
+	// headFactor is the memory of a head per byte received: that of its text, of the strings
+	// that are parsed from it, and of a line that is checked.
+	headFactor = 3
 	// maxWrite is the number of bytes that are written at once, so that the progress of a
 	// long answer shows.
 	maxWrite = 64 << 10
@@ -58,18 +58,54 @@
 	still int
 	// aborted is set if the read of a body was ended.
 	aborted bool
+	// scanner checks what is received; malformed is its error, after which nothing is.
+	scanner   requestScanner
+	malformed error
 }
 
 // Read implements net.Conn.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
-	if n > 0 && !c.received(int64(n)) {
+	if n == 0 {
+		return 0, err
+	}
+	if err := c.check(p[:n]); err != nil {
+		return 0, err
+	}
+	if !c.received(int64(n)) {
 		_ = c.Conn.Close()
 		return 0, net.ErrClosed
 	}
 	return n, err
 }
 
+// check checks bytes that were received. While a request is handled, they are of one behind
+// it, and an error must not end the request: Malformed reports it.
+func (c *Conn) check(p []byte) error {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	if c.malformed == nil {
+		c.malformed = c.scanner.scan(p)
+	}
+	if c.phase == phaseHandled {
+		return nil
+	}
+	return c.malformed
+}
+
+// Malformed returns the error of what the caller sent, at or before the present request. It
+// is nil for a nil Conn.
+func (c *Conn) Malformed() error {
+	if c == nil {
+		return nil
+	}
+	c.mu.Lock()
+	defer c.mu.Unlock()
+
+	return c.malformed
+}
+
 // received records bytes that were received. It reports false if there is no room for them.
 func (c *Conn) received(n int64) bool {
 	c.moved.Add(n)
--- a/internal/routing/ingress/handler.go
+++ b/internal/routing/ingress/handler.go
@@ -18,6 +18,7 @@
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/routing/backend"
 	"almondbay.example/internal/routing/balance"
+	"almondbay.example/internal/routing/caller"
 	"almondbay.example/internal/routing/exchange"
 	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/internal/routing/retry"
@@ -183,6 +184,10 @@
 	if c != nil && c.Limits.MaxBodyBytes > 0 {
 		q.bodyLimit = c.Limits.MaxBodyBytes
 	}
+	if err := caller.FromContext(q.http.Context()).Malformed(); err != nil {
+		q.denyMalformed(err)
+		return
+	}
 	if c == nil {
 		q.refuse(http.StatusServiceUnavailable, "no configuration known", notReadyRetryAfter)
 		return
@@ -264,6 +269,13 @@
 	q.finish(status, cause, 0)
 }
 
+// denyMalformed ends a request that is malformed, or that follows one on its connection,
+// which is closed.
+func (q *request) denyMalformed(err error) {
+	q.response.header().Set("Connection", "close")
+	q.deny(http.StatusBadRequest, err.Error())
+}
+
 // refuse rejects a request that certainly has not run and will not run. after is
 // the retry delay for the caller.
 func (q *request) refuse(status int, cause string, after time.Duration) {
--- a/internal/routing/ingress/refusal.go
+++ b/internal/routing/ingress/refusal.go
@@ -42,6 +42,7 @@
 		err = q.receiveBody(ctx)
 	}
 	var full *fullError
+	var malformed *caller.MalformedError
 	switch {
 	case errors.As(err, &full):
 		q.result.Memory = full.state.Used
@@ -53,6 +54,9 @@
 	case errors.Is(err, errOverLimit):
 		q.deny(http.StatusRequestEntityTooLarge, "request body too large")
 		return false
+	case errors.As(err, &malformed):
+		q.denyMalformed(malformed)
+		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		q.refuse(http.StatusRequestTimeout, "request body not received in time", 0)
 		return false
--- a/pkg/serving/bounded/head.go
+++ b/pkg/serving/bounded/head.go
@@ -10,14 +10,14 @@
 	"golang.org/x/net/http/httpguts"
 )
 
-// MalformedHeadError reports a head of a response that is not one by RFC 9112. net/http
-// accepts some of them, and reads them differently from others.
+// MalformedHeadError reports a head that is not one by RFC 9112. net/http accepts some of
+// them, and reads them differently from others.
 type MalformedHeadError struct {
 	// Reason tells what is malformed.
 	Reason string
 }
 
-func (e *MalformedHeadError) Error() string { return "malformed head of a response: " + e.Reason }
+func (e *MalformedHeadError) Error() string { return "malformed head: " + e.Reason }
 
 func malformed(format string, args ...any) error {
 	return &MalformedHeadError{Reason: fmt.Sprintf(format, args...)}
@@ -105,16 +105,26 @@
 	return nil
 }
 
-// checkField checks "name: value".
-func (s *headScanner) checkField(line string) error {
+// CutField returns the name and the value of a line of a head, or a *MalformedHeadError.
+func CutField(line string) (name, value string, err error) {
 	name, value, found := strings.Cut(line, ":")
 	switch {
 	case !found:
-		return malformed("line %.80q has no colon", line)
+		return "", "", malformed("line %.80q has no colon", line)
 	case !httpguts.ValidHeaderFieldName(name):
-		return malformed("name %.80q of a field", name)
+		return "", "", malformed("name %.80q of a field", name)
 	case !httpguts.ValidHeaderFieldValue(value):
-		return malformed("value %.80q of field %.80q", value, name)
+		return "", "", malformed("value %.80q of field %.80q", value, name)
+	}
+	return name, strings.Trim(value, " \t"), nil
+}
+
+// checkField checks "name: value".
+func (s *headScanner) checkField(line string) error {
+	name, _, err := CutField(line)
+	switch {
+	case err != nil:
+		return err
 	case strings.EqualFold(name, "Content-Length"):
 		s.lengths++
 	case strings.EqualFold(name, "Transfer-Encoding"):
