Use pieces of refused bodies again, and widen receive buffers for long bodies

Two causes: the pieces of a body that is refused in the middle are garbage at once, more than the collector takes at one core; and each body beyond 16 KiB had a wide receive buffer that nothing counted, also while the rest of a refused one is discarded.

Pieces of 64 KiB go back to a pool when the read of their body fails; nothing has seen them by then. The receive buffer is widened from 256 KiB on, if its 128 KiB can be reserved, and narrowed for discarding.

--- a/internal/routing/caller/conn.go
+++ b/internal/routing/caller/conn.go
@@ -179,14 +179,20 @@
 	}
 }
 
-// ExpectLargeBody widens the receive buffer for a body whose memory is reserved.
-func (c *Conn) ExpectLargeBody() {
+// WidenBuffer widens the receive buffer for a long body. Its caller has reserved
+// WideBufferBytes.
+func (c *Conn) WidenBuffer() { c.setReceiveBuffer(wideReceiveBuffer) }
+
+// NarrowBuffer takes back WidenBuffer.
+func (c *Conn) NarrowBuffer() { c.setReceiveBuffer(receiveBuffer) }
+
+func (c *Conn) setReceiveBuffer(size int) {
 	if c == nil {
 		return
 	}
 	if tcp, ok := c.Conn.(*net.TCPConn); ok {
 		// If it can't be set, the connection has failed already.
-		_ = tcp.SetReadBuffer(bodyReceiveBuffer)
+		_ = tcp.SetReadBuffer(size)
 	}
 }
 
--- a/internal/routing/caller/listener.go
+++ b/internal/routing/caller/listener.go
@@ -25,9 +25,10 @@
 	// receiveBuffer is the size in bytes of the receive buffer of a connection, of which
 	// the kernel takes twice as much. Without a bound it grows to megabytes.
 	receiveBuffer = 8 << 10
-	// bodyReceiveBuffer is the size in bytes of the receive buffer while a large body is
-	// read, whose memory is reserved.
-	bodyReceiveBuffer = 64 << 10
+	// wideReceiveBuffer is the size in bytes of the receive buffer while a long body is read.
+	// A connection holds up to WideBufferBytes then.
+	wideReceiveBuffer = 64 << 10
+	WideBufferBytes   = 128 << 10
 	// sendBuffer is the size in bytes of the send buffer of a connection, of which the
 	// kernel takes twice as much.
 	sendBuffer = 64 << 10
--- a/internal/routing/ingress/account.go
+++ b/internal/routing/ingress/account.go
@@ -256,8 +256,9 @@
 	account   *account
 	workspace string
 	bytes     [classLarge + 1]int64
-	// onLarge is called before a request body becomes large; nil if that does not matter.
-	onLarge func()
+	// onLong is called once the memory of a long request body, and of a wider receive buffer
+	// for it, is reserved; nil if that does not matter.
+	onLong func()
 }
 
 func (h *holding) reserve(c memoryClass, n int64) error {
--- a/internal/routing/ingress/pieces.go
+++ b/internal/routing/ingress/pieces.go
@@ -3,10 +3,39 @@
 import (
 	"errors"
 	"io"
+	"sync"
+
+	"almondbay.example/internal/routing/caller"
+)
+
+const (
+	// maxPiece is the maximum size in bytes of a piece of a request body.
+	maxPiece = 64 << 10
+	// longBody is the size in bytes of a body from which on a wider receive buffer is worth
+	// its memory.
+	longBody = 256 << 10
 )
 
-// maxPiece is the maximum size in bytes of a piece of a request body.
-const maxPiece = 64 << 10
+// spare has pieces of maxPiece bytes of bodies that were refused while they were read. Left
+// to the garbage collector, those of a crowd are more than all that is counted.
+var spare = sync.Pool{New: func() any { return new([maxPiece]byte) }}
+
+// newPiece returns an empty piece of a size.
+func newPiece(size int64) []byte {
+	if size < maxPiece {
+		return make([]byte, 0, size)
+	}
+	return spare.Get().(*[maxPiece]byte)[:0]
+}
+
+// recycle takes back the pieces of a body that nothing has read.
+func recycle(pieces [][]byte) {
+	for _, p := range pieces {
+		if cap(p) == maxPiece {
+			spare.Put((*[maxPiece]byte)(p[:maxPiece]))
+		}
+	}
+}
 
 // requestBuffer is the memory of a request body that is being read. It grows by pieces, so
 // that nothing is copied, and each is reserved before it is allocated.
@@ -18,6 +47,8 @@
 	// size of the pieces, and at most reserved.
 	reserved, allocated int64
 	pieces              [][]byte
+	// widened is set once the receive buffer was widened, or there was no room for that.
+	widened bool
 }
 
 // read reads a body to its end. length is its size in bytes, or negative if that is not
@@ -26,6 +57,7 @@
 	err := b.fill(source, length)
 	if err != nil {
 		b.holding.release(requestClass(b.reserved), b.reserved)
+		recycle(b.pieces)
 		return nil, err
 	}
 	return b.pieces, nil
@@ -100,7 +132,7 @@
 			return err
 		}
 	}
-	b.pieces = append(b.pieces, make([]byte, 0, size))
+	b.pieces = append(b.pieces, newPiece(size))
 	b.allocated += size
 	return nil
 }
@@ -112,20 +144,29 @@
 		if err := b.holding.reserve(now, total-b.reserved); err != nil {
 			return err
 		}
-		b.reserved = total
-		return nil
-	}
-	if err := b.holding.reserve(now, total); err != nil {
-		return err
+	} else {
+		if err := b.holding.reserve(now, total); err != nil {
+			return err
+		}
+		b.holding.release(before, b.reserved)
 	}
-	b.holding.release(before, b.reserved)
 	b.reserved = total
-	if b.holding.onLarge != nil {
-		b.holding.onLarge()
-	}
+	b.widen()
 	return nil
 }
 
+// widen widens the receive buffer of the caller's connection for a long body, if there is
+// room for it until the request ends.
+func (b *requestBuffer) widen() {
+	if b.widened || b.holding.onLong == nil || b.reserved < longBody {
+		return
+	}
+	b.widened = true
+	if b.holding.reserve(classLarge, caller.WideBufferBytes) == nil {
+		b.holding.onLong()
+	}
+}
+
 // requestClass returns the class of a request body of a size.
 func requestClass(size int64) memoryClass {
 	if size <= smallBody {
--- a/internal/routing/ingress/refusal.go
+++ b/internal/routing/ingress/refusal.go
@@ -83,7 +83,7 @@
 	defer context.AfterFunc(ctx, limit.exceed)()
 	timer := q.handler.config.Clock.AfterFunc(maxBodyTime, limit.exceed)
 	defer timer.Stop()
-	q.holding.onLarge = conn.ExpectLargeBody
+	q.holding.onLong = conn.WidenBuffer
 	q.body, err = q.holding.readRequest(q.http.Body, q.http.ContentLength, q.bodyLimit)
 	return err
 }
@@ -154,6 +154,7 @@
 		return false
 	}
 	conn := caller.FromContext(q.http.Context())
+	conn.NarrowBuffer()
 	conn.BeginBody()
 	defer conn.EndBody()
 	timer := q.handler.config.Clock.AfterFunc(discardTime, func() {
