--- a/internal/routing/caller/listener.go
+++ b/internal/routing/caller/listener.go
@@ -26,9 +26,9 @@
 	// the kernel takes twice as much. Without a bound it grows to megabytes.
 	receiveBuffer = 8 << 10
 	// wideReceiveBuffer is the size in bytes of the receive buffer while a long body is read.
-	// A connection holds up to WideBufferBytes then.
 	wideReceiveBuffer = 64 << 10
-	WideBufferBytes   = 128 << 10
+	// WideBufferBytes is the number of bytes that the kernel takes for a wide buffer.
+	WideBufferBytes = 128 << 10
 	// sendBuffer is the size in bytes of the send buffer of a connection, of which the
 	// kernel takes twice as much.
 	sendBuffer = 64 << 10
