--- a/internal/node/deployment/settings.go
+++ b/internal/node/deployment/settings.go
@@ -28,7 +28,7 @@
 	// FirstStart is set only on the first start of the whole system.
 	FirstStart bool
 	// MemoryBytes and Descriptors are the limits of the VM; Descriptors is zero if it is not
-	// known. FileDescriptors of them are for files.
+	// known.
 	MemoryBytes int64
 	Descriptors int
 	// Cores is the node's CPU quota, in cores.
--- a/internal/routing/ingress/memory_test.go
+++ b/internal/routing/ingress/memory_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	"almondbay.example/internal/routing/ingress"
 )
@@ -175,3 +176,54 @@
 		t.Errorf("%d bytes in use, want at most %d", state.Used, state.Size)
 	}
 }
+
+// awaitBody waits until the handler receives the body of one more request than before.
+func awaitBody(f *fixture, before int64) {
+	for f.handler.Account().Used == before {
+		continue
+	}
+}
+
+// TestBodyMustComeByDeadline guards against bodies that stand still and hold their memory for
+// ever: the deadline of a request did not hold while its body was read.
+func TestBodyMustComeByDeadline(t *testing.T) {
+	s := newServer(t, success)
+	f := newFixture(t, 10, s)
+	u := beginUpload(t, f, withLength(100))
+	awaitBody(f, 0)
+	f.clock.Advance(time.Hour)
+	if status, _, closes := u.answer(t); status != http.StatusRequestTimeout || !closes {
+		t.Errorf("status %d, closes %v; want 408, and the connection closed", status, closes)
+	}
+	if r := <-f.results; r.Outcome != ingress.OutcomeRefused || len(r.Tries) != 0 || s.requests() != 0 {
+		t.Errorf("result %+v, %d requests at the server; want a refusal without a try", r, s.requests())
+	}
+}
+
+// TestRefusalDoesNotWaitForBody guards against refusals that waited for the rest of a body in
+// chunks, which need not come.
+func TestRefusalDoesNotWaitForBody(t *testing.T) {
+	for name, change := range map[string]func(string) string{
+		"key":   func(head string) string { return strings.Replace(head, "Key: key", "Key: other", 1) },
+		"route": func(head string) string { return strings.Replace(head, "/safe/x", "/none", 1) },
+		"ID":    func(head string) string { return strings.Replace(head, "Id: mine", "No: id", 1) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			f := newFixture(t, 10, newServer(t, success))
+			conn, err := (&net.Dialer{}).DialContext(t.Context(), "tcp", f.front.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			head := "POST /safe/x HTTP/1.1\r\nHost: h\r\nId: mine\r\nKey: key\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nab"
+			if _, err := io.WriteString(conn, change(head)); err != nil {
+				t.Fatal(err)
+			}
+			u := &upload{Conn: conn, reader: bufio.NewReader(conn)}
+			if status, _, closes := u.answer(t); status < 400 || status > 499 || !closes {
+				t.Errorf("status %d, closes %v; want 4xx, and the connection closed", status, closes)
+			}
+			<-f.results
+		})
+	}
+}
--- a/internal/routing/ingress/refusal.go
+++ b/internal/routing/ingress/refusal.go
@@ -58,6 +58,7 @@
 		q.denyMalformed(malformed)
 		return false
 	case errors.Is(err, os.ErrDeadlineExceeded):
+		q.response.header().Set("Connection", "close")
 		q.refuse(http.StatusRequestTimeout, "request body not received in time", 0)
 		return false
 	case err != nil:
@@ -69,8 +70,8 @@
 	return true
 }
 
-// receiveBody reads the body while the caller's connection gives way to others and before
-// ctx is done or maxBodyTime is over.
+// receiveBody reads the body until ctx is done, or for maxBodyTime if the request has no
+// deadline. Meanwhile the caller's connection may give way to others.
 func (q *request) receiveBody(ctx context.Context) (err error) {
 	if q.http.ContentLength == 0 {
 		return nil
@@ -81,8 +82,10 @@
 	limit := &readLimit{controller: http.NewResponseController(q.response.writer)}
 	defer limit.lift()
 	defer context.AfterFunc(ctx, limit.exceed)()
-	timer := q.handler.config.Clock.AfterFunc(maxBodyTime, limit.exceed)
-	defer timer.Stop()
+	if q.until.IsZero() {
+		timer := q.handler.config.Clock.AfterFunc(maxBodyTime, limit.exceed)
+		defer timer.Stop()
+	}
 	q.holding.onLong = conn.WidenBuffer
 	q.body, err = q.holding.readRequest(q.http.Body, q.http.ContentLength, q.bodyLimit)
 	return err
