Write short requests at once again: their bodies were sent apart from the head

The client of plain services of serve lost whole answers of a server that answers without reading the body.

Cause: bounded.Transport wrapped the bodies of requests, to know when they were handed over. net/http flushes the head first for a body that it does not know, so the body went in a packet of its own, the server closed with it unread, and the connection was reset.

The transport leaves bodies as they are; an end after a failed or unfinished write is still an error. backend.Client's own body says whether all was handed over, as before. TestTransportWritesShortRequestAtOnce counted 2 writes before, 1 now.

--- a/pkg/serving/bounded/bounded_test.go
+++ b/pkg/serving/bounded/bounded_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"strings"
+	"sync/atomic"
 	"testing"
 
 	"almondbay.example/serving/bounded"
@@ -134,3 +135,41 @@
 		})
 	}
 }
+
+// countingConn counts the calls of Write.
+type countingConn struct {
+	net.Conn
+	writes *atomic.Int64
+}
+
+func (c countingConn) Write(p []byte) (int, error) {
+	c.writes.Add(1)
+	return c.Conn.Write(p)
+}
+
+// TestTransportWritesShortRequestAtOnce guards against a body that is sent apart from its head:
+// a server that answers without reading it, and closes, resets the connection then, and its
+// answer is lost.
+func TestTransportWritesShortRequestAtOnce(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	var writes atomic.Int64
+	transport := bounded.NewTransport(&http.Transport{
+		DialContext: func(ctx context.Context, network, address string) (net.Conn, error) {
+			conn, err := (&net.Dialer{}).DialContext(ctx, network, address)
+			return countingConn{Conn: conn, writes: &writes}, err
+		},
+	})
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, server.URL, strings.NewReader("body"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if n := writes.Load(); n != 1 {
+		t.Errorf("request written by %d calls, want 1", n)
+	}
+}
--- a/pkg/serving/bounded/conn.go
+++ b/pkg/serving/bounded/conn.go
@@ -9,7 +9,6 @@
 	"net/http"
 	"net/http/httptrace"
 	"sync"
-	"sync/atomic"
 	"time"
 )
 
@@ -49,7 +48,8 @@
 	writing  int
 	written  *sync.Cond
 	writeErr error
-	// finished reports whether all of the request was handed to Write; nil before the first.
+	// finished reports whether all of the request was handed to Write; nil if that is not
+	// known.
 	finished func() bool
 }
 
@@ -61,7 +61,7 @@
 }
 
 // Begin expects a response to a request that is about to be written. finished reports
-// whether all of the request was handed to the connection.
+// whether all of the request was handed to the connection; nil if that is not known.
 func (c *Conn) Begin(finished func() bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
@@ -128,45 +128,13 @@
 }
 
 // checked returns a copy of a request that expects its response on the connection that it
-// gets.
+// gets. Its body stays as it is: net/http writes one that it knows together with the head,
+// and a server that answers without reading it resets the connection otherwise.
 func checked(r *http.Request) *http.Request {
-	var finished atomic.Bool
-	finished.Store(r.Body == nil || r.Body == http.NoBody)
 	trace := &httptrace.ClientTrace{GotConn: func(i httptrace.GotConnInfo) {
 		if c, ok := i.Conn.(*Conn); ok {
-			c.Begin(finished.Load)
+			c.Begin(nil)
 		}
 	}}
-	r = r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
-	if finished.Load() {
-		return r
-	}
-	r.Body = &countedBody{ReadCloser: r.Body, finished: &finished}
-	if again := r.GetBody; again != nil {
-		r.GetBody = func() (io.ReadCloser, error) {
-			body, err := again()
-			if err != nil {
-				return nil, err
-			}
-			finished.Store(false)
-			return &countedBody{ReadCloser: body, finished: &finished}, nil
-		}
-	}
-	return r
-}
-
-// countedBody is the body of a request.
-type countedBody struct {
-	io.ReadCloser
-	// finished is set once all of it was read.
-	finished *atomic.Bool
-}
-
-// Read implements io.Reader.
-func (b *countedBody) Read(p []byte) (int, error) {
-	n, err := b.ReadCloser.Read(p)
-	if errors.Is(err, io.EOF) {
-		b.finished.Store(true)
-	}
-	return n, err
+	return r.WithContext(httptrace.WithClientTrace(r.Context(), trace))
 }
