review: case 11, a drill and a restart lose the verdict on a crashing request

Cause: a node that learns of a new era of the store writes again only the evidence that it contributed to itself; evidence that it has from peers is not written, and a node that starts is told of none.

Done: review/11 plays it with stand-ins of its own (review/standin3, built by review/build-3.sh): three nodes, a plain service, a store that comes back from a copy 3.6 s old while the node that found the request out restarts.

--- /dev/null
+++ b/review/standin3/main.go
@@ -0,0 +1,134 @@
+package main
+
+import (
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Exit codes of a case.
+const (
+	exitHeld = iota
+	exitBroken
+	exitNotRun
+)
+
+// cases maps the name of a case to what it plays.
+var cases = map[string]func(w *world, trouble string) (held bool, verdict string){
+	"forget": forget,
+}
+
+func main() { os.Exit(play()) }
+
+// play plays one case and returns the exit code.
+func play() int {
+	name := flag.String("case", "", "name of the case")
+	program := flag.String("almondbay", "", "path of the program almondbay")
+	record := flag.String("record", "", "path of record.txt")
+	network := flag.Int("net", 40, "second byte of the loopback addresses")
+	flag.Parse()
+	run, ok := cases[*name]
+	if !ok || *program == "" || *record == "" {
+		flag.Usage()
+		return exitNotRun
+	}
+	dir, err := os.MkdirTemp("", "review3-")
+	if err != nil {
+		fmt.Println(err)
+		return exitNotRun
+	}
+	defer func() { _ = os.RemoveAll(dir) }()
+	w := &world{record: newRecord(), store: newStore()}
+	defer w.close()
+	if err := w.open(*program, dir, *network); err != nil {
+		fmt.Println("the case couldn't run:", err)
+		return exitNotRun
+	}
+	trouble := os.Getenv("TROUBLE")
+	if trouble == "1" {
+		trouble = troubleAll
+	}
+	held, verdict := run(w, trouble)
+	code, word := exitBroken, "BROKEN"
+	switch {
+	case w.record.failed != "":
+		code, word, verdict = exitNotRun, "NOT RUN", w.record.failed
+	case held:
+		code, word = exitHeld, "HELD"
+	}
+	line := fmt.Sprintf("%s (TROUBLE=%q): %s", word, trouble, verdict)
+	fmt.Println(line)
+	if err := w.record.write(*record, line); err != nil {
+		fmt.Println(err)
+		return exitNotRun
+	}
+	if os.Getenv("KEEP_LOGS") != "" {
+		for _, n := range w.nodes {
+			body, _ := os.ReadFile(filepath.Join(dir, n.name+".log"))
+			_ = os.WriteFile(filepath.Join(os.Getenv("KEEP_LOGS"), n.name+".log"), body, 0o600)
+		}
+	}
+	return code
+}
+
+// startTime is the time in which all machines must be ready.
+const startTime = 15 * time.Second
+
+// open starts the store, the engines and the nodes.
+func (w *world) open(program, dir string, network int) error {
+	address := func(kind, index int) string { return fmt.Sprintf("127.%d.%d.%d", network, kind, index+1) }
+	storeAddress := address(3, 0) + ":8223"
+	l, err := net.Listen("tcp", storeAddress)
+	if err != nil {
+		return err
+	}
+	server := &http.Server{Handler: w.store, ReadHeaderTimeout: 5 * time.Second}
+	go func() { _ = server.Serve(l) }()
+	w.closers = append(w.closers, func() { _ = server.Close() })
+	w.store.put("op", "config", plainConfig())
+	ticker := time.NewTicker(20 * time.Millisecond)
+	w.closers = append(w.closers, ticker.Stop)
+	go func() {
+		for range ticker.C {
+			w.store.tick()
+		}
+	}()
+	for i := range 9 {
+		e := &engine{
+			store: w.store, record: w.record, service: "workshop", zone: zones[i%len(zones)], address: address(2, i) + ":8400", name: fmt.Sprintf("%02d", i),
+			crashes: func(r *http.Request) bool { return r.URL.Path == pathBad }, back: 1500 * time.Millisecond,
+		}
+		if err := e.start(); err != nil {
+			return err
+		}
+		w.engines = append(w.engines, e)
+		w.closers = append(w.closers, func() { e.back = time.Hour; e.stop() })
+	}
+	for i, zone := range zones {
+		n, err := newNode(program, dir, fmt.Sprintf("edge-%s-1", zone), zone, address(1, i), storeAddress, zones)
+		if err != nil {
+			return err
+		}
+		w.nodes = append(w.nodes, n)
+		w.closers = append(w.closers, n.kill)
+		if err := n.start(); err != nil {
+			return err
+		}
+	}
+	for _, n := range w.nodes {
+		if !n.awaitReady(startTime) {
+			return fmt.Errorf("machine %s is not ready after %v", n.name, startTime)
+		}
+	}
+	return nil
+}
+
+func (w *world) close() {
+	for _, c := range w.closers {
+		c()
+	}
+}
