review: case 12, after a drill a machine keeps an older manifest

Cause: the log from which the nodes of a zone read a table takes a version that is written again after the store came back from a copy for written late, and keeps the row with the version of the old era; a node that has read the copy itself is never told of it.

Done: review/12 plays it with three nodes in a zone, one of which restarts while the store is away.

--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -125,7 +125,7 @@
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
-	e.record.add(event{What: "reaches", Engine: id, Request: attempt, Path: r.URL.Path, Zone: r.Header.Get("X-Machine")})
+	e.record.add(event{What: "reaches", Engine: id, Request: attempt, Path: r.URL.Path})
 	e.mu.Lock()
 	full := e.running >= 6+24
 	if !full {
--- a/review/standin3/forget.go
+++ b/review/standin3/forget.go
@@ -18,7 +18,7 @@
 	apiKey    = "n2ctnfzs989anu6wsjnb"
 )
 
-// zones has one machine each.
+// zones are those of all cases.
 var zones = []string{"zone-a", "zone-b", "zone-c"}
 
 // plainConfig is a manifest with one service and one route of idempotent requests.
@@ -48,7 +48,10 @@
 
 // send sends one request to a node as a client attempt of its own, and returns the status;
 // zero without a whole answer.
-func (w *world) send(n *node, path string) int {
+func (w *world) send(n *node, path string) int { return w.sendWith(n, path, apiKey) }
+
+// sendWith sends one request with a key.
+func (w *world) sendWith(n *node, path, key string) int {
 	id := fmt.Sprintf("%016x", 0x9c41d07b00000000+w.ids.Add(1))
 	client := http.Client{Timeout: 4 * time.Second, Transport: &http.Transport{DisableKeepAlives: true}}
 	request, err := http.NewRequest(http.MethodGet, fmt.Sprintf("http://%s:%d%s", n.ip, portFrontend, path), nil)
@@ -59,8 +62,8 @@
 	request.Host = host
 	request.Header.Set("Attempt-Id", id)
 	request.Header.Set("Deadline-Ms", "4000")
-	request.Header.Set("X-Api-Key", apiKey)
-	w.record.add(event{What: "sent", Request: id, Path: path, Node: n.name})
+	request.Header.Set("X-Api-Key", key)
+	w.record.add(event{What: "sent", Request: id, Path: path, Node: n.name, Key: key})
 	status, note := 0, ""
 	response, err := client.Do(request)
 	if err == nil {
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -17,9 +17,21 @@
 	exitNotRun
 )
 
+// scenario is what a case plays.
+type scenario struct {
+	// zones has the zone of each machine, config is the first manifest.
+	zones  []string
+	config func() []byte
+	play   func(w *world, trouble string) (held bool, verdict string)
+}
+
+// engineCount is the number of engines.
+const engineCount = 9
+
 // cases maps the name of a case to what it plays.
-var cases = map[string]func(w *world, trouble string) (held bool, verdict string){
-	"forget": forget,
+var cases = map[string]scenario{
+	"forget": {[]string{"zone-a", "zone-b", "zone-c"}, plainConfig, forget},
+	"stale":  {[]string{"zone-a", "zone-a", "zone-a", "zone-b", "zone-c"}, func() []byte { return keysConfig(7) }, stale},
 }
 
 func main() { os.Exit(play()) }
@@ -31,7 +43,7 @@
 	record := flag.String("record", "", "path of record.txt")
 	network := flag.Int("net", 40, "second byte of the loopback addresses")
 	flag.Parse()
-	run, ok := cases[*name]
+	s, ok := cases[*name]
 	if !ok || *program == "" || *record == "" {
 		flag.Usage()
 		return exitNotRun
@@ -44,7 +56,7 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	w := &world{record: newRecord(), store: newStore()}
 	defer w.close()
-	if err := w.open(*program, dir, *network); err != nil {
+	if err := w.open(s, *program, dir, *network); err != nil {
 		fmt.Println("the case couldn't run:", err)
 		return exitNotRun
 	}
@@ -52,7 +64,7 @@
 	if trouble == "1" {
 		trouble = troubleAll
 	}
-	held, verdict := run(w, trouble)
+	held, verdict := s.play(w, trouble)
 	code, word := exitBroken, "BROKEN"
 	switch {
 	case w.record.failed != "":
@@ -79,7 +91,7 @@
 const startTime = 15 * time.Second
 
 // open starts the store, the engines and the nodes.
-func (w *world) open(program, dir string, network int) error {
+func (w *world) open(s scenario, program, dir string, network int) error {
 	address := func(kind, index int) string { return fmt.Sprintf("127.%d.%d.%d", network, kind, index+1) }
 	storeAddress := address(3, 0) + ":8223"
 	l, err := net.Listen("tcp", storeAddress)
@@ -89,7 +101,7 @@
 	server := &http.Server{Handler: w.store, ReadHeaderTimeout: 5 * time.Second}
 	go func() { _ = server.Serve(l) }()
 	w.closers = append(w.closers, func() { _ = server.Close() })
-	w.store.put("op", "config", plainConfig())
+	w.store.put("op", "config", s.config())
 	ticker := time.NewTicker(20 * time.Millisecond)
 	w.closers = append(w.closers, ticker.Stop)
 	go func() {
@@ -97,7 +109,7 @@
 			w.store.tick()
 		}
 	}()
-	for i := range 9 {
+	for i := range engineCount {
 		e := &engine{
 			store: w.store, record: w.record, service: "workshop", zone: zones[i%len(zones)], address: address(2, i) + ":8400", name: fmt.Sprintf("%02d", i),
 			crashes: func(r *http.Request) bool { return r.URL.Path == pathBad }, back: 1500 * time.Millisecond,
@@ -108,8 +120,10 @@
 		w.engines = append(w.engines, e)
 		w.closers = append(w.closers, func() { e.back = time.Hour; e.stop() })
 	}
-	for i, zone := range zones {
-		n, err := newNode(program, dir, fmt.Sprintf("edge-%s-1", zone), zone, address(1, i), storeAddress, zones)
+	numbers := map[string]int{}
+	for i, zone := range s.zones {
+		numbers[zone]++
+		n, err := newNode(program, dir, fmt.Sprintf("edge-%s-%d", zone, numbers[zone]), zone, address(1, i), storeAddress, zones)
 		if err != nil {
 			return err
 		}
--- a/review/standin3/record.go
+++ b/review/standin3/record.go
@@ -18,7 +18,7 @@
 	Node    string `json:"node,omitempty"`
 	Engine  string `json:"engine,omitempty"`
 	Status  int    `json:"status,omitempty"`
-	Zone    string `json:"-"`
+	Key     string `json:"key,omitempty"`
 	Note    string `json:"note,omitempty"`
 }
 
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -150,6 +150,24 @@
 	s.wake()
 }
 
+// hang gives no answer while the store is away, and resets the connection once it is back.
+func (s *store) hang(r *http.Request) {
+	for {
+		s.mu.Lock()
+		away, changed := s.away, s.changed
+		s.mu.Unlock()
+		if !away {
+			panic(http.ErrAbortHandler)
+		}
+		select {
+		case <-changed:
+		case <-r.Context().Done():
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+// setAway has the store give no answer to anybody, or refuse all calls.
 func (s *store) setAway(a, b bool) { s.mu.Lock(); s.away, s.busy = a, b; s.wake(); s.mu.Unlock() }
 
 func (s *store) ServeHTTP(w http.ResponseWriter, r *http.Request) {
@@ -157,8 +175,7 @@
 	era, away, busy := s.era, s.away, s.busy
 	s.mu.Unlock()
 	if away {
-		<-r.Context().Done()
-		return
+		s.hang(r)
 	}
 	time.Sleep(4 * time.Millisecond)
 	if era > 0 {
