--- a/review/11/run.sh
+++ b/review/11/run.sh
@@ -7,5 +7,5 @@
 for program in "$root/target/almondbay" "$root/target/review-3/standin3"; do
 	[ -x "$program" ] || { echo "$program is not built"; exit 2; }
 done
-exec timeout --kill-after=5 110 "$root/target/review-3/standin3" -case forget -net 41 \
+exec timeout --kill-after=5 110 "$root/target/review-3/standin3" -case stale -net 42 \
 	-almondbay "$root/target/almondbay" -record record.txt
--- a/review/standin3/forget.go
+++ b/review/standin3/forget.go
@@ -42,6 +42,7 @@
 	store   *store
 	engines []*engine
 	nodes   []*node
+	fabric  *fabric
 	ids     atomic.Uint64
 	closers []func()
 }
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -23,15 +23,19 @@
 	zones  []string
 	config func() []byte
 	play   func(w *world, trouble string) (held bool, verdict string)
+	// groups is set if the engines form groups; otherwise they are those of a plain service.
+	groups bool
 }
 
-// engineCount is the number of engines.
+// engineCount is the number of engines of a plain service.
 const engineCount = 9
 
 // cases maps the name of a case to what it plays.
 var cases = map[string]scenario{
-	"forget": {[]string{"zone-a", "zone-b", "zone-c"}, plainConfig, forget},
-	"stale":  {[]string{"zone-a", "zone-a", "zone-a", "zone-b", "zone-c"}, func() []byte { return keysConfig(7) }, stale},
+	"forget": {[]string{"zone-a", "zone-b", "zone-c"}, plainConfig, forget, false},
+	"query":  {[]string{"zone-a", "zone-b", "zone-c"}, plainConfig, query, false},
+	"wait":   {[]string{"zone-a", "zone-a", "zone-a"}, groupsConfig, wait, true},
+	"stale":  {[]string{"zone-a", "zone-a", "zone-a", "zone-b", "zone-c"}, func() []byte { return keysConfig(7) }, stale, false},
 }
 
 func main() { os.Exit(play()) }
@@ -109,16 +113,8 @@
 			w.store.tick()
 		}
 	}()
-	for i := range engineCount {
-		e := &engine{
-			store: w.store, record: w.record, service: "workshop", zone: zones[i%len(zones)], address: address(2, i) + ":8400", name: fmt.Sprintf("%02d", i),
-			crashes: func(r *http.Request) bool { return r.URL.Path == pathBad }, back: 1500 * time.Millisecond,
-		}
-		if err := e.start(); err != nil {
-			return err
-		}
-		w.engines = append(w.engines, e)
-		w.closers = append(w.closers, func() { e.back = time.Hour; e.stop() })
+	if err := w.openEngines(s, address); err != nil {
+		return err
 	}
 	numbers := map[string]int{}
 	for i, zone := range s.zones {
@@ -141,6 +137,25 @@
 	return nil
 }
 
+// openEngines starts the engines.
+func (w *world) openEngines(s scenario, address func(kind, index int) string) error {
+	if s.groups {
+		return w.openFabric(address)
+	}
+	for i := range engineCount {
+		e := &engine{
+			store: w.store, record: w.record, service: "workshop", zone: zones[i%len(zones)], address: address(2, i) + ":8400", name: fmt.Sprintf("%02d", i),
+			crashes: func(r *http.Request) bool { return r.URL.Path == pathBad }, back: 1500 * time.Millisecond,
+		}
+		if err := e.start(); err != nil {
+			return err
+		}
+		w.engines = append(w.engines, e)
+		w.closers = append(w.closers, func() { e.back = time.Hour; e.stop() })
+	}
+	return nil
+}
+
 func (w *world) close() {
 	for _, c := range w.closers {
 		c()
--- a/review/standin3/record.go
+++ b/review/standin3/record.go
@@ -19,6 +19,7 @@
 	Engine  string `json:"engine,omitempty"`
 	Status  int    `json:"status,omitempty"`
 	Key     string `json:"key,omitempty"`
+	Parts   string `json:"parts,omitempty"`
 	Note    string `json:"note,omitempty"`
 }
 
