review: case 15, work on every replica at once when one part is lost

Cause: the node counts fresh arrivals per head, so the repeats of many requests after one fault are bounded only together with the other paths.

--- a/review/standin3/engine.go
+++ b/review/standin3/engine.go
@@ -23,6 +23,8 @@
 	name    string
 	// crashes reports whether a request ends the engine that begins to run it.
 	crashes func(r *http.Request) bool
+	// fails reports whether the engine answers a request with 500, after it has run.
+	fails func(r *http.Request) bool
 	// back is the time until an engine that crashed starts again.
 	back time.Duration
 
@@ -152,5 +154,8 @@
 	}
 	time.Sleep(30 * time.Millisecond)
 	w.Header().Set("Response-Signature", id)
+	if e.fails(r) {
+		w.WriteHeader(http.StatusInternalServerError)
+	}
 	_, _ = fmt.Fprintf(w, "answer to %s", attempt)
 }
--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"os"
 	"path/filepath"
+	"strings"
 	"time"
 )
 
@@ -35,6 +36,7 @@
 	"forget": {[]string{"zone-a", "zone-b", "zone-c"}, plainConfig, forget, false},
 	"query":  {[]string{"zone-a", "zone-b", "zone-c"}, plainConfig, query, false},
 	"wait":   {[]string{"zone-a", "zone-a", "zone-a"}, groupsConfig, wait, true},
+	"herd":   {[]string{"zone-a", "zone-b", "zone-c"}, plainConfig, herd, false},
 	"stale":  {[]string{"zone-a", "zone-a", "zone-a", "zone-b", "zone-c"}, func() []byte { return keysConfig(7) }, stale, false},
 }
 
@@ -145,7 +147,8 @@
 	for i := range engineCount {
 		e := &engine{
 			store: w.store, record: w.record, service: "workshop", zone: zones[i%len(zones)], address: address(2, i) + ":8400", name: fmt.Sprintf("%02d", i),
-			crashes: func(r *http.Request) bool { return r.URL.Path == pathBad }, back: 1500 * time.Millisecond,
+			crashes: func(r *http.Request) bool { return r.URL.Path == pathBad },
+			fails:   func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/puxa403/fails/") }, back: 1500 * time.Millisecond,
 		}
 		if err := e.start(); err != nil {
 			return err
