--- a/review/standin3/forget.go
+++ b/review/standin3/forget.go
@@ -106,11 +106,11 @@
 	}
 }
 
-// crashes returns when engines crashed under a path, in ms.
-func (w *world) crashes(path string) []int64 {
+// crashes returns when engines crashed under pathBad, in ms.
+func (w *world) crashes() []int64 {
 	var at []int64
 	for _, e := range w.record.all() {
-		if e.What == "crashes" && e.Path == path {
+		if e.What == "crashes" && e.Path == pathBad {
 			at = append(at, e.Ms)
 		}
 	}
@@ -128,16 +128,16 @@
 
 	w.record.note("the request that crashes engines comes, at machine %s, until it is refused", a.name)
 	for range 12 {
-		if w.send(a, pathBad) == http.StatusServiceUnavailable && len(w.crashes(pathBad)) >= 3 {
+		if w.send(a, pathBad) == http.StatusServiceUnavailable && len(w.crashes()) >= 3 {
 			break
 		}
 		time.Sleep(400 * time.Millisecond)
 	}
-	if n := len(w.crashes(pathBad)); n < 3 {
+	if n := len(w.crashes()); n < 3 {
 		w.record.fail("%d engines crashed, want 3", n)
 		return false, ""
 	}
-	third := w.crashes(pathBad)[2]
+	third := w.crashes()[2]
 	time.Sleep(1500 * time.Millisecond)
 	w.record.note("the request comes again, once at each machine")
 	for _, n := range w.nodes {
@@ -170,7 +170,7 @@
 		}
 	}
 	verdict = fmt.Sprintf("the request had crashed its third engine at %d ms; later than contactMs after that, and from %d ms on, when all machines were in touch, it reached engines %d times (3 are allowed); %d engines crashed in all",
-		third, from, late, len(w.crashes(pathBad)))
+		third, from, late, len(w.crashes()))
 	return late <= 3, verdict
 }
 
--- a/review/standin3/gang.go
+++ b/review/standin3/gang.go
@@ -235,7 +235,6 @@
 }
 
 func (e *member) takes(o order) int {
-	w := e.w
 	if o.ExpectedRev != nil && *o.ExpectedRev != e.callSeq {
 		return 409
 	}
@@ -243,80 +242,9 @@
 	same := g != nil && g.Name == o.Group && g.Epoch == o.Epoch
 	switch o.Op {
 	case "join":
-		if o.Epoch < e.epoch {
-			return 412
-		}
-		if same {
-			if !slices.Equal(g.Members, o.Members) {
-				return 412
-			}
-			return 200
-		}
-		if g != nil {
-			if h := w.engines[g.Members[0]]; h != nil && h.in(g) && h.group.Rank == 0 && (h.group.State == "open" || h.group.State == "closing") && h.group.Name != o.Group {
-				v := fmt.Sprintf("TWO: engine %s takes a join of %s while the head %s of its group %s is %s", e.id, o.Group, h.id, g.Name, h.group.State)
-				w.broken = append(w.broken, v)
-				w.logf("%s", v)
-			}
-		}
-		m, ok := w.models[o.Model]
-		if !ok {
-			return 400
-		}
-		e.callSeq++
-		e.epoch = o.Epoch
-		n := &group{Name: o.Group, Epoch: o.Epoch, Members: o.Members, Model: o.Model, Rank: slices.Index(o.Members, e.id), State: "joining"}
-		e.group = n
-		took := m.load
-		switch {
-		case e.lastMod == o.Model:
-			took = 200 * time.Millisecond
-		case slices.Contains(e.staged, o.Model):
-			took = m.warm
-		default:
-			if !w.serving {
-				took /= 10
-			}
-		}
-		e.lastMod = o.Model
-		life := e.life
-		e.report()
-		time.AfterFunc(took, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if !e.up || e.life != life || e.group != n {
-				return
-			}
-			e.staged = []string{o.Model}
-			n.State = "ready"
-			w.ready[key(n, e.id)] = true
-			w.logf("engine %s ready in %s", e.id, n.Name)
-			e.report()
-		})
-		return 202
+		return e.join(o, same)
 	case "open":
-		if !same || g.Rank != 0 {
-			return 409
-		}
-		switch g.State {
-		case "open":
-			return 200
-		case "ready":
-		default:
-			return 409
-		}
-		e.callSeq++
-		life := e.life
-		time.AfterFunc(300*time.Millisecond, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if e.up && e.life == life && e.group == g && g.State == "ready" {
-				g.State = "open"
-				w.logf("group %s opens", g.Name)
-				e.report()
-			}
-		})
-		return 202
+		return e.open(same)
 	case "close":
 		if !same || g.State != "open" && g.State != "closing" {
 			return 409
@@ -337,30 +265,132 @@
 		e.report()
 		return 202
 	case "phase":
-		m, ok := w.models[o.Model]
-		if !ok {
-			return 400
+		return e.stage(o)
+	}
+	return 400
+}
+
+func (e *member) join(o order, same bool) int {
+	w, g := e.w, e.group
+	if o.Epoch < e.epoch {
+		return 412
+	}
+	if same {
+		if !slices.Equal(g.Members, o.Members) {
+			return 412
 		}
-		if slices.Contains(e.staged, o.Model) {
-			return 200
+		return 200
+	}
+	e.judge(o)
+	m, ok := w.models[o.Model]
+	if !ok {
+		return 400
+	}
+	e.callSeq++
+	e.epoch = o.Epoch
+	n := &group{Name: o.Group, Epoch: o.Epoch, Members: o.Members, Model: o.Model, Rank: slices.Index(o.Members, e.id), State: "joining"}
+	e.group = n
+	took := e.loadTime(o.Model, m)
+	e.lastMod = o.Model
+	life := e.life
+	e.report()
+	time.AfterFunc(took, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if !e.up || e.life != life || e.group != n {
+			return
 		}
-		e.callSeq++
-		life := e.life
-		took := m.load
-		if !w.serving {
-			took /= 10
+		e.staged = []string{o.Model}
+		n.State = "ready"
+		w.ready[key(n, e.id)] = true
+		w.logf("engine %s ready in %s", e.id, n.Name)
+		e.report()
+	})
+	return 202
+}
+
+// judge notes it if an engine takes a join while the head of its older group takes requests.
+func (e *member) judge(o order) {
+	w, g := e.w, e.group
+	if g == nil {
+		return
+	}
+	h := w.engines[g.Members[0]]
+	if h == nil || !h.in(g) || h.group.Rank != 0 || h.group.Name == o.Group {
+		return
+	}
+	if h.group.State != "open" && h.group.State != "closing" {
+		return
+	}
+	v := fmt.Sprintf("TWO: engine %s takes a join of %s while the head %s of its group %s is %s", e.id, o.Group, h.id, g.Name, h.group.State)
+	w.broken = append(w.broken, v)
+	w.logf("%s", v)
+}
+
+// loadTime is the time until an engine that joins is ready.
+func (e *member) loadTime(name string, m model) time.Duration {
+	switch {
+	case e.lastMod == name:
+		return 200 * time.Millisecond
+	case slices.Contains(e.staged, name):
+		return m.warm
+	case !e.w.serving:
+		return m.load / 10
+	}
+	return m.load
+}
+
+func (e *member) open(same bool) int {
+	w, g := e.w, e.group
+	if !same || g.Rank != 0 {
+		return 409
+	}
+	switch g.State {
+	case "open":
+		return 200
+	case "ready":
+	default:
+		return 409
+	}
+	e.callSeq++
+	life := e.life
+	time.AfterFunc(300*time.Millisecond, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if e.up && e.life == life && e.group == g && g.State == "ready" {
+			g.State = "open"
+			w.logf("group %s opens", g.Name)
+			e.report()
 		}
-		time.AfterFunc(took, func() {
-			w.mu.Lock()
-			defer w.mu.Unlock()
-			if e.up && e.life == life {
-				e.staged = []string{o.Model}
-				e.report()
-			}
-		})
-		return 202
+	})
+	return 202
+}
+
+// stage loads the weights of a model ahead.
+func (e *member) stage(o order) int {
+	w := e.w
+	m, ok := w.models[o.Model]
+	if !ok {
+		return 400
 	}
-	return 400
+	if slices.Contains(e.staged, o.Model) {
+		return 200
+	}
+	e.callSeq++
+	life := e.life
+	took := m.load
+	if !w.serving {
+		took /= 10
+	}
+	time.AfterFunc(took, func() {
+		w.mu.Lock()
+		defer w.mu.Unlock()
+		if e.up && e.life == life {
+			e.staged = []string{o.Model}
+			e.report()
+		}
+	})
+	return 202
 }
 
 func (e *member) ServeHTTP(rw http.ResponseWriter, r *http.Request) {
@@ -369,7 +399,7 @@
 	if x := r.Header.Get("Expected-Instance"); x != "" && x != e.id {
 		rw.Header().Set("Attempt-Id", r.Header.Get("Attempt-Id"))
 		rw.Header().Set("Not-Executed", "1")
-		rw.WriteHeader(421)
+		rw.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	switch r.URL.Path {
@@ -384,7 +414,7 @@
 	case "/-/order":
 		var o order
 		if json.NewDecoder(r.Body).Decode(&o) != nil {
-			rw.WriteHeader(400)
+			rw.WriteHeader(http.StatusBadRequest)
 			return
 		}
 		w.mu.Lock()
@@ -436,16 +466,7 @@
 		e.refuse(rw, e.id, 503)
 		return
 	}
-	if len(g.Members) != w.models[g.Model].size {
-		w.broken = append(w.broken, "PARTIAL: size of "+g.Name)
-	}
-	for _, m := range g.Members {
-		if !w.ready[key(g, m)] {
-			v := fmt.Sprintf("PARTIAL: request runs in %s, member %s was never ready", g.Name, m)
-			w.broken = append(w.broken, v)
-			w.logf("%s", v)
-		}
-	}
+	w.judge(g)
 	w.mu.Unlock()
 	defer func() { w.mu.Lock(); e.active--; w.mu.Unlock() }()
 	w.record.add(event{What: "begins", Engine: e.id, Request: id, Path: r.URL.Path})
@@ -463,6 +484,26 @@
 	}
 	rw.Header().Set("Response-Signature", e.id)
 	rw.Header().Set("Content-Type", "text/event-stream")
+	e.write(rw, r, g, id)
+}
+
+// judge notes a request that begins in a group that isn't complete. w.mu must be held.
+func (w *fabric) judge(g *group) {
+	if len(g.Members) != w.models[g.Model].size {
+		w.broken = append(w.broken, "PARTIAL: size of "+g.Name)
+	}
+	for _, m := range g.Members {
+		if !w.ready[key(g, m)] {
+			v := fmt.Sprintf("PARTIAL: request runs in %s, member %s was never ready", g.Name, m)
+			w.broken = append(w.broken, v)
+			w.logf("%s", v)
+		}
+	}
+}
+
+// write writes the events of an answer.
+func (e *member) write(rw http.ResponseWriter, r *http.Request, g *group, id string) {
+	w := e.w
 	from := 0
 	if n, err := strconv.Atoi(r.Header.Get("Last-Event-Id")); err == nil {
 		from = n
@@ -481,7 +522,7 @@
 			}
 			time.Sleep(20 * time.Millisecond)
 		}
-		fmt.Fprintf(rw, "id: %d\ndata: piece %d of %s\n\n", i, i, id)
+		_, _ = fmt.Fprintf(rw, "id: %d\ndata: piece %d of %s\n\n", i, i, id)
 		_ = http.NewResponseController(rw).Flush()
 	}
 }
--- a/review/standin3/query.go
+++ b/review/standin3/query.go
@@ -28,7 +28,7 @@
 		}
 		time.Sleep(time.Second)
 	}
-	crashes := w.crashes(pathBad)
+	crashes := w.crashes()
 	if len(crashes) < 3 {
 		w.record.fail("%d engines crashed, want 3", len(crashes))
 		return false, ""
--- a/review/standin3/store.go
+++ b/review/standin3/store.go
@@ -76,28 +76,17 @@
 	s.wake()
 }
 
-// put writes a row for an engine or the operator; it reports false while the store is away.
-func (s *store) put(table, key string, value []byte) bool {
+// put writes a row for an engine or the operator, unless the store is away.
+func (s *store) put(table, key string, value []byte) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.away || s.busy {
-		return false
+		return
 	}
 	if table == "op" {
 		s.config = value
 	}
 	s.apply([]row{{Table: table, Key: key, Value: value}}, nil)
-	return true
-}
-
-func (s *store) drop(table, key string) bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.away || s.busy {
-		return false
-	}
-	s.apply(nil, []row{{Table: table, Key: key}})
-	return true
 }
 
 // tick lapses registrations and makes copies.
@@ -182,61 +171,69 @@
 		w.Header().Set("Store-Era", strconv.FormatUint(era, 10))
 	}
 	if busy {
-		w.WriteHeader(503)
+		w.WriteHeader(http.StatusServiceUnavailable)
 		return
 	}
 	switch r.Method + " " + r.URL.Path {
 	case "POST /-/rows-tx":
-		var t tx
-		if json.NewDecoder(r.Body).Decode(&t) != nil {
-			w.WriteHeader(400)
-			return
-		}
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		if s.away {
-			panic(http.ErrAbortHandler)
-		}
-		var current []row
-		holds := true
-		for _, c := range t.ExpectedRev {
-			o := s.rows[c.name()]
-			if o.Deleted {
-				o = row{}
-			}
-			holds = holds && o.RowVersion == c.RowVersion
-			if o.RowVersion > 0 {
-				current = append(current, o)
-			}
-		}
-		if !holds {
-			w.WriteHeader(412)
-			s.answer(w, current, false)
-			return
-		}
-		s.apply(t.Writes, t.Remove)
-		s.answer(w, nil, false)
+		s.commit(w, r)
 	case "GET /-/rows-get":
-		q := r.URL.Query()
-		s.mu.Lock()
-		defer s.mu.Unlock()
-		var rows []row
-		for _, o := range s.rows {
-			if !o.Deleted && o.Table == q.Get("table") && o.Part == q.Get("part") && o.Key >= q.Get("from") && (q.Get("target") == "" || o.Key < q.Get("target")) {
-				rows = append(rows, o)
-			}
-		}
-		slices.SortFunc(rows, func(a, b row) int { return strings.Compare(a.Key, b.Key) })
-		limit := 500
-		if n, err := strconv.Atoi(q.Get("limit")); err == nil && n < limit {
-			limit = n
-		}
-		s.answer(w, rows[:min(limit, len(rows))], len(rows) > limit)
+		s.get(w, r)
 	case "GET /-/rows-feed":
 		s.feed(w, r)
 	default:
-		w.WriteHeader(404)
+		w.WriteHeader(http.StatusNotFound)
+	}
+}
+
+func (s *store) commit(w http.ResponseWriter, r *http.Request) {
+	var t tx
+	if json.NewDecoder(r.Body).Decode(&t) != nil {
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.away {
+		panic(http.ErrAbortHandler)
+	}
+	var current []row
+	holds := true
+	for _, c := range t.ExpectedRev {
+		o := s.rows[c.name()]
+		if o.Deleted {
+			o = row{}
+		}
+		holds = holds && o.RowVersion == c.RowVersion
+		if o.RowVersion > 0 {
+			current = append(current, o)
+		}
+	}
+	if !holds {
+		w.WriteHeader(http.StatusPreconditionFailed)
+		s.answer(w, current, false)
+		return
+	}
+	s.apply(t.Writes, t.Remove)
+	s.answer(w, nil, false)
+}
+
+func (s *store) get(w http.ResponseWriter, r *http.Request) {
+	q := r.URL.Query()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var rows []row
+	for _, o := range s.rows {
+		if !o.Deleted && o.Table == q.Get("table") && o.Part == q.Get("part") && o.Key >= q.Get("from") && (q.Get("target") == "" || o.Key < q.Get("target")) {
+			rows = append(rows, o)
+		}
+	}
+	slices.SortFunc(rows, func(a, b row) int { return strings.Compare(a.Key, b.Key) })
+	limit := 500
+	if n, err := strconv.Atoi(q.Get("limit")); err == nil && n < limit {
+		limit = n
 	}
+	s.answer(w, rows[:min(limit, len(rows))], len(rows) > limit)
 }
 
 func (s *store) answer(w http.ResponseWriter, rows []row, more bool) {
@@ -262,7 +259,7 @@
 			panic(http.ErrAbortHandler)
 		case after > s.version:
 			s.mu.Unlock()
-			w.WriteHeader(410)
+			w.WriteHeader(http.StatusGone)
 			return
 		}
 		var rows []row
--- a/review/standin3/wait.go
+++ b/review/standin3/wait.go
@@ -97,11 +97,11 @@
 }
 
 // openGroups returns the number of groups that are open.
-func (f *fabric) openGroups() int {
-	f.mu.Lock()
-	defer f.mu.Unlock()
+func (w *fabric) openGroups() int {
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	open := 0
-	for _, e := range f.engines {
+	for _, e := range w.engines {
 		if e.up && e.group != nil && e.group.Rank == 0 && e.group.State == "open" {
 			open++
 		}
