--- a/review/standin3/main.go
+++ b/review/standin3/main.go
@@ -1,6 +1,7 @@
 package main
 
 import (
+	"errors"
 	"flag"
 	"fmt"
 	"net"
@@ -28,8 +29,13 @@
 	groups bool
 }
 
-// engineCount is the number of engines of a plain service.
-const engineCount = 9
+const (
+	// engineCount is the number of engines of a plain service.
+	engineCount = 9
+	portStore   = 8223
+	// enginePorts is the number of ports that an engine may use, from firstPort on.
+	enginePorts = 16
+)
 
 // cases maps the name of a case to what it plays.
 var cases = map[string]scenario{
@@ -62,7 +68,11 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	w := &world{record: newRecord(), store: newStore()}
 	defer w.close()
-	if err := w.open(s, *program, dir, *network); err != nil {
+	free, err := freeNetwork(*network, len(s.zones))
+	if err == nil {
+		err = w.open(s, *program, dir, free)
+	}
+	if err != nil {
 		fmt.Println("the case couldn't run:", err)
 		return exitNotRun
 	}
@@ -93,13 +103,50 @@
 	return code
 }
 
+// freeNetwork returns the second byte of loopback addresses whose ports are free: the one given,
+// or one of ten, twenty and so on more.
+func freeNetwork(network, nodes int) (int, error) {
+	for ; network < 250; network += 10 {
+		if isFree(network, nodes) {
+			return network, nil
+		}
+	}
+	return 0, errors.New("no free ports")
+}
+
+func isFree(network, nodes int) bool {
+	addresses := []string{fmt.Sprintf("127.%d.3.1:%d", network, portStore)}
+	for i := range nodes {
+		ports := []int{portFrontend, portReadiness, portControl}
+		for port := portInternal; port <= portInternalLast; port++ {
+			ports = append(ports, port)
+		}
+		for _, port := range ports {
+			addresses = append(addresses, fmt.Sprintf("127.%d.1.%d:%d", network, i+1, port))
+		}
+	}
+	for i := range engineCount {
+		for port := firstPort; port < firstPort+enginePorts; port++ {
+			addresses = append(addresses, fmt.Sprintf("127.%d.2.%d:%d", network, i+1, port))
+		}
+	}
+	for _, a := range addresses {
+		l, err := net.Listen("tcp", a)
+		if err != nil {
+			return false
+		}
+		_ = l.Close()
+	}
+	return true
+}
+
 // startTime is the time in which all machines must be ready.
 const startTime = 15 * time.Second
 
 // open starts the store, the engines and the nodes.
 func (w *world) open(s scenario, program, dir string, network int) error {
 	address := func(kind, index int) string { return fmt.Sprintf("127.%d.%d.%d", network, kind, index+1) }
-	storeAddress := address(3, 0) + ":8223"
+	storeAddress := fmt.Sprintf("%s:%d", address(3, 0), portStore)
 	l, err := net.Listen("tcp", storeAddress)
 	if err != nil {
 		return err
@@ -146,7 +193,7 @@
 	}
 	for i := range engineCount {
 		e := &engine{
-			store: w.store, record: w.record, service: "workshop", zone: zones[i%len(zones)], address: address(2, i) + ":8400", name: fmt.Sprintf("%02d", i),
+			store: w.store, record: w.record, service: "workshop", zone: zones[i%len(zones)], address: fmt.Sprintf("%s:%d", address(2, i), firstPort), name: fmt.Sprintf("%02d", i),
 			crashes: func(r *http.Request) bool { return r.URL.Path == pathBad },
 			fails:   func(r *http.Request) bool { return strings.HasPrefix(r.URL.Path, "/puxa403/fails/") }, back: 1500 * time.Millisecond,
 		}
