Continue at another node by a position in its log, not by a version

The node had read the older configuration in the copy at the store. The node that it read from later had ignored both that one and the newer one, written again, as late by their content, and answered "nothing has changed since your version": a version says nothing about what the follower has, if it didn't come to it through this source.

Ruled out: the time until the second write and the choice of the node (they decide only whether the copy is read first), and the follower (it was sent nothing).

Followers now name a position in the log of that very source, keep it only while they read nowhere else, and read the whole table without one.

--- a/internal/fleet/registry/cache.go
+++ b/internal/fleet/registry/cache.go
@@ -201,16 +201,20 @@
 // sign of life. The caller must hold mu.
 func (c *Cache) apply(u Update, now time.Time) []LateReport {
 	old, known := c.records[u.ID]
-	if known && u.Version < old.Version {
+	switch {
+	case known && u.Version <= old.Version && u.Server != nil:
+		// Another node may know a newer report from before the store lost it.
+		if !old.MissingSince.IsZero() || !u.Server.Outdates(old.Server) {
+			return nil
+		}
+		u.Version = old.Version
+	case known && u.Version < old.Version:
 		return nil
 	}
 	if u.Server == nil {
 		c.recordMissing(u, now)
 		return nil
 	}
-	if known && u.Version == old.Version {
-		return nil
-	}
 	if known && !u.Server.Supersedes(old.Server) {
 		late := LateReport{Known: old.Server, Late: *u.Server, Missing: !old.MissingSince.IsZero()}
 		old.Version = u.Version
--- a/internal/fleet/registry/server.go
+++ b/internal/fleet/registry/server.go
@@ -82,6 +82,12 @@
 	return s.Sequence > known.Sequence
 }
 
+// Outdates reports whether a registration is newer than another one of the same server by
+// its start time or sequence alone.
+func (s Server) Outdates(known Server) bool {
+	return s.Supersedes(known) && !known.Supersedes(s)
+}
+
 // In reports whether the server is a member of the given group under the given
 // epoch.
 func (s Server) In(group string, epoch uint64) bool {
--- a/internal/node/entry/era.go
+++ b/internal/node/entry/era.go
@@ -13,7 +13,7 @@
 func (n *Node) observeEra(table string, c platform.Changes) bool {
 	n.mu.Lock()
 	previous, known := n.tableVersions[table]
-	n.tableVersions[table] = c.Version
+	n.tableVersions[table] = max(previous, c.Version)
 	n.mu.Unlock()
 	if !known || platform.Era(c.Version) <= platform.Era(previous) {
 		return false
--- a/internal/peer/relay/client.go
+++ b/internal/peer/relay/client.go
@@ -10,6 +10,8 @@
 	"strconv"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/serving/bounded"
 	"almondbay.example/serving/platform"
@@ -55,42 +57,52 @@
 )
 
 // Snapshot reads a whole table from a node, which waits up to the given time if it
-// has not read the table yet. The duration is the time since that node's data was
-// read from the store.
-func (c *Client) Snapshot(ctx context.Context, address, table string, wait time.Duration) (platform.Changes, time.Duration, error) {
+// has not read the table yet.
+func (c *Client) Snapshot(ctx context.Context, address, table string, wait time.Duration) (Reading, error) {
 	return c.feed(ctx, address, url.Values{
 		"table":  {table},
 		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
-	}, 0)
+	})
 }
 
-// Changes reads the rows that changed after a version from a node, which waits up
-// to the given time for a change. The duration is the time since that node's data
-// was read from the store.
-func (c *Client) Changes(ctx context.Context, address, table string, after uint64, wait time.Duration) (platform.Changes, time.Duration, error) {
+// Changes reads the rows that changed after a position in the log of a node, which
+// waits up to the given time for a change.
+func (c *Client) Changes(ctx context.Context, address, table string, after Position, wait time.Duration) (Reading, error) {
 	return c.feed(ctx, address, url.Values{
 		"table":  {table},
-		"after":  {strconv.FormatUint(after, 10)},
+		"log":    {after.Log},
+		"after":  {strconv.FormatUint(after.Index, 10)},
 		"waitMs": {strconv.FormatInt(wait.Milliseconds(), 10)},
-	}, after)
+	})
+}
+
+// Reading is what was read of a table at another node.
+type Reading struct {
+	platform.Changes
+	// Position is where to continue at that node.
+	Position Position
+	// Age is the time since that node's data was read from the store.
+	Age time.Duration
 }
 
-// feed calls the feed of a node and maps status 410 to HistoryLostError.
-func (c *Client) feed(ctx context.Context, address string, query url.Values, after uint64) (platform.Changes, time.Duration, error) {
+// errForeignPosition means that a node doesn't have the changes after a position.
+var errForeignPosition = errs.New("changes after the position aren't known")
+
+// feed calls the feed of a node and maps status 410 to errForeignPosition.
+func (c *Client) feed(ctx context.Context, address string, query url.Values) (Reading, error) {
 	var w feedWire
 	status, err := c.call(ctx, call{
 		method: http.MethodGet, address: address, path: pathFeed + "?" + query.Encode(), maxBytes: maxFeedBytes,
 	}, &w)
 	switch {
 	case err != nil:
-		return platform.Changes{}, 0, err
+		return Reading{}, err
 	case status == http.StatusGone:
-		return platform.Changes{}, 0, &platform.HistoryLostError{Table: query.Get("table"), Version: after}
+		return Reading{}, errForeignPosition
 	case status != http.StatusOK:
-		return platform.Changes{}, 0, Error.New("read table from node %s: status %d", address, status)
+		return Reading{}, Error.New("read table from node %s: status %d", address, status)
 	}
-	changes, age := toChanges(w)
-	return changes, age, nil
+	return w.reading(), nil
 }
 
 // ProbeServer makes a node query the state of a backend server.
--- a/internal/peer/relay/feed.go
+++ b/internal/peer/relay/feed.go
@@ -48,6 +48,16 @@
 	mu sync.Mutex
 	// avoided holds the time until which a source is not used for a table.
 	avoided map[sourceKey]time.Time
+	// cursors holds where to continue each table at the source that it was last read from,
+	// unless it was read elsewhere since: what this node has read there may be older than
+	// what the source won't repeat.
+	cursors map[string]cursor
+}
+
+// cursor is a position in the log of a source.
+type cursor struct {
+	address  string
+	position Position
 }
 
 type sourceKey struct {
@@ -58,7 +68,7 @@
 
 // NewFeed returns a feed that avoids no source yet.
 func NewFeed(c FeedConfig) *Feed {
-	return &Feed{config: c, avoided: map[sourceKey]time.Time{}}
+	return &Feed{config: c, avoided: map[sourceKey]time.Time{}, cursors: map[string]cursor{}}
 }
 
 // source returns the address of the node to read from and its hops to the store,
@@ -98,15 +108,41 @@
 	f.avoided[sourceKey{table, address}] = now.Add(f.config.SourceBackoff)
 }
 
+// position returns where to continue a table at a source; the zero position if the table
+// was last read elsewhere.
+func (f *Feed) position(table, address string) Position {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if c := f.cursors[table]; c.address == address {
+		return c.position
+	}
+	return Position{}
+}
+
+// moveTo records where a table was read; at the store if the cursor is zero.
+func (f *Feed) moveTo(table string, c cursor) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.cursors[table] = c
+}
+
 // Scan implements platform.Feed.
 func (f *Feed) Scan(ctx context.Context, table string) (platform.Changes, error) {
 	if address, hops := f.source(table); address != "" {
 		callCtx, cancel := context.WithTimeout(ctx, f.config.StartWait+f.config.ResponseMargin)
-		c, age, err := f.config.Client.Snapshot(callCtx, address, table, f.config.StartWait)
+		r, err := f.config.Client.Snapshot(callCtx, address, table, f.config.StartWait)
 		cancel()
-		if err == nil && age <= f.maxAge(table, f.config.MaxWait(table), hops) {
-			f.record(table, c, true, age)
-			return c, nil
+		if err == nil && r.Age <= f.maxAge(table, f.config.MaxWait(table), hops) {
+			next := cursor{address: address, position: r.Position}
+			if f.record(table, r.Changes, true, r.Age) {
+				// The source may keep back a value that doesn't differ from its own, but does
+				// from the newer one that this node has.
+				next = cursor{}
+			}
+			f.moveTo(table, next)
+			return r.Changes, nil
 		}
 		f.avoid(table, address)
 	}
@@ -116,6 +152,7 @@
 		return c, err
 	}
 	f.record(table, c, true, 0)
+	f.moveTo(table, cursor{})
 	return c, nil
 }
 
@@ -124,15 +161,15 @@
 	if address, hops := f.source(table); address != "" {
 		waited := min(wait, f.config.MaxWait(table))
 		callCtx, cancel := context.WithTimeout(ctx, waited+f.config.ResponseMargin)
-		c, age, err := f.config.Client.Changes(callCtx, address, table, after, waited)
+		r, err := f.config.Client.Changes(callCtx, address, table, f.position(table, address), waited)
 		cancel()
-		var lost *platform.HistoryLostError
 		switch {
-		case err == nil && age <= f.maxAge(table, wait, hops):
-			f.record(table, c, false, age)
-			return c, nil
-		case errors.As(err, &lost):
-			return platform.Changes{}, err
+		case err == nil && r.Age <= f.maxAge(table, wait, hops):
+			f.record(table, r.Changes, false, r.Age)
+			f.moveTo(table, cursor{address: address, position: r.Position})
+			return r.Changes, nil
+		case errors.Is(err, errForeignPosition):
+			return platform.Changes{}, &platform.HistoryLostError{Table: table, Version: after}
 		}
 		f.avoid(table, address)
 	}
@@ -141,6 +178,7 @@
 	switch {
 	case err == nil:
 		f.record(table, c, false, 0)
+		f.moveTo(table, cursor{})
 	case !errors.As(err, &lost):
 		f.recordFailure(table)
 	}
@@ -156,16 +194,16 @@
 
 // record stores changes, or a snapshot if full is set, in the table's log for the
 // nodes that read from this one. The age is the time since the read from the
-// store.
-func (f *Feed) record(table string, c platform.Changes, full bool, age time.Duration) {
+// store. It reports whether the log is ahead of the snapshot.
+func (f *Feed) record(table string, c platform.Changes, full bool, age time.Duration) (ahead bool) {
 	log, ok := f.config.Logs[table]
 	if !ok {
-		return
+		return false
 	}
 	now := f.config.Clock.Now().Add(-age)
 	if full {
-		log.Replace(c, now)
-		return
+		return log.Replace(c, now)
 	}
 	log.Apply(c, now)
+	return false
 }
--- a/internal/peer/relay/server.go
+++ b/internal/peer/relay/server.go
@@ -41,7 +41,7 @@
 // maxWait limits how long a follower may wait for a change.
 const maxWait = 5 * time.Second
 
-// feed returns a whole table, or after a wait the changes since a version.
+// feed returns a whole table, or after a wait the changes since a position.
 func (s *Server) feed(c echo.Context) error {
 	log, ok := s.config.Logs[c.QueryParam("table")]
 	if !ok {
@@ -62,11 +62,11 @@
 		}
 		return c.JSON(http.StatusOK, fromLogChanges(changes))
 	}
-	after, err := strconv.ParseUint(c.QueryParam("after"), 10, 64)
+	index, err := strconv.ParseUint(c.QueryParam("after"), 10, 64)
 	if err != nil {
 		return c.NoContent(http.StatusBadRequest)
 	}
-	changes := s.wait(c.Request().Context(), log, after, wait)
+	changes := s.wait(c.Request().Context(), log, Position{Log: c.QueryParam("log"), Index: index}, wait)
 	switch {
 	case !changes.Available:
 		return c.NoContent(http.StatusNotFound)
@@ -77,9 +77,9 @@
 	}
 }
 
-// wait returns the changes after a version as soon as there are any, or without
+// wait returns the changes after a position as soon as there are any, or without
 // rows after the wait. It returns early if the table becomes unavailable.
-func (s *Server) wait(ctx context.Context, log *Log, after uint64, wait time.Duration) LogChanges {
+func (s *Server) wait(ctx context.Context, log *Log, after Position, wait time.Duration) LogChanges {
 	timer := s.config.Clock.NewTimer(wait)
 	defer timer.Stop()
 	for {
--- a/internal/peer/relay/wire.go
+++ b/internal/peer/relay/wire.go
@@ -24,23 +24,33 @@
 type feedWire struct {
 	Rows    []changeWire `json:"rows"`
 	Version uint64       `json:"version"`
-	AgeMs   int64        `json:"ageMs"`
+	// Log and Index are the position of a follower that has these rows.
+	Log   string `json:"log"`
+	Index uint64 `json:"index"`
+	AgeMs int64  `json:"ageMs"`
 }
 
 func fromLogChanges(changes LogChanges) feedWire {
-	w := feedWire{Rows: make([]changeWire, 0, len(changes.Rows)), Version: changes.Version, AgeMs: changes.Age.Milliseconds()}
+	w := feedWire{
+		Rows: make([]changeWire, 0, len(changes.Rows)), Version: changes.Version,
+		Log: changes.Position.Log, Index: changes.Position.Index, AgeMs: changes.Age.Milliseconds(),
+	}
 	for _, c := range changes.Rows {
 		w.Rows = append(w.Rows, changeWire{Key: c.Key, Version: c.Version, Value: c.Value, Deleted: c.Deleted})
 	}
 	return w
 }
 
-func toChanges(w feedWire) (platform.Changes, time.Duration) {
-	c := platform.Changes{Version: w.Version}
-	for _, r := range w.Rows {
-		c.Rows = append(c.Rows, platform.Change{Key: r.Key, Version: r.Version, Value: r.Value, Deleted: r.Deleted})
+func (w feedWire) reading() Reading {
+	r := Reading{
+		Changes:  platform.Changes{Version: w.Version},
+		Position: Position{Log: w.Log, Index: w.Index},
+		Age:      time.Duration(w.AgeMs) * time.Millisecond,
+	}
+	for _, c := range w.Rows {
+		r.Rows = append(r.Rows, platform.Change{Key: c.Key, Version: c.Version, Value: c.Value, Deleted: c.Deleted})
 	}
-	return c, time.Duration(w.AgeMs) * time.Millisecond
+	return r
 }
 
 // probeWire is the request to query the state of a backend server.
