Keep verdicts on crashing requests over a return of the store and the end of their finders

The copy lacked the rows, only the nodes that had contributed to the evidence wrote them again, and peers told each other news only.

After a return any node with the evidence writes it again, in an order by hash, so that at 195 nodes at most 3 write a row for a request. A node that comes in contact with a failure domain asks one of its nodes for all that it knows; that needs no store. What an answer has refuted is told on the same way, and a row of it in the copy is deleted. A row tells an age as of its writing, so that of two ages of one end the greater counts: without that a test of the acquittal failed, since the end looked later than the answer.

Ruled out: drill or end of the node alone; the rejection itself. Considered and not done: all nodes sending all they know to each node that appears (195 senders for one receiver), one key for all writers (each holder would still write).

--- a/internal/node/entry/cluster_test.go
+++ b/internal/node/entry/cluster_test.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"maps"
 	"net"
 	"net/http"
 	"net/netip"
@@ -85,6 +86,14 @@
 	return false
 }
 
+// lose removes the rows of a table whose keys start with a prefix, without a trace.
+func (s *tables) lose(table, prefix string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	maps.DeleteFunc(s.rows, func(key string, _ platform.Change) bool { return strings.HasPrefix(key, table+"//"+prefix) })
+}
+
 // errCutOff is the error of calls of a node that is cut off from the store.
 var errCutOff = &platform.UnknownError{Reason: "store unreachable"}
 
@@ -368,6 +377,12 @@
 	c.start()
 }
 
+// stopNode stops a node.
+func (c *cluster) stopNode(number int) {
+	c.nodes[number].stop()
+	await(c.nodes[number].hasStopped)
+}
+
 // addServer starts and registers a server.
 func (c *cluster) addServer(number int) {
 	l, err := net.Listen("tcp", netip.AddrPortFrom(clusterAddress(-1), 0).String())
--- a/internal/node/entry/crash_test.go
+++ b/internal/node/entry/crash_test.go
@@ -241,3 +241,38 @@
 		t.Errorf("%d servers ended under the request, want 3", n)
 	}
 }
+
+// TestNodeThatStartsLearnsFromPeers guards against a request that is sent on by a node that
+// has just started, since the evidence is neither in the store nor news to the other nodes.
+func TestNodeThatStartsLearnsFromPeers(t *testing.T) {
+	for _, restarted := range [][]int{{0}, {1}, {0, 1}} {
+		t.Run(fmt.Sprint(restarted), func(t *testing.T) {
+			c := newCluster(t, clusterConfig{Nodes: 3, Servers: 8})
+			for i := range 3 {
+				c.send(0, "/once/x", poison)
+				c.awaitEnds(0, i+1)
+			}
+			for _, n := range c.nodes {
+				await(func() bool { return n.count(event.RequestQuarantined) > 0 })
+			}
+			await(func() bool { return c.store.has("nodes", "quarantine/") })
+			for _, i := range restarted {
+				c.stopNode(i)
+			}
+			c.store.lose("nodes", "quarantine/")
+			for _, i := range restarted {
+				c.nodes[i] = c.startNode(i)
+			}
+			for i, n := range c.nodes {
+				await(n.ready)
+				await(func() bool { return n.count(event.RequestQuarantined) > 0 })
+				if r := c.send(i, "/once/x", poison); r.status != http.StatusServiceUnavailable {
+					t.Errorf("node %d: answer %+v, want status 503", i, r)
+				}
+			}
+			if n := c.ended(); n != 3 {
+				t.Errorf("%d servers ended under the request, want 3", n)
+			}
+		})
+	}
+}
--- a/internal/node/entry/era.go
+++ b/internal/node/entry/era.go
@@ -1,8 +1,12 @@
 package entry
 
 import (
+	"maps"
+	"time"
+
 	"go.uber.org/zap"
 
+	"almondbay.example/core/attempt"
 	"almondbay.example/serving/event"
 	"almondbay.example/serving/platform"
 )
@@ -25,9 +29,10 @@
 	return true
 }
 
-// rewriteRows has this node write its rows again, which the store may have lost.
+// rewriteRows has this node write its rows again, which the store may have lost, and those
+// about requests that crash servers which other nodes may not be there to write.
 func (n *Node) rewriteRows() {
-	n.suspects.rewrite()
+	n.rewriteSuspects(n.config.Clock.Now())
 	select {
 	case n.announceDue <- struct{}{}:
 	default:
@@ -35,8 +40,16 @@
 	}
 }
 
-// rewrite marks all evidence that this node contributed to as not written.
-func (s *suspects) rewrite() {
+// rewriteSuspects marks the evidence that this node contributed to as not written, and has
+// the rest of what it knows compared with the rows of the store.
+func (n *Node) rewriteSuspects(now time.Time) {
+	s := n.suspects
+	reviews := map[attempt.Fingerprint]time.Time{}
+	for _, e := range s.guard.All(now) {
+		if len(e.Observations) >= savedCrashes {
+			reviews[e.Fingerprint] = now.Add(n.reviewDelay(e.Fingerprint, now))
+		}
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 
@@ -44,6 +57,7 @@
 	for f := range s.contributed {
 		s.changed[f] = true
 	}
+	maps.Copy(s.reviews, reviews)
 }
 
 // decodeConfigurationVersion returns the version of a configuration; zero if it can't be
--- a/internal/node/entry/era_test.go
+++ b/internal/node/entry/era_test.go
@@ -1,8 +1,10 @@
 package entry
 
 import (
+	"context"
 	"encoding/json"
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -12,8 +14,10 @@
 
 	"almondbay.example/core/attempt"
 	"almondbay.example/internal/fleet/registry"
+	"almondbay.example/internal/peer/gossip"
 	"almondbay.example/internal/routing/balance"
 	"almondbay.example/internal/routing/quarantine"
+	"almondbay.example/internal/routing/retry"
 	"almondbay.example/internal/routing/routes"
 	"almondbay.example/serving/event"
 	"almondbay.example/serving/platform"
@@ -63,9 +67,8 @@
 		}
 		return ids
 	}
-	advance := func(d time.Duration) { n.config.Clock.(interface{ Advance(time.Duration) }).Advance(d) }
 	replace(0, 9, "a", "b")
-	advance(time.Minute)
+	advance(n, time.Minute)
 	replace(1, 4, "a")
 	if diff := cmp.Diff([]string{"a", "b"}, heads()); diff != "" {
 		t.Errorf("heads after the return of the store (-want +got):\n%s", diff)
@@ -73,7 +76,7 @@
 	if got := lines.FilterMessage(event.StoreRestored.Message).Len(); got != 1 {
 		t.Errorf("%d lines about the return of the store, want 1", got)
 	}
-	advance(returnGrace + time.Millisecond)
+	advance(n, returnGrace+time.Millisecond)
 	if diff := cmp.Diff([]string{"a"}, heads()); diff != "" {
 		t.Errorf("heads once the other one had time to register (-want +got):\n%s", diff)
 	}
@@ -124,3 +127,175 @@
 		})
 	}
 }
+
+// writtenStore is a store that takes all writes and keeps their keys.
+type writtenStore struct {
+	Store
+	written, deleted []string
+}
+
+// CommitVersion implements platform.Committer.
+func (s *writtenStore) CommitVersion(_ context.Context, t platform.Transaction) (uint64, error) {
+	for _, w := range t.Writes {
+		if w.Delete {
+			s.deleted = append(s.deleted, w.Key)
+			continue
+		}
+		s.written = append(s.written, w.Key)
+	}
+	return 1, nil
+}
+
+// newWritingNode returns a node and what it writes to the store.
+func newWritingNode(t *testing.T) (*Node, *writtenStore) {
+	t.Helper()
+	n, _ := newNodeOfStore(t)
+	s := &writtenStore{}
+	n.store = &instrumentedStore{store: s, clock: n.config.Clock, metrics: n.metrics}
+	n.config.Store = n.store
+	n.budget = retry.NewBudget(retry.Config{})
+	n.eventLog = newEventLog(zap.NewNop(), n.config.Clock, func() uint64 { return 0 })
+	return n, s
+}
+
+// advance lets time pass on the clock of a node.
+func advance(n *Node, d time.Duration) {
+	n.config.Clock.(interface{ Advance(time.Duration) }).Advance(d)
+}
+
+// crashingEvidence returns evidence that suffices to reject a request.
+func crashingEvidence() quarantine.Evidence {
+	e := quarantine.Evidence{Evidence: attempt.Evidence{Fingerprint: attempt.Fingerprint{7}}, Quick: 7}
+	for i := range uint64(maxCrashes) {
+		e.Observations = append(e.Observations, attempt.CrashObservation{
+			Crash: attempt.Crash{Group: "server", Epoch: i, Site: "server"}, Age: time.Second,
+		})
+	}
+	return e
+}
+
+// evidenceRow returns the row that a node has written about a request.
+func evidenceRow(t *testing.T, node string, e quarantine.Evidence, version uint64) platform.Change {
+	t.Helper()
+	value, err := quarantine.EncodeEvidence(e)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return platform.Change{Key: rowPrefix(e.Fingerprint) + node, Version: version, Value: value}
+}
+
+// saveAfterReviews lets the reviews of all nodes come and has a node save what is due.
+func saveAfterReviews(t *testing.T, n *Node) {
+	t.Helper()
+	advance(n, reviewDelay+time.Duration(n.peers.Count())*reviewStep)
+	if err := n.saveSuspects(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestRestoredStoreGetsEvidenceOfEndedNodes guards against a verdict on a crashing request
+// that is lost when the store comes back from a copy and the nodes that found it out have
+// ended: the others knew it, too, but wrote nothing.
+func TestRestoredStoreGetsEvidenceOfEndedNodes(t *testing.T) {
+	e := crashingEvidence()
+	tests := []struct {
+		name   string
+		copied []platform.Change
+		// want is the number of rows that a node writes after the return.
+		want int
+	}{
+		{"copy lacks the row", nil, 1},
+		{"copy has the row", []platform.Change{evidenceRow(t, "ended", e, platform.VersionIn(1, 5))}, 0},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			n, s := newWritingNode(t)
+			known := map[string]gossip.Peer{}
+			n.mergeEvidence([]quarantine.Evidence{e}, true, n.config.Clock.Now())
+			n.replaceNodes(known, platform.Changes{Version: 9, Rows: []platform.Change{evidenceRow(t, "ended", e, 5)}})
+			saveAfterReviews(t, n)
+			if len(s.written) > 0 {
+				t.Errorf("got rows %v although there was one", s.written)
+			}
+			n.replaceNodes(known, platform.Changes{Version: platform.VersionIn(1, 6), Rows: tt.copied})
+			saveAfterReviews(t, n)
+			if len(s.written) != tt.want {
+				t.Errorf("got rows %v, want %d", s.written, tt.want)
+			}
+			n.replaceNodes(known, platform.Changes{Version: platform.VersionIn(2, 5)})
+			saveAfterReviews(t, n)
+			if len(s.written) != tt.want+1 {
+				t.Errorf("got rows %v after another return, want %d", s.written, tt.want+1)
+			}
+		})
+	}
+}
+
+// TestFewNodesWriteEvidenceAgain guards against writes by all nodes when the store has lost
+// the evidence that all of them have: 195 rows for each request in one second are half of
+// what the store takes.
+func TestFewNodesWriteEvidenceAgain(t *testing.T) {
+	const nodes, marks, maxWriters = 195, 20, 3
+	n, _ := newWritingNode(t)
+	now := n.config.Clock.Now()
+	name := func(i int) string { return fmt.Sprint("node-", i) }
+	for i := range nodes {
+		n.peers.Record(gossip.Message{Node: name(i), FailureDomain: "a", Address: fmt.Sprint("127.0.1.", i), Incarnation: 1, Sequence: 1}, now)
+	}
+	for mark := range byte(marks) {
+		var delays []time.Duration
+		for i := range nodes {
+			n.config.Settings.Node = name(i)
+			delays = append(delays, n.reviewDelay(attempt.Fingerprint{mark}, now))
+		}
+		slices.Sort(delays)
+		// A row takes up to two steps to reach all nodes.
+		writers := len(slices.DeleteFunc(delays, func(d time.Duration) bool { return d > delays[0]+2*reviewStep }))
+		if writers > maxWriters || delays[0] != reviewDelay {
+			t.Errorf("mark %d: %d nodes write a row, the first after %v; want at most %d, the first after %v", mark, writers, delays[0], maxWriters, reviewDelay)
+		}
+	}
+}
+
+// TestRestoredStoreKeepsNoRefutedEvidence guards against a verdict that an answer has taken
+// back and that comes back with a row in a copy of the store, or the answer being lost to
+// nodes that start.
+func TestRestoredStoreKeepsNoRefutedEvidence(t *testing.T) {
+	e := crashingEvidence()
+	n, s := newWritingNode(t)
+	known := map[string]gossip.Peer{}
+	n.replaceNodes(known, platform.Changes{Version: 9, Rows: []platform.Change{evidenceRow(t, "ended", e, 5)}})
+	if !n.suspects.guard.Verdict(e.Fingerprint, n.config.Clock.Now()).Blamed {
+		t.Fatal("the evidence in the row doesn't suffice")
+	}
+	n.applyNodes(known, platform.Changes{Version: 11, Rows: []platform.Change{{Key: rowPrefix(e.Fingerprint) + "ended", Version: 11, Deleted: true}}})
+	advance(n, expireInterval)
+	if err := n.saveSuspects(t.Context()); err != nil {
+		t.Fatal(err)
+	}
+	row := evidenceRow(t, "ended", e, platform.VersionIn(1, 5))
+	n.replaceNodes(known, platform.Changes{Version: platform.VersionIn(1, 6), Rows: []platform.Change{row}})
+	if n.suspects.guard.Verdict(e.Fingerprint, n.config.Clock.Now()).Blamed {
+		t.Error("the request is rejected again, since the copy has the row")
+	}
+	saveAfterReviews(t, n)
+	if diff := cmp.Diff([]string{nodesTable + "//" + row.Key}, s.deleted); diff != "" || len(s.written) > 0 {
+		t.Errorf("rows written %v; rows deleted (-want +got):\n%s", s.written, diff)
+	}
+	for _, rowFirst := range []bool{true, false} {
+		started, _ := newWritingNode(t)
+		now := started.config.Clock.Now()
+		if rowFirst {
+			started.replaceNodes(known, platform.Changes{Version: row.Version, Rows: []platform.Change{row}})
+		}
+		for _, told := range n.knowledge().Evidence {
+			started.suspects.guard.Merge(told, now)
+		}
+		if !rowFirst {
+			started.replaceNodes(known, platform.Changes{Version: row.Version, Rows: []platform.Change{row}})
+		}
+		if started.suspects.guard.Verdict(e.Fingerprint, now).Blamed {
+			t.Errorf("a node that has just started rejects the request (row read first: %v)", rowFirst)
+		}
+	}
+}
--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -102,6 +102,7 @@
 	// collector is the name of the node that this one reports to; empty if the nodes of
 	// its failure domain all send to each other.
 	collector string
+	contacts  contacts
 	// domainReportAt is when a report to other failure domains was last due. It is used
 	// only by the loop that runs sendDomainReport.
 	domainReportAt time.Time
--- a/internal/node/entry/refresh.go
+++ b/internal/node/entry/refresh.go
@@ -87,14 +87,7 @@
 	nodes.Wait = nodesWait
 	nodes.Interval = n.readInterval(nodesTable, nodesInterval)
 	known := map[string]gossip.Peer{}
-	nodes.Replace = func(c platform.Changes) {
-		if n.observeEra(nodesTable, c) {
-			n.rewriteRows()
-		} else {
-			clear(known)
-		}
-		n.applyNodes(known, c)
-	}
+	nodes.Replace = func(c platform.Changes) { n.replaceNodes(known, c) }
 	nodes.Apply = func(c platform.Changes) { n.applyNodes(known, c) }
 	nodes.OnFailure = n.eventLog.stepFailed
 	return store.NewFollower(nodes), []*store.Follower{store.NewFollower(servers), store.NewFollower(configuration)}
@@ -228,6 +221,17 @@
 	n.refreshHeads()
 }
 
+// replaceNodes applies the whole table of nodes to known.
+func (n *Node) replaceNodes(known map[string]gossip.Peer, c platform.Changes) {
+	if n.observeEra(nodesTable, c) {
+		n.rewriteRows()
+	} else {
+		clear(known)
+	}
+	n.suspects.keepRows(c)
+	n.applyNodes(known, c)
+}
+
 // applyNodes applies changed rows of nodes to known and updates the peers.
 func (n *Node) applyNodes(known map[string]gossip.Peer, c platform.Changes) {
 	for _, row := range c.Rows {
--- a/internal/node/entry/run.go
+++ b/internal/node/entry/run.go
@@ -81,6 +81,8 @@
 		Clock:  n.config.Clock,
 		Logs:   n.tableLogs,
 		Prober: n.prober(),
+
+		Knowledge: n.knowledge,
 	}))
 	g.Add(n.socket.Run, func(error) { _ = n.socket.Close() })
 	n.addLoops(&g)
@@ -122,6 +124,7 @@
 	n.addLoop(g, every(demandInterval), n.sampleDemand)
 	n.addLoop(g, every(reportInterval), n.sendDomainReport)
 	n.addLoop(g, every(suspectsInterval), n.saveSuspects)
+	n.addLoop(g, every(contactInterval), n.learnFromPeers)
 	n.addLoop(g, every(summaryInterval), func(context.Context) error {
 		n.eventLog.logSuppressed()
 		return nil
--- a/internal/node/entry/suspect_rows.go
+++ b/internal/node/entry/suspect_rows.go
@@ -25,15 +25,7 @@
 	}
 	s := n.suspects
 	s.mu.Lock()
-	for f, at := range s.unsaved {
-		if now.Before(at) {
-			continue
-		}
-		delete(s.unsaved, f)
-		if len(s.rowsOf(f)) == 0 {
-			s.changed[f] = true
-		}
-	}
+	s.review(now)
 	due := s.changed
 	s.changed = map[attempt.Fingerprint]bool{}
 	s.mu.Unlock()
@@ -56,6 +48,21 @@
 	return n.deleteOldRows(ctx, now)
 }
 
+// review marks the evidence to be written that no row has although it is due, and that whose
+// rows an answer refutes, so that they are deleted. It is called with mu held.
+func (s *suspects) review(now time.Time) {
+	for f, at := range s.reviews {
+		if now.Before(at) {
+			continue
+		}
+		delete(s.reviews, f)
+		known, written := s.guard.Verdict(f, now).Suspected, len(s.rowsOf(f)) > 0
+		if known != written {
+			s.changed[f] = true
+		}
+	}
+}
+
 // maxRowsSaved bounds the rows that this node writes in one step, so that a prompt of many
 // parts doesn't take the writes of all nodes.
 const maxRowsSaved = 32
@@ -114,6 +121,7 @@
 			s.changed[f] = true
 		}
 	}
+	maps.DeleteFunc(s.acquittals, func(_ attempt.Fingerprint, a acquittal) bool { return now.Sub(a.recordedAt) > quarantineTTL })
 	maps.DeleteFunc(s.quarantined, func(f attempt.Fingerprint, _ bool) bool {
 		return !s.guard.Verdict(f, now).Blamed
 	})
@@ -197,6 +205,14 @@
 			delete(n.suspects.rows, key)
 		}
 		n.suspects.mu.Unlock()
+		now := n.config.Clock.Now()
+		for _, key := range part {
+			f, err := rowFingerprint(key)
+			if err != nil {
+				return err
+			}
+			n.suspects.recordAcquittal(f, now)
+		}
 	}
 	return nil
 }
@@ -247,18 +263,94 @@
 	if s.guard.Merge(e, now).News {
 		n.noteEvidence(e.Fingerprint, sourceStore, now)
 	}
+	if len(e.Observations) > 0 && !s.guard.Verdict(e.Fingerprint, now).Suspected {
+		at := now.Add(n.reviewDelay(e.Fingerprint, now))
+		s.mu.Lock()
+		s.reviews[e.Fingerprint] = at
+		s.mu.Unlock()
+	}
 	return nil
 }
 
-// withdraw takes back the evidence of a row that was deleted.
-func (n *Node) withdraw(key string, now time.Time) error {
+// keepRows forgets the rows that a snapshot of the table doesn't have.
+func (s *suspects) keepRows(c platform.Changes) {
+	listed := map[string]bool{}
+	for _, row := range c.Rows {
+		listed[row.Key] = true
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	maps.DeleteFunc(s.rows, func(key string, _ time.Time) bool { return !listed[key] })
+}
+
+// acquittal is what an answer has refuted.
+type acquittal struct {
+	// history holds the refuted crashes, too: nodes that start may read them in a row, which
+	// doesn't tell how old it is. Its ages are those at the time recordedAt.
+	history    quarantine.Evidence
+	recordedAt time.Time
+}
+
+// recordAcquittal remembers what was known of a request whose rows were deleted, if an answer
+// has refuted it.
+func (s *suspects) recordAcquittal(f attempt.Fingerprint, now time.Time) {
+	history := s.guard.History(f, now)
+	if !history.Completed || s.guard.Verdict(f, now).Suspected {
+		return
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	if _, ok := s.acquittals[f]; !ok && len(s.acquittals) >= maxAcquittals {
+		oldest := f
+		for other, a := range s.acquittals {
+			if oldest == f || a.recordedAt.Before(s.acquittals[oldest].recordedAt) {
+				oldest = other
+			}
+		}
+		delete(s.acquittals, oldest)
+	}
+	s.acquittals[f] = acquittal{history: history, recordedAt: now}
+}
+
+// acquitted returns what answers have refuted.
+func (s *suspects) acquitted(now time.Time) []quarantine.Evidence {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+
+	var all []quarantine.Evidence
+	for _, a := range s.acquittals {
+		e, since := a.history, now.Sub(a.recordedAt)
+		e.CompletedAge += since
+		e.Observations = slices.Clone(e.Observations)
+		for i := range e.Observations {
+			e.Observations[i].Age += since
+		}
+		all = append(all, e)
+	}
+	return all
+}
+
+// rowFingerprint returns the fingerprint in the key of a row with evidence.
+func rowFingerprint(key string) (attempt.Fingerprint, error) {
 	text, _, _ := strings.Cut(strings.TrimPrefix(key, quarantinePrefix), "/")
 	f, err := attempt.ParseFingerprint(text)
 	if err != nil {
-		return Error.New("key %q: %w", key, err)
+		return f, Error.New("key %q: %w", key, err)
+	}
+	return f, nil
+}
+
+// withdraw takes back the evidence of a row that was deleted.
+func (n *Node) withdraw(key string, now time.Time) error {
+	f, err := rowFingerprint(key)
+	if err != nil {
+		return err
 	}
 	if n.suspects.guard.Withdraw(f, now) {
 		n.noteEvidence(f, sourceStore, now)
 	}
+	n.suspects.recordAcquittal(f, now)
 	return nil
 }
--- a/internal/node/entry/suspects.go
+++ b/internal/node/entry/suspects.go
@@ -1,8 +1,6 @@
 package entry
 
 import (
-	"math/rand/v2"
-	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -13,7 +11,6 @@
 	"go.uber.org/zap"
 
 	"almondbay.example/core/attempt"
-	"almondbay.example/internal/peer/gossip"
 	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/serving/event"
 )
@@ -63,8 +60,12 @@
 	// maxMessageEvidence bounds the size of a message: evidence of one request takes
 	// about 300 bytes.
 	maxMessageEvidence = 16
-	// unsavedDelay gives the nodes that contributed to evidence time to write it.
-	unsavedDelay = 600 * time.Millisecond
+	// reviewDelay gives the nodes that contributed to evidence time to write it. reviewStep
+	// is about the time that a row takes to reach all nodes.
+	reviewDelay = 600 * time.Millisecond
+	reviewStep  = 500 * time.Millisecond
+	// maxAcquittals bounds the acquittals that a node tells others of when they start.
+	maxAcquittals = 1024
 	// partSaveDelay is the time in which most parts of prompts that are innocent of a crash
 	// are answered.
 	partSaveDelay = 500 * time.Millisecond
@@ -92,9 +93,12 @@
 	contributed map[attempt.Fingerprint]bool
 	// changed holds those of them with new evidence since the last write.
 	changed map[attempt.Fingerprint]bool
-	// unsaved holds the quarantined requests that only peers contributed to, with the
-	// time at which this node writes the evidence if none of them has.
-	unsaved map[attempt.Fingerprint]time.Time
+	// reviews holds when this node compares the evidence against a request with the rows about
+	// it. It writes evidence that no row has by then, and deletes rows that an answer refutes.
+	reviews map[attempt.Fingerprint]time.Time
+	// acquittals holds what answers have refuted: a copy of the store may still have the rows
+	// about it.
+	acquittals map[attempt.Fingerprint]acquittal
 	// own holds the requests that this node wrote a row for, with the number of
 	// crashes in it.
 	own map[attempt.Fingerprint]int
@@ -131,7 +135,8 @@
 		domains:     quarantine.NewOutbox(evidenceRepeats),
 		contributed: map[attempt.Fingerprint]bool{},
 		changed:     map[attempt.Fingerprint]bool{},
-		unsaved:     map[attempt.Fingerprint]time.Time{},
+		reviews:     map[attempt.Fingerprint]time.Time{},
+		acquittals:  map[attempt.Fingerprint]acquittal{},
 		own:         map[attempt.Fingerprint]int{},
 		rows:        map[string]time.Time{},
 		quarantined: map[attempt.Fingerprint]bool{},
@@ -178,8 +183,26 @@
 	rank := func(node string) uint64 {
 		return xxhash.Sum64String("trial/" + strconv.FormatUint(key, 16) + "/" + node)
 	}
-	own := rank(n.config.Settings.Node)
-	return !slices.ContainsFunc(n.peers.Callable(n.config.Clock.Now()), func(p gossip.Peer) bool { return rank(p.Node) > own })
+	return n.rankAmongLive(n.config.Clock.Now(), rank) == 0
+}
+
+// rankAmongLive returns the number of live peers whose weight exceeds that of this node.
+func (n *Node) rankAmongLive(now time.Time, weight func(node string) uint64) int {
+	own := weight(n.config.Settings.Node)
+	above := 0
+	for _, p := range n.peers.Callable(now) {
+		if weight(p.Node) > own {
+			above++
+		}
+	}
+	return above
+}
+
+// reviewDelay returns how long this node waits until it compares the evidence against a
+// request with the rows about it. The nodes do so one after the other, so that few write.
+func (n *Node) reviewDelay(f attempt.Fingerprint, now time.Time) time.Duration {
+	rank := n.rankAmongLive(now, func(node string) uint64 { return xxhash.Sum64String("row/" + f.String() + "/" + node) })
+	return reviewDelay + time.Duration(rank)*reviewStep
 }
 
 // mergeEvidence records the evidence of another node. What a node of this failure
@@ -217,6 +240,7 @@
 func (n *Node) noteEvidence(f attempt.Fingerprint, source string, now time.Time) {
 	s := n.suspects
 	quarantined := s.guard.Verdict(f, now).Blamed
+	reviewAt := now.Add(n.reviewDelay(f, now))
 	s.mu.Lock()
 	if source == sourceOwn {
 		s.contributed[f] = true
@@ -226,7 +250,7 @@
 	}
 	was := s.quarantined[f]
 	if quarantined && !was && source == sourcePeer {
-		s.unsaved[f] = now.Add(unsavedDelay + rand.N(unsavedDelay))
+		s.reviews[f] = reviewAt
 	}
 	if quarantined {
 		s.quarantined[f] = true
--- a/internal/peer/relay/bounds_test.go
+++ b/internal/peer/relay/bounds_test.go
@@ -30,6 +30,10 @@
 		_, err := c.Changes(ctx, "127.0.0.1", table, relay.Position{Log: "l", Index: 1}, time.Minute)
 		return err
 	}},
+	{"knowledge", 4 << 20, func(ctx context.Context, c *relay.Client) error {
+		_, err := c.Knowledge(ctx, "127.0.0.1")
+		return err
+	}},
 	{"probe", 16 << 10, func(ctx context.Context, c *relay.Client) error {
 		_, err := c.ProbeServer(ctx, "127.0.0.1", registry.Server{ID: "i-1"})
 		return err
--- a/internal/peer/relay/fuzz_test.go
+++ b/internal/peer/relay/fuzz_test.go
@@ -17,6 +17,7 @@
 func FuzzPeerAnswers(f *testing.F) {
 	f.Add([]byte(`{"rows":[{"key":"k","version":3,"value":"e30="}],"version":3,"log":"l","index":2,"ageMs":5}`))
 	f.Add([]byte(`{"rows":[null],"ageMs":-9223372036854775808}`))
+	f.Add([]byte(`{"evidence":[{"quick":"1","evidence":{"fingerprint":"00","crashes":[null]}},null],"uptimeMs":5}`))
 	f.Add([]byte(`{"reached":true,"born":"x"}`))
 	f.Fuzz(func(t *testing.T, body []byte) {
 		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { _, _ = w.Write(body) }))
@@ -33,6 +34,7 @@
 		ctx := context.Background()
 		_, _ = c.Snapshot(ctx, address, "servers", 0)
 		_, _ = c.Changes(ctx, address, "servers", relay.Position{Log: "l", Index: 1}, 0)
+		_, _ = c.Knowledge(ctx, address)
 		_, _ = c.ProbeServer(ctx, address, registry.Server{ID: "s"})
 	})
 }
--- a/internal/peer/relay/server.go
+++ b/internal/peer/relay/server.go
@@ -17,6 +17,8 @@
 	Logs map[string]*Log
 	// Prober queries the state of backend servers on behalf of other nodes.
 	Prober Prober
+	// Knowledge returns all that this node knows of requests that crash servers.
+	Knowledge func() Knowledge
 }
 
 // Server serves the relayed tables and probes of backend servers to other nodes.
@@ -30,6 +32,7 @@
 	s := &Server{config: c, echo: echo.New()}
 	s.echo.GET(pathFeed, s.feed)
 	s.echo.POST(pathProbe, s.probe)
+	s.echo.GET(pathEvidence, s.evidence)
 	return s
 }
 
--- a/internal/peer/relay/wire.go
+++ b/internal/peer/relay/wire.go
@@ -10,8 +10,9 @@
 
 // Paths of the calls between nodes.
 const (
-	pathFeed  = "/feed"
-	pathProbe = "/reach"
+	pathFeed     = "/feed"
+	pathProbe    = "/reach"
+	pathEvidence = "/evidence"
 )
 
 type changeWire struct {
--- a/internal/routing/quarantine/guard.go
+++ b/internal/routing/quarantine/guard.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"sync"
 	"time"
@@ -341,6 +342,31 @@
 	return Evidence{Evidence: g.evidenceOf(m.Part).Evidence(f, now), Quick: m.Quick, Part: m.Part}
 }
 
+// All returns the evidence that counts now, against each mark.
+func (g *Guard) All(now time.Time) []Evidence {
+	var all []Evidence
+	for _, m := range g.listMarks() {
+		if e := g.Evidence(m.Fingerprint, now); len(e.Observations) > 0 {
+			all = append(all, e)
+		}
+	}
+	return all
+}
+
+// listMarks returns the marks with evidence.
+func (g *Guard) listMarks() []Mark {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+
+	return slices.Collect(maps.Values(g.marks))
+}
+
+// History returns all that is known of a mark, also what an answer has refuted.
+func (g *Guard) History(f attempt.Fingerprint, now time.Time) Evidence {
+	m := g.mark(f)
+	return Evidence{Evidence: g.evidenceOf(m.Part).History(f, now), Quick: m.Quick, Part: m.Part}
+}
+
 // Verdict is what the evidence against a mark amounts to.
 type Verdict struct {
 	// Suspected is set if there is evidence, Blamed if it suffices: requests with the mark
@@ -371,12 +397,7 @@
 
 // Count returns the numbers of marks with evidence.
 func (g *Guard) Count(now time.Time) Counts {
-	g.mu.Lock()
-	marks := make([]Mark, 0, len(g.marks))
-	for _, m := range g.marks {
-		marks = append(marks, m)
-	}
-	g.mu.Unlock()
+	marks := g.listMarks()
 	c := Counts{Suspected: len(marks)}
 	for _, m := range marks {
 		switch {
--- a/pkg/core/attempt/quarantine.go
+++ b/pkg/core/attempt/quarantine.go
@@ -250,6 +250,18 @@
 	return e
 }
 
+// History returns all evidence about a request, also what a completion refutes.
+func (q *Quarantine) History(f Fingerprint, now time.Time) Evidence {
+	e := q.Evidence(f, now)
+	e.Observations = nil
+	q.requests.with(f, func(entries map[Fingerprint][]observation) {
+		for _, obs := range entries[f] {
+			e.Observations = append(e.Observations, CrashObservation{Crash: obs.crash, Age: now.Sub(obs.at)})
+		}
+	})
+	return e
+}
+
 // QuarantinedEvidence returns the evidence against each quarantined request.
 func (q *Quarantine) QuarantinedEvidence(now time.Time) []Evidence {
 	var candidates []Fingerprint
@@ -296,14 +308,21 @@
 }
 
 // record adds an observation and evicts the oldest request when the shard is
-// full. It reports whether the observation is news.
+// full. It reports whether the observation is news. Of a known one the earliest time
+// counts: an age is understated by the time for which a row with it was not read.
 func (q *Quarantine) record(f Fingerprint, c Crash, at time.Time) bool {
 	q.outages.record(c, at)
 	added := false
 	evicted := requestObservations{}
 	q.requests.with(f, func(entries map[Fingerprint][]observation) {
 		known := entries[f]
-		if slices.ContainsFunc(known, func(obs observation) bool { return obs.crash == c }) {
+		if i := slices.IndexFunc(known, func(obs observation) bool { return obs.crash == c }); i >= 0 {
+			if at.Before(known[i].at) {
+				// Readers use the old slice without the lock.
+				known = slices.Clone(known)
+				known[i].at = at
+				entries[f] = known
+			}
 			return
 		}
 		known = q.withinTTL(known, at)
