Ask other nodes for newer values after the store was read as a whole

After each whole read at the store a node now asks up to three others for newer values of the rows that it has read. Ruled out: taking their other rows, too, since the store never tells of the deletion of a row that it doesn't have.

TestReaderOfStoreGetsWhatOthersKnow: both cases fail with the calls taken out, and pass now.

--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -55,6 +55,8 @@
 		Client:         n.peerClient,
 		Logs:           n.tableLogs,
 		Source:         n.source,
+		Witnesses:      n.witnesses,
+		OnWitnessError: func(err error) { n.eventLog.stepFailed(err, 1) },
 		AgeSlack:       sourceAgeSlack,
 		MaxWait:        maxSourceWait,
 		StartWait:      sourceStartWait,
@@ -116,6 +118,21 @@
 	}
 }
 
+// witnesses returns the addresses of live nodes of the failure domain, or of others if it has
+// none.
+func (n *Node) witnesses() []string {
+	now := n.config.Clock.Now()
+	peers := n.peers.Alive(n.config.Settings.FailureDomain, now)
+	if len(peers) == 0 {
+		peers = n.peers.Callable(now)
+	}
+	addresses := make([]string, 0, len(peers))
+	for _, p := range peers {
+		addresses = append(addresses, p.Address)
+	}
+	return addresses
+}
+
 // storeProbers is the number of nodes of a failure domain that retry the store
 // while none of them reaches it: one, and a second in case the first dies.
 const storeProbers = 2
--- a/internal/node/entry/relay_test.go
+++ b/internal/node/entry/relay_test.go
@@ -92,6 +92,8 @@
 	*Node
 	// source is the address that it reads from; empty for the store.
 	source string
+	// witnesses are the addresses of the nodes that it asks for newer values.
+	witnesses []string
 	// versions holds the versions of the tables that it has read.
 	versions map[string]uint64
 	port     int
@@ -127,8 +129,9 @@
 	}
 	n.feed = peerrelay.NewFeed(peerrelay.FeedConfig{
 		Clock: n.config.Clock, Store: store, Logs: n.tableLogs,
-		Client: peerrelay.NewClient(peerrelay.ClientConfig{Port: f.port, Dial: (&net.Dialer{}).DialContext}),
-		Source: func(func(string) bool) (string, int) { return f.source, 1 },
+		Client:    peerrelay.NewClient(peerrelay.ClientConfig{Port: f.port, Dial: (&net.Dialer{}).DialContext}),
+		Source:    func(func(string) bool) (string, int) { return f.source, 1 },
+		Witnesses: func() []string { return f.witnesses }, OnWitnessError: func(err error) { t.Error(err) },
 
 		AgeSlack: time.Minute, MaxWait: func(string) time.Duration { return 0 }, ResponseMargin: time.Minute,
 	})
@@ -323,3 +326,50 @@
 		})
 	}
 }
+
+// TestReaderOfStoreGetsWhatOthersKnow guards against a node that has just started, reads
+// the store for its failure domain and goes on with what the store has lost, or with a late
+// write, though the other nodes know the newer value.
+func TestReaderOfStoreGetsWhatOthersKnow(t *testing.T) {
+	tests := []struct {
+		name string
+		play func(t *testing.T, s *copiedStore, older copiedStore)
+	}{
+		{"store back from a copy", func(_ *testing.T, s *copiedStore, older copiedStore) { s.restore(older) }},
+		{"late write", func(t *testing.T, s *copiedStore, _ copiedStore) {
+			s.put(t, configurationTable, configurationKey, 7)
+			s.put(t, serversTable, serverID, report{105, false})
+		}},
+	}
+	for _, tt := range tests {
+		t.Run(tt.name, func(t *testing.T) {
+			s := &copiedStore{tables: map[string]map[string]platform.Change{}}
+			s.put(t, configurationTable, configurationKey, 7)
+			s.put(t, serversTable, serverID, report{100, false})
+			older := s.copy()
+			s.put(t, configurationTable, configurationKey, 8)
+			s.put(t, serversTable, serverID, report{110, true})
+			s.put(t, serversTable, "gone", report{1, false})
+			peer := newFollowingNode(t, s, 0)
+			peer.read(t)
+			tt.play(t, s, older)
+			reader := newFollowingNode(t, s, peer.port)
+			reader.read(t)
+			reader.witnesses = []string{"127.0.0.1"}
+			reader.read(t)
+			reader.read(t)
+			if got := reader.configuration.Load().Version; got != 8 {
+				t.Errorf("configuration %d in force, want 8", got)
+			}
+			if !reader.draining(t) {
+				t.Error("the server is taken for ready")
+			}
+			if _, ok := s.tables[serversTable]["gone"]; ok {
+				return
+			}
+			if _, ok := reader.registrations.View(reader.config.Clock.Now()).Find("gone"); ok {
+				t.Error("a server is known that the store doesn't have, so that its deletion won't be read")
+			}
+		})
+	}
+}
--- a/internal/peer/relay/feed.go
+++ b/internal/peer/relay/feed.go
@@ -23,6 +23,11 @@
 	// to avoid, and the number of nodes between the store and this node. The
 	// address is empty if this node reads the store for the others.
 	Source func(avoid func(address string) bool) (address string, hops int)
+	// Witnesses returns the addresses of nodes that may know newer values than the store,
+	// which may have come back from a copy or perform a write late.
+	Witnesses func() []string
+	// OnWitnessError is called with the error of a call to one of them.
+	OnWitnessError func(err error)
 	// AgeSlack is, for each hop, how far the age of a source's data may exceed the
 	// wait for a change.
 	AgeSlack time.Duration
@@ -52,8 +57,17 @@
 	// unless it was read elsewhere since: what this node has read there may be older than
 	// what the source won't repeat.
 	cursors map[string]cursor
+	// unasked holds the number of nodes that are still to be asked for newer values of each
+	// table, since it was last read as a whole at the store.
+	unasked map[string]int
+	// nextWitness counts the nodes that were asked.
+	nextWitness int
 }
 
+// maxWitnesses is the number of nodes that are asked for newer values: some may have just
+// started, too.
+const maxWitnesses = 3
+
 // cursor is a position in the log of a source.
 type cursor struct {
 	address  string
@@ -68,7 +82,7 @@
 
 // NewFeed returns a feed that avoids no source yet.
 func NewFeed(c FeedConfig) *Feed {
-	return &Feed{config: c, avoided: map[sourceKey]time.Time{}, cursors: map[string]cursor{}}
+	return &Feed{config: c, avoided: map[sourceKey]time.Time{}, cursors: map[string]cursor{}, unasked: map[string]int{}}
 }
 
 // source returns the address of the node to read from and its hops to the store,
@@ -120,6 +134,46 @@
 	return Position{}
 }
 
+// askWitness asks a node for newer values of a table than those read at the store, if some
+// are still to be asked.
+func (f *Feed) askWitness(ctx context.Context, table string) []platform.Change {
+	log, ok := f.config.Logs[table]
+	if !ok || !log.ordered {
+		return nil
+	}
+	address := f.nextToAsk(table)
+	if address == "" {
+		return nil
+	}
+	callCtx, cancel := context.WithTimeout(ctx, f.config.ResponseMargin)
+	defer cancel()
+	r, err := f.config.Client.Snapshot(callCtx, address, table, 0)
+	if err != nil {
+		// The next one is asked: this one may not have read the table yet.
+		f.config.OnWitnessError(err)
+		return nil
+	}
+	return log.ApplyNewer(r.Rows, f.config.Clock.Now())
+}
+
+// nextToAsk returns the address of the node to ask for newer values of a table; empty if
+// none is to be asked.
+func (f *Feed) nextToAsk(table string) string {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	if f.unasked[table] == 0 {
+		return ""
+	}
+	witnesses := f.config.Witnesses()
+	if len(witnesses) == 0 {
+		return ""
+	}
+	f.unasked[table]--
+	f.nextWitness++
+	return witnesses[f.nextWitness%len(witnesses)]
+}
+
 // moveTo records where a table was read; at the store if the cursor is zero.
 func (f *Feed) moveTo(table string, c cursor) {
 	f.mu.Lock()
@@ -153,6 +207,10 @@
 	}
 	f.record(table, c, true, 0)
 	f.moveTo(table, cursor{})
+	f.mu.Lock()
+	defer f.mu.Unlock()
+
+	f.unasked[table] = maxWitnesses
 	return c, nil
 }
 
@@ -173,6 +231,9 @@
 		}
 		f.avoid(table, address)
 	}
+	if rows := f.askWitness(ctx, table); len(rows) > 0 {
+		return platform.Changes{Rows: rows, Version: after}, nil
+	}
 	c, err := f.config.Store.Changes(ctx, table, after, wait)
 	var lost *platform.HistoryLostError
 	switch {
--- a/internal/peer/relay/log.go
+++ b/internal/peer/relay/log.go
@@ -144,6 +144,35 @@
 	return ahead
 }
 
+// ApplyNewer applies those rows of another node's snapshot that are newer by their content
+// than the ones that this log has, and returns them. It adds no rows: the store doesn't tell
+// when one is deleted that it no longer has.
+func (l *Log) ApplyNewer(rows []platform.Change, now time.Time) []platform.Change {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+
+	var newer []platform.Change
+	for _, c := range rows {
+		old, known := l.rows[c.Key]
+		if !known || c.Deleted || !l.newerByContent(row{Change: c, decoded: l.policy.Decode(c.Value)}, old) {
+			continue
+		}
+		c.Version = old.Version
+		l.apply(c, now)
+		newer = append(newer, c)
+	}
+	if len(newer) > 0 {
+		l.wake()
+	}
+	return newer
+}
+
+// wake wakes waiting followers. It is called with mu held.
+func (l *Log) wake() {
+	close(l.changed)
+	l.changed = make(chan struct{})
+}
+
 // applied is what came of applying the state of a row.
 type applied struct {
 	// notify is set if followers must receive it.
@@ -209,8 +238,7 @@
 	l.failing = false
 	l.compact()
 	if notify {
-		close(l.changed)
-		l.changed = make(chan struct{})
+		l.wake()
 	}
 }
 
@@ -224,8 +252,7 @@
 		return
 	}
 	l.failing = true
-	close(l.changed)
-	l.changed = make(chan struct{})
+	l.wake()
 }
 
 // compact drops the older half of the deleted rows when there are more than
