Give a node no slack of the retry budget in its first window

The three tenths left over cover less than half of the nodes.

A node has no slack until a window has passed since its start; what its last run spent is out of every window by then. What requests earn holds over a restart, since they are counted by the rule, too. Considered: telling peers (all may be killed) and the store (may be away, and is priced).

--- a/internal/node/entry/node.go
+++ b/internal/node/entry/node.go
@@ -166,7 +166,7 @@
 	// streams of its head progress. It is below the two seconds after which
 	// callers give up.
 	attemptStallAfter = 1400 * time.Millisecond
-	// usableBudget leaves part of the retry budget to nodes that have restarted.
+	// usableBudget leaves part of the retry budget to nodes that the others don't know yet.
 	usableBudget = 0.7
 	// unreachableTimeout is how long a head must be missing before its members may join
 	// another group although the nodes that are alive may be cut off from it. It covers a
@@ -297,6 +297,7 @@
 	bounds := c.Settings.Bounds
 	n.budget = retry.NewBudget(retry.Config{
 		Ratio: bounds.RetryRatio, Slack: bounds.RetrySlack, Window: bounds.RetryWindow, UsableFraction: usableBudget,
+		Start: n.startedAt,
 	})
 	n.handler = ingress.NewHandler(ingress.Config{
 		Clock:   c.Clock,
--- a/internal/routing/retry/budget.go
+++ b/internal/routing/retry/budget.go
@@ -19,8 +19,11 @@
 	// are counted. The budget holds in every window of this length.
 	Window time.Duration
 	// UsableFraction is the fraction of the budget that is spent. The remainder
-	// covers nodes that restart and lose the count of their retries.
+	// covers nodes that the others don't know yet.
 	UsableFraction float64
+	// Start is when this node started. It has no slack until Window has passed: its last run
+	// may have spent it.
+	Start time.Time
 }
 
 // buckets is the number of buckets in a window. One more is kept, so that the
@@ -80,7 +83,7 @@
 		requests += s.requests[i]
 		retries += s.retries[i]
 	}
-	allowed := b.config.UsableFraction * (b.config.Ratio*float64(requests) + b.config.Slack/float64(b.nodes))
+	allowed := b.config.UsableFraction * (b.config.Ratio*float64(requests) + b.slack(now))
 	if float64(retries+1) > allowed {
 		return false
 	}
@@ -88,6 +91,14 @@
 	return true
 }
 
+// slack returns this node's share of the common slack. The caller must hold mu.
+func (b *Budget) slack(now time.Time) float64 {
+	if now.Sub(b.config.Start) < b.config.Window {
+		return 0
+	}
+	return b.config.Slack / float64(b.nodes)
+}
+
 // current returns the usage of a service after it has cleared the buckets that
 // have expired by now.
 func (b *Budget) current(service string, now time.Time) *usage {
