Ask peers again that gave no answer, and a node of another failure domain

Failed calls don't count now, up to 20 of them (nodes of an earlier build answer none). The third node asked for newer values is one of another failure domain.

--- a/internal/node/entry/contact.go
+++ b/internal/node/entry/contact.go
@@ -34,17 +34,23 @@
 type contacts struct {
 	checkedAt time.Time
 	learned   map[string]bool
-	// asked holds the addresses of the peers of each failure domain that were asked.
+	// asked holds the addresses of the peers of each failure domain that answered.
 	asked map[string][]string
+	// failures counts the calls to the peers of each failure domain without an answer.
+	failures map[string]int
 }
 
+// maxContactFailures is the number of calls without an answer after which a failure domain
+// counts as learned from: its nodes may all run a build that has no such call.
+const maxContactFailures = 20
+
 // learnFromPeers asks a node of each failure domain that this node has come in contact with
 // for all that it knows of requests that crash servers. Messages tell only news.
 func (n *Node) learnFromPeers(ctx context.Context) error {
 	now := n.config.Clock.Now()
 	c := &n.contacts
 	if c.learned == nil || now.Sub(c.checkedAt) > contactGap {
-		c.learned, c.asked = map[string]bool{}, map[string][]string{}
+		c.learned, c.asked, c.failures = map[string]bool{}, map[string][]string{}, map[string]int{}
 	}
 	byDomain := map[string][]gossip.Peer{}
 	for _, p := range n.peers.Callable(now) {
@@ -52,6 +58,7 @@
 	}
 	maps.DeleteFunc(c.learned, func(domain string, _ bool) bool { return len(byDomain[domain]) == 0 })
 	maps.DeleteFunc(c.asked, func(domain string, _ []string) bool { return len(byDomain[domain]) == 0 })
+	maps.DeleteFunc(c.failures, func(domain string, _ int) bool { return len(byDomain[domain]) == 0 })
 	var failed error
 	for domain, peers := range byDomain {
 		if c.learned[domain] {
@@ -64,12 +71,14 @@
 			continue
 		}
 		p := peers[rand.IntN(len(peers))]
-		c.asked[domain] = append(c.asked[domain], p.Address)
 		uptime, err := n.learnFrom(ctx, p)
 		if err != nil {
 			failed = err
+			c.failures[domain]++
+			c.learned[domain] = c.failures[domain] >= maxContactFailures
 			continue
 		}
+		c.asked[domain] = append(c.asked[domain], p.Address)
 		c.learned[domain] = uptime >= learnedUptime
 	}
 	c.checkedAt = n.config.Clock.Now()
--- a/internal/node/entry/era_test.go
+++ b/internal/node/entry/era_test.go
@@ -4,7 +4,12 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"net"
+	"net/http"
+	"net/http/httptest"
 	"slices"
+	"strconv"
+	"strings"
 	"testing"
 	"time"
 
@@ -15,6 +20,7 @@
 	"almondbay.example/core/attempt"
 	"almondbay.example/internal/fleet/registry"
 	"almondbay.example/internal/peer/gossip"
+	peerrelay "almondbay.example/internal/peer/relay"
 	"almondbay.example/internal/routing/balance"
 	"almondbay.example/internal/routing/quarantine"
 	"almondbay.example/internal/routing/retry"
@@ -299,3 +305,52 @@
 		}
 	}
 }
+
+// TestNodeAsksAgainWithoutAnswer guards against a node that learns nothing from a failure
+// domain whose only node gave no answer at the first contact, or had just started then and
+func TestNodeAsksAgainWithoutAnswer(t *testing.T) {
+	n, _ := newWritingNode(t)
+	known, _ := newWritingNode(t)
+	e := crashingEvidence()
+	known.mergeEvidence([]quarantine.Evidence{e}, true, known.config.Clock.Now())
+	known.startedAt = known.config.Clock.Now().Add(-time.Hour)
+	peer := peerrelay.NewServer(peerrelay.ServerConfig{Clock: known.config.Clock, Knowledge: known.knowledge})
+	calls := 0
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		if calls == 1 {
+			w.WriteHeader(http.StatusServiceUnavailable)
+			return
+		}
+		peer.ServeHTTP(w, r)
+	}))
+	defer server.Close()
+	_, text, err := net.SplitHostPort(strings.TrimPrefix(server.URL, "http://"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	port, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	n.peerClient = peerrelay.NewClient(peerrelay.ClientConfig{Port: port, Dial: (&net.Dialer{}).DialContext})
+	n.peers.SetPeers(nil)
+	n.peers.Record(gossip.Message{Node: "other", FailureDomain: "b", Address: "127.0.0.1", Incarnation: 1, Sequence: 1}, n.config.Clock.Now())
+	blamed := func() bool { return n.suspects.guard.Verdict(e.Fingerprint, n.config.Clock.Now()).Blamed }
+	if err := n.learnFromPeers(t.Context()); err == nil || blamed() {
+		t.Fatalf("first call: error %v, request rejected %v; want an error and no evidence", err, blamed())
+	}
+	for range 3 {
+		if err := n.learnFromPeers(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if !blamed() || calls != 2 {
+		t.Errorf("request rejected: %v after %d calls; want the evidence from the second one, and no more calls", blamed(), calls)
+	}
+	advance(n, contactGap+time.Millisecond)
+	n.peers.Record(gossip.Message{Node: "other", FailureDomain: "b", Address: "127.0.0.1", Incarnation: 1, Sequence: 2}, n.config.Clock.Now())
+	if err := n.learnFromPeers(t.Context()); err != nil || calls != 3 {
+		t.Errorf("after a pause of the node: error %v, %d calls; want one more call", err, calls)
+	}
+}
--- a/internal/node/entry/peers.go
+++ b/internal/node/entry/peers.go
@@ -55,7 +55,7 @@
 		Client:         n.peerClient,
 		Logs:           n.tableLogs,
 		Source:         n.source,
-		Witnesses:      n.witnesses,
+		Witness:        n.witness,
 		OnWitnessError: func(err error) { n.eventLog.stepFailed(err, 1) },
 		AgeSlack:       sourceAgeSlack,
 		MaxWait:        maxSourceWait,
@@ -118,19 +118,26 @@
 	}
 }
 
-// witnesses returns the addresses of live nodes of the failure domain, or of others if it has
-// none.
-func (n *Node) witnesses() []string {
-	now := n.config.Clock.Now()
-	peers := n.peers.Alive(n.config.Settings.FailureDomain, now)
-	if len(peers) == 0 {
-		peers = n.peers.Callable(now)
+// witness returns the address of a random live node: for the numbers below two of this
+// failure domain, for others of another one, as all of this one may have just started. It
+// takes one of the other kind if there is none.
+func (n *Node) witness(number int) string {
+	const ofOwnDomain = 2
+	var own, others []string
+	for _, p := range n.peers.Callable(n.config.Clock.Now()) {
+		if p.FailureDomain == n.config.Settings.FailureDomain {
+			own = append(own, p.Address)
+		} else {
+			others = append(others, p.Address)
+		}
 	}
-	addresses := make([]string, 0, len(peers))
-	for _, p := range peers {
-		addresses = append(addresses, p.Address)
+	if len(own) == 0 || number >= ofOwnDomain && len(others) > 0 {
+		own = others
+	}
+	if len(own) == 0 {
+		return ""
 	}
-	return addresses
+	return own[rand.IntN(len(own))]
 }
 
 // storeProbers is the number of nodes of a failure domain that retry the store
--- a/internal/node/entry/relay_test.go
+++ b/internal/node/entry/relay_test.go
@@ -92,8 +92,8 @@
 	*Node
 	// source is the address that it reads from; empty for the store.
 	source string
-	// witnesses are the addresses of the nodes that it asks for newer values.
-	witnesses []string
+	// witness is the address of the node that it asks for newer values.
+	witness string
 	// versions holds the versions of the tables that it has read.
 	versions map[string]uint64
 	port     int
@@ -129,9 +129,9 @@
 	}
 	n.feed = peerrelay.NewFeed(peerrelay.FeedConfig{
 		Clock: n.config.Clock, Store: store, Logs: n.tableLogs,
-		Client:    peerrelay.NewClient(peerrelay.ClientConfig{Port: f.port, Dial: (&net.Dialer{}).DialContext}),
-		Source:    func(func(string) bool) (string, int) { return f.source, 1 },
-		Witnesses: func() []string { return f.witnesses }, OnWitnessError: func(err error) { t.Error(err) },
+		Client:  peerrelay.NewClient(peerrelay.ClientConfig{Port: f.port, Dial: (&net.Dialer{}).DialContext}),
+		Source:  func(func(string) bool) (string, int) { return f.source, 1 },
+		Witness: func(int) string { return f.witness }, OnWitnessError: func(err error) { t.Error(err) },
 
 		AgeSlack: time.Minute, MaxWait: func(string) time.Duration { return 0 }, ResponseMargin: time.Minute,
 	})
@@ -355,7 +355,7 @@
 			tt.play(t, s, older)
 			reader := newFollowingNode(t, s, peer.port)
 			reader.read(t)
-			reader.witnesses = []string{"127.0.0.1"}
+			reader.witness = "127.0.0.1"
 			reader.read(t)
 			reader.read(t)
 			if got := reader.configuration.Load().Version; got != 8 {
--- a/internal/peer/relay/feed.go
+++ b/internal/peer/relay/feed.go
@@ -23,9 +23,10 @@
 	// to avoid, and the number of nodes between the store and this node. The
 	// address is empty if this node reads the store for the others.
 	Source func(avoid func(address string) bool) (address string, hops int)
-	// Witnesses returns the addresses of nodes that may know newer values than the store,
-	// which may have come back from a copy or perform a write late.
-	Witnesses func() []string
+	// Witness returns the address of a node that may know newer values than the store, which
+	// may have come back from a copy or perform a write late; empty if there is none. It is
+	// called for maxWitnesses nodes, numbered from zero.
+	Witness func(number int) string
 	// OnWitnessError is called with the error of a call to one of them.
 	OnWitnessError func(err error)
 	// AgeSlack is, for each hop, how far the age of a source's data may exceed the
@@ -60,8 +61,6 @@
 	// unasked holds the number of nodes that are still to be asked for newer values of each
 	// table, since it was last read as a whole at the store.
 	unasked map[string]int
-	// nextWitness counts the nodes that were asked.
-	nextWitness int
 }
 
 // maxWitnesses is the number of nodes that are asked for newer values: some may have just
@@ -165,13 +164,11 @@
 	if f.unasked[table] == 0 {
 		return ""
 	}
-	witnesses := f.config.Witnesses()
-	if len(witnesses) == 0 {
-		return ""
+	address := f.config.Witness(maxWitnesses - f.unasked[table])
+	if address != "" {
+		f.unasked[table]--
 	}
-	f.unasked[table]--
-	f.nextWitness++
-	return witnesses[f.nextWitness%len(witnesses)]
+	return address
 }
 
 // moveTo records where a table was read; at the store if the cursor is zero.
--- a/internal/peer/relay/relay_test.go
+++ b/internal/peer/relay/relay_test.go
@@ -268,9 +268,9 @@
 	store := &storeFeed{changes: platform.Changes{Version: 9}}
 	return relay.NewFeed(relay.FeedConfig{
 		Clock: clock, Store: store, Client: client(t, server.URL), Logs: map[string]*relay.Log{table: relay.NewLog(relay.ValuePolicy{})},
-		Source:    func(func(string) bool) (string, int) { return "127.0.0.1", 1 },
-		Witnesses: func() []string { return nil },
-		AgeSlack:  time.Second, MaxWait: func(string) time.Duration { return time.Second }, StartWait: startWait, ResponseMargin: 10 * time.Second, SourceBackoff: time.Minute,
+		Source:   func(func(string) bool) (string, int) { return "127.0.0.1", 1 },
+		Witness:  func(int) string { return "" },
+		AgeSlack: time.Second, MaxWait: func(string) time.Duration { return time.Second }, StartWait: startWait, ResponseMargin: 10 * time.Second, SourceBackoff: time.Minute,
 	}), store
 }
 
