--- a/internal/node/entry/contact.go
+++ b/internal/node/entry/contact.go
@@ -34,8 +34,8 @@
 type contacts struct {
 	checkedAt time.Time
 	learned   map[string]bool
-	// asked holds the addresses of the peers of each failure domain that answered.
-	asked map[string][]string
+	// answered holds the addresses of the peers of each failure domain that answered.
+	answered map[string][]string
 	// failures counts the calls to the peers of each failure domain without an answer.
 	failures map[string]int
 }
@@ -50,21 +50,21 @@
 	now := n.config.Clock.Now()
 	c := &n.contacts
 	if c.learned == nil || now.Sub(c.checkedAt) > contactGap {
-		c.learned, c.asked, c.failures = map[string]bool{}, map[string][]string{}, map[string]int{}
+		c.learned, c.answered, c.failures = map[string]bool{}, map[string][]string{}, map[string]int{}
 	}
 	byDomain := map[string][]gossip.Peer{}
 	for _, p := range n.peers.Callable(now) {
 		byDomain[p.FailureDomain] = append(byDomain[p.FailureDomain], p)
 	}
 	maps.DeleteFunc(c.learned, func(domain string, _ bool) bool { return len(byDomain[domain]) == 0 })
-	maps.DeleteFunc(c.asked, func(domain string, _ []string) bool { return len(byDomain[domain]) == 0 })
+	maps.DeleteFunc(c.answered, func(domain string, _ []string) bool { return len(byDomain[domain]) == 0 })
 	maps.DeleteFunc(c.failures, func(domain string, _ int) bool { return len(byDomain[domain]) == 0 })
 	var failed error
 	for domain, peers := range byDomain {
 		if c.learned[domain] {
 			continue
 		}
-		peers = slices.DeleteFunc(peers, func(p gossip.Peer) bool { return slices.Contains(c.asked[domain], p.Address) })
+		peers = slices.DeleteFunc(peers, func(p gossip.Peer) bool { return slices.Contains(c.answered[domain], p.Address) })
 		if len(peers) == 0 {
 			// Nobody has been there for long.
 			c.learned[domain] = true
@@ -78,7 +78,7 @@
 			c.learned[domain] = c.failures[domain] >= maxContactFailures
 			continue
 		}
-		c.asked[domain] = append(c.asked[domain], p.Address)
+		c.answered[domain] = append(c.answered[domain], p.Address)
 		c.learned[domain] = uptime >= learnedUptime
 	}
 	c.checkedAt = n.config.Clock.Now()
--- a/internal/node/entry/era_test.go
+++ b/internal/node/entry/era_test.go
@@ -193,7 +193,7 @@
 // saveAfterReviews lets the reviews of all nodes come and has a node save what is due.
 func saveAfterReviews(t *testing.T, n *Node) {
 	t.Helper()
-	advance(n, reviewDelay+time.Duration(n.peers.Count())*reviewStep)
+	advance(n, firstReviewDelay+time.Duration(n.peers.Count())*reviewStep)
 	if err := n.saveSuspects(t.Context()); err != nil {
 		t.Fatal(err)
 	}
@@ -257,8 +257,8 @@
 		slices.Sort(delays)
 		// A row takes up to two steps to reach all nodes.
 		writers := len(slices.DeleteFunc(delays, func(d time.Duration) bool { return d > delays[0]+2*reviewStep }))
-		if writers > maxWriters || delays[0] != reviewDelay {
-			t.Errorf("mark %d: %d nodes write a row, the first after %v; want at most %d, the first after %v", mark, writers, delays[0], maxWriters, reviewDelay)
+		if writers > maxWriters || delays[0] != firstReviewDelay {
+			t.Errorf("mark %d: %d nodes write a row, the first after %v; want at most %d, the first after %v", mark, writers, delays[0], maxWriters, firstReviewDelay)
 		}
 	}
 }
--- a/internal/node/entry/suspects.go
+++ b/internal/node/entry/suspects.go
@@ -60,10 +60,10 @@
 	// maxMessageEvidence bounds the size of a message: evidence of one request takes
 	// about 300 bytes.
 	maxMessageEvidence = 16
-	// reviewDelay gives the nodes that contributed to evidence time to write it. reviewStep
-	// is about the time that a row takes to reach all nodes.
-	reviewDelay = 600 * time.Millisecond
-	reviewStep  = 500 * time.Millisecond
+	// firstReviewDelay gives the nodes that contributed to evidence time to write it.
+	// reviewStep is about the time that a row takes to reach all nodes.
+	firstReviewDelay = 600 * time.Millisecond
+	reviewStep       = 500 * time.Millisecond
 	// maxAcquittals bounds the acquittals that a node tells others of when they start.
 	maxAcquittals = 1024
 	// partSaveDelay is the time in which most parts of prompts that are innocent of a crash
@@ -202,7 +202,7 @@
 // request with the rows about it. The nodes do so one after the other, so that few write.
 func (n *Node) reviewDelay(f attempt.Fingerprint, now time.Time) time.Duration {
 	rank := n.rankAmongLive(now, func(node string) uint64 { return xxhash.Sum64String("row/" + f.String() + "/" + node) })
-	return reviewDelay + time.Duration(rank)*reviewStep
+	return firstReviewDelay + time.Duration(rank)*reviewStep
 }
 
 // mergeEvidence records the evidence of another node. What a node of this failure
