--- a/internal/node/entry/contact.go
+++ b/internal/node/entry/contact.go
@@ -40,6 +40,10 @@
 	failures map[string]int
 }
 
+// maxFreshPeers is the number of peers of a failure domain that are asked if each of them has
+// just started. All do when the fleet starts.
+const maxFreshPeers = 3
+
 // maxContactFailures is the number of calls without an answer after which a failure domain
 // counts as learned from: its nodes may all run a build that has no such call.
 const maxContactFailures = 20
@@ -65,8 +69,8 @@
 			continue
 		}
 		peers = slices.DeleteFunc(peers, func(p gossip.Peer) bool { return slices.Contains(c.answered[domain], p.Address) })
-		if len(peers) == 0 {
-			// Nobody has been there for long.
+		if len(peers) == 0 || len(c.answered[domain]) >= maxFreshPeers {
+			// Probably nobody has been there for long.
 			c.learned[domain] = true
 			continue
 		}
--- a/internal/node/entry/era_test.go
+++ b/internal/node/entry/era_test.go
@@ -8,8 +8,6 @@
 	"net/http"
 	"net/http/httptest"
 	"slices"
-	"strconv"
-	"strings"
 	"testing"
 	"time"
 
@@ -316,24 +314,14 @@
 	known.startedAt = known.config.Clock.Now().Add(-time.Hour)
 	peer := peerrelay.NewServer(peerrelay.ServerConfig{Clock: known.config.Clock, Knowledge: known.knowledge})
 	calls := 0
-	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+	servePeer(t, n, func(w http.ResponseWriter, r *http.Request) {
 		calls++
 		if calls == 1 {
 			w.WriteHeader(http.StatusServiceUnavailable)
 			return
 		}
 		peer.ServeHTTP(w, r)
-	}))
-	defer server.Close()
-	_, text, err := net.SplitHostPort(strings.TrimPrefix(server.URL, "http://"))
-	if err != nil {
-		t.Fatal(err)
-	}
-	port, err := strconv.Atoi(text)
-	if err != nil {
-		t.Fatal(err)
-	}
-	n.peerClient = peerrelay.NewClient(peerrelay.ClientConfig{Port: port, Dial: (&net.Dialer{}).DialContext})
+	})
 	n.peers.SetPeers(nil)
 	n.peers.Record(gossip.Message{Node: "other", FailureDomain: "b", Address: "127.0.0.1", Incarnation: 1, Sequence: 1}, n.config.Clock.Now())
 	blamed := func() bool { return n.suspects.guard.Verdict(e.Fingerprint, n.config.Clock.Now()).Blamed }
@@ -354,3 +342,46 @@
 		t.Errorf("after a pause of the node: error %v, %d calls; want one more call", err, calls)
 	}
 }
+
+// servePeer has a handler answer the calls of a node to all its peers.
+func servePeer(t *testing.T, n *Node, serve http.HandlerFunc) {
+	t.Helper()
+	server := httptest.NewServer(serve)
+	t.Cleanup(server.Close)
+	dial := func(ctx context.Context, network, _ string) (net.Conn, error) {
+		return (&net.Dialer{}).DialContext(ctx, network, server.Listener.Addr().String())
+	}
+	n.peerClient = peerrelay.NewClient(peerrelay.ClientConfig{Dial: dial})
+}
+
+// TestNodesThatStartTogetherAskFewPeers guards against calls of all nodes to all others when
+// the fleet starts, whose connections they kept.
+func TestNodesThatStartTogetherAskFewPeers(t *testing.T) {
+	const peers, maxCalls = 30, 3
+	n, _ := newWritingNode(t)
+	fresh, _ := newWritingNode(t)
+	fresh.startedAt = fresh.config.Clock.Now()
+	peer := peerrelay.NewServer(peerrelay.ServerConfig{Clock: fresh.config.Clock, Knowledge: fresh.knowledge})
+	calls := 0
+	servePeer(t, n, func(w http.ResponseWriter, r *http.Request) {
+		calls++
+		if !r.Close {
+			t.Error("the connection is kept")
+		}
+		peer.ServeHTTP(w, r)
+	})
+	n.peers.SetPeers(nil)
+	for i := range peers {
+		n.peers.Record(gossip.Message{
+			Node: fmt.Sprint("node-", i), FailureDomain: "b", Address: fmt.Sprint("127.0.0.", i+1), Incarnation: 1, Sequence: 1,
+		}, n.config.Clock.Now())
+	}
+	for range peers {
+		if err := n.learnFromPeers(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if calls != maxCalls {
+		t.Errorf("%d calls, want %d", calls, maxCalls)
+	}
+}
--- a/internal/peer/relay/client.go
+++ b/internal/peer/relay/client.go
@@ -130,6 +130,8 @@
 	body                  []byte
 	// maxBytes bounds the body of the response.
 	maxBytes int64
+	// last is set if the connection isn't needed any more.
+	last bool
 }
 
 // call sends a request to a node and decodes the body of a response with status
@@ -139,6 +141,7 @@
 	if err != nil {
 		return 0, Error.Wrap(err)
 	}
+	request.Close = q.last
 	if q.body != nil {
 		request.Header.Set("Content-Type", "application/json")
 	}
--- a/internal/peer/relay/evidence.go
+++ b/internal/peer/relay/evidence.go
@@ -32,7 +32,7 @@
 // Knowledge asks a node for all that it knows of requests that crash servers.
 func (c *Client) Knowledge(ctx context.Context, address string) (Knowledge, error) {
 	var w knowledgeWire
-	status, err := c.call(ctx, call{method: http.MethodGet, address: address, path: pathEvidence, maxBytes: maxKnowledgeBytes}, &w)
+	status, err := c.call(ctx, call{method: http.MethodGet, address: address, path: pathEvidence, maxBytes: maxKnowledgeBytes, last: true}, &w)
 	if err != nil {
 		return Knowledge{}, err
 	}
