Have the tests' queries to servers fail as those of the real client do

The stand-in for queries returned the dialer's error, while the real client wraps it in url.Error. A check of an ended server that took longer than its 250 ms then counted as an answer that doesn't tell, and no other check followed.

--- a/internal/node/entry/cluster_test.go
+++ b/internal/node/entry/cluster_test.go
@@ -10,6 +10,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"net/url"
 	"os"
 	"runtime"
 	"slices"
@@ -265,7 +266,8 @@
 }
 
 // refusableOrders rejects all orders, and queries without a report as a server of a
-// plain service does.
+// plain service does. A query without an answer has the error of an HTTP client: with
+// another one, the server would count as one that lives.
 type refusableOrders struct {
 	noOrders
 }
@@ -273,7 +275,7 @@
 func (refusableOrders) QueryState(ctx context.Context, s registry.Server) (control.State, error) {
 	conn, err := (&net.Dialer{}).DialContext(ctx, "tcp", s.Address)
 	if err != nil {
-		return control.State{}, err
+		return control.State{}, &url.Error{Op: "Get", URL: s.Address, Err: err}
 	}
 	return control.State{}, errors.Join(errors.New("server gives no report"), conn.Close())
 }
